--- a/src/common/histogram.hpp
+++ b/src/common/histogram.hpp
@@ -18,6 +18,14 @@
     ++total_;
     maximum_ = std::max(maximum_, value);
   }
+  /// Adds all that another histogram counted.
+  void merge(const Histogram& other) {
+    for (std::size_t i = 0; i < buckets_.size(); ++i) {
+      buckets_[i] += other.buckets_[i];
+    }
+    total_ += other.total_;
+    maximum_ = std::max(maximum_, other.maximum_);
+  }
   /// @param fraction in [0, 1]. @return an upper bound of that quantile, 0 where empty.
   Duration quantile(double fraction) const {
     const auto wanted = static_cast<std::uint64_t>(fraction * static_cast<double>(total_));
--- a/src/standin/core/backend_core.cpp
+++ b/src/standin/core/backend_core.cpp
@@ -22,6 +22,7 @@
     return LeaseStatus::kWrongIncarnation;
   }
   if (request.has_grants && request.grants_index >= grants_index_) {
+    ++version_;
     grants_index_ = request.grants_index;
     digest_ = request.grants_digest;
     grants_.clear();
@@ -43,6 +44,7 @@
     return false;
   }
   highest_term_ = request.term;
+  ++version_;
   for (const ownership::HeldShard& held : request.shards) {
     common::Epoch& released = released_[{held.service, held.shard}];
     released = std::max(released, held.epoch);
--- a/src/standin/core/backend_core.hpp
+++ b/src/standin/core/backend_core.hpp
@@ -41,6 +41,8 @@
 
   const common::Incarnation& incarnation() const { return incarnation_; }
   const std::string& digest() const { return digest_; }
+  /// Grows whenever grants or releases change, for observers.
+  std::uint64_t version() const { return version_; }
 
  private:
   common::Incarnation incarnation_;
@@ -50,6 +52,7 @@
   std::string digest_;
   std::map<ShardName, common::Epoch> grants_;
   std::map<ShardName, common::Epoch> released_;
+  std::uint64_t version_ = 0;
 };
 
 struct BackendOptions {
