Leases: a back end whose loss is proposed is never renewed again

Cause: between proposing the plan that takes a lost back end's shards away and its commit, the leader went on renewing that back end.

Ruled out: two leaders (one led throughout), a stretched lease by the late acknowledgement itself (expiry was clock + ttl as designed), clock drift.

Conclusion: sessions end when the loss is proposed (LeaseManager::give_up). The simulator's planned stops also start again after the faults' end, and a replay prints notes on leaders, members and faults between the events.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -492,8 +492,10 @@
   if (next.empty()) {
     return;
   }
+  const std::vector<common::BackendId> given_up = next.lost;
   const auto index = propose(now, Command(std::move(next)));
   if (index.has_value()) {
+    leases_.give_up(given_up);
     plan_index_ = *index;
   }
 }
--- a/src/ownership/lease_manager.cpp
+++ b/src/ownership/lease_manager.cpp
@@ -51,7 +51,7 @@
   contact_new_machines(now, state, machines, leases);
   for (auto& [id, session] : sessions_) {
     const BackendRecord& backend = *state.find_backend(id);
-    if (session.gone) {
+    if (session.gone || session.given_up) {
       continue;
     }
     if (now >= session.next_renewal) {
@@ -217,6 +217,15 @@
   return ids;
 }
 
+void LeaseManager::give_up(const std::vector<BackendId>& backends) {
+  for (const BackendId id : backends) {
+    const auto found = sessions_.find(id);
+    if (found != sessions_.end()) {
+      found->second.given_up = true;
+    }
+  }
+}
+
 std::vector<NewIncarnation> LeaseManager::take_new_incarnations() {
   return std::exchange(new_incarnations_, {});
 }
--- a/src/ownership/lease_manager.hpp
+++ b/src/ownership/lease_manager.hpp
@@ -84,6 +84,9 @@
 
   /// Back ends whose lease has ended for certain and that do not answer.
   std::vector<BackendId> lost(TimePoint now) const;
+  /// The loss of these back ends is on its way into the log: their sessions end here and now. A
+  /// renewal after this point would outlive the assignment that takes their shards away.
+  void give_up(const std::vector<BackendId>& backends);
   /// Shards that their owner has released; they may be assigned anew.
   const std::set<HeldShard>& released() const { return released_; }
   void forget_released(const HeldShard& shard) { released_.erase(shard); }
@@ -103,6 +106,7 @@
     std::string held_digest;
     GrantSet grants;
     bool gone = false;  ///< the incarnation answered no more at its address
+    bool given_up = false;  ///< its loss has been proposed; never renewed again in this term
     int unanswered = 0;  ///< renewals sent since the last answer
     BackendState state = BackendState::kCold;
     std::optional<TimePoint> release_due;
--- a/src/sim/controller_node.cpp
+++ b/src/sim/controller_node.cpp
@@ -38,6 +38,7 @@
                 common::RandomEngine(environment_.random()), host().clock());
   waiting_.clear();
   persisting_ = false;
+  led_ = false;
   tick();
   poll_platform();
 }
@@ -178,6 +179,25 @@
     complete(completion);
   }
   flushing_ = false;
+  note_role();
+}
+
+void ControllerNode::note_role() {
+  const consensus::RaftNode& raft = core_->raft();
+  if (raft.is_leader() != led_) {
+    led_ = raft.is_leader();
+    environment_.note(options_.name + (led_ ? " leads term " : " leads no more, term ") +
+                      std::to_string(raft.term().value));
+  }
+  if (raft.is_leader() && raft.membership() != membership_) {
+    membership_ = raft.membership();
+    std::string members;
+    for (const consensus::Member& member : membership_.members) {
+      members += " " + member.name + "/" + std::to_string(member.id.value % 1000) +
+                 (member.voter ? "" : "(learner)");
+    }
+    environment_.note(options_.name + " knows members" + members);
+  }
 }
 
 void ControllerNode::persist_next() {
--- a/src/sim/controller_node.hpp
+++ b/src/sim/controller_node.hpp
@@ -62,6 +62,7 @@
   void tick();
   void poll_platform();
   void flush();
+  void note_role();
   void send_lease(const ownership::OutgoingLease& lease);
   void send_release(const ownership::OutgoingRelease& release);
   void persist_next();
@@ -77,6 +78,8 @@
   std::vector<consensus::PersistRequest> waiting_;
   bool persisting_ = false;
   bool flushing_ = false;
+  bool led_ = false;
+  consensus::Membership membership_;  ///< as last noted
   controller::OperatorRequestId next_request_ = 1;
   std::map<controller::OperatorRequestId, ChangeReply> changes_;
   std::map<controller::OperatorRequestId, CommandReply> commands_;
--- a/src/sim/environment.hpp
+++ b/src/sim/environment.hpp
@@ -2,7 +2,9 @@
 /// What every simulated node shares: virtual time, network, history and measures, and the switches
 /// that take safeguards away for mutants.
 
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "common/random.hpp"
 #include "sim/history.hpp"
@@ -36,11 +38,19 @@
   double closed = 0;     ///< share of connections closed after the work ran, without an answer
 };
 
+/// A line about the inside of a run.
+struct Note {
+  TimePoint time;
+  std::string text;
+};
+
 struct Environment {
   explicit Environment(std::uint64_t seed)
       : random(seed), network(scheduler, random), fault_random(seed ^ 0x5bd1e995U) {}
 
   void observe(Observation what) { history.add(scheduler.now(), std::move(what)); }
+  /// A line for readers of a replay; no check looks at it.
+  void note(std::string what) { notes.push_back({scheduler.now(), std::move(what)}); }
   TimePoint now() const { return scheduler.now(); }
 
   Scheduler scheduler;
@@ -51,6 +61,7 @@
   Measures measures;
   Safeguards safeguards;
   AnswerFaults answer_faults;
+  std::vector<Note> notes;
 };
 
 }  // namespace planktray::sim
--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -173,9 +173,7 @@
   }
 }
 
-void FaultInjector::note(const std::string& what) {
-  log_.push_back(std::to_string(common::to_microseconds(environment_.now())) + "us " + what);
-}
+void FaultInjector::note(const std::string& what) { environment_.note("fault: " + what); }
 
 Duration FaultInjector::between(Duration low, Duration high) {
   return Duration(common::uniform(random_, static_cast<std::uint64_t>(low.count()),
@@ -290,7 +288,8 @@
       return;
     case Fault::kStopBackend:
       backend->stop_as_planned();
-      return later(span + milliseconds(4000), [this, backend] {
+      // A planned stop under way outlasts the faults' end, and so does what starts it again.
+      return environment_.scheduler.after(span + milliseconds(4000), [this, backend] {
         if (!backend->is_up()) {
           environment_.observe(LeavingEnded{backend->settings().machine.value});
           backend->start();
@@ -298,7 +297,7 @@
       });
     case Fault::kStopRouter:
       router->stop_as_planned();
-      return later(span, [router] {
+      return environment_.scheduler.after(span + milliseconds(3000), [router] {
         if (!router->is_up()) {
           router->start();
         }
--- a/src/sim/faults.hpp
+++ b/src/sim/faults.hpp
@@ -67,8 +67,6 @@
   void start();
   /// Takes every fault back and starts everything that is down.
   void stop();
-  /// Readable lines of what was done, for replay.
-  const std::vector<std::string>& log() const { return log_; }
 
  private:
   void schedule_next();
@@ -100,7 +98,6 @@
   bool running_ = false;
   std::set<common::MachineName> drained_;
   std::set<common::MachineName> leaving_;
-  std::vector<std::string> log_;
 };
 
 }  // namespace planktray::sim
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -182,16 +182,25 @@
   return summary.violated == 0 ? kExitOk : kExitViolation;
 }
 
+/// Notes and events in the order of time.
+void print_trace(const RunResult& result) {
+  auto note = result.notes.begin();
+  const auto print_notes_until = [&](TimePoint time) {
+    for (; note != result.notes.end() && note->time <= time; ++note) {
+      std::cout << common::to_microseconds(note->time) << "us -- " << note->text << '\n';
+    }
+  };
+  for (const HistoryEvent& event : result.history.events()) {
+    print_notes_until(event.time);
+    std::cout << to_string(event) << '\n';
+  }
+}
+
 int replay(const Arguments& arguments, RunOptions options) {
   options.seed = arguments.seed;
   const RunResult result = run_once(options);
   if (arguments.trace) {
-    for (const std::string& line : result.fault_log) {
-      std::cout << "fault " << line << '\n';
-    }
-    for (const HistoryEvent& event : result.history.events()) {
-      std::cout << to_string(event) << '\n';
-    }
+    print_trace(result);
   }
   for (const Violation& violation : result.violations) {
     print_violation(result.seed, violation);
--- a/src/sim/run.cpp
+++ b/src/sim/run.cpp
@@ -44,7 +44,7 @@
   for (ControllerNode* controller : fleet.controllers()) {
     result.controller_bytes_synced += controller->persisted_bytes();
   }
-  result.fault_log = injector.log();
+  result.notes = std::move(environment.notes);
   result.measures = std::move(environment.measures);
   result.history = std::move(environment.history);
   return result;
--- a/src/sim/run.hpp
+++ b/src/sim/run.hpp
@@ -27,7 +27,7 @@
   Duration simulated{0};
   std::uint64_t actions = 0;
   std::uint64_t controller_bytes_synced = 0;
-  std::vector<std::string> fault_log;
+  std::vector<Note> notes;
   History history;
 };
 
