Repair: complete means the new folder is a voter; a new leader drops its old self

Now a member must have been heard within three heartbeats, and a join request for its place ends its presence. 2.

Ruled out: lost log entries (logs agreed), the learner's catch-up (it was a voter already), the promotion lag.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -159,6 +159,7 @@
     distributor_.begin_term(now, raft_.term());
     registering_.clear();
     marking_.clear();
+    replaced_.clear();
     plan_index_ = common::LogIndex();
     planned_state_ = common::LogIndex();
   }
@@ -373,6 +374,7 @@
     if (member.name != request.candidate.name) {
       continue;
     }
+    replaced_.insert(member.id);  // its folder is gone: another one speaks for its place
     const auto heard = raft_.last_heard(member.id);
     const bool silent = now - raft_.leader_since() > options_.replace_after &&
                         (!heard.has_value() || now - *heard > options_.replace_after);
@@ -398,8 +400,7 @@
     return;
   }
   const auto is_recent = [&](common::ReplicaId id) {
-    const auto heard = raft_.last_heard(id);
-    return heard.has_value() && now - *heard < options_.replace_after;
+    return is_present(now, id, options_.replace_after);
   };
   for (std::size_t i = 0; i < present.members.size(); ++i) {
     const consensus::Member& member = present.members[i];
@@ -431,13 +432,21 @@
   }
   const auto& members = raft_.membership().members;
   return std::all_of(members.begin(), members.end(), [&](const consensus::Member& member) {
-    const auto heard = raft_.last_heard(member.id);
-    const bool present = member.id == raft_.self() ||
-                         (heard.has_value() && now - *heard < options_.replace_after);
-    return member.voter && present && raft_.match_index(member.id) >= raft_.commit_index();
+    return member.voter && !replaced_.contains(member.id) &&
+           is_present(now, member.id, options_.presence_window) &&
+           (member.id == raft_.self() ||
+            raft_.match_index(member.id) >= raft_.commit_index());
   });
 }
 
+bool ControllerCore::is_present(TimePoint now, common::ReplicaId id, Duration window) const {
+  if (id == raft_.self()) {
+    return true;
+  }
+  const auto heard = raft_.last_heard(id);
+  return heard.has_value() && now - *heard < window;
+}
+
 // ---------------------------------------------------------------- back ends and shards
 
 void ControllerCore::register_backends(TimePoint now) {
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -42,6 +42,9 @@
   Duration join_interval = std::chrono::milliseconds(500);
   /// A member that was silent for this long may be replaced by a new folder under its name.
   Duration replace_after = std::chrono::milliseconds(1500);
+  /// A member counts as present where it was heard this recently: three heartbeats, and less than
+  /// a machine takes to come back with an empty disk.
+  Duration presence_window = std::chrono::milliseconds(90);
 };
 
 /// Identity of an operator's request inside this process.
@@ -145,6 +148,7 @@
   void fail_pending();
   void take_snapshot();
   void maintain_members(TimePoint now);
+  bool is_present(TimePoint now, common::ReplicaId id, Duration window) const;
   void register_backends(TimePoint now);
   void mark_leaving(TimePoint now);
   void plan(TimePoint now);
@@ -168,6 +172,7 @@
   std::set<std::pair<common::MachineName, common::Incarnation>> registering_;
   std::set<common::BackendId> marking_;
   std::set<std::string> allowed_names_;
+  std::set<common::ReplicaId> replaced_;  ///< members whose place has a new folder
   common::LogIndex plan_index_;     ///< the last plan proposed; wait for it before the next
   common::LogIndex planned_state_;  ///< state that the last plan was made from
   TimePoint next_balance_;
--- a/src/sim/controller_node.cpp
+++ b/src/sim/controller_node.cpp
@@ -30,6 +30,7 @@
   store_.emplace(disk_);
   auto state = store_->open(options_.cell, environment_.random);
   if (!state.has_value()) {
+    environment_.note(options_.name + " has a damaged disk: " + state.error().describe());
     disk_.wipe();
     store_.emplace(disk_);
     state = store_->open(options_.cell, environment_.random);
