Simulator: planned stops start again when they are done

A fault of the harness, not of the router.

Ruled out: a drain that hangs (every one ended within its requests' deadline).

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -470,8 +470,10 @@
 void ControllerCore::mark_leaving(TimePoint now) {
   for (const auto& [id, backend] : state_.backends()) {
     const membership::Machine* machine = machines_.find(backend.machine);
-    const bool leaving = (machine != nullptr && machine->leaving) ||
-                         leases_.backend_state(id) == ownership::BackendState::kDraining;
+    // A machine that is not listed keeps its mark: the list lags, and absence proves nothing.
+    const bool listed_leaving = machine == nullptr ? backend.leaving : machine->leaving;
+    const bool leaving =
+        listed_leaving || leases_.backend_state(id) == ownership::BackendState::kDraining;
     const bool known = leases_.last_answer(id).has_value() || leaving;
     if (known && leaving != backend.leaving && marking_.insert(id).second) {
       (void)propose(now, ownership::MarkLeaving{id, leaving});
--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -52,6 +52,8 @@
 /// The mutant's drift, beyond the margin of 20 ms in 500 ms.
 constexpr double kDriftBeyondMargin = 0.4;
 constexpr std::uint32_t kManyChanges = 300;
+/// A planned stop under way is looked at this often; it may outlast the faults' end.
+constexpr Duration kStopPoll = milliseconds(200);
 constexpr int kMaximumRepairPolls = 300;
 
 }  // namespace
@@ -288,20 +290,10 @@
       return;
     case Fault::kStopBackend:
       backend->stop_as_planned();
-      // A planned stop under way outlasts the faults' end, and so does what starts it again.
-      return environment_.scheduler.after(span + milliseconds(4000), [this, backend] {
-        if (!backend->is_up()) {
-          environment_.observe(LeavingEnded{backend->settings().machine.value});
-          backend->start();
-        }
-      });
+      return start_when_down(backend, span + milliseconds(4000));
     case Fault::kStopRouter:
       router->stop_as_planned();
-      return environment_.scheduler.after(span + milliseconds(3000), [router] {
-        if (!router->is_up()) {
-          router->start();
-        }
-      });
+      return start_when_down(router, span);
     case Fault::kManyChanges:
       return many_changes();
     case Fault::kOperatorRaces:
@@ -309,6 +301,29 @@
   }
 }
 
+void FaultInjector::start_when_down(BackendNode* backend, Duration delay) {
+  environment_.scheduler.after(delay, [this, backend] {
+    if (backend->is_up() && backend->is_stopping()) {
+      return start_when_down(backend, kStopPoll);
+    }
+    if (!backend->is_up()) {
+      environment_.observe(LeavingEnded{backend->settings().machine.value});
+      backend->start();
+    }
+  });
+}
+
+void FaultInjector::start_when_down(RouterNode* router, Duration delay) {
+  environment_.scheduler.after(delay, [this, router] {
+    if (router->is_up() && !router->is_listening()) {
+      return start_when_down(router, kStopPoll);
+    }
+    if (!router->is_up()) {
+      router->start();
+    }
+  });
+}
+
 void FaultInjector::kill_controller(ControllerNode* controller, bool torn) {
   if (controller == nullptr || !controller->is_up()) {
     return;
