Mutants: each safeguard taken away is caught; disk losses no longer wait for calm

Cause: a check that cannot fail proves nothing. planktray-sim mutants takes 13 safeguards away one at a time. Three did not work at first: 1. no-wait-after-election changed nothing: a session waited ttl + margin in a second place. On the way: a replica that denies entries it had acknowledged made the leader answer each refusal with a full resend, without end (a 10 minute hang of the mutant run). It is now retried with heartbeats only.

--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -442,7 +442,11 @@
   } else if (reply.round > 0) {
     progress.next = next_index(std::max(reply.match, progress.match));
     progress.snapshot_index = LogIndex();
-    send_append(now, message.from, progress);
+    // A peer that denies what it had acknowledged (a disk that lied, or an old late reply) would
+    // deny the next message too; heartbeats are often enough for it.
+    if (reply.match >= progress.match) {
+      send_append(now, message.from, progress);
+    }
   }
   note_contact(now, message.from, reply.round);
   if (role_ == Role::kLeader && reply.success && progress.next <= last_index()) {
--- a/src/ownership/lease_manager.cpp
+++ b/src/ownership/lease_manager.cpp
@@ -11,10 +11,7 @@
 void LeaseManager::begin_term(TimePoint now, common::Term term, const CellState& state) {
   active_ = true;
   term_ = term;
-  earliest_loss_ = now;
-  if (options_.wait_after_election) {
-    earliest_loss_ += options_.time_to_live + options_.margin;
-  }
+  earliest_loss_ = now + longest_grant();
   sessions_.clear();
   next_contact_ = now;
   released_.clear();
@@ -22,6 +19,10 @@
   sync_sessions(now, state);
 }
 
+Duration LeaseManager::longest_grant() const {
+  return options_.wait_after_election ? options_.time_to_live + options_.margin : Duration(0);
+}
+
 void LeaseManager::sync_sessions(TimePoint now, const CellState& state) {
   std::erase_if(sessions_, [&](const auto& item) {
     return state.find_backend(item.first) == nullptr;
@@ -33,8 +34,7 @@
     if (!sessions_.contains(id)) {
       Session session;
       session.next_renewal = now;
-      session.owner_until =
-          std::max(earliest_loss_, now + options_.time_to_live + options_.margin);
+      session.owner_until = std::max(earliest_loss_, now + longest_grant());
       sessions_[id] = std::move(session);
     }
   }
--- a/src/ownership/lease_manager.hpp
+++ b/src/ownership/lease_manager.hpp
@@ -112,6 +112,8 @@
     std::optional<TimePoint> release_due;
   };
 
+  /// How long a grant by another leader may still hold.
+  Duration longest_grant() const;
   void sync_sessions(TimePoint now, const CellState& state);
   void contact_new_machines(TimePoint now, const CellState& state,
                             const membership::MachineList& machines,
--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -26,6 +26,8 @@
     FaultName{Fault::kCutTwoWay, "cut-two-way"},
     FaultName{Fault::kCutOneWay, "cut-one-way"},
     FaultName{Fault::kIsolateController, "isolate-controller"},
+    FaultName{Fault::kIsolateRouter, "isolate-router"},
+    FaultName{Fault::kStaggeredCut, "staggered-cut"},
     FaultName{Fault::kFreezeController, "freeze-controller"},
     FaultName{Fault::kFreezeRouter, "freeze-router"},
     FaultName{Fault::kFreezeBackend, "freeze-backend"},
@@ -54,7 +56,7 @@
 constexpr std::uint32_t kManyChanges = 300;
 /// A planned stop under way is looked at this often; it may outlast the faults' end.
 constexpr Duration kStopPoll = milliseconds(200);
-constexpr int kMaximumRepairPolls = 300;
+constexpr Duration kRepairPoll = milliseconds(20);
 
 }  // namespace
 
@@ -231,7 +233,11 @@
     case Fault::kCutOneWay:
       return cut(false);
     case Fault::kIsolateController:
-      return isolate(controller);
+      return isolate(controller->host_id(), milliseconds(12'000));
+    case Fault::kIsolateRouter:
+      return isolate(router->host_id(), milliseconds(18'000));
+    case Fault::kStaggeredCut:
+      return cut_staggered();
     case Fault::kFreezeController:
       return freeze(controller->host_id(), controller->name(), milliseconds(3000));
     case Fault::kFreezeRouter:
@@ -370,8 +376,9 @@
 }
 
 void FaultInjector::lose_disk(bool again) {
-  // One disk at a time is what three replicas tolerate: the repair before has to be complete.
-  if (!fleet_.is_fully_replicated()) {
+  // One disk at a time is what the system claims to tolerate: the repair before has to be
+  // complete. Whatever else is down or cut at that moment does not matter.
+  if (repairing_) {
     return;
   }
   ControllerNode* controller = pick(fleet_.controllers());
@@ -383,18 +390,20 @@
     controller->lose_disk_but_keep_identity();
   }
   restart_controller(controller, between(milliseconds(150), milliseconds(1500)));
-  if (again) {
-    lose_second_disk(0);
-  }
+  repairing_ = true;
+  second_loss_wanted_ = again;
+  watch_repair();
 }
 
-void FaultInjector::lose_second_disk(int polls) {
-  later(milliseconds(20), [this, polls] {
-    if (fleet_.is_fully_replicated()) {
-      note("the repair is complete");
+void FaultInjector::watch_repair() {
+  later(kRepairPoll, [this] {
+    if (!fleet_.is_fully_replicated()) {
+      return watch_repair();
+    }
+    note("the repair is complete");
+    repairing_ = false;
+    if (std::exchange(second_loss_wanted_, false)) {
       lose_disk(false);
-    } else if (polls < kMaximumRepairPolls) {
-      lose_second_disk(polls + 1);
     }
   });
 }
@@ -429,14 +438,13 @@
   });
 }
 
-void FaultInjector::isolate(ControllerNode* controller) {
+void FaultInjector::isolate(HostId alone, Duration longest) {
   Network& network = environment_.network;
-  const HostId alone = controller->host_id();
   for (HostId other = 0; other < network.size(); ++other) {
     network.cut(alone, other);
     network.cut(other, alone);
   }
-  later(between(milliseconds(6000), milliseconds(12000)), [&network, alone] {
+  later(between(milliseconds(6000), longest), [&network, alone] {
     for (HostId other = 0; other < network.size(); ++other) {
       network.mend(alone, other);
       network.mend(other, alone);
@@ -444,6 +452,32 @@
   });
 }
 
+void FaultInjector::cut_pair(HostId left, HostId right) {
+  environment_.network.cut(left, right);
+  environment_.network.cut(right, left);
+}
+
+void FaultInjector::cut_staggered() {
+  ControllerNode* leader = fleet_.leader();
+  if (leader == nullptr) {
+    return;
+  }
+  Duration delay(0);
+  for (ControllerNode* follower : fleet_.controllers()) {
+    if (follower == leader) {
+      continue;
+    }
+    for (BackendNode* backend : fleet_.backends()) {
+      if (backend->host_id() % 2 == 0) {
+        cut_pair(backend->host_id(), follower->host_id());
+      }
+    }
+    later(delay, [this, leader, follower] { cut_pair(leader->host_id(), follower->host_id()); });
+    delay += between(milliseconds(50), milliseconds(250));
+  }
+  later(milliseconds(2500), [this] { environment_.network.mend_all(); });
+}
+
 void FaultInjector::freeze(HostId host, const std::string& name, Duration longest) {
   note("freeze " + name);
   environment_.network.host(host).pause();
--- a/src/sim/faults.hpp
+++ b/src/sim/faults.hpp
@@ -25,6 +25,8 @@
   kCutTwoWay,
   kCutOneWay,
   kIsolateController,
+  kIsolateRouter,
+  kStaggeredCut,
   kFreezeController,
   kFreezeRouter,
   kFreezeBackend,
@@ -82,9 +84,13 @@
   void kill_backend(BackendNode* backend);
   void kill_router(RouterNode* router);
   void lose_disk(bool again);
-  void lose_second_disk(int polls);
   void cut(bool both_ways);
-  void isolate(ControllerNode* controller);
+  void isolate(HostId alone, Duration longest);
+  /// The leader loses its followers one after the other, while a half of the back ends hears
+  /// nobody but the leader: the pattern that leader leases and refused early votes are for.
+  void cut_staggered();
+  void cut_pair(HostId left, HostId right);
+  void watch_repair();
   void freeze(HostId host, const std::string& name, Duration longest);
   void restart_controller(ControllerNode* controller, Duration delay);
   void leave(BackendNode* backend);
@@ -99,6 +105,8 @@
   InjectorOptions options_;
   std::vector<Fault> choices_;
   bool running_ = false;
+  bool repairing_ = false;  ///< a disk was lost and its repair is not complete
+  bool second_loss_wanted_ = false;
   std::set<common::MachineName> drained_;
   std::set<common::MachineName> leaving_;
 };
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "sim/mutants.hpp"
 #include "sim/run.hpp"
 
 namespace planktray::sim {
@@ -29,6 +30,8 @@
   unsigned threads = std::max(1U, std::thread::hardware_concurrency());
   bool as_json = false;
   bool trace = false;
+  std::uint64_t maximum_seeds = 400;
+  std::string only;
 };
 
 struct SeedRange {
@@ -209,6 +212,47 @@
   return result.violations.empty() ? kExitOk : kExitViolation;
 }
 
+int hunt_mutants(const Arguments& arguments, const RunOptions& base) {
+  std::vector<Mutant> mutants = all_mutants();
+  if (!arguments.only.empty()) {
+    std::erase_if(mutants, [&](const Mutant& mutant) { return mutant.name != arguments.only; });
+  }
+  std::vector<MutantVerdict> verdicts(mutants.size());
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < arguments.threads; ++i) {
+    threads.emplace_back([&] {
+      for (std::size_t mutant = next++; mutant < mutants.size(); mutant = next++) {
+        verdicts[mutant] = hunt(mutants[mutant], base, arguments.maximum_seeds);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  json body = json::array();
+  bool all_caught = true;
+  for (std::size_t i = 0; i < mutants.size(); ++i) {
+    const MutantVerdict& verdict = verdicts[i];
+    all_caught = all_caught && verdict.caught;
+    body.push_back({{"mutant", mutants[i].name},
+                    {"safeguard", mutants[i].safeguard},
+                    {"caught", verdict.caught},
+                    {"seed", verdict.seed},
+                    {"promise", verdict.caught ? to_string(verdict.violation.promise) : ""},
+                    {"message", verdict.violation.message}});
+    if (!arguments.as_json) {
+      std::cout << mutants[i].name << (verdict.caught ? ": caught by " : ": SURVIVES ")
+                << (verdict.caught ? to_string(verdict.violation.promise) : "") << " at seed "
+                << verdict.seed << ": " << verdict.violation.message << '\n';
+    }
+  }
+  if (arguments.as_json) {
+    std::cout << body.dump(2) << '\n';
+  }
+  return all_caught ? kExitOk : kExitViolation;
+}
+
 int main_with(int argc, char** argv) {
   CLI::App app{"Runs planktray under virtual time with faults and judges what happened"};
   app.require_subcommand(1);
@@ -226,6 +270,13 @@
   add_common(again);
   again->add_option("--seed", arguments.seed, "Which run")->required();
   again->add_flag("--trace", arguments.trace, "Print every event");
+  CLI::App* mutants =
+      app.add_subcommand("mutants", "Take one safeguard away at a time; exits 1 if one survives");
+  mutants->add_option("--deployment", arguments.deployment, "zilina or canelones");
+  mutants->add_option("--max-seeds", arguments.maximum_seeds, "Seeds to try for each");
+  mutants->add_option("--threads", arguments.threads, "Runs at once")->check(CLI::Range(1, 256));
+  mutants->add_option("--only", arguments.only, "Name of one mutant");
+  mutants->add_flag("--json", arguments.as_json, "Print JSON only");
   CLI11_PARSE(app, argc, argv);
 
   const auto options = make_options(arguments);
@@ -233,6 +284,9 @@
     std::cerr << options.error().describe() << '\n';
     return kExitInvalid;
   }
+  if (mutants->parsed()) {
+    return hunt_mutants(arguments, *options);
+  }
   if (again->parsed()) {
     return replay(arguments, *options);
   }
--- a/src/standin/core/backend_core.cpp
+++ b/src/standin/core/backend_core.cpp
@@ -100,7 +100,7 @@
   reply.clock_us = common::to_microseconds(now);
   reply.grants_digest = holder_.digest();
   reply.state =
-      draining_ ? ownership::BackendState::kDraining : ownership::BackendState::kReady;
+      draining_ && !options_.ignore_drain ? ownership::BackendState::kDraining : ownership::BackendState::kReady;
   reply.load = {running(), options_.slots, queued()};
   return reply;
 }
