Repair: a late reply is no proof that a replica is there now

Contact now counts from when the answered heartbeat was sent, as the leader lease always did.

Ruled out: the 90 ms window (any window is wrong for a late reply), the lost disk's own identity (it had a new one).

--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -340,11 +340,14 @@
 void RaftNode::broadcast(TimePoint now) {
   ++round_;
   round_sent_[round_] = now;
+  std::erase_if(round_sent_, [&](const auto& item) {
+    return now - item.second > options_.maximum_election_timeout;
+  });
   next_heartbeat_ = now + options_.heartbeat;
   for (auto& [peer, progress] : progress_) {
     send_append(now, peer, progress);
   }
-  note_contact(now, self_, round_);
+  note_contact(self_, round_);
 }
 
 void RaftNode::send_append(TimePoint now, ReplicaId peer, Progress& progress) {
@@ -448,7 +451,7 @@
       send_append(now, message.from, progress);
     }
   }
-  note_contact(now, message.from, reply.round);
+  note_contact(message.from, reply.round);
   if (role_ == Role::kLeader && reply.success && progress.next <= last_index()) {
     send_append(now, message.from, progress);
   }
@@ -501,7 +504,7 @@
     progress.snapshot_index = LogIndex();
     progress.waiting = false;
     advance_commit(now);
-    note_contact(now, message.from, reply.round);
+    note_contact(message.from, reply.round);
     return;
   }
   const bool is_current = reply.index == progress.snapshot_index;
@@ -510,7 +513,7 @@
     progress.waiting = false;
     send_append(now, message.from, progress);
   }
-  note_contact(now, message.from, reply.round);
+  note_contact(message.from, reply.round);
 }
 
 void RaftNode::append_local(TimePoint now, EntryKind kind, std::string payload) {
@@ -553,17 +556,17 @@
   }
 }
 
-void RaftNode::note_contact(TimePoint now, ReplicaId from, std::uint64_t round) {
+void RaftNode::note_contact(ReplicaId from, std::uint64_t round) {
   const auto found = progress_.find(from);
-  if (found != progress_.end()) {
-    found->second.heard = now;
+  const auto asked = round_sent_.find(round);
+  if (found != progress_.end() && asked != round_sent_.end()) {
+    // A late reply proves that the peer was there when it was asked, not that it is there now.
+    found->second.heard = std::max(found->second.heard.value_or(TimePoint()), asked->second);
     found->second.acknowledged_round = std::max(found->second.acknowledged_round, round);
   }
-  const std::uint64_t confirmed = quorum_round();
-  const auto sent = round_sent_.find(confirmed);
+  const auto sent = round_sent_.find(quorum_round());
   if (sent != round_sent_.end()) {
     lease_from_ = std::max(lease_from_, sent->second);
-    round_sent_.erase(round_sent_.begin(), sent);
   }
   release_reads();
 }
--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -95,7 +95,7 @@
   const Membership& membership() const { return membership_; }
   /// True while a membership entry waits for commitment.
   bool membership_change_pending() const { return membership_index_ > commit_; }
-  /// When the leader last heard this peer; nothing where never.
+  /// When the newest heartbeat that this peer answered was sent; nothing where none was.
   std::optional<TimePoint> last_heard(ReplicaId peer) const;
   /// The last log index this peer is known to hold durably (leader only).
   LogIndex match_index(ReplicaId peer) const;
@@ -145,7 +145,7 @@
   void accept_entries(const AppendRequest& request);
   void advance_commit(TimePoint now);
   void commit_up_to(LogIndex index);
-  void note_contact(TimePoint now, ReplicaId from, std::uint64_t round);
+  void note_contact(ReplicaId from, std::uint64_t round);
   void check_quorum(TimePoint now);
   void release_reads();
 
