--- a/src/cli/controller_client.hpp
+++ b/src/cli/controller_client.hpp
@@ -26,8 +26,8 @@
   common::Result<ControllerAnswer> ask(const std::string& method, const std::string& path,
                                        const nlohmann::json& body = nullptr);
   /// Asks one controller once.
-  common::Result<ControllerAnswer> ask_one(const std::string& controller,
-                                           const std::string& method, const std::string& path,
+  common::Result<ControllerAnswer> ask_one(const std::string& controller, const std::string& method,
+                                           const std::string& path,
                                            const nlohmann::json& body = nullptr);
   const std::vector<std::string>& controllers() const { return controllers_; }
 
--- a/src/cli/declaration_file.cpp
+++ b/src/cli/declaration_file.cpp
@@ -1,9 +1,10 @@
 #include "cli/declaration_file.hpp"
 
+#include <toml++/toml.h>
+
 #include <nlohmann/json.hpp>
 #include <regex>
 #include <sstream>
-#include <toml++/toml.h>
 
 #include "config/declaration.hpp"
 
@@ -83,8 +84,8 @@
   try {
     root = toml::parse_file(path);
   } catch (const toml::parse_error& error) {
-    return common::fail(common::ErrorCode::kInvalid, kStep,
-                        place(path, error.source().begin.line), std::string(error.description()));
+    return common::fail(common::ErrorCode::kInvalid, kStep, place(path, error.source().begin.line),
+                        std::string(error.description()));
   }
   DeclarationFile file;
   file.path = path;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -146,8 +146,7 @@
 }
 
 int wait_in_force(ControllerClient& client, const Options& options, std::uint64_t index) {
-  const auto give_up =
-      std::chrono::steady_clock::now() + std::chrono::seconds(options.wait_s);
+  const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(options.wait_s);
   while (std::chrono::steady_clock::now() < give_up) {
     const auto sites = client.ask("GET", "/v1/sites");
     if (sites.has_value() && sites->status == kStatusOk &&
@@ -357,8 +356,7 @@
                        {"operator_address", identity->body["operator_address"]}});
   }
   for (const std::string& controller : client.controllers()) {
-    const auto created =
-        client.ask_one(controller, "POST", "/v1/cell", json{{"members", members}});
+    const auto created = client.ask_one(controller, "POST", "/v1/cell", json{{"members", members}});
     if (!created.has_value()) {
       return print_error(options, created.error(), kFailed);
     }
@@ -374,8 +372,8 @@
 std::string format_members(const json& body) {
   std::string text;
   for (const json& member : body["members"]) {
-    text += member["name"].get<std::string>() + "  " + member["replica"].get<std::string>() +
-            "  " + member["peer_address"].get<std::string>() +
+    text += member["name"].get<std::string>() + "  " + member["replica"].get<std::string>() + "  " +
+            member["peer_address"].get<std::string>() +
             (member["voter"].get<bool>() ? "  voter" : "  learner") + "  match " +
             member["match_index"].dump() + "\n";
   }
@@ -404,9 +402,10 @@
     }
   }
   if (best.is_null()) {
-    return print_error(options, {planktray::common::ErrorCode::kUnavailable, "list members", "",
-                                 "no controller answers"},
-                       kFailed);
+    return print_error(
+        options,
+        {planktray::common::ErrorCode::kUnavailable, "list members", "", "no controller answers"},
+        kFailed);
   }
   print(options, best, format_members(best));
   return kOk;
@@ -467,8 +466,8 @@
       ->check(CLI::IsMember({"tenant", "template", "assignments"}));
   get->add_option("name", options.name)->required();
   add_command(app, "status", "Show controllers and routers", "planktray status");
-  auto* drain = add_command(app, "drain", "Give a machine no new work",
-                            "planktray drain sledovanie-3");
+  auto* drain =
+      add_command(app, "drain", "Give a machine no new work", "planktray drain sledovanie-3");
   drain->add_option("machine", options.machine)->required();
   drain->add_flag("--undo", options.undo, "Let it take work again");
   auto* move = add_command(app, "move", "Move one shard to a machine",
--- a/src/common/codec.hpp
+++ b/src/common/codec.hpp
@@ -50,8 +50,8 @@
 
   EncodedVariant() = default;
   template <typename T>
-    requires(std::is_same_v<T, Alternatives> || ...)
-  EncodedVariant(T alternative) : value(std::move(alternative)) {}  // NOLINT: implicit by design
+  requires(std::is_same_v<T, Alternatives> || ...) EncodedVariant(T alternative)
+      : value(std::move(alternative)) {}  // NOLINT: implicit by design
 
   template <typename Packer>
   void msgpack_pack(Packer& packer) const {
--- a/src/common/ids.hpp
+++ b/src/common/ids.hpp
@@ -1,5 +1,6 @@
 #pragma once
-/// Strong identifier types. Each wraps one value, compares by it, and is encoded as that bare value.
+/// Strong identifier types. Each wraps one value, compares by it, and is encoded as that bare
+/// value.
 
 #include <compare>
 #include <cstdint>
--- a/src/config/declaration.cpp
+++ b/src/config/declaration.cpp
@@ -60,8 +60,8 @@
     }
     const json& value = get(name);
     if (!value.is_number() || value.get<double>() < low || value.get<double>() > high) {
-      throw FieldError{field(name), "must be a number from " + json(low).dump() + " to " +
-                                        json(high).dump()};
+      throw FieldError{field(name),
+                       "must be a number from " + json(low).dump() + " to " + json(high).dump()};
     }
     out = value.get<double>();
   }
@@ -90,8 +90,8 @@
   }
   static std::uint64_t checked_integer(const json& value, const std::string& where,
                                        std::uint64_t low, std::uint64_t high) {
-    const bool whole = value.is_number_integer() &&
-                       (value.is_number_unsigned() || value.get<std::int64_t>() >= 0);
+    const bool whole =
+        value.is_number_integer() && (value.is_number_unsigned() || value.get<std::int64_t>() >= 0);
     if (!whole || value.get<std::uint64_t>() < low || value.get<std::uint64_t>() > high) {
       throw FieldError{where, "must be a whole number from " + std::to_string(low) + " to " +
                                   std::to_string(high)};
@@ -117,7 +117,7 @@
 }
 
 std::vector<std::string> read_methods(const json& value, const std::string& path) {
-  static const std::set<std::string> kMethods = {"GET",  "HEAD",   "PUT",    "POST",
+  static const std::set<std::string> kMethods = {"GET",   "HEAD",   "PUT",    "POST",
                                                  "PATCH", "DELETE", "OPTIONS"};
   if (!value.is_array()) {
     throw FieldError{path, "must be a list of HTTP methods"};
@@ -297,12 +297,13 @@
                                                   const Tenant& tenant) {
   std::vector<ServiceConfig> services;
   for (const auto& [name, count] : tenant.targets) {
+    const common::ServiceName& wanted = name;
     const auto found = std::find_if(declaration.services.begin(), declaration.services.end(),
-                                    [&](const auto& service) { return service.name == name; });
+                                    [&](const auto& service) { return service.name == wanted; });
     if (found == declaration.services.end()) {
-      return common::fail(ErrorCode::kInvalid, "expand tenant", "",
-                          "targets." + name.value + " is not a service of template " +
-                              declaration.name.value);
+      return common::fail(
+          ErrorCode::kInvalid, "expand tenant", "",
+          "targets." + name.value + " is not a service of template " + declaration.name.value);
     }
     if (count < found->minimum_targets || count > found->maximum_targets) {
       return common::fail(ErrorCode::kInvalid, "expand tenant", "",
--- a/src/consensus/messages.hpp
+++ b/src/consensus/messages.hpp
@@ -35,6 +35,9 @@
   const Member* find(ReplicaId id) const;
   bool is_voter(ReplicaId id) const;
   std::size_t voters() const;
+  /// True where at most one voter is in one of the two and not in the other, so that any majority
+  /// of the one meets any majority of the other.
+  bool is_one_step_from(const Membership& other) const;
 };
 
 enum class EntryKind : std::uint8_t { kNoop = 0, kCommand = 1, kMembership = 2 };
@@ -76,8 +79,8 @@
 struct PersistRequest {
   std::uint64_t sequence = 0;
   std::optional<HardState> hard_state;
-  std::optional<Snapshot> snapshot;        ///< replaces everything up to its index
-  std::optional<LogIndex> truncate_from;   ///< drop entries from here on, before appending
+  std::optional<Snapshot> snapshot;       ///< replaces everything up to its index
+  std::optional<LogIndex> truncate_from;  ///< drop entries from here on, before appending
   std::vector<Entry> entries;
 };
 
--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -113,6 +113,10 @@
     return common::fail(common::ErrorCode::kNotLeader, "change membership", "",
                         "this replica does not lead");
   }
+  if (!membership_.is_one_step_from(next)) {
+    return common::fail(common::ErrorCode::kInvalid, "change membership", "",
+                        "only one voter may change at a time");
+  }
   if (membership_index_ > commit_ || commit_ < term_start_) {
     return common::fail(common::ErrorCode::kUnavailable, "change membership", "",
                         "an earlier entry has not committed yet");
@@ -211,8 +215,8 @@
   if (!options_.refuse_early_votes) {
     return true;
   }
-  const bool own_lease = role_ == Role::kLeader &&
-                         now < lease_from_ + options_.minimum_election_timeout;
+  const bool own_lease =
+      role_ == Role::kLeader && now < lease_from_ + options_.minimum_election_timeout;
   return now >= quiet_until_ && !own_lease;
 }
 
@@ -257,10 +261,9 @@
     output_.messages.push_back({self_, message.from, reply_term, VoteReply{true, granted}});
     return;
   }
-  const bool free_vote =
-      hard_state_.voted_for.value == 0 || hard_state_.voted_for == message.from;
-  const bool granted = message.term == hard_state_.term && free_vote && current &&
-                       role_ != Role::kLeader;
+  const bool free_vote = hard_state_.voted_for.value == 0 || hard_state_.voted_for == message.from;
+  const bool granted =
+      message.term == hard_state_.term && free_vote && current && role_ != Role::kLeader;
   if (granted && hard_state_.voted_for != message.from) {
     hard_state_.voted_for = message.from;
     PersistRequest persist_request;
@@ -360,8 +363,7 @@
   AppendRequest request{previous, *previous_term, commit_, round_, {}};
   if (!log_.empty() && progress.next <= last_index()) {
     const std::size_t first = progress.next.value - log_.front().index.value;
-    const std::size_t count =
-        std::min(options_.maximum_entries_per_message, log_.size() - first);
+    const std::size_t count = std::min(options_.maximum_entries_per_message, log_.size() - first);
     request.entries.assign(log_.begin() + static_cast<std::ptrdiff_t>(first),
                            log_.begin() + static_cast<std::ptrdiff_t>(first + count));
     progress.next = LogIndex(progress.next.value + count);
@@ -376,8 +378,13 @@
     progress.snapshot_index = snapshot_.index;
     progress.snapshot_offset = 0;
   }
-  SnapshotChunk chunk{snapshot_.index, snapshot_.term, snapshot_.membership,
-                      progress.snapshot_offset, snapshot_.data.size(), "", round_};
+  SnapshotChunk chunk{snapshot_.index,
+                      snapshot_.term,
+                      snapshot_.membership,
+                      progress.snapshot_offset,
+                      snapshot_.data.size(),
+                      "",
+                      round_};
   const bool resend = now - progress.last_sent > options_.heartbeat * kChunkResendHeartbeats;
   if (is_new || resend || !progress.waiting) {
     chunk.bytes = snapshot_.data.substr(progress.snapshot_offset, options_.snapshot_chunk_bytes);
@@ -394,8 +401,8 @@
   }
   become_follower(now, message.term, message.from);
   quiet_until_ = now + options_.minimum_election_timeout;
-  const bool before_log = request.previous_index < commit_ &&
-                          !term_at(request.previous_index).has_value();
+  const bool before_log =
+      request.previous_index < commit_ && !term_at(request.previous_index).has_value();
   const bool matches = term_at(request.previous_index) == request.previous_term;
   if (!before_log && !matches) {
     const LogIndex hint(std::min(last_index().value, request.previous_index.value - 1));
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -136,8 +136,8 @@
   if (found != dealers_.end()) {
     return found->second.get();
   }
-  const std::string identity = "controller/" + settings_.options.name + "/" +
-                               std::to_string(core_->raft().self().value);
+  const std::string identity =
+      "controller/" + settings_.options.name + "/" + std::to_string(core_->raft().self().value);
   auto socket = transport::ZmqSocket::connect(
       context_, address, identity,
       [this](const std::string& /*identity*/, const auto& message) { on_message("", message); });
@@ -206,8 +206,8 @@
   request.url = "http://" + lease.address + "/planktray/v1/lease";
   request.body = transport::to_json(lease.request);
   request.timeout = settings_.lease_timeout;
-  http_client_->send(request, [this, machine = lease.machine, backend = lease.backend](
-                                  const transport::HttpResponse& response) {
+  http_client_->send(request, [this, machine = lease.machine,
+                               backend = lease.backend](const transport::HttpResponse& response) {
     --leases_in_flight_[machine];
     if (!response.is_whole()) {
       ++lease_failures_;
@@ -229,10 +229,9 @@
   request.method = "PUT";
   request.url = "http://" + release.address + "/planktray/v1/release";
   request.body = transport::to_json(release.request);
-  request.timeout =
-      std::chrono::milliseconds(release.request.wait_ms) + settings_.lease_timeout;
-  http_client_->send(request, [this, backend = release.backend, address = release.address](
-                                  const transport::HttpResponse& response) {
+  request.timeout = std::chrono::milliseconds(release.request.wait_ms) + settings_.lease_timeout;
+  http_client_->send(request, [this, backend = release.backend,
+                               address = release.address](const transport::HttpResponse& response) {
     common::Result<ownership::ReleaseReply> reply =
         response.is_whole()
             ? transport::parse_release_reply(response.status, response.text(), address)
@@ -259,9 +258,8 @@
   request.timeout = settings_.platform_interval;
   http_client_->send(request, [this](const transport::HttpResponse& response) {
     common::Result<membership::MachineList> list =
-        response.is_whole()
-            ? transport::parse_machine_list(response.text(), settings_.platform_url)
-            : tl::unexpected(response.error);
+        response.is_whole() ? transport::parse_machine_list(response.text(), settings_.platform_url)
+                            : tl::unexpected(response.error);
     if (list.has_value() != had_platform_) {
       had_platform_ = list.has_value();
       if (had_platform_) {
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -58,8 +58,7 @@
 }
 
 void ControllerCore::on_lease_reply(TimePoint now, const common::MachineName& machine,
-                                    common::BackendId backend,
-                                    const ownership::LeaseReply& reply) {
+                                    common::BackendId backend, const ownership::LeaseReply& reply) {
   leases_.on_lease_reply(now, machine, backend, reply);
   step(now);
 }
@@ -200,8 +199,7 @@
   distributor_.on_delta(std::move(result.delta));
 }
 
-void ControllerCore::complete(const consensus::Entry& entry,
-                              const ownership::ApplyResult& result) {
+void ControllerCore::complete(const consensus::Entry& entry, const ownership::ApplyResult& result) {
   const auto found = pending_.find(entry.index);
   if (found == pending_.end()) {
     return;
@@ -279,9 +277,9 @@
 
 void ControllerCore::submit(TimePoint now, OperatorRequestId request, const Command& command,
                             bool is_change) {
-  auto index = is_serving(now) ? propose(now, command)
-                               : common::Result<common::LogIndex>(
-                                     tl::unexpected(not_leader("accept change")));
+  auto index = is_serving(now)
+                   ? propose(now, command)
+                   : common::Result<common::LogIndex>(tl::unexpected(not_leader("accept change")));
   if (index.has_value()) {
     pending_[*index] = {request, raft_.term(), is_change};
   } else if (is_change) {
@@ -307,8 +305,8 @@
                                 const common::MachineName& to) {
   const ownership::ServiceRecord* record = state_.find_service(service);
   const auto refuse = [&](ErrorCode code, const std::string& message) {
-    output_.completions.emplace_back(CommandCompleted{
-        request, common::fail(code, "move shard", options_.name, message)});
+    output_.completions.emplace_back(
+        CommandCompleted{request, common::fail(code, "move shard", options_.name, message)});
   };
   if (!is_serving(now)) {
     output_.completions.emplace_back(
@@ -412,11 +410,11 @@
       (void)raft_.propose_membership(now, next);
       return;
     }
-    const bool replaced = std::any_of(
-        present.members.begin(), present.members.end(), [&](const consensus::Member& other) {
-          return other.name == member.name && other.id != member.id && other.voter &&
-                 is_recent(other.id);
-        });
+    const bool replaced = std::any_of(present.members.begin(), present.members.end(),
+                                      [&](const consensus::Member& other) {
+                                        return other.name == member.name && other.id != member.id &&
+                                               other.voter && is_recent(other.id);
+                                      });
     if (replaced && member.id != raft_.self() && !is_recent(member.id)) {
       consensus::Membership next = present;
       next.members.erase(next.members.begin() + static_cast<std::ptrdiff_t>(i));
@@ -434,8 +432,7 @@
   return std::all_of(members.begin(), members.end(), [&](const consensus::Member& member) {
     return member.voter && !replaced_.contains(member.id) &&
            is_present(now, member.id, options_.presence_window) &&
-           (member.id == raft_.self() ||
-            raft_.match_index(member.id) >= raft_.commit_index());
+           (member.id == raft_.self() || raft_.match_index(member.id) >= raft_.commit_index());
   });
 }
 
@@ -453,11 +450,9 @@
   for (const ownership::NewIncarnation& seen : leases_.take_new_incarnations()) {
     const membership::Machine* machine = machines_.find(seen.machine);
     const auto& backends = state_.backends();
-    const bool known =
-        std::any_of(backends.begin(), backends.end(), [&](const auto& item) {
-          return item.second.machine == seen.machine &&
-                 item.second.incarnation == seen.incarnation;
-        });
+    const bool known = std::any_of(backends.begin(), backends.end(), [&](const auto& item) {
+      return item.second.machine == seen.machine && item.second.incarnation == seen.incarnation;
+    });
     if (machine == nullptr || known ||
         !registering_.insert({seen.machine, seen.incarnation}).second) {
       continue;
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -96,8 +96,8 @@
   void on_join(TimePoint now, const consensus::JoinRequest& request);
   void on_persisted(TimePoint now, std::uint64_t sequence);
   void on_router_hello(TimePoint now, const routing::RouterHello& hello);
-  void on_lease_reply(TimePoint now, const common::MachineName& machine,
-                      common::BackendId backend, const ownership::LeaseReply& reply);
+  void on_lease_reply(TimePoint now, const common::MachineName& machine, common::BackendId backend,
+                      const ownership::LeaseReply& reply);
   void on_release_reply(TimePoint now, common::BackendId backend,
                         const ownership::ReleaseReply& reply);
   void on_release_failure(common::BackendId backend);
@@ -173,8 +173,8 @@
   std::set<common::BackendId> marking_;
   std::set<std::string> allowed_names_;
   std::set<common::ReplicaId> replaced_;  ///< members whose place has a new folder
-  common::LogIndex plan_index_;     ///< the last plan proposed; wait for it before the next
-  common::LogIndex planned_state_;  ///< state that the last plan was made from
+  common::LogIndex plan_index_;           ///< the last plan proposed; wait for it before the next
+  common::LogIndex planned_state_;        ///< state that the last plan was made from
   TimePoint next_balance_;
   TimePoint next_join_;
   TimePoint next_plan_;
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -71,9 +71,8 @@
   const auto first =
       std::find_if(deltas_.begin(), deltas_.end(),
                    [have](const routing::TableDelta& delta) { return delta.to > have; });
-  const bool reaches_back =
-      have.value > 0 && (have == state.applied() ||
-                         (!deltas_.empty() && deltas_.front().from <= have));
+  const bool reaches_back = have.value > 0 && (have == state.applied() ||
+                                               (!deltas_.empty() && deltas_.front().from <= have));
   const bool few = static_cast<std::size_t>(deltas_.end() - first) <= options_.maximum_deltas;
   if (reaches_back && few) {
     update.deltas.assign(first, deltas_.end());
--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -27,8 +27,7 @@
   app.add_option("--platform-url", settings.platform_url, "URL of the platform's machine list");
   add_milliseconds(app, "--platform-interval-ms", settings.platform_interval, 50, 60'000,
                    "How often the machine list is read");
-  add_milliseconds(app, "--heartbeat-ms", options.raft.heartbeat, 5, 10'000,
-                   "Leader heartbeat");
+  add_milliseconds(app, "--heartbeat-ms", options.raft.heartbeat, 5, 10'000, "Leader heartbeat");
   add_milliseconds(app, "--election-min-ms", options.raft.minimum_election_timeout, 20, 60'000,
                    "Shortest election timeout");
   add_milliseconds(app, "--election-max-ms", options.raft.maximum_election_timeout, 20, 60'000,
--- a/src/controller/operator_api.cpp
+++ b/src/controller/operator_api.cpp
@@ -94,8 +94,7 @@
                              ready ? "ready\n" : "no leader is known\n");
   }
   if (first == "v1" && parts.size() == 3 && (second == "templates" || second == "tenants")) {
-    const auto kind =
-        second == "templates" ? DeclarationKind::kTemplate : DeclarationKind::kTenant;
+    const auto kind = second == "templates" ? DeclarationKind::kTemplate : DeclarationKind::kTenant;
     return handle_declaration(exchange, kind, parts[2]);
   }
   if (first == "v1" && parts.size() == 2 && is_get) {
@@ -109,15 +108,13 @@
       return exchange->respond_json(kStatusOk, members_json());
     }
     if (second == "sites") {
-      return read(exchange, [this](HttpExchange& out) {
-        out.respond_json(kStatusOk, sites_json());
-      });
+      return read(exchange,
+                  [this](HttpExchange& out) { out.respond_json(kStatusOk, sites_json()); });
     }
   }
   if (first == "v1" && second == "assignments" && parts.size() == 4 && is_get) {
     const common::ServiceKey service{common::TenantName(parts[2]), common::ServiceName(parts[3])};
-    return read(exchange,
-                [this, service](HttpExchange& out) { render_assignments(out, service); });
+    return read(exchange, [this, service](HttpExchange& out) { render_assignments(out, service); });
   }
   if (first == "v1" && method == "POST") {
     if (second == "drain" && parts.size() == 3) {
@@ -144,9 +141,8 @@
     return refuse(*exchange, common::ErrorCode::kInvalid, "read name", "not a valid name");
   }
   if (exchange->method() == "GET") {
-    return read(exchange, [this, kind, name](HttpExchange& out) {
-      render_declaration(out, kind, name);
-    });
+    return read(exchange,
+                [this, kind, name](HttpExchange& out) { render_declaration(out, kind, name); });
   }
   if (exchange->method() == "PUT" || exchange->method() == "DELETE") {
     return change(exchange, kind, name);
@@ -246,8 +242,8 @@
     return refuse(*exchange, common::ErrorCode::kInvalid, "change members",
                   "exactly one of add and remove is needed");
   }
-  const auto result = added.empty() ? core_.remove_member(now(), removed)
-                                    : core_.allow_member(now(), added);
+  const auto result =
+      added.empty() ? core_.remove_member(now(), removed) : core_.allow_member(now(), added);
   if (result.has_value()) {
     exchange->respond_json(kStatusOk, "{}");
   } else {
@@ -482,8 +478,7 @@
                        counters.backends_lost);
   metrics_.set_counter("planktray_shards_assigned_total", "Shards given to an owner.",
                        counters.shards_assigned);
-  metrics_.set_counter("planktray_moves_begun_total", "Planned moves begun.",
-                       counters.moves_begun);
+  metrics_.set_counter("planktray_moves_begun_total", "Planned moves begun.", counters.moves_begun);
   metrics_.set_counter("planktray_snapshots_taken_total", "Snapshots taken.",
                        counters.snapshots_taken);
   metrics_.set_gauge("planktray_is_leader", "1 where this replica leads.",
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -300,8 +300,7 @@
   return backend.leaving || drained_.contains(backend.machine);
 }
 
-void CellState::apply_command(LogIndex index, const RegisterBackend& command,
-                              ApplyResult& result) {
+void CellState::apply_command(LogIndex index, const RegisterBackend& command, ApplyResult& result) {
   for (const auto& [id, backend] : backends_) {
     if (backend.machine == command.machine && backend.incarnation == command.incarnation) {
       return;
@@ -333,8 +332,7 @@
   }
 }
 
-void CellState::apply_command(LogIndex /*index*/, const MarkLeaving& command,
-                              ApplyResult& result) {
+void CellState::apply_command(LogIndex /*index*/, const MarkLeaving& command, ApplyResult& result) {
   const auto found = backends_.find(command.backend);
   if (found != backends_.end()) {
     found->second.leaving = command.leaving;
@@ -425,8 +423,7 @@
 
 void CellState::assign(LogIndex index, const ShardAssignment& assignment, ApplyResult& result) {
   ShardRecord* record = mutable_shard({assignment.service, assignment.shard});
-  const bool owner_known =
-      assignment.owner.value == 0 || backends_.contains(assignment.owner);
+  const bool owner_known = assignment.owner.value == 0 || backends_.contains(assignment.owner);
   if (record == nullptr || record->epoch != assignment.expected_epoch || !owner_known) {
     return;
   }
@@ -462,8 +459,7 @@
   for (const common::ShardRef& ref : backend->shards) {
     const ServiceRecord& service = services_.at(ref.service);
     const Epoch epoch = service.shards[ref.shard.value].epoch;
-    const bool continues = !set.grants.empty() &&
-                           set.grants.back().service == service.config.key &&
+    const bool continues = !set.grants.empty() && set.grants.back().service == service.config.key &&
                            set.grants.back().epoch == epoch &&
                            set.grants.back().last.value + 1 == ref.shard.value;
     if (continues) {
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -97,7 +97,7 @@
 
 /// What an operator is told about a change; a resend of the same change id gets the same answer.
 struct ChangeAnswer {
-  std::uint8_t status = 0;  ///< a ChangeStatus
+  std::uint8_t status = 0;    ///< a ChangeStatus
   common::Revision revision;  ///< accepted: the new revision; conflict: the winner's
   LogIndex index;             ///< log index of the accepted change
   common::ChangeId winner;    ///< conflict: the change that came first
--- a/src/ownership/lease_manager.cpp
+++ b/src/ownership/lease_manager.cpp
@@ -24,9 +24,8 @@
 }
 
 void LeaseManager::sync_sessions(TimePoint now, const CellState& state) {
-  std::erase_if(sessions_, [&](const auto& item) {
-    return state.find_backend(item.first) == nullptr;
-  });
+  std::erase_if(sessions_,
+                [&](const auto& item) { return state.find_backend(item.first) == nullptr; });
   if (sessions_.size() == state.backends().size()) {
     return;
   }
@@ -99,11 +98,9 @@
   request.grants_index = session.grants.index;
   request.grants_digest = session.grants.digest;
   if (session.acknowledged_at.has_value()) {
-    request.expires_clock_us =
-        session.acknowledged_clock_us + options_.time_to_live.count();
-    session.owner_until =
-        std::max(session.owner_until,
-                 *session.acknowledged_at + options_.time_to_live + options_.margin);
+    request.expires_clock_us = session.acknowledged_clock_us + options_.time_to_live.count();
+    session.owner_until = std::max(
+        session.owner_until, *session.acknowledged_at + options_.time_to_live + options_.margin);
   }
   request.has_grants = session.held_digest != session.grants.digest;
   if (request.has_grants) {
@@ -198,8 +195,7 @@
   const auto found = sessions_.find(backend);
   if (found != sessions_.end() && found->second.release_due.has_value()) {
     found->second.release_due =
-        std::min(*found->second.release_due,
-                 *found->second.release_due - options_.release_wait);
+        std::min(*found->second.release_due, *found->second.release_due - options_.release_wait);
   }
 }
 
--- a/src/ownership/lease_manager.hpp
+++ b/src/ownership/lease_manager.hpp
@@ -105,9 +105,9 @@
     std::int64_t acknowledged_clock_us = 0;
     std::string held_digest;
     GrantSet grants;
-    bool gone = false;  ///< the incarnation answered no more at its address
+    bool gone = false;      ///< the incarnation answered no more at its address
     bool given_up = false;  ///< its loss has been proposed; never renewed again in this term
-    int unanswered = 0;  ///< renewals sent since the last answer
+    int unanswered = 0;     ///< renewals sent since the last answer
     BackendState state = BackendState::kCold;
     std::optional<TimePoint> release_due;
   };
@@ -118,8 +118,7 @@
   void contact_new_machines(TimePoint now, const CellState& state,
                             const membership::MachineList& machines,
                             std::vector<OutgoingLease>& leases);
-  LeaseRequest make_renewal(const BackendRecord& backend, Session& session,
-                            const CellState& state);
+  LeaseRequest make_renewal(const BackendRecord& backend, Session& session, const CellState& state);
   void collect_releases(TimePoint now, const CellState& state,
                         std::vector<OutgoingRelease>& releases);
 
--- a/src/ownership/lease_messages.hpp
+++ b/src/ownership/lease_messages.hpp
@@ -15,11 +15,11 @@
 struct LeaseRequest {
   common::CellName cell;
   common::Term term;
-  common::Incarnation incarnation;     ///< empty at first contact
-  std::int64_t expires_clock_us = 0;   ///< in the holder's clock; 0: no lease yet
+  common::Incarnation incarnation;    ///< empty at first contact
+  std::int64_t expires_clock_us = 0;  ///< in the holder's clock; 0: no lease yet
   LogIndex grants_index;
   std::string grants_digest;
-  bool has_grants = false;             ///< false: the set is left out, the digest should match
+  bool has_grants = false;  ///< false: the set is left out, the digest should match
   std::vector<Grant> grants;
 };
 
--- a/src/ownership/load_view.cpp
+++ b/src/ownership/load_view.cpp
@@ -30,8 +30,7 @@
   const double kept = std::exp2(-half_lives);
   for (auto& [id, service] : services_) {
     for (std::size_t i = 0; i < service.rates.size(); ++i) {
-      service.rates[i] =
-          service.rates[i] * kept + (service.counted[i] / seconds) * (1.0 - kept);
+      service.rates[i] = service.rates[i] * kept + (service.counted[i] / seconds) * (1.0 - kept);
       service.counted[i] = 0;
     }
   }
--- a/src/ownership/load_view.hpp
+++ b/src/ownership/load_view.hpp
@@ -12,8 +12,7 @@
 class LoadView {
  public:
   /// @param half_life time after which an old observation counts half.
-  explicit LoadView(common::Duration half_life = std::chrono::seconds(5))
-      : half_life_(half_life) {}
+  explicit LoadView(common::Duration half_life = std::chrono::seconds(5)) : half_life_(half_life) {}
 
   /// Adds what one router counted since its last report.
   void add(const std::vector<routing::ShardLoad>& loads);
--- a/src/ownership/planner.cpp
+++ b/src/ownership/planner.cpp
@@ -26,7 +26,7 @@
   const ServiceRecord& service;
   std::vector<BackendId> targets;
   std::set<BackendId> lost;
-  std::vector<double> weights;         ///< by shard
+  std::vector<double> weights;          ///< by shard
   std::map<BackendId, double> carried;  ///< weight by target, with what the plan adds
   std::uint32_t moving = 0;
 
@@ -72,8 +72,8 @@
       work.weights.push_back(input.loads.rate(id, ShardNumber(i)));
       total += work.weights.back();
     }
-    const double idle = options_.idle_weight *
-                        std::max(total / static_cast<double>(service.shards.size()), 1e-3);
+    const double idle =
+        options_.idle_weight * std::max(total / static_cast<double>(service.shards.size()), 1e-3);
     for (double& weight : work.weights) {
       weight += idle;
     }
@@ -99,9 +99,8 @@
                                                const PlannerInput& input) const {
   const auto& wanted_zones = service.config.zones;
   const auto eligible = [&](const BackendRecord& backend) {
-    const bool in_zone = wanted_zones.empty() ||
-                         std::find(wanted_zones.begin(), wanted_zones.end(), backend.zone) !=
-                             wanted_zones.end();
+    const bool in_zone = wanted_zones.empty() || std::find(wanted_zones.begin(), wanted_zones.end(),
+                                                           backend.zone) != wanted_zones.end();
     return in_zone && backend.pool == service.config.parameters.pool &&
            !input.state.is_draining(backend) &&
            std::find(input.lost.begin(), input.lost.end(), backend.id) == input.lost.end();
@@ -209,8 +208,7 @@
     }
     ++work.moving;
     work.carry(to.value_or(BackendId()), ShardNumber(i));
-    plan.moves.push_back(
-        {work.service.id, ShardNumber(i), shard.epoch, to.value_or(BackendId())});
+    plan.moves.push_back({work.service.id, ShardNumber(i), shard.epoch, to.value_or(BackendId())});
   }
 }
 
@@ -279,8 +277,8 @@
         (!greedy && stays(now, work.service, ShardNumber(i)))) {
       continue;
     }
-    const double peak = std::max(heaviest->second - work.weights[i],
-                                 lightest->second + work.weights[i]);
+    const double peak =
+        std::max(heaviest->second - work.weights[i], lightest->second + work.weights[i]);
     if (peak < best_peak) {
       best_peak = peak;
       best = ShardNumber(i);
@@ -295,8 +293,7 @@
       {work.service.id, *best, work.service.shards[best->value].epoch, lightest->first});
 }
 
-bool Planner::stays(common::TimePoint now, const ServiceRecord& service,
-                    ShardNumber shard) const {
+bool Planner::stays(common::TimePoint now, const ServiceRecord& service, ShardNumber shard) const {
   const auto moved = moved_at_.find({service.id, shard});
   const std::chrono::milliseconds stay(service.config.parameters.balance.minimum_stay_ms);
   return moved != moved_at_.end() && now - moved->second < stay;
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -66,9 +66,8 @@
   router_count_ = std::max<std::uint32_t>(1, update.router_count);
   const bool installed = table_.apply(update);
   if (table_.index() >= update.current_index && update.echo_clock_us > 0) {
-    confirmed_until_ =
-        std::max(confirmed_until_,
-                 common::from_microseconds(update.echo_clock_us) + options_.table_lease);
+    confirmed_until_ = std::max(
+        confirmed_until_, common::from_microseconds(update.echo_clock_us) + options_.table_lease);
   }
   const bool has_changes = installed && !update.deltas.empty();
   if (has_changes || ring_changed) {
@@ -111,8 +110,13 @@
 
 void RouterCore::make_hello(TimePoint now) {
   next_hello_ = now + options_.hello_interval;
-  routing::RouterHello hello{options_.cell, options_.name,      options_.address,
-                             common::to_microseconds(now), table_.index(), is_serving(now), {}};
+  routing::RouterHello hello{options_.cell,
+                             options_.name,
+                             options_.address,
+                             common::to_microseconds(now),
+                             table_.index(),
+                             is_serving(now),
+                             {}};
   if (now >= next_load_) {
     next_load_ = now + options_.load_interval;
     for (const auto& [ref, count] : loads_) {
@@ -120,11 +124,10 @@
     }
     loads_.clear();
     if (hello.loads.size() > options_.maximum_reported_shards) {
-      const auto end = hello.loads.begin() +
-                       static_cast<std::ptrdiff_t>(options_.maximum_reported_shards);
-      std::partial_sort(
-          hello.loads.begin(), end, hello.loads.end(),
-          [](const auto& a, const auto& b) { return a.requests > b.requests; });
+      const auto end =
+          hello.loads.begin() + static_cast<std::ptrdiff_t>(options_.maximum_reported_shards);
+      std::partial_sort(hello.loads.begin(), end, hello.loads.end(),
+                        [](const auto& a, const auto& b) { return a.requests > b.requests; });
       hello.loads.erase(end, hello.loads.end());
     }
   }
@@ -139,8 +142,7 @@
   request.caller = caller;
   const auto refuse = [&](NotRunReason reason, bool never, Duration retry_after) {
     ++counters_.not_run;
-    output_.answers.push_back(
-        {caller.handle, Outcome::kNotRun, 0, reason, never, retry_after});
+    output_.answers.push_back({caller.handle, Outcome::kNotRun, 0, reason, never, retry_after});
   };
   if (draining_) {
     return refuse(NotRunReason::kDrainingRouter, false, options_.maximum_backoff);
@@ -156,13 +158,13 @@
   if (parameters.keyed && caller.key.empty()) {
     return refuse(NotRunReason::kKeyMissing, true, Duration(0));
   }
-  const std::uint32_t timeout_ms =
-      caller.timeout_ms > 0 ? std::min(caller.timeout_ms, config::kMaxTimeoutMs)
-                            : parameters.default_timeout_ms;
+  const std::uint32_t timeout_ms = caller.timeout_ms > 0
+                                       ? std::min(caller.timeout_ms, config::kMaxTimeoutMs)
+                                       : parameters.default_timeout_ms;
   request.service = service->route.id;
   request.keyed = parameters.keyed;
-  request.shard = parameters.keyed ? routing::shard_of_key(caller.key, parameters)
-                                   : common::ShardNumber();
+  request.shard =
+      parameters.keyed ? routing::shard_of_key(caller.key, parameters) : common::ShardNumber();
   request.repeatable =
       std::find(parameters.repeatable_methods.begin(), parameters.repeatable_methods.end(),
                 caller.method) != parameters.repeatable_methods.end();
@@ -198,8 +200,7 @@
 }
 
 std::optional<BackendId> RouterCore::pick(TimePoint now, const Request& request,
-                                          const routing::TableService& service,
-                                          QueueKey& queue) {
+                                          const routing::TableService& service, QueueKey& queue) {
   if (!request.keyed) {
     return pick_free(now, request, service);
   }
@@ -239,11 +240,9 @@
   return candidates[routing::choose_target(candidates, options_.choice, turn_++, random_)].backend;
 }
 
-bool RouterCore::has_room(TimePoint now, BackendId backend,
-                          const routing::TableService& service) {
+bool RouterCore::has_room(TimePoint now, BackendId backend, const routing::TableService& service) {
   const Target& target = targets_[backend];
-  return now >= target.blocked_until &&
-         target.outstanding < service.route.config.parameters.slots;
+  return now >= target.blocked_until && target.outstanding < service.route.config.parameters.slots;
 }
 
 void RouterCore::forward(TimePoint now, Request& request, BackendId backend,
@@ -407,8 +406,8 @@
       target.block = Duration(0);
       target.is_warm = target.is_warm || now - target.first_seen >= options_.warm_up;
       ++counters_.answered;
-      output_.answers.push_back({attempt.handle, Outcome::kAnswered, id,
-                                 NotRunReason::kNone, false, Duration(0)});
+      output_.answers.push_back(
+          {attempt.handle, Outcome::kAnswered, id, NotRunReason::kNone, false, Duration(0)});
       finish(attempt.handle);
       break;
     }
@@ -515,8 +514,7 @@
   finish(handle);
 }
 
-void RouterCore::answer_not_run(const Request& request, NotRunReason reason,
-                                Duration retry_after) {
+void RouterCore::answer_not_run(const Request& request, NotRunReason reason, Duration retry_after) {
   if (request.may_have_run && !options_.claim_not_run) {
     answer_unknown(request);  // an earlier attempt left no proof
     return;
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -52,9 +52,9 @@
   /// Shards named in one load report at most.
   std::size_t maximum_reported_shards = 500;
   /// Safeguards; off only in mutants.
-  bool resend_unknown = false;       ///< also resend what may have run
-  bool keep_table_forever = false;   ///< serve without confirmation
-  bool claim_not_run = false;        ///< call unknown outcomes "not run"
+  bool resend_unknown = false;      ///< also resend what may have run
+  bool keep_table_forever = false;  ///< serve without confirmation
+  bool claim_not_run = false;       ///< call unknown outcomes "not run"
 };
 
 /// Identity of a request inside this router.
@@ -65,7 +65,7 @@
 struct CallerRequest {
   RequestHandle handle = 0;
   common::ServiceKey service;
-  std::string key;      ///< empty: none given
+  std::string key;  ///< empty: none given
   std::string method;
   std::uint32_t timeout_ms = 0;  ///< 0: the service's default
 };
@@ -188,8 +188,7 @@
   bool has_room(TimePoint now, BackendId backend, const routing::TableService& service);
   void forward(TimePoint now, Request& request, BackendId backend,
                const routing::TableService& service);
-  void wait(TimePoint now, Request& request, QueueKey queue,
-            const routing::TableService& service);
+  void wait(TimePoint now, Request& request, QueueKey queue, const routing::TableService& service);
   void retry_later(TimePoint now, Request& request);
   void drain_queue(TimePoint now, const QueueKey& key);
   void redispatch_all(TimePoint now);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -38,9 +38,18 @@
 
 /// Headers that belong to one connection, or that this router sets itself (RFC 9110, 7.6.1).
 bool is_passed_on(std::string_view name) {
-  constexpr std::array<std::string_view, 12> kOwn = {
-      "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer",
-      "Upgrade",    "Host",       "Content-Length",   "Expect", "Date", "Server"};
+  constexpr std::array<std::string_view, 12> kOwn = {"Connection",
+                                                     "Keep-Alive",
+                                                     "Proxy-Connection",
+                                                     "Transfer-Encoding",
+                                                     "TE",
+                                                     "Trailer",
+                                                     "Upgrade",
+                                                     "Host",
+                                                     "Content-Length",
+                                                     "Expect",
+                                                     "Date",
+                                                     "Server"};
   constexpr std::string_view kPrefix = "Planktray-";
   const bool is_ours = name.size() >= kPrefix.size() &&
                        equals_ignoring_case(name.substr(0, kPrefix.size()), kPrefix);
@@ -161,9 +170,9 @@
 void RouterProcess::refuse_bad_request(const transport::ExchangePointer& exchange,
                                        const std::string& message) {
   const nlohmann::json body = {{"error", message}, {"step", "read request"}, {"peer", ""}};
-  exchange->respond_json(kStatusBadRequest, body.dump(),
-                         {{kOutcome, "not-run"},
-                          {kRequestId, std::string(exchange->header(kRequestId))}});
+  exchange->respond_json(
+      kStatusBadRequest, body.dump(),
+      {{kOutcome, "not-run"}, {kRequestId, std::string(exchange->header(kRequestId))}});
 }
 
 void RouterProcess::on_caller(const transport::ExchangePointer& exchange) {
@@ -189,8 +198,7 @@
   request.handle = next_handle_++;
   request.key = std::string(key);
   request.method = std::string(exchange->method());
-  callers_[request.handle] = {exchange,
-                              given_id.empty() ? new_request_id() : std::string(given_id),
+  callers_[request.handle] = {exchange, given_id.empty() ? new_request_id() : std::string(given_id),
                               request.key, request.service, boot_time_now()};
   exchange->on_gone([this, handle = request.handle] {
     callers_.erase(handle);
@@ -259,13 +267,12 @@
   request.fresh_connection = !forward.repeatable;
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(forward.time_left).count();
-  request.headers.insert(
-      request.headers.end(),
-      {{kRequestId, caller.request_id},
-       {"Planktray-Tenant", caller.service.tenant.value},
-       {"Planktray-Service", caller.service.service.value},
-       {"Planktray-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left))},
-       {"Planktray-Incarnation", forward.incarnation.value}});
+  request.headers.insert(request.headers.end(),
+                         {{kRequestId, caller.request_id},
+                          {"Planktray-Tenant", caller.service.tenant.value},
+                          {"Planktray-Service", caller.service.service.value},
+                          {"Planktray-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left))},
+                          {"Planktray-Incarnation", forward.incarnation.value}});
   if (forward.keyed) {
     request.headers.insert(request.headers.end(),
                            {{"Planktray-Key", caller.key},
@@ -329,8 +336,8 @@
     headers = passed_on(sent->second.response.headers);
     headers.emplace_back(kOutcome, "answered");
     headers.emplace_back(kRequestId, caller.request_id);
-    caller.exchange->respond_bytes(sent->second.response.status,
-                                   sent->second.response.body.get(), headers);
+    caller.exchange->respond_bytes(sent->second.response.status, sent->second.response.body.get(),
+                                   headers);
     sent_.erase(sent);
     return;
   }
@@ -344,8 +351,8 @@
   body["error"] = "not run: " + std::string(routing::to_string(answer.reason));
   unsigned status = kStatusUnavailable;
   if (answer.can_never_run) {
-    status = answer.reason == routing::NotRunReason::kKeyMissing ? kStatusBadRequest
-                                                                 : kStatusNotFound;
+    status =
+        answer.reason == routing::NotRunReason::kKeyMissing ? kStatusBadRequest : kStatusNotFound;
   } else {
     headers.emplace_back("Retry-After", retry_after_seconds(answer.retry_after));
   }
@@ -359,8 +366,7 @@
                        counters.answered);
   metrics_.set_counter("planktray_not_run_total", "Requests refused with proof of not run.",
                        counters.not_run);
-  metrics_.set_counter("planktray_unknown_total", "Requests that may have run.",
-                       counters.unknown);
+  metrics_.set_counter("planktray_unknown_total", "Requests that may have run.", counters.unknown);
   metrics_.set_counter("planktray_retries_total", "Attempts after the first.", counters.retries);
   metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
   metrics_.set_counter("planktray_table_updates_total", "Changes of the routing table.",
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -21,8 +21,8 @@
   kNotServing,      ///< this router has no confirmed table
   kNoTarget,        ///< nobody can take it now
   kQueueFull,
-  kDeadline,        ///< it could not be sent in time
-  kBudgetSpent,     ///< a retry was possible, but retries are limited
+  kDeadline,     ///< it could not be sent in time
+  kBudgetSpent,  ///< a retry was possible, but retries are limited
   kDrainingRouter,
 };
 
@@ -39,11 +39,11 @@
 
 /// How an attempt ended.
 enum class AttemptEnd : std::uint8_t {
-  kAnswered,   ///< whole answer with the right request id
-  kRefused,    ///< see Refusal
-  kNotSent,    ///< never connected, nothing written
-  kBroken,     ///< written, at least in part, and no whole answer came back
-  kForeign,    ///< an answer that is not to this request
+  kAnswered,  ///< whole answer with the right request id
+  kRefused,   ///< see Refusal
+  kNotSent,   ///< never connected, nothing written
+  kBroken,    ///< written, at least in part, and no whole answer came back
+  kForeign,   ///< an answer that is not to this request
 };
 
 std::string_view to_string(Outcome outcome);
--- a/src/routing/retry_budget.hpp
+++ b/src/routing/retry_budget.hpp
@@ -17,8 +17,7 @@
 
 class RetryBudget {
  public:
-  explicit RetryBudget(RetryBudgetOptions options)
-      : options_(options), tokens_(options.capacity) {}
+  explicit RetryBudget(RetryBudgetOptions options) : options_(options), tokens_(options.capacity) {}
 
   void on_first_attempt() {
     tokens_ = std::min(options_.capacity, tokens_ + options_.tokens_per_request);
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -7,8 +7,8 @@
 namespace planktray::routing {
 
 ShardNumber shard_of_key(std::string_view key, const config::ServiceTemplate& parameters) {
-  return ShardNumber(static_cast<std::uint32_t>(
-      common::hash_bytes(key, parameters.hash_seed) % parameters.shards));
+  return ShardNumber(static_cast<std::uint32_t>(common::hash_bytes(key, parameters.hash_seed) %
+                                                parameters.shards));
 }
 
 std::size_t RoutingTable::KeyHash::operator()(const common::ServiceKey& key) const noexcept {
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -81,9 +81,9 @@
 struct RouterHello {
   common::CellName cell;
   common::RouterName router;
-  std::string address;          ///< where callers reach it, for the operators' view
-  std::int64_t clock_us = 0;    ///< the router's clock at sending, echoed back
-  LogIndex table_index;         ///< the table the router serves from; 0 is none
+  std::string address;        ///< where callers reach it, for the operators' view
+  std::int64_t clock_us = 0;  ///< the router's clock at sending, echoed back
+  LogIndex table_index;       ///< the table the router serves from; 0 is none
   bool serving = false;
   std::vector<ShardLoad> loads;
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads)
--- a/src/routing/target_choice.cpp
+++ b/src/routing/target_choice.cpp
@@ -11,8 +11,7 @@
   common::RandomEngine random(input.seed);
   std::vector<WeightedTarget> subset;
   while (!targets.empty() && subset.size() < input.minimum_targets) {
-    const auto drawn =
-        static_cast<std::ptrdiff_t>(common::uniform(random, 0, targets.size() - 1));
+    const auto drawn = static_cast<std::ptrdiff_t>(common::uniform(random, 0, targets.size() - 1));
     subset.push_back({targets[static_cast<std::size_t>(drawn)], 1.0});
     targets.erase(targets.begin() + drawn);
   }
@@ -71,6 +70,7 @@
     return deterministic_aperture(targets, input);
   }
   std::vector<WeightedTarget> subset;
+  subset.reserve(targets.size());
   for (const common::BackendId id : targets) {
     subset.push_back({id, 1.0});
   }
--- a/src/sim/backend_node.cpp
+++ b/src/sim/backend_node.cpp
@@ -23,8 +23,8 @@
 void BackendNode::start() {
   host().start();
   standin::BackendOptions options;
-  options.incarnation = common::Incarnation(settings_.machine.value + "#" +
-                                            std::to_string(host().generation()));
+  options.incarnation =
+      common::Incarnation(settings_.machine.value + "#" + std::to_string(host().generation()));
   options.slots = settings_.slots;
   options.ignore_fence = !environment_.safeguards.backends_fence;
   options.ignore_drain = !environment_.safeguards.leaving_refuse;
@@ -107,8 +107,7 @@
   return reply;
 }
 
-void BackendNode::receive_release(const ownership::ReleaseRequest& request,
-                                  ReleaseHandler reply) {
+void BackendNode::receive_release(const ownership::ReleaseRequest& request, ReleaseHandler reply) {
   const standin::ReleaseId id = next_id_++;
   releases_[id] = std::move(reply);
   core_->on_release(host().clock(), id, request);
@@ -154,8 +153,8 @@
   reply.answer_to = work.request;
   if (!done.refusal.has_value()) {
     environment_.observe(Executed{work.request, settings_.machine.value,
-                                  core_->holder().incarnation().value, work.shard,
-                                  work.epoch.value, work.accepted});
+                                  core_->holder().incarnation().value, work.shard, work.epoch.value,
+                                  work.accepted});
     environment_.measures.on_executed(environment_.now(), settings_.service,
                                       settings_.machine.value);
     const AnswerFaults& faults = environment_.answer_faults;
@@ -172,15 +171,14 @@
 void BackendNode::observe_holdings(GapCause cause) {
   if (!core_.has_value()) {
     for (const auto& [shard, epoch] : std::exchange(held_, {})) {
-      environment_.observe(HoldEnded{shard, settings_.machine.value + "#" +
-                                                std::to_string(host().generation() - 1)});
+      environment_.observe(HoldEnded{
+          shard, settings_.machine.value + "#" + std::to_string(host().generation() - 1)});
       environment_.measures.on_hold_ended(environment_.now(), shard, cause);
     }
     return;
   }
   const standin::LeaseHolder& holder = core_->holder();
-  const std::pair<bool, std::uint64_t> version{holder.has_lease(host().clock()),
-                                               holder.version()};
+  const std::pair<bool, std::uint64_t> version{holder.has_lease(host().clock()), holder.version()};
   if (version == observed_) {
     return;
   }
--- a/src/sim/callers.hpp
+++ b/src/sim/callers.hpp
@@ -11,7 +11,7 @@
 namespace planktray::sim {
 
 struct CallerOptions {
-  double rate = 60;         ///< requests a second
+  double rate = 60;          ///< requests a second
   double write_share = 0.4;  ///< share that may run once at most
   std::uint32_t keys = 400;
   /// Share of keyed requests that goes to the hot key.
@@ -22,8 +22,8 @@
 
 class Callers {
  public:
-  Callers(Environment& environment, Directory& directory, HostId host,
-          const Deployment& deployment, CallerOptions options);
+  Callers(Environment& environment, Directory& directory, HostId host, const Deployment& deployment,
+          CallerOptions options);
 
   /// Sends until stop().
   void start();
--- a/src/sim/checker.cpp
+++ b/src/sim/checker.cpp
@@ -103,8 +103,8 @@
   const HistoryEvent* refused = nullptr;
 };
 
-void check_answer(const HistoryEvent& event, const RequestTold& told,
-                  const RequestHistory& request, Report& report) {
+void check_answer(const HistoryEvent& event, const RequestTold& told, const RequestHistory& request,
+                  Report& report) {
   if (told.answer_to != told.request) {
     report.add(Promise::kOwnAnswer, event, "a caller got the answer to another request");
   }
@@ -129,8 +129,7 @@
                    {request.refused});
       }
       if (!request.repeatable && request.executions.size() > 1) {
-        report.add(Promise::kAtMostOnce, event, "ran more than once",
-                   {request.executions.front()});
+        report.add(Promise::kAtMostOnce, event, "ran more than once", {request.executions.front()});
       }
     } else if (const auto* told = std::get_if<RequestTold>(&event.what)) {
       RequestHistory& request = requests[told->request];
@@ -202,8 +201,7 @@
 
   void take(const HistoryEvent& event, const ChangeTold& told) {
     if (told.verdict == ChangeVerdict::kAccepted) {
-      deadlines_.emplace(event.time + limits_.in_force,
-                         Deadline{told.name, told.revision, &event});
+      deadlines_.emplace(event.time + limits_.in_force, Deadline{told.name, told.revision, &event});
     }
   }
   void take(const HistoryEvent& event, const RouterServes& serves) {
@@ -222,8 +220,7 @@
     serving_[key] = {serves.revision, &event};
   }
   void take(const HistoryEvent& /*event*/, const RouterStopped& stopped) {
-    std::erase_if(serving_,
-                  [&](const auto& item) { return item.first.first == stopped.router; });
+    std::erase_if(serving_, [&](const auto& item) { return item.first.first == stopped.router; });
   }
   void take(const HistoryEvent& event, const InForceTold& told) {
     if (told.revision >= told_[told.name].revision) {
@@ -231,8 +228,7 @@
     }
     for (const auto& [key, service] : serving_) {
       if (key.second == told.name && service.revision < told.revision) {
-        report_.add(Promise::kInForceInTime, event, "told in force before it was",
-                    {service.event});
+        report_.add(Promise::kInForceInTime, event, "told in force before it was", {service.event});
       }
     }
   }
@@ -328,8 +324,7 @@
     learn(event, read.name, read.revision);
   }
 
-  void check_same_answer(const HistoryEvent& event, const ChangeTold& told,
-                         const Change& change) {
+  void check_same_answer(const HistoryEvent& event, const ChangeTold& told, const Change& change) {
     if (change.told == nullptr) {
       return;
     }
--- a/src/sim/controller_node.cpp
+++ b/src/sim/controller_node.cpp
@@ -18,10 +18,7 @@
 
 ControllerNode::ControllerNode(Environment& environment, Directory& directory, HostId host,
                                controller::ControllerOptions options)
-    : environment_(environment),
-      directory_(directory),
-      host_(host),
-      options_(std::move(options)) {
+    : environment_(environment), directory_(directory), host_(host), options_(std::move(options)) {
   disk_.set_lying(!environment_.safeguards.disks_sync);
 }
 
@@ -159,8 +156,7 @@
   if (output.join.has_value()) {
     for (ControllerNode* peer : directory_.controllers()) {
       if (peer != this) {
-        network.send(host_, peer->host_id(),
-                     [peer, join = *output.join] { peer->receive(join); });
+        network.send(host_, peer->host_id(), [peer, join = *output.join] { peer->receive(join); });
       }
     }
   }
@@ -227,10 +223,10 @@
   Network& network = environment_.network;
   network.send(host_, backend->host_id(), [this, backend, lease] {
     const ownership::LeaseReply reply = backend->receive_lease(lease.request);
-    environment_.network.send(
-        backend->host_id(), host_, [this, machine = lease.machine, id = lease.backend, reply] {
-          receive_lease_reply(machine, id, reply);
-        });
+    environment_.network.send(backend->host_id(), host_,
+                              [this, machine = lease.machine, id = lease.backend, reply] {
+                                receive_lease_reply(machine, id, reply);
+                              });
   });
 }
 
--- a/src/sim/deployment.hpp
+++ b/src/sim/deployment.hpp
@@ -28,10 +28,10 @@
   std::string tenant;
   std::string template_name;
   std::vector<std::string> zones;
-  Duration zone_delay{0};        ///< one way, between zones
-  Duration caller_delay{0};      ///< one way, from callers to routers
-  Duration local_delay{100};     ///< one way, within a zone
-  Duration connect_time{1000};   ///< what a back end takes to accept a connection
+  Duration zone_delay{0};       ///< one way, between zones
+  Duration caller_delay{0};     ///< one way, from callers to routers
+  Duration local_delay{100};    ///< one way, within a zone
+  Duration connect_time{1000};  ///< what a back end takes to accept a connection
   std::uint32_t controllers = 3;
   std::uint32_t routers = 3;
   std::uint32_t shards = 128;
--- a/src/sim/environment.hpp
+++ b/src/sim/environment.hpp
@@ -16,19 +16,19 @@
 
 /// All true in the product. A mutant takes one away; the checks must notice.
 struct Safeguards {
-  bool backends_fence = true;            ///< back ends check lease and epoch
-  bool disks_sync = true;                ///< sync() makes bytes last
-  bool clocks_within_margin = true;      ///< clock rates differ by less than the margin allows
-  bool voters_refuse_early = true;       ///< no vote while a leader was heard lately
-  bool leaders_wait = true;              ///< a new leader waits out older grants
-  bool unknown_is_not_resent = true;     ///< no retry without proof of not run
-  bool unknown_is_told = true;           ///< "unknown" is never called "not run"
-  bool answers_are_matched = true;       ///< an answer must carry the request's id
-  bool answers_are_whole = true;         ///< a truncated answer is no answer
-  bool tables_expire = true;             ///< a router stops without confirmation
-  bool leaving_refuse = true;            ///< a leaving back end is taken out of use
-  bool stops_drain = true;               ///< a planned stop finishes what is in flight
-  bool new_folder_new_identity = true;   ///< a replaced disk does not vote under its old name
+  bool backends_fence = true;           ///< back ends check lease and epoch
+  bool disks_sync = true;               ///< sync() makes bytes last
+  bool clocks_within_margin = true;     ///< clock rates differ by less than the margin allows
+  bool voters_refuse_early = true;      ///< no vote while a leader was heard lately
+  bool leaders_wait = true;             ///< a new leader waits out older grants
+  bool unknown_is_not_resent = true;    ///< no retry without proof of not run
+  bool unknown_is_told = true;          ///< "unknown" is never called "not run"
+  bool answers_are_matched = true;      ///< an answer must carry the request's id
+  bool answers_are_whole = true;        ///< a truncated answer is no answer
+  bool tables_expire = true;            ///< a router stops without confirmation
+  bool leaving_refuse = true;           ///< a leaving back end is taken out of use
+  bool stops_drain = true;              ///< a planned stop finishes what is in flight
+  bool new_folder_new_identity = true;  ///< a replaced disk does not vote under its old name
 };
 
 /// How back ends answer badly at present.
--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -70,14 +70,15 @@
 }
 
 const std::vector<Fault>& all_faults() {
-  static const std::vector<Fault> faults = [] {
+  static const std::vector<Fault> kFaults = [] {
     std::vector<Fault> list;
+    list.reserve(kNames.size());
     for (const FaultName& item : kNames) {
       list.push_back(item.fault);
     }
     return list;
   }();
-  return faults;
+  return kFaults;
 }
 
 common::Result<std::set<Fault>> parse_faults(const std::string& text) {
--- a/src/sim/history.hpp
+++ b/src/sim/history.hpp
@@ -105,8 +105,8 @@
 
 using Observation =
     std::variant<RequestSent, RequestTold, Executed, HoldBegan, HoldEnded, ChangeSent, ChangeTold,
-                 DeclarationRead, InForceTold, RouterServes, RouterStopped, LeavingBegan, LeavingEnded,
-                 PlannedStop, FaultsEnded, RecoveryJudged>;
+                 DeclarationRead, InForceTold, RouterServes, RouterStopped, LeavingBegan,
+                 LeavingEnded, PlannedStop, FaultsEnded, RecoveryJudged>;
 
 struct HistoryEvent {
   TimePoint time;
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -97,9 +97,7 @@
   json violations = json::array();
 };
 
-double milliseconds_of(Duration duration) {
-  return static_cast<double>(duration.count()) / 1000.0;
-}
+double milliseconds_of(Duration duration) { return static_cast<double>(duration.count()) / 1000.0; }
 
 json gap_json(const common::Histogram& histogram) {
   return {{"count", histogram.count()},
--- a/src/sim/measures.cpp
+++ b/src/sim/measures.cpp
@@ -31,8 +31,7 @@
   }
 }
 
-void Measures::on_executed(TimePoint now, const std::string& service,
-                           const std::string& machine) {
+void Measures::on_executed(TimePoint now, const std::string& service, const std::string& machine) {
   if (counting_) {
     const auto second =
         std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
--- a/src/sim/mutants.hpp
+++ b/src/sim/mutants.hpp
@@ -13,10 +13,10 @@
 
 struct Mutant {
   std::string name;
-  std::string safeguard;          ///< what was taken away, for readers
+  std::string safeguard;  ///< what was taken away, for readers
   void (*apply)(Safeguards&);
-  std::set<Fault> faults;         ///< what makes the safeguard matter
-  std::set<Promise> caught_by;    ///< any of these
+  std::set<Fault> faults;       ///< what makes the safeguard matter
+  std::set<Promise> caught_by;  ///< any of these
 };
 
 const std::vector<Mutant>& all_mutants();
--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -15,8 +15,8 @@
   const auto jitter = static_cast<std::uint64_t>(base.count()) / kJitterDivisor + 1;
   Duration total = base + Duration(common::uniform(random_, 0, jitter));
   if (faults_.late > 0 && common::chance(random_, faults_.late)) {
-    total += Duration(
-        common::uniform(random_, 0, static_cast<std::uint64_t>(faults_.lateness.count())));
+    total +=
+        Duration(common::uniform(random_, 0, static_cast<std::uint64_t>(faults_.lateness.count())));
   }
   return total;
 }
--- a/src/sim/operators.cpp
+++ b/src/sim/operators.cpp
@@ -97,30 +97,29 @@
   ControllerNode* controller = pick_controller();
   const TimePoint sent = environment_.now();
   const HostId remote = controller->host_id();
-  environment_.network.send_once(host_, remote, [this, controller, remote, label, kind, name, sent,
-                                                 then = std::move(then)] {
-    controller->read([this, controller, remote, label, kind, name, sent,
-                      then](const common::Result<void>& confirmed) {
-      if (!confirmed.has_value()) {
-        return;
-      }
-      const auto& records = controller->core().state().declarations(kind);
-      const auto found = records.find(name);
-      const std::uint64_t revision = found == records.end() ? 0 : found->second.revision.value;
-      const std::string change = found == records.end() ? "" : found->second.change_id.value;
-      environment_.network.send_once(
-          remote, host_, [this, label, sent, revision, change, then] {
-            ++reads_answered_;
-            environment_.observe(DeclarationRead{label, sent, revision, change});
-            then(revision);
-          });
-    });
-  });
+  environment_.network.send_once(
+      host_, remote, [this, controller, remote, label, kind, name, sent, then = std::move(then)] {
+        controller->read([this, controller, remote, label, kind, name, sent,
+                          then](const common::Result<void>& confirmed) {
+          if (!confirmed.has_value()) {
+            return;
+          }
+          const auto& records = controller->core().state().declarations(kind);
+          const auto found = records.find(name);
+          const std::uint64_t revision = found == records.end() ? 0 : found->second.revision.value;
+          const std::string change = found == records.end() ? "" : found->second.change_id.value;
+          environment_.network.send_once(
+              remote, host_, [this, label, sent, revision, change, then] {
+                ++reads_answered_;
+                environment_.observe(DeclarationRead{label, sent, revision, change});
+                then(revision);
+              });
+        });
+      });
 }
 
-void Operators::send_change(DeclarationKind kind, const std::string& name,
-                            std::uint64_t replaces, const std::string& document,
-                            bool then_again) {
+void Operators::send_change(DeclarationKind kind, const std::string& name, std::uint64_t replaces,
+                            const std::string& document, bool then_again) {
   auto attempt = std::make_shared<Attempt>();
   attempt->change = {static_cast<std::uint8_t>(kind), name, common::Revision(replaces),
                      common::ChangeId("c" + std::to_string(next_change_++)), document};
@@ -139,15 +138,14 @@
   ControllerNode* controller = pick_controller();
   const HostId remote = controller->host_id();
   environment_.network.send(host_, remote, [this, controller, remote, attempt] {
-    controller->change(attempt->change, [this, remote, attempt](
-                                            const common::Result<ChangeAnswer>& answer) {
-      if (!answer.has_value() || common::chance(random_, options_.lost_answers)) {
-        return;
-      }
-      environment_.network.send(remote, host_, [this, attempt, told = *answer] {
-        settle(attempt, told);
-      });
-    });
+    controller->change(
+        attempt->change, [this, remote, attempt](const common::Result<ChangeAnswer>& answer) {
+          if (!answer.has_value() || common::chance(random_, options_.lost_answers)) {
+            return;
+          }
+          environment_.network.send(remote, host_,
+                                    [this, attempt, told = *answer] { settle(attempt, told); });
+        });
   });
   environment_.scheduler.after(kAnswerTimeout, [this, attempt] { try_change(attempt); });
 }
@@ -183,23 +181,23 @@
   ControllerNode* controller = pick_controller();
   const HostId remote = controller->host_id();
   auto settled = std::make_shared<bool>(false);
-  environment_.network.send_once(host_, remote, [this, controller, remote, attempt, answer,
-                                                 settled] {
-    controller->read([this, controller, remote, attempt, answer,
-                      settled](const common::Result<void>& confirmed) {
-      const auto& core = controller->core();
-      const auto index = core.distributor().in_force(controller->host().clock(), core.state());
-      if (!confirmed.has_value() || !index.has_value() || *index < answer.index) {
-        return;
-      }
-      environment_.network.send_once(remote, host_, [this, attempt, answer, settled] {
-        if (!std::exchange(*settled, true)) {
-          environment_.observe(InForceTold{attempt->label, answer.revision.value});
-          environment_.measures.on_change_in_force(environment_.now() - attempt->first_sent);
-        }
+  environment_.network.send_once(
+      host_, remote, [this, controller, remote, attempt, answer, settled] {
+        controller->read([this, controller, remote, attempt, answer,
+                          settled](const common::Result<void>& confirmed) {
+          const auto& core = controller->core();
+          const auto index = core.distributor().in_force(controller->host().clock(), core.state());
+          if (!confirmed.has_value() || !index.has_value() || *index < answer.index) {
+            return;
+          }
+          environment_.network.send_once(remote, host_, [this, attempt, answer, settled] {
+            if (!std::exchange(*settled, true)) {
+              environment_.observe(InForceTold{attempt->label, answer.revision.value});
+              environment_.measures.on_change_in_force(environment_.now() - attempt->first_sent);
+            }
+          });
+        });
       });
-    });
-  });
   environment_.scheduler.after(kInForcePoll, [this, attempt, answer, tries, settled] {
     if (!*settled) {
       wait_in_force(attempt, answer, tries + 1);
@@ -262,8 +260,8 @@
                                common::ServiceName(service.name)};
   const common::ShardNumber shard(
       static_cast<std::uint32_t>(common::uniform(random_, 0, deployment_.shards - 1)));
-  const common::MachineName to(
-      service.name + "-" + std::to_string(common::uniform(random_, 1, service.targets)));
+  const common::MachineName to(service.name + "-" +
+                               std::to_string(common::uniform(random_, 1, service.targets)));
   environment_.network.send_once(host_, controller->host_id(), [controller, key, shard, to] {
     controller->move(key, shard, to, [](const common::Result<common::LogIndex>& /*index*/) {});
   });
--- a/src/sim/operators.hpp
+++ b/src/sim/operators.hpp
@@ -19,8 +19,8 @@
 
 struct OperatorOptions {
   Duration interval = std::chrono::milliseconds(1500);  ///< between two rounds of changes
-  std::uint32_t racing = 2;         ///< operators that change the same thing with equal numbers
-  double lost_answers = 0.2;        ///< share of answers that never reach the operator
+  std::uint32_t racing = 2;   ///< operators that change the same thing with equal numbers
+  double lost_answers = 0.2;  ///< share of answers that never reach the operator
 };
 
 class Operators {
@@ -58,8 +58,8 @@
   void race();
   void read(const std::string& label, ownership::DeclarationKind kind, const std::string& name,
             std::function<void(std::uint64_t)> then);
-  void send_change(ownership::DeclarationKind kind, const std::string& name,
-                   std::uint64_t replaces, const std::string& document, bool then_again);
+  void send_change(ownership::DeclarationKind kind, const std::string& name, std::uint64_t replaces,
+                   const std::string& document, bool then_again);
   void try_change(const AttemptPointer& attempt);
   void settle(const AttemptPointer& attempt, const ownership::ChangeAnswer& answer);
   void wait_in_force(const AttemptPointer& attempt, const ownership::ChangeAnswer& answer,
--- a/src/sim/router_node.cpp
+++ b/src/sim/router_node.cpp
@@ -72,8 +72,7 @@
 void RouterNode::receive(const CallerCall& call, CallHandler reply) {
   const router::RequestHandle handle = next_handle_++;
   calls_[handle] = {call.request, call.service, std::move(reply), {}};
-  core_->on_request(host().clock(),
-                    {handle, call.service, call.key, call.method, call.timeout_ms});
+  core_->on_request(host().clock(), {handle, call.service, call.key, call.method, call.timeout_ms});
   flush();
 }
 
@@ -93,10 +92,9 @@
   }
   if (output.hello.has_value()) {
     for (ControllerNode* controller : directory_.controllers()) {
-      environment_.network.send(host_, controller->host_id(),
-                                [controller, hello = *output.hello] {
-                                  controller->receive(hello);
-                                });
+      environment_.network.send(host_, controller->host_id(), [controller, hello = *output.hello] {
+        controller->receive(hello);
+      });
     }
   }
   for (const router::Forward& next : output.forwards) {
@@ -109,8 +107,8 @@
   host().after(forward.time_left, [this, attempt = forward.attempt] {
     const auto found = connections_.find(attempt);
     if (found != connections_.end()) {
-      const auto end = found->second.written ? routing::AttemptEnd::kBroken
-                                             : routing::AttemptEnd::kNotSent;
+      const auto end =
+          found->second.written ? routing::AttemptEnd::kBroken : routing::AttemptEnd::kNotSent;
       end_attempt(attempt, {end, {}});
     }
   });
@@ -140,9 +138,8 @@
       return;
     }
     const std::uint64_t connection = backend->accept_connection();
-    host().after(connect_time_, [this, forward, backend, connection] {
-      write(forward, backend, connection);
-    });
+    host().after(connect_time_,
+                 [this, forward, backend, connection] { write(forward, backend, connection); });
   });
 }
 
@@ -166,15 +163,15 @@
       host_, backend->host_id(),
       [this, backend, connection, order, attempt = forward.attempt,
        generation = host().generation()] {
-        backend->receive_work(
-            connection, order, [this, backend, attempt, generation](const WorkReply& reply) {
-              environment_.network.send_once(
-                  backend->host_id(), host_, [this, attempt, generation, reply] {
-                    if (generation == host().generation()) {
-                      take_reply(attempt, reply);
-                    }
-                  });
-            });
+        backend->receive_work(connection, order,
+                              [this, backend, attempt, generation](const WorkReply& reply) {
+                                environment_.network.send_once(
+                                    backend->host_id(), host_, [this, attempt, generation, reply] {
+                                      if (generation == host().generation()) {
+                                        take_reply(attempt, reply);
+                                      }
+                                    });
+                              });
       });
 }
 
@@ -238,7 +235,8 @@
     std::uint64_t& served = served_[tenant.value];
     if (served != revision.value) {
       served = revision.value;
-      environment_.observe(RouterServes{options_.name.value, "tenant/" + tenant.value, revision.value});
+      environment_.observe(
+          RouterServes{options_.name.value, "tenant/" + tenant.value, revision.value});
     }
   }
 }
--- a/src/standin/backend_process.cpp
+++ b/src/standin/backend_process.cpp
@@ -69,8 +69,8 @@
   loop_.every(kTick, [this] {
     core_.tick(boot_time_now());
     flush();
-    const bool finished = core_.is_idle() && work_.empty() &&
-                          core_.holder().held(boot_time_now()).empty();
+    const bool finished =
+        core_.is_idle() && work_.empty() && core_.holder().held(boot_time_now()).empty();
     if (stopping_ && (finished || boot_time_now() >= stop_by_)) {
       loop_.quit();
     }
@@ -147,10 +147,9 @@
                    common::ServiceName(std::string(exchange->header("Planktray-Service")))};
   const std::string_view shard_text = exchange->header("Planktray-Shard");
   order.keyed = !shard_text.empty();
-  const bool readable =
-      read_number(exchange->header("Planktray-Timeout-Ms"), timeout_ms) &&
-      (!order.keyed || (read_number(shard_text, shard) &&
-                        read_number(exchange->header("Planktray-Epoch"), epoch)));
+  const bool readable = read_number(exchange->header("Planktray-Timeout-Ms"), timeout_ms) &&
+                        (!order.keyed || (read_number(shard_text, shard) &&
+                                          read_number(exchange->header("Planktray-Epoch"), epoch)));
   if (!readable || order.request.value.empty()) {
     return exchange->respond_json(kStatusBadRequest, R"({"error":"headers are missing"})");
   }
@@ -183,8 +182,7 @@
       }
       if (done.reply.accepted) {
         found->second->respond_json(
-            kStatusOk,
-            transport::to_json(done.reply, common::to_microseconds(boot_time_now())));
+            kStatusOk, transport::to_json(done.reply, common::to_microseconds(boot_time_now())));
       } else {
         found->second->respond_json(kStatusConflict, R"({"reason":"stale_term"})");
       }
@@ -217,10 +215,9 @@
   if (done.refusal.has_value()) {
     ++refused_;
     later([exchange = work.exchange, refusal = *done.refusal, request_id] {
-      exchange->respond_json(
-          kStatusUnavailable, R"({"error":"not run"})",
-          {{"Planktray-Not-Run", std::string(routing::to_string(refusal))},
-           {"Planktray-Request-Id", request_id}});
+      exchange->respond_json(kStatusUnavailable, R"({"error":"not run"})",
+                             {{"Planktray-Not-Run", std::string(routing::to_string(refusal))},
+                              {"Planktray-Request-Id", request_id}});
     });
     return;
   }
--- a/src/standin/core/backend_core.cpp
+++ b/src/standin/core/backend_core.cpp
@@ -86,8 +86,7 @@
 BackendCore::BackendCore(BackendOptions options)
     : options_(std::move(options)), holder_(options_.incarnation) {}
 
-ownership::LeaseReply BackendCore::on_lease(TimePoint now,
-                                            const ownership::LeaseRequest& request) {
+ownership::LeaseReply BackendCore::on_lease(TimePoint now, const ownership::LeaseRequest& request) {
   const LeaseStatus status = holder_.on_lease(now, request);
   ownership::LeaseReply reply = describe(now);
   reply.status = status;
@@ -99,8 +98,8 @@
   reply.incarnation = options_.incarnation;
   reply.clock_us = common::to_microseconds(now);
   reply.grants_digest = holder_.digest();
-  reply.state =
-      draining_ && !options_.ignore_drain ? ownership::BackendState::kDraining : ownership::BackendState::kReady;
+  reply.state = draining_ && !options_.ignore_drain ? ownership::BackendState::kDraining
+                                                    : ownership::BackendState::kReady;
   reply.load = {running(), options_.slots, queued()};
   return reply;
 }
--- a/src/standin/load_process.hpp
+++ b/src/standin/load_process.hpp
@@ -17,14 +17,14 @@
 namespace planktray::standin {
 
 struct LoadSettings {
-  std::vector<std::string> routers;    ///< "IP:port"
-  std::vector<std::string> services;   ///< "tenant/service"
-  double rate = 100;                   ///< requests a second, all together
+  std::vector<std::string> routers;   ///< "IP:port"
+  std::vector<std::string> services;  ///< "tenant/service"
+  double rate = 100;                  ///< requests a second, all together
   common::Duration duration = std::chrono::milliseconds(10'000);
-  double write_share = 0.3;            ///< share of requests that may run once at most
+  double write_share = 0.3;  ///< share of requests that may run once at most
   std::uint32_t keys = 1000;
   std::uint32_t timeout_ms = 2000;
-  std::string record;                  ///< file for one line a request; empty: none
+  std::string record;  ///< file for one line a request; empty: none
   std::uint64_t seed = 1;
   bool as_json = false;
 };
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -17,8 +17,7 @@
 using planktray::transport::check_endpoint;
 
 template <typename Process, typename Settings>
-int run_process(const std::string& program, const std::string& instance,
-                const Settings& settings) {
+int run_process(const std::string& program, const std::string& instance, const Settings& settings) {
   planktray::transport::start_logging(program, instance);
   Process process(settings);
   if (auto started = process.start(); !started) {
@@ -33,7 +32,8 @@
   command->add_option("--name", settings.name, "Machine name")->required();
   command->add_option("--address", settings.address, "IP:port")->required()->check(check_endpoint);
   command->add_option("--ledger", settings.ledger, "File for one line an effect");
-  command->add_option("--slots", settings.slots, "Requests run at once")->check(CLI::Range(1, 1000));
+  command->add_option("--slots", settings.slots, "Requests run at once")
+      ->check(CLI::Range(1, 1000));
   command->add_option("--queue", settings.queue_limit, "Requests that may wait")
       ->check(CLI::Range(0, 100'000));
   add_milliseconds(*command, "--service-ms", settings.service_time, 0, 60'000,
@@ -49,7 +49,8 @@
   command->add_option("--file", settings.file, "JSON list to start from")
       ->required()
       ->check(CLI::ExistingFile);
-  add_milliseconds(*command, "--lag-ms", settings.lag, 0, 600'000, "A change shows this much later");
+  add_milliseconds(*command, "--lag-ms", settings.lag, 0, 600'000,
+                   "A change shows this much later");
   return command;
 }
 
@@ -59,11 +60,13 @@
       ->required()
       ->check(check_endpoint);
   command->add_option("--service", settings.services, "TENANT/SERVICE; repeatable")->required();
-  command->add_option("--rate", settings.rate, "Requests a second")->check(CLI::Range(0.1, 100'000.0));
+  command->add_option("--rate", settings.rate, "Requests a second")
+      ->check(CLI::Range(0.1, 100'000.0));
   command->add_option("--write-share", settings.write_share, "Share that may run once at most")
       ->check(CLI::Range(0.0, 1.0));
   command->add_option("--keys", settings.keys, "Different keys")->check(CLI::Range(1, 100'000'000));
-  command->add_option("--timeout-ms", settings.timeout_ms, "Deadline")->check(CLI::Range(1, 600'000));
+  command->add_option("--timeout-ms", settings.timeout_ms, "Deadline")
+      ->check(CLI::Range(1, 600'000));
   command->add_option("--record", settings.record, "File for one line a request");
   command->add_option("--seed", settings.seed, "Seed of the random choices");
   command->add_flag("--json", settings.as_json, "Print JSON");
--- a/src/standin/platform_process.hpp
+++ b/src/standin/platform_process.hpp
@@ -14,8 +14,8 @@
 
 struct PlatformSettings {
   std::string address;
-  std::string file;              ///< JSON list to start from
-  common::Duration lag{0};       ///< a change shows this much later
+  std::string file;         ///< JSON list to start from
+  common::Duration lag{0};  ///< a change shows this much later
 };
 
 /// `GET /machines`; `PUT /machines/NAME` with {"state": "live"|"leaving"} or a whole machine.
--- a/src/standin/relay_process.cpp
+++ b/src/standin/relay_process.cpp
@@ -112,9 +112,8 @@
   GError* error = nullptr;
   const gboolean added =
       address != nullptr &&
-      g_socket_listener_add_address(G_SOCKET_LISTENER(link->service), address,
-                                    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, nullptr,
-                                    &error);
+      g_socket_listener_add_address(G_SOCKET_LISTENER(link->service), address, G_SOCKET_TYPE_STREAM,
+                                    G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &error);
   g_clear_object(&address);
   if (added == FALSE) {
     const std::string message = error == nullptr ? "not an address" : error->message;
--- a/src/standin/relay_process.hpp
+++ b/src/standin/relay_process.hpp
@@ -46,8 +46,8 @@
 
   common::Result<void> start_link(const RelayLink& link);
   void on_control(const transport::ExchangePointer& exchange);
-  static gboolean on_incoming(GSocketService* service, GSocketConnection* incoming,
-                              GObject* source, gpointer link);
+  static gboolean on_incoming(GSocketService* service, GSocketConnection* incoming, GObject* source,
+                              gpointer link);
   static void on_connected(GObject* client, GAsyncResult* result, gpointer data);
   static void read_more(const std::shared_ptr<Pump>& pump);
   static void on_read(GObject* stream, GAsyncResult* result, gpointer data);
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -25,9 +25,8 @@
 common::TimePoint boot_time_now() {
   timespec value{};
   clock_gettime(CLOCK_BOOTTIME, &value);
-  return common::TimePoint(
-      std::chrono::duration_cast<common::Duration>(std::chrono::seconds(value.tv_sec) +
-                                                   std::chrono::nanoseconds(value.tv_nsec)));
+  return common::TimePoint(std::chrono::duration_cast<common::Duration>(
+      std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
 }
 
 EventLoop::EventLoop() : loop_(g_main_loop_new(nullptr, FALSE)) {}
@@ -41,8 +40,7 @@
 
 void EventLoop::every(common::Duration interval, std::function<void()> callback) {
   callbacks_.push_back(std::make_unique<std::function<void()>>(std::move(callback)));
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(interval).count();
+  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(interval).count();
   sources_.push_back(g_timeout_add_full(G_PRIORITY_HIGH, static_cast<guint>(milliseconds),
                                         call_repeatedly, callbacks_.back().get(), nullptr));
 }
--- a/src/transport/file_disk.cpp
+++ b/src/transport/file_disk.cpp
@@ -124,8 +124,7 @@
 
 common::Result<void> FileDisk::replace(const std::string& name, const std::string& bytes) {
   const std::string temporary = path(name) + kTemporarySuffix;
-  const int file =
-      ::open(temporary.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, kFileMode);
+  const int file = ::open(temporary.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, kFileMode);
   if (file < 0) {
     return io_error("open", name);
   }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -103,8 +103,8 @@
     call->timer = g_timeout_add(static_cast<guint>(wait), on_timeout, call);
   }
   calls_->active[id] = call;
-  soup_session_send_and_read_async(session_, call->message, G_PRIORITY_DEFAULT,
-                                   call->cancellable, on_done, call);
+  soup_session_send_and_read_async(session_, call->message, G_PRIORITY_DEFAULT, call->cancellable,
+                                   on_done, call);
   return id;
 }
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -86,8 +86,8 @@
 }
 
 std::string_view HttpExchange::header(const char* name) const {
-  const char* value = soup_message_headers_get_one(
-      soup_server_message_get_request_headers(message_), name);
+  const char* value =
+      soup_message_headers_get_one(soup_server_message_get_request_headers(message_), name);
   return value == nullptr ? std::string_view() : std::string_view(value);
 }
 
@@ -174,8 +174,8 @@
   GSocketAddress* socket_address =
       g_inet_socket_address_new_from_string(endpoint->host.c_str(), endpoint->port);
   GError* error = nullptr;
-  const gboolean listening = soup_server_listen(
-      server->server_, socket_address, static_cast<SoupServerListenOptions>(0), &error);
+  const gboolean listening = soup_server_listen(server->server_, socket_address,
+                                                static_cast<SoupServerListenOptions>(0), &error);
   g_object_unref(socket_address);
   if (listening == FALSE) {
     const std::string message = error->message;
@@ -199,16 +199,15 @@
   SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
   const bool too_long = soup_message_headers_get_content_length(headers) >
                         static_cast<goffset>(server->maximum_body_);
-  const bool unstated =
-      soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED;
+  const bool unstated = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED;
   if (!too_long && !unstated) {
     return;
   }
   ++server->refused_;
-  const nlohmann::json body = {{"error", too_long ? "the body is too long"
-                                                  : "the body's length must be stated"},
-                               {"step", "read request"},
-                               {"peer", ""}};
+  const nlohmann::json body = {
+      {"error", too_long ? "the body is too long" : "the body's length must be stated"},
+      {"step", "read request"},
+      {"peer", ""}};
   const std::string text = body.dump();
   soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, text.data(),
                                    text.size());
--- a/src/transport/json_messages.cpp
+++ b/src/transport/json_messages.cpp
@@ -8,6 +8,9 @@
 namespace planktray::transport {
 namespace {
 
+/// Error number of our own within the JSON library's exceptions.
+constexpr int kNoSuchRange = 900;
+
 using nlohmann::json;
 using ownership::BackendState;
 using ownership::LeaseStatus;
@@ -91,6 +94,19 @@
   return shards;
 }
 
+/// @throws json::exception for a range that no service can have.
+ownership::Grant read_grant(const json& item) {
+  ownership::Grant grant;
+  grant.service = read_service(item);
+  grant.first.value = item.at("first_shard").get<std::uint32_t>();
+  grant.last.value = item.at("last_shard").get<std::uint32_t>();
+  grant.epoch.value = item.at("epoch").get<std::uint64_t>();
+  if (grant.last < grant.first || grant.last.value >= config::kMaxShardsPerService) {
+    throw json::out_of_range::create(kNoSuchRange, "grants: no such range of shards", &item);
+  }
+  return grant;
+}
+
 }  // namespace
 
 std::string to_json(const ownership::LeaseRequest& request) {
@@ -127,10 +143,7 @@
     request.has_grants = value.contains("grants");
     if (request.has_grants) {
       for (const json& item : value.at("grants")) {
-        request.grants.push_back(
-            {read_service(item), common::ShardNumber(item.at("first_shard").get<std::uint32_t>()),
-             common::ShardNumber(item.at("last_shard").get<std::uint32_t>()),
-             common::Epoch(item.at("epoch").get<std::uint64_t>())});
+        request.grants.push_back(read_grant(item));
       }
     }
     return request;
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -29,8 +29,7 @@
   const prometheus::Histogram::BucketBoundaries boundaries = {
       0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025,
       0.05,   0.1,     0.25,   0.5,   1.0,    2.5,   5.0,  10.0};
-  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry_).Add({},
-                                                                                   boundaries);
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry_).Add({}, boundaries);
 }
 
 std::string Metrics::serialize() {
@@ -51,9 +50,8 @@
   rusage times{};
   getrusage(RUSAGE_SELF, &times);
   constexpr double kMicro = 1e-6;
-  usage.cpu_seconds =
-      static_cast<double>(times.ru_utime.tv_sec + times.ru_stime.tv_sec) +
-      static_cast<double>(times.ru_utime.tv_usec + times.ru_stime.tv_usec) * kMicro;
+  usage.cpu_seconds = static_cast<double>(times.ru_utime.tv_sec + times.ru_stime.tv_sec) +
+                      static_cast<double>(times.ru_utime.tv_usec + times.ru_stime.tv_usec) * kMicro;
   return usage;
 }
 
--- a/src/transport/wire.hpp
+++ b/src/transport/wire.hpp
@@ -15,8 +15,7 @@
 /// Changed whenever an older process could misread a message.
 inline constexpr std::string_view kProtocolVersion = "planktray/1";
 
-using WireMessage =
-    common::EncodedVariant<consensus::RaftMessage, consensus::JoinRequest, routing::RouterHello,
-                           routing::TableUpdate>;
+using WireMessage = common::EncodedVariant<consensus::RaftMessage, consensus::JoinRequest,
+                                           routing::RouterHello, routing::TableUpdate>;
 
 }  // namespace planktray::transport
--- a/src/transport/zmq_socket.cpp
+++ b/src/transport/zmq_socket.cpp
@@ -158,8 +158,8 @@
   bool queued = true;
   for (std::size_t i = 0; i < frames.size() && queued; ++i) {
     const bool last = i + 1 == frames.size();
-    const auto flags = last ? zmq::send_flags::dontwait
-                            : zmq::send_flags::dontwait | zmq::send_flags::sndmore;
+    const auto flags =
+        last ? zmq::send_flags::dontwait : zmq::send_flags::dontwait | zmq::send_flags::sndmore;
     try {
       queued = socket_.send(frames[i], flags).has_value();
     } catch (const zmq::error_t&) {
--- /dev/null
+++ b/test/consensus/raft_test.cpp
@@ -0,0 +1,184 @@
+#include "consensus/raft.hpp"
+
+#include <doctest/doctest.h>
+
+namespace planktray::consensus {
+namespace {
+
+constexpr std::size_t kReplicas = 3;
+
+TimePoint at(std::int64_t value) { return common::from_microseconds(value * 1000); }
+
+/// Three replicas whose messages and syncs are carried by hand.
+struct Cell {
+  std::vector<RaftNode> nodes;
+  std::vector<std::vector<Entry>> committed{kReplicas};
+  std::set<std::size_t> cut;
+  bool syncs = true;
+
+  Cell() {
+    Membership membership;
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      membership.members.push_back(
+          {common::ReplicaId(i + 1), "n" + std::to_string(i + 1), "", "", true});
+    }
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      nodes.emplace_back(RaftOptions(), common::ReplicaId(i + 1), DurableState(),
+                         common::RandomEngine(i + 1), at(0));
+      nodes.back().bootstrap(at(0), membership, "");
+    }
+  }
+
+  void pump(TimePoint now) {
+    for (bool moved = true; moved;) {
+      moved = false;
+      for (std::size_t i = 0; i < kReplicas; ++i) {
+        RaftOutput output = nodes[i].take_output();
+        for (Entry& entry : output.committed) {
+          committed[i].push_back(std::move(entry));
+        }
+        if (syncs && !output.persist.empty()) {
+          moved = true;
+          nodes[i].persisted(now, output.persist.back().sequence);
+        }
+        for (const RaftMessage& message : output.messages) {
+          const std::size_t to = message.to.value - 1;
+          if (!cut.contains(i) && !cut.contains(to)) {
+            moved = true;
+            nodes[to].receive(now, message);
+          }
+        }
+      }
+    }
+  }
+
+  void run(std::int64_t from, std::int64_t until) {
+    for (std::int64_t time = from; time <= until; time += 10) {
+      for (RaftNode& node : nodes) {
+        node.tick(at(time));
+      }
+      pump(at(time));
+    }
+  }
+
+  std::optional<std::size_t> leader(std::int64_t time) const {
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      if (!cut.contains(i) && nodes[i].has_leader_lease(at(time))) {
+        return i;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+TEST_CASE("a leader is elected and an entry commits on every replica") {
+  Cell cell;
+  cell.run(0, 1000);
+  const auto leader = cell.leader(1000);
+  REQUIRE(leader.has_value());
+  REQUIRE(cell.nodes[*leader].propose(at(1000), "x").has_value());
+  cell.run(1000, 1100);
+  for (const auto& committed : cell.committed) {
+    REQUIRE_FALSE(committed.empty());
+    CHECK(committed.back().payload == "x");
+  }
+}
+
+TEST_CASE("nothing commits before a majority has synced") {
+  Cell cell;
+  cell.run(0, 1000);
+  const auto leader = cell.leader(1000);
+  REQUIRE(leader.has_value());
+  cell.syncs = false;
+  REQUIRE(cell.nodes[*leader].propose(at(1000), "x").has_value());
+  cell.run(1000, 1100);
+  for (const auto& committed : cell.committed) {
+    for (const Entry& entry : committed) {
+      CHECK(entry.payload != "x");
+    }
+  }
+}
+
+TEST_CASE("a leader that is cut off stops answering before another can lead") {
+  Cell cell;
+  cell.run(0, 1000);
+  const std::size_t old_leader = *cell.leader(1000);
+  cell.cut.insert(old_leader);
+  for (std::int64_t time = 1000; time < 2000; time += 10) {
+    cell.run(time, time);
+    if (cell.leader(time).has_value()) {
+      CHECK_FALSE(cell.nodes[old_leader].has_leader_lease(at(time)));
+    }
+  }
+  CHECK(cell.leader(2000).has_value());
+  CHECK_FALSE(cell.nodes[old_leader].is_leader());
+}
+
+TEST_CASE("a voter refuses votes for an election timeout after its own start") {
+  DurableState state;
+  state.snapshot.membership.members = {{common::ReplicaId(1), "a", "", "", true},
+                                       {common::ReplicaId(2), "b", "", "", true}};
+  state.snapshot.index = LogIndex(1);
+  state.snapshot.term = Term(1);
+  RaftNode node(RaftOptions(), common::ReplicaId(1), state, common::RandomEngine(1), at(0));
+  const RaftMessage ask{common::ReplicaId(2), common::ReplicaId(1), Term(2),
+                        VoteRequest{true, LogIndex(9), Term(1)}};
+  const auto granted = [&](std::int64_t time) {
+    node.receive(at(time), ask);
+    const RaftOutput output = node.take_output();
+    for (const RaftMessage& message : output.messages) {
+      if (const auto* reply = std::get_if<VoteReply>(&message.body.value)) {
+        return reply->granted;
+      }
+    }
+    return false;
+  };
+  CHECK_FALSE(granted(100));
+  CHECK(granted(151));
+}
+
+TEST_CASE("contact counts from when the answered heartbeat was sent") {
+  Cell cell;
+  cell.run(0, 1000);
+  const std::size_t leader = *cell.leader(1000);
+  const std::size_t peer = (leader + 1) % kReplicas;
+  const auto before = cell.nodes[leader].last_heard(common::ReplicaId(peer + 1));
+  REQUIRE(before.has_value());
+  // A reply to that old heartbeat arrives once more, much later.
+  const RaftMessage late{common::ReplicaId(peer + 1), common::ReplicaId(leader + 1),
+                         cell.nodes[leader].term(), AppendReply{true, LogIndex(1), 1}};
+  cell.nodes[leader].receive(at(1200), late);
+  CHECK(*cell.nodes[leader].last_heard(common::ReplicaId(peer + 1)) == *before);
+}
+
+TEST_CASE("a replica that denies what it acknowledged is not answered without end") {
+  Cell cell;
+  cell.run(0, 1000);
+  const std::size_t leader = *cell.leader(1000);
+  const std::size_t peer = (leader + 1) % kReplicas;
+  REQUIRE(cell.nodes[leader].propose(at(1000), "x").has_value());
+  cell.run(1000, 1050);
+  const RaftMessage denial{common::ReplicaId(peer + 1), common::ReplicaId(leader + 1),
+                           cell.nodes[leader].term(), AppendReply{false, LogIndex(0), 1}};
+  cell.nodes[leader].receive(at(1051), denial);
+  CHECK(cell.nodes[leader].take_output().messages.empty());
+}
+
+TEST_CASE("one membership change at a time, and only one step") {
+  Cell cell;
+  cell.run(0, 1000);
+  RaftNode& leader = cell.nodes[*cell.leader(1000)];
+  Membership two_more = leader.membership();
+  two_more.members.push_back({common::ReplicaId(8), "n8", "", "", true});
+  two_more.members.push_back({common::ReplicaId(9), "n9", "", "", true});
+  CHECK_FALSE(leader.propose_membership(at(1000), two_more).has_value());
+  Membership one_more = leader.membership();
+  one_more.members.push_back({common::ReplicaId(8), "n8", "", "", false});
+  REQUIRE(leader.propose_membership(at(1000), one_more).has_value());
+  Membership another = one_more;
+  another.members.push_back({common::ReplicaId(9), "n9", "", "", false});
+  CHECK_FALSE(leader.propose_membership(at(1000), another).has_value());
+}
+
+}  // namespace
+}  // namespace planktray::consensus
--- /dev/null
+++ b/test/router/router_core_test.cpp
@@ -0,0 +1,215 @@
+#include "router/core/router_core.hpp"
+
+#include <doctest/doctest.h>
+
+namespace planktray::router {
+namespace {
+
+using std::chrono::milliseconds;
+
+const common::ServiceKey kKeyed{common::TenantName("t"), common::ServiceName("keyed")};
+const common::ServiceKey kFree{common::TenantName("t"), common::ServiceName("free")};
+constexpr std::int64_t kStart = 1'000'000;
+
+TimePoint at(std::int64_t value) { return common::from_microseconds((kStart + value) * 1000); }
+
+routing::ServiceRoute service(std::uint64_t id, const common::ServiceKey& key, bool keyed) {
+  routing::ServiceRoute route;
+  route.id = common::ServiceId(id);
+  route.config.key = key;
+  route.config.parameters.keyed = keyed;
+  route.config.parameters.shards = keyed ? 1 : 0;
+  route.config.parameters.slots = 1;
+  route.config.parameters.connections = 10;
+  route.config.parameters.repeatable_methods = {"GET"};
+  route.config.parameters.default_timeout_ms = 1000;
+  route.config.parameters.queue_limit = 2;
+  route.targets = {common::BackendId(1), common::BackendId(2)};
+  return route;
+}
+
+/// A router with two back ends, one keyed and one free service, and a confirmed table.
+struct Fixture {
+  RouterCore core{options(), common::RandomEngine(1), at(0)};
+  RequestHandle next_handle = 1;
+
+  static RouterOptions options() {
+    RouterOptions options;
+    options.name = common::RouterName("r");
+    return options;
+  }
+
+  Fixture() { confirm(at(0), table()); }
+
+  static routing::TableDelta table() {
+    routing::TableDelta delta;
+    delta.is_snapshot = true;
+    delta.to = common::LogIndex(10);
+    for (std::uint64_t id : {1U, 2U}) {
+      delta.backends.push_back({common::BackendId(id), common::MachineName(std::to_string(id)),
+                                "address", common::ZoneName("z"), common::Incarnation("i"), false});
+    }
+    delta.services = {service(1, kKeyed, true), service(2, kFree, false)};
+    delta.shards = {{common::ServiceId(1), common::ShardNumber(0), common::BackendId(1),
+                     common::Epoch(5), false}};
+    return delta;
+  }
+
+  void confirm(TimePoint now, const routing::TableDelta& delta) {
+    routing::TableUpdate update;
+    update.echo_clock_us = common::to_microseconds(now);
+    update.base_index = delta.from;
+    update.current_index = delta.to;
+    update.deltas = {delta};
+    core.on_table_update(now, update);
+    core.take_output();
+  }
+
+  RouterOutput ask(TimePoint now, const common::ServiceKey& key, const std::string& method) {
+    core.on_request(now, {next_handle++, key, "k", method, 0});
+    return core.take_output();
+  }
+
+  RouterOutput end(TimePoint now, AttemptId attempt, AttemptResult result) {
+    core.on_attempt_done(now, attempt, result);
+    return core.take_output();
+  }
+
+  RouterOutput tick(TimePoint now) {
+    core.tick(now);
+    return core.take_output();
+  }
+};
+
+TEST_CASE("a keyed request goes to the owner under its epoch") {
+  Fixture fixture;
+  const RouterOutput output = fixture.ask(at(1), kKeyed, "POST");
+  REQUIRE(output.forwards.size() == 1);
+  CHECK(output.forwards[0].machine.value == "1");
+  CHECK(output.forwards[0].epoch == common::Epoch(5));
+  CHECK_FALSE(output.forwards[0].repeatable);
+}
+
+TEST_CASE("what may have run and may not be repeated is told unknown, at once") {
+  Fixture fixture;
+  const auto attempt = fixture.ask(at(1), kFree, "POST").forwards.at(0).attempt;
+  const RouterOutput output = fixture.end(at(2), attempt, {routing::AttemptEnd::kBroken, {}});
+  CHECK(output.forwards.empty());
+  REQUIRE(output.answers.size() == 1);
+  CHECK(output.answers[0].outcome == routing::Outcome::kUnknown);
+}
+
+TEST_CASE("an answer to another request is no answer") {
+  Fixture fixture;
+  const auto attempt = fixture.ask(at(1), kFree, "POST").forwards.at(0).attempt;
+  const RouterOutput output = fixture.end(at(2), attempt, {routing::AttemptEnd::kForeign, {}});
+  REQUIRE(output.answers.size() == 1);
+  CHECK(output.answers[0].outcome == routing::Outcome::kUnknown);
+}
+
+TEST_CASE("proof of not run leads to another try elsewhere") {
+  Fixture fixture;
+  const Forward first = fixture.ask(at(1), kFree, "POST").forwards.at(0);
+  RouterOutput output = fixture.end(at(2), first.attempt,
+                                    {routing::AttemptEnd::kRefused, routing::Refusal::kDraining});
+  for (int i = 3; output.forwards.empty() && i < 300; ++i) {
+    REQUIRE(output.answers.empty());
+    output = fixture.tick(at(i));
+  }
+  REQUIRE(output.forwards.size() == 1);
+  CHECK(output.forwards[0].machine != first.machine);
+}
+
+TEST_CASE("a repeatable request that broke is tried again and never called not run") {
+  Fixture fixture;
+  const auto attempt = fixture.ask(at(1), kFree, "GET").forwards.at(0).attempt;
+  RouterOutput output = fixture.end(at(2), attempt, {routing::AttemptEnd::kBroken, {}});
+  std::vector<Answer> answers = output.answers;
+  for (int i = 3; i < 1200 && answers.empty(); ++i) {
+    output = fixture.tick(at(i));
+    for (const Forward& forward : output.forwards) {
+      fixture.core.on_attempt_done(at(i), forward.attempt,
+                                   {routing::AttemptEnd::kRefused, routing::Refusal::kShed});
+    }
+    answers = output.answers;
+  }
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].outcome == routing::Outcome::kUnknown);
+}
+
+TEST_CASE("a moving shard holds its requests until the next owner is known") {
+  Fixture fixture;
+  routing::TableDelta moving;
+  moving.from = common::LogIndex(10);
+  moving.to = common::LogIndex(11);
+  moving.shards = {
+      {common::ServiceId(1), common::ShardNumber(0), common::BackendId(1), common::Epoch(5), true}};
+  fixture.confirm(at(1), moving);
+  CHECK(fixture.ask(at(2), kKeyed, "POST").forwards.empty());
+  routing::TableUpdate update;
+  update.base_index = common::LogIndex(11);
+  update.current_index = common::LogIndex(12);
+  routing::TableDelta moved = moving;
+  moved.from = common::LogIndex(11);
+  moved.to = common::LogIndex(12);
+  moved.shards[0] = {common::ServiceId(1), common::ShardNumber(0), common::BackendId(2),
+                     common::Epoch(12), false};
+  update.deltas = {moved};
+  fixture.core.on_table_update(at(3), update);
+  const RouterOutput output = fixture.core.take_output();
+  REQUIRE(output.forwards.size() == 1);
+  CHECK(output.forwards[0].epoch == common::Epoch(12));
+}
+
+TEST_CASE("a full queue refuses at once and says when to come back") {
+  Fixture fixture;
+  fixture.ask(at(1), kKeyed, "POST");
+  RouterOutput output;
+  for (int i = 0; i < 8 && output.answers.empty(); ++i) {
+    output = fixture.ask(at(2), kKeyed, "POST");
+  }
+  REQUIRE(output.answers.size() == 1);
+  CHECK(output.answers[0].outcome == routing::Outcome::kNotRun);
+  CHECK(output.answers[0].retry_after.count() > 0);
+}
+
+TEST_CASE("without confirmation the table is not served from") {
+  Fixture fixture;
+  CHECK(fixture.core.is_serving(at(2999)));
+  CHECK_FALSE(fixture.core.is_serving(at(3001)));
+  const RouterOutput output = fixture.ask(at(3001), kFree, "GET");
+  REQUIRE(output.answers.size() == 1);
+  CHECK(output.answers[0].reason == routing::NotRunReason::kNotServing);
+}
+
+TEST_CASE("an update with a gap or an older index is not installed") {
+  Fixture fixture;
+  routing::TableDelta gap;
+  gap.from = common::LogIndex(20);
+  gap.to = common::LogIndex(21);
+  fixture.confirm(at(1), gap);
+  CHECK(fixture.core.table().index() == common::LogIndex(10));
+}
+
+TEST_CASE("what can never run is told so") {
+  Fixture fixture;
+  fixture.core.on_request(at(1), {50, kKeyed, "", "GET", 0});
+  fixture.core.on_request(at(1), {51, {common::TenantName("no"), {}}, "", "GET", 0});
+  const RouterOutput output = fixture.core.take_output();
+  REQUIRE(output.answers.size() == 2);
+  CHECK(output.answers[0].can_never_run);
+  CHECK(output.answers[1].can_never_run);
+}
+
+TEST_CASE("a caller that goes away cancels its attempt") {
+  Fixture fixture;
+  const auto attempt = fixture.ask(at(1), kFree, "GET").forwards.at(0).attempt;
+  fixture.core.on_caller_gone(1);
+  const RouterOutput output = fixture.core.take_output();
+  REQUIRE(output.cancels.size() == 1);
+  CHECK(output.cancels[0] == attempt);
+  CHECK(fixture.core.is_drained());
+}
+
+}  // namespace
+}  // namespace planktray::router
