Lint: remove an unused name, name a static constant as such

Cause: tools/test stopped at clang-tidy with these two findings. Ruled out: switching the checks off (both findings are right).

--- a/src/config/declaration.cpp
+++ b/src/config/declaration.cpp
@@ -8,7 +8,6 @@
 namespace planktray::config {
 namespace {
 
-using common::Error;
 using common::ErrorCode;
 using nlohmann::json;
 
--- a/src/transport/logging.cpp
+++ b/src/transport/logging.cpp
@@ -42,7 +42,7 @@
 }  // namespace
 
 void start_logging(const std::string& program, const std::string& instance) {
-  static const log4cplus::Initializer initializer;
+  static const log4cplus::Initializer kInitializer;
   common_fields() = " program=" + program + " instance=" + instance;
   log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
