--- /dev/null
+++ b/bench/slopes.hpp
@@ -0,0 +1,18 @@
+#pragma once
+/// Slopes of state, processor time and bytes against size, for docs/CAPACITY.md.
+
+#include <string>
+#include <vector>
+
+namespace planktray::bench {
+
+struct Slope {
+  std::string name;
+  std::string size;  ///< what it was measured at
+  double value = 0;
+  std::string unit;
+};
+
+std::vector<Slope> measure_slopes();
+
+}  // namespace planktray::bench
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -1,6 +1,7 @@
 /// planktray-standin: the outside systems that planktray talks to, for trials and tests.
 
 #include "standin/backend_process.hpp"
+#include "standin/hollow_process.hpp"
 #include "standin/load_process.hpp"
 #include "standin/platform_process.hpp"
 #include "standin/relay_process.hpp"
@@ -10,6 +11,7 @@
 namespace {
 
 using planktray::standin::BackendSettings;
+using planktray::standin::HollowSettings;
 using planktray::standin::LoadSettings;
 using planktray::standin::PlatformSettings;
 using planktray::standin::RelaySettings;
@@ -74,6 +76,17 @@
   return command;
 }
 
+CLI::App* add_hollow(CLI::App& app, HollowSettings& settings) {
+  CLI::App* command =
+      app.add_subcommand("hollow", "Many hollow back ends and routers, for measuring control");
+  command->add_option("--first-port", settings.first_port, "Machine list; back ends follow")
+      ->check(CLI::Range(1024, 65'000));
+  command->add_option("--backends", settings.backends, "How many")->check(CLI::Range(0, 20'000));
+  command->add_option("--routers", settings.routers, "How many")->check(CLI::Range(0, 20'000));
+  command->add_option("--controller", settings.controllers, "Peer address; repeatable");
+  return command;
+}
+
 CLI::App* add_relay(CLI::App& app, RelaySettings& settings, std::vector<std::string>& links) {
   CLI::App* command = app.add_subcommand("relay", "A TCP relay that delays and can be cut");
   command->add_option("--control", settings.control, "IP:port")->required()->check(check_endpoint);
@@ -91,12 +104,14 @@
   PlatformSettings platform_settings;
   LoadSettings load_settings;
   RelaySettings relay_settings;
+  HollowSettings hollow_settings;
   std::vector<std::string> links;
   bool check_only = false;
   const CLI::App* backend = add_backend(app, backend_settings);
   const CLI::App* platform = add_platform(app, platform_settings);
   const CLI::App* load = add_load(app, load_settings);
   const CLI::App* relay = add_relay(app, relay_settings, links);
+  const CLI::App* hollow = add_hollow(app, hollow_settings);
   planktray::transport::add_settings_file(app, check_only);
   const int exit_code = planktray::transport::parse_settings(app, argc, argv, check_only);
   if (exit_code >= 0) {
@@ -122,6 +137,9 @@
   if (load->parsed()) {
     return run_process<planktray::standin::LoadProcess>("load", "load", load_settings);
   }
+  if (hollow->parsed()) {
+    return run_process<planktray::standin::HollowProcess>("hollow", "hollow", hollow_settings);
+  }
   if (relay->parsed()) {
     return run_process<planktray::standin::RelayProcess>("relay", "relay", relay_settings);
   }
