Real-process faults judged by the same checks; bench of policies; back ends linger

A leaving stand-in back end ended as soon as it was idle, so a request on its way could be cut; it now stays a second after its last work, as the simulated one does.

Ruled out: a second checker for real runs (executions alone now show two owners).

--- a/bench/cell_fixture.cpp
+++ b/bench/cell_fixture.cpp
@@ -41,8 +41,7 @@
     const std::string name = "machine-" + std::to_string(i);
     apply(ownership::RegisterBackend{common::MachineName(name), "127.0.0.1:" + std::to_string(i),
                                      common::ZoneName("zone-" + std::to_string(i % 23)),
-                                     common::PoolName("hollow"),
-                                     common::Incarnation(name + "#1")});
+                                     common::PoolName("hollow"), common::Incarnation(name + "#1")});
   }
   cost.register_us = backends.microseconds() / size.backends;
   cost.backend_bytes = backends.bytes() / size.backends;
@@ -61,8 +60,8 @@
   }
   plan.targets.push_back({service.id, targets});
   for (std::uint32_t i = 0; i < size.shards; ++i) {
-    plan.assignments.push_back({service.id, common::ShardNumber(i), service.shards[i].epoch,
-                                targets[i % targets.size()]});
+    plan.assignments.push_back(
+        {service.id, common::ShardNumber(i), service.shards[i].epoch, targets[i % targets.size()]});
   }
   const Meter assign;
   apply(plan);
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
-/// planktray-bench: measures slopes inside one process. tools/slopes adds what needs real processes.
+/// planktray-bench: measures slopes inside one process. tools/slopes adds what needs real
+/// processes.
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -71,8 +71,8 @@
     ownership::LeaseRequest request;
     request.has_grants = true;
     request.grants = grants.grants;
-    add("lease request with the whole set",
-        static_cast<double>(transport::to_json(request).size()), "bytes of JSON");
+    add("lease request with the whole set", static_cast<double>(transport::to_json(request).size()),
+        "bytes of JSON");
   }
 
   /// Rounds of renewals with their JSON, both ways, without sockets.
@@ -160,8 +160,8 @@
     update.echo_clock_us = 1;
     update.current_index = state_.applied();
     update.deltas = {state_.table_snapshot()};
-    add("router: table snapshot on the wire",
-        static_cast<double>(common::encode(update).size()), "bytes");
+    add("router: table snapshot on the wire", static_cast<double>(common::encode(update).size()),
+        "bytes");
     const Meter install;
     core->on_table_update(at(1), update);
     add("router: install a table", install.microseconds() / 1000, "ms");
@@ -193,8 +193,7 @@
       const auto shard = routing::shard_of_key(key, found->route.config.parameters);
       sum += core.table().find_service(service)->shards[shard.value].owner.value;
     }
-    add("router: look one owner up", lookups.microseconds() / kRequests + (sum == 0 ? 1 : 0),
-        "us");
+    add("router: look one owner up", lookups.microseconds() / kRequests + (sum == 0 ? 1 : 0), "us");
   }
 
   void measure_deltas(router::RouterCore& core) {
@@ -252,16 +251,14 @@
     for (std::uint32_t i = 0; i < kSyncs; ++i) {
       consensus::PersistRequest request;
       for (std::uint32_t j = 0; j < group; ++j) {
-        request.entries.push_back(
-            {LogIndex(++index), common::Term(1), 1, std::string(200, 'x')});
+        request.entries.push_back({LogIndex(++index), common::Term(1), 1, std::string(200, 'x')});
       }
       (void)store.persist({request});
     }
-    const std::chrono::duration<double, std::micro> took =
-        std::chrono::steady_clock::now() - began;
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - began;
     const std::string size = std::to_string(group) + " entries of 200 bytes a sync";
-    slopes.push_back({"log: append and sync, elapsed", size, took.count() / kSyncs / group,
-                      "us an entry"});
+    slopes.push_back(
+        {"log: append and sync, elapsed", size, took.count() / kSyncs / group, "us an entry"});
     slopes.push_back({"log: append and sync, processor", size,
                       meter.microseconds() / kSyncs / group, "us an entry"});
   }
--- a/src/sim/checker.cpp
+++ b/src/sim/checker.cpp
@@ -43,6 +43,7 @@
 struct ShardHistory {
   std::map<std::string, const HistoryEvent*> holders;  ///< by incarnation
   std::map<std::uint64_t, Holder> by_epoch;            ///< everybody who ever held it
+  std::map<std::uint64_t, Holder> executed;            ///< who executed under each epoch
 };
 
 void check_begin(const HistoryEvent& event, const HoldBegan& hold, ShardHistory& shard,
@@ -66,20 +67,28 @@
   shard.by_epoch.emplace(hold.epoch, Holder{hold.incarnation, &event});
 }
 
-void check_execution(const HistoryEvent& event, const Executed& executed, ShardHistory& shard,
-                     Report& report) {
-  const auto newer = shard.by_epoch.upper_bound(executed.epoch);
-  if (newer != shard.by_epoch.end()) {
+/// Reports where `known` has a newer epoch, or another incarnation under the same epoch.
+void check_against(const HistoryEvent& event, const Executed& executed,
+                   const std::map<std::uint64_t, Holder>& known, Report& report) {
+  const auto newer = known.upper_bound(executed.epoch);
+  if (newer != known.end()) {
     report.add(Promise::kSoleOwner, event, "executed after the shard had a newer owner",
                {newer->second.began});
   }
-  const auto same = shard.by_epoch.find(executed.epoch);
-  if (same != shard.by_epoch.end() && same->second.incarnation != executed.incarnation) {
+  const auto same = known.find(executed.epoch);
+  if (same != known.end() && same->second.incarnation != executed.incarnation) {
     report.add(Promise::kSoleOwner, event, "executed under the epoch of another owner",
                {same->second.began});
   }
 }
 
+void check_execution(const HistoryEvent& event, const Executed& executed, ShardHistory& shard,
+                     Report& report) {
+  check_against(event, executed, shard.by_epoch, report);
+  check_against(event, executed, shard.executed, report);
+  shard.executed.emplace(executed.epoch, Holder{executed.incarnation, &event});
+}
+
 void check_ownership(const History& history, Report& report) {
   std::map<std::string, ShardHistory> shards;
   for (const HistoryEvent& event : history.events()) {
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -9,7 +9,9 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "sim/bench.hpp"
 #include "sim/mutants.hpp"
+#include "sim/recorded.hpp"
 #include "sim/run.hpp"
 
 namespace planktray::sim {
@@ -32,6 +34,13 @@
   bool trace = false;
   std::uint64_t maximum_seeds = 400;
   std::string only;
+  std::string scenario = "all";
+  std::string policy = "budgeted";
+  std::string subset = "aperture";
+  std::string choice = "p2c";
+  std::uint64_t seconds = 60;
+  std::uint32_t routers = 0;  ///< 0: as the deployment says
+  std::uint32_t scale = 1;    ///< targets are multiplied by this
 };
 
 struct SeedRange {
@@ -251,6 +260,136 @@
   return all_caught ? kExitOk : kExitViolation;
 }
 
+json imbalance_json(const Measures& measures) {
+  json body;
+  for (const std::string& service : measures.services()) {
+    const std::vector<double> values = measures.imbalance(service);
+    if (!values.empty()) {
+      body[service] = {{"p50", values[values.size() / 2]},
+                       {"p99", values[values.size() * 99 / 100]},
+                       {"max", values.back()}};
+    }
+  }
+  return body;
+}
+
+json bench_json(const BenchOptions& options, const BenchResult& result) {
+  const Measures& measures = result.measures;
+  const double seconds = static_cast<double>(measures.elapsed().count()) / 1e6;
+  const auto answered = static_cast<double>(measures.told(routing::Outcome::kAnswered));
+  json gaps;
+  for (const GapCause cause : {GapCause::kMove, GapCause::kLoss, GapCause::kLapse}) {
+    gaps[std::string(to_string(cause))] = gap_json(measures.gaps(cause));
+    gaps[std::string(to_string(cause))]["key_seconds"] =
+        static_cast<double>(measures.gap_total(cause).count()) / 1e6;
+  }
+  return {
+      {"scenario", to_string(options.scenario)},
+      {"imbalance", imbalance_json(measures)},
+      {"owner_changes_per_minute", static_cast<double>(measures.owner_changes()) * 60.0 / seconds},
+      {"without_owner", gaps},
+      {"latency_ms",
+       {{"p50", milliseconds_of(measures.latency().quantile(0.5))},
+        {"p99", milliseconds_of(measures.latency().quantile(0.99))}}},
+      {"offered_per_second", result.offered_per_second},
+      {"capacity_per_second", result.capacity_per_second},
+      {"goodput_of_capacity", answered / seconds / result.capacity_per_second},
+      {"not_run", measures.told(routing::Outcome::kNotRun)},
+      {"unknown", measures.told(routing::Outcome::kUnknown)},
+      {"cut_requests", result.cut_requests}};
+}
+
+common::Result<BenchOptions> make_bench_options(const Arguments& arguments,
+                                                const Deployment& deployment) {
+  BenchOptions options;
+  options.deployment = deployment;
+  if (arguments.routers > 0) {
+    options.deployment.routers = arguments.routers;
+  }
+  for (ServiceSize& service : options.deployment.services) {
+    service.targets *= arguments.scale;
+  }
+  options.seed = arguments.seed;
+  options.measured = std::chrono::seconds(arguments.seconds);
+  const auto balance = parse_balance(arguments.policy);
+  const auto subset = parse_subset(arguments.subset);
+  const auto choice = parse_choice(arguments.choice);
+  if (!balance.has_value()) {
+    return tl::unexpected(balance.error());
+  }
+  if (!subset.has_value()) {
+    return tl::unexpected(subset.error());
+  }
+  if (!choice.has_value()) {
+    return tl::unexpected(choice.error());
+  }
+  options.balance = *balance;
+  options.subset = *subset;
+  options.choice = *choice;
+  return options;
+}
+
+int bench(const Arguments& arguments, const Deployment& deployment) {
+  auto options = make_bench_options(arguments, deployment);
+  if (!options.has_value()) {
+    std::cerr << options.error().describe() << '\n';
+    return kExitInvalid;
+  }
+  std::vector<Scenario> scenarios = all_scenarios();
+  if (arguments.scenario != "all") {
+    const auto scenario = parse_scenario(arguments.scenario);
+    if (!scenario.has_value()) {
+      std::cerr << scenario.error().describe() << '\n';
+      return kExitInvalid;
+    }
+    scenarios = {*scenario};
+  }
+  std::vector<json> results(scenarios.size());
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < scenarios.size(); ++i) {
+    threads.emplace_back([&, i] {
+      BenchOptions mine = *options;
+      mine.scenario = scenarios[i];
+      results[i] = bench_json(mine, run_bench(mine));
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  std::cout << json{{"deployment", arguments.deployment},
+                    {"policy", arguments.policy},
+                    {"subset", arguments.subset},
+                    {"choice", arguments.choice},
+                    {"results", results}}
+                   .dump(2)
+            << '\n';
+  return kExitOk;
+}
+
+int judge(const RecordedFiles& files) {
+  const auto history = read_recorded(files);
+  if (!history.has_value()) {
+    std::cerr << history.error().describe() << '\n';
+    return kExitInvalid;
+  }
+  std::uint64_t executions = 0;
+  std::uint64_t calls = 0;
+  for (const HistoryEvent& event : history->events()) {
+    executions += std::holds_alternative<Executed>(event.what) ? 1 : 0;
+    calls += std::holds_alternative<RequestSent>(event.what) ? 1 : 0;
+  }
+  const std::vector<Violation> violations = check_history(*history);
+  for (const Violation& violation : violations) {
+    std::cout << "violates " << to_string(violation.promise) << ": " << violation.message << '\n';
+    for (const std::string& line : violation.excerpt) {
+      std::cout << "    " << line << '\n';
+    }
+  }
+  std::cout << calls << " requests, " << executions << " executions, " << violations.size()
+            << " violations\n";
+  return violations.empty() ? kExitOk : kExitViolation;
+}
+
 int main_with(int argc, char** argv) {
   CLI::App app{"Runs planktray under virtual time with faults and judges what happened"};
   app.require_subcommand(1);
@@ -275,13 +414,40 @@
   mutants->add_option("--threads", arguments.threads, "Runs at once")->check(CLI::Range(1, 256));
   mutants->add_option("--only", arguments.only, "Name of one mutant");
   mutants->add_flag("--json", arguments.as_json, "Print JSON only");
+  CLI::App* bench_command = app.add_subcommand(
+      "bench", "Measure imbalance, churn, unavailable time and latency without random faults");
+  bench_command->add_option("--deployment", arguments.deployment, "zilina or canelones");
+  bench_command->add_option("--scenario", arguments.scenario,
+                            "all, steady, hot-key, overload, loss or rolling-restart");
+  bench_command->add_option("--policy", arguments.policy,
+                            "budgeted, modulo, consistent-hash or greedy");
+  bench_command->add_option("--subset", arguments.subset, "aperture, random-subset or full-mesh");
+  bench_command->add_option("--choice", arguments.choice, "p2c, least-outstanding or round-robin");
+  bench_command->add_option("--seed", arguments.seed, "Seed");
+  bench_command->add_option("--seconds", arguments.seconds, "Simulated seconds measured");
+  bench_command->add_option("--routers", arguments.routers, "Routers instead of today's");
+  bench_command->add_option("--scale", arguments.scale, "Multiplies the targets");
+  bench_command->add_flag("--json", arguments.as_json, "The output is always JSON");
+  RecordedFiles recorded;
+  CLI::App* judge_command =
+      app.add_subcommand("judge", "Check what a fleet of real processes recorded");
+  judge_command->add_option("--ledgers", recorded.ledger_folder, "Folder of back-end ledgers")
+      ->required();
+  judge_command->add_option("--calls", recorded.calls, "Record of the load tool")->required();
+  judge_command->add_option("--changes", recorded.changes, "Record of operators");
   CLI11_PARSE(app, argc, argv);
 
+  if (judge_command->parsed()) {
+    return judge(recorded);
+  }
   const auto options = make_options(arguments);
   if (!options.has_value()) {
     std::cerr << options.error().describe() << '\n';
     return kExitInvalid;
   }
+  if (bench_command->parsed()) {
+    return bench(arguments, options->fleet.deployment);
+  }
   if (mutants->parsed()) {
     return hunt_mutants(arguments, *options);
   }
--- a/src/standin/backend_process.cpp
+++ b/src/standin/backend_process.cpp
@@ -15,6 +15,8 @@
 using transport::boot_time_now;
 
 constexpr common::Duration kTick = std::chrono::milliseconds(5);
+/// A leaving back end stays this long after its last work, for requests on their way.
+constexpr common::Duration kDrainQuiet = std::chrono::milliseconds(1000);
 constexpr std::size_t kMaxBody = 16 * 1024 * 1024;
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusBadRequest = 400;
@@ -78,6 +80,7 @@
   loop_.on_terminate([this] {
     if (!stopping_) {
       stopping_ = true;
+      last_work_ = boot_time_now();
       stop_by_ = boot_time_now() + settings_.drain_timeout;
       core_.begin_drain();
       transport::log_event("draining", {});
@@ -156,6 +159,7 @@
   order.shard = common::ShardNumber(static_cast<std::uint32_t>(shard));
   order.epoch = common::Epoch(epoch);
   order.deadline = boot_time_now() + std::chrono::milliseconds(timeout_ms);
+  last_work_ = boot_time_now();
   const WorkId id = next_id_++;
   work_[id] = {exchange, order};
   exchange->on_gone([this, id] { core_.on_work_cancelled(id); });
--- a/src/standin/backend_process.hpp
+++ b/src/standin/backend_process.hpp
@@ -63,6 +63,7 @@
   std::uint64_t executed_ = 0;
   std::uint64_t refused_ = 0;
   bool stopping_ = false;
+  common::TimePoint last_work_;  ///< or the beginning of the drain
   common::TimePoint stop_by_;
 };
 
--- a/src/standin/hollow_process.cpp
+++ b/src/standin/hollow_process.cpp
@@ -24,15 +24,14 @@
     if (auto added = add_backend(i); !added) {
       return added;
     }
-    list.add({common::MachineName("hollow-" + std::to_string(i)),
-              address(settings_.first_port + i), common::ZoneName(settings_.zone),
-              common::PoolName(settings_.pool), false});
+    list.add({common::MachineName("hollow-" + std::to_string(i)), address(settings_.first_port + i),
+              common::ZoneName(settings_.zone), common::PoolName(settings_.pool), false});
   }
   machine_list_ = transport::to_json(list);
-  auto server = transport::HttpServer::listen(
-      address(settings_.first_port), kMaxBody, [this](const transport::ExchangePointer& exchange) {
-        exchange->respond_json(kStatusOk, machine_list_);
-      });
+  auto server = transport::HttpServer::listen(address(settings_.first_port), kMaxBody,
+                                              [this](const transport::ExchangePointer& exchange) {
+                                                exchange->respond_json(kStatusOk, machine_list_);
+                                              });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
   }
@@ -49,9 +48,9 @@
 
 common::Result<void> HollowProcess::add_backend(int number) {
   BackendOptions options;
-  options.incarnation = common::Incarnation(
-      "hollow-" + std::to_string(number) + "#" +
-      std::to_string(common::to_microseconds(boot_time_now())));
+  options.incarnation =
+      common::Incarnation("hollow-" + std::to_string(number) + "#" +
+                          std::to_string(common::to_microseconds(boot_time_now())));
   Backend& backend = backends_.emplace_back();
   backend.core = std::make_unique<BackendCore>(options);
   auto server = transport::HttpServer::listen(
--- a/src/standin/hollow_process.hpp
+++ b/src/standin/hollow_process.hpp
@@ -18,7 +18,7 @@
 
 struct HollowSettings {
   std::string host = "127.0.0.1";
-  int first_port = 20'000;       ///< the machine list; back ends follow
+  int first_port = 20'000;  ///< the machine list; back ends follow
   int backends = 0;
   int routers = 0;
   std::string pool = "hollow";
--- a/test/sim/checker_test.cpp
+++ b/test/sim/checker_test.cpp
@@ -64,6 +64,14 @@
                                {at(51), Executed{"r9", "a", "a#1", kShard, 5, at(50)}}});
 }
 
+TEST_CASE("executions alone show two owners, where holdings cannot be seen") {
+  History history;
+  history.add(at(1), Executed{"r1", "a", "a#1", kShard, 7, at(1)});
+  history.add(at(2), Executed{"r2", "b", "b#1", kShard, 5, at(2)});
+  history.add(at(3), Executed{"r3", "b", "b#1", kShard, 7, at(3)});
+  CHECK(check_history(history).size() == 2);
+}
+
 TEST_CASE("an older assignment comes back") {
   expect(Promise::kAssignmentSurvives,
          {{at(50), HoldEnded{kShard, "b#1"}}, {at(51), HoldBegan{kShard, "a#1", 5}}});
