HTTP client: one libsoup session for each server

Cause: one session for all back ends looks through every connection it holds for each request. A controller with 250 hollow back ends failed 409 of 1,622 renewals a second at 78% of a core, and no back end stayed registered.

Ruled out: the lease manager (9 us a renewal without HTTP, measured alone), the JSON codec (in the same 9 us), the hollow side (47% of a core then).

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -3,10 +3,24 @@
 #include <map>
 #include <utility>
 
+#include "transport/event_loop.hpp"
+
 namespace planktray::transport {
 namespace {
 
-constexpr int kMaxConnections = 100'000;
+/// A server that was not used for this long loses its session.
+constexpr common::Duration kSessionIdle = std::chrono::minutes(15);
+
+/// The "IP:port" of a URL, or the whole text where there is none.
+std::string server_of(const std::string& url) {
+  const auto scheme = url.find("://");
+  if (scheme == std::string::npos) {
+    return url;
+  }
+  const auto begin = scheme + 3;
+  const auto end = url.find('/', begin);
+  return url.substr(begin, end == std::string::npos ? end : end - begin);
+}
 
 void mark_started(SoupMessage* /*message*/, gpointer flag) { *static_cast<bool*>(flag) = true; }
 
@@ -53,15 +67,42 @@
 }
 
 HttpClient::HttpClient(int connections_per_host)
-    : session_(soup_session_new_with_options("max-conns", kMaxConnections, "max-conns-per-host",
-                                             connections_per_host, "timeout", 0, nullptr)),
-      calls_(std::make_shared<Calls>()) {
-  soup_session_remove_feature_by_type(session_, SOUP_TYPE_CONTENT_DECODER);
-}
+    : connections_per_host_(connections_per_host), calls_(std::make_shared<Calls>()) {}
 
 HttpClient::~HttpClient() {
-  soup_session_abort(session_);
-  g_object_unref(session_);
+  for (auto& [server, session] : sessions_) {
+    soup_session_abort(session.session);
+    g_object_unref(session.session);
+  }
+}
+
+SoupSession* HttpClient::session_for(const std::string& url) {
+  const common::TimePoint now = boot_time_now();
+  drop_idle_sessions(now);
+  Session& session = sessions_[server_of(url)];
+  session.last_used = now;
+  if (session.session == nullptr) {
+    session.session =
+        soup_session_new_with_options("max-conns", connections_per_host_, "max-conns-per-host",
+                                      connections_per_host_, "timeout", 0, nullptr);
+    soup_session_remove_feature_by_type(session.session, SOUP_TYPE_CONTENT_DECODER);
+  }
+  return session.session;
+}
+
+void HttpClient::drop_idle_sessions(common::TimePoint now) {
+  if (now < next_cleaning_) {
+    return;
+  }
+  next_cleaning_ = now + kSessionIdle;
+  std::erase_if(sessions_, [&](auto& item) {
+    // Longer than any request may take: nothing is under way in an idle session.
+    if (now - item.second.last_used < kSessionIdle) {
+      return false;
+    }
+    g_object_unref(item.second.session);
+    return true;
+  });
 }
 
 std::size_t HttpClient::in_flight() const { return calls_->active.size(); }
@@ -103,8 +144,8 @@
     call->timer = g_timeout_add(static_cast<guint>(wait), on_timeout, call);
   }
   calls_->active[id] = call;
-  soup_session_send_and_read_async(session_, call->message, G_PRIORITY_DEFAULT, call->cancellable,
-                                   on_done, call);
+  soup_session_send_and_read_async(session_for(request.url), call->message, G_PRIORITY_DEFAULT,
+                                   call->cancellable, on_done, call);
   return id;
 }
 
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -61,10 +62,22 @@
   struct Call;
   struct Calls;
 
+  /// One libsoup session for each server: a session looks through all its connections for every
+  /// request, which grows with the square of the servers.
+  struct Session {
+    SoupSession* session = nullptr;
+    common::TimePoint last_used;
+  };
+
+  SoupSession* session_for(const std::string& url);
+  void drop_idle_sessions(common::TimePoint now);
+
   static void on_done(GObject* source, GAsyncResult* result, gpointer data);
   static gboolean on_timeout(gpointer data);
 
-  SoupSession* session_;
+  int connections_per_host_;
+  std::map<std::string, Session> sessions_;  ///< by "IP:port"
+  common::TimePoint next_cleaning_;
   std::shared_ptr<Calls> calls_;
 };
 
