--- a/src/standin/hollow_process.cpp
+++ b/src/standin/hollow_process.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kMaxBody = 64UL * 1024 * 1024;
 constexpr common::Duration kTick = std::chrono::milliseconds(10);
+/// Above what the library allows by itself, 1,023.
+constexpr int kMaxSockets = 20'000;
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusConflict = 409;
 constexpr unsigned kStatusNotFound = 404;
@@ -18,6 +20,7 @@
 }  // namespace
 
 common::Result<void> HollowProcess::start() {
+  context_.set(zmq::ctxopt::max_sockets, kMaxSockets);
   membership::MachineList list;
   list.version = 1;
   for (int i = 1; i <= settings_.backends; ++i) {
