Bench: the leader's loss alone and together with a back end

Cause: the run with kill-leader kills faster than processes come back, so it does not answer whether the leader's loss alone makes keys unavailable.

--- a/src/sim/bench.cpp
+++ b/src/sim/bench.cpp
@@ -25,8 +25,12 @@
 };
 
 constexpr std::array kScenarios = {
-    Named<Scenario>{"steady", Scenario::kSteady}, Named<Scenario>{"hot-key", Scenario::kHotKey},
-    Named<Scenario>{"overload", Scenario::kOverload}, Named<Scenario>{"loss", Scenario::kLoss},
+    Named<Scenario>{"steady", Scenario::kSteady},
+    Named<Scenario>{"hot-key", Scenario::kHotKey},
+    Named<Scenario>{"overload", Scenario::kOverload},
+    Named<Scenario>{"loss", Scenario::kLoss},
+    Named<Scenario>{"leader-loss", Scenario::kLeaderLoss},
+    Named<Scenario>{"leader-and-backend-loss", Scenario::kLeaderAndBackendLoss},
     Named<Scenario>{"rolling-restart", Scenario::kRollingRestart}};
 constexpr std::array kBalances = {
     Named<ownership::BalanceMode>{"budgeted", ownership::BalanceMode::kBudgeted},
@@ -56,14 +60,29 @@
                       "\"" + name + "\" is none of:" + names);
 }
 
-void lose_backends(Fleet& fleet, Environment& environment, std::size_t next) {
-  environment.scheduler.after(kLossInterval, [&fleet, &environment, next] {
-    // The keyed service's back ends come first.
-    const std::size_t count = fleet.options().deployment.services.front().targets;
-    BackendNode* backend = fleet.backends()[next % count];
-    backend->kill();
-    environment.scheduler.after(kBackDelay, [backend] { backend->start(); });
-    lose_backends(fleet, environment, next + 1);
+/// Which processes die together.
+struct Losses {
+  bool backend = false;
+  bool leader = false;
+};
+
+void lose(Fleet& fleet, Environment& environment, Losses losses, std::size_t next) {
+  // Not in step with renewals and heartbeats.
+  const Duration jitter(common::uniform(environment.fault_random, 0, 500'000));
+  environment.scheduler.after(kLossInterval + jitter, [&fleet, &environment, losses, next] {
+    ControllerNode* leader = fleet.leader();
+    if (losses.leader && leader != nullptr) {
+      leader->kill(false);
+      environment.scheduler.after(kBackDelay, [leader] { leader->start(); });
+    }
+    if (losses.backend) {
+      // The keyed service's back ends come first.
+      const std::size_t count = fleet.options().deployment.services.front().targets;
+      BackendNode* backend = fleet.backends()[next % count];
+      backend->kill();
+      environment.scheduler.after(kBackDelay, [backend] { backend->start(); });
+    }
+    lose(fleet, environment, losses, next + 1);
   });
 }
 
@@ -131,7 +150,7 @@
   fleet_options.planner.mode = options.balance;
   fleet_options.subset = options.subset;
   fleet_options.choice = options.choice;
-  fleet_options.operators.racing = 0;
+  fleet_options.operators.racing = 1;
   fleet_options.callers.rate = result.offered_per_second;
   fleet_options.callers.hot_share = options.scenario == Scenario::kHotKey ? 0.05 : 0.0;
   fleet_options.callers.hot_shift = options.scenario == Scenario::kHotKey ? kHotShift : Duration(0);
@@ -140,10 +159,23 @@
   fleet.start();
   scheduler.run_until(scheduler.now() + kWarmUp);
   environment.measures.begin(scheduler.now());
-  if (options.scenario == Scenario::kLoss) {
-    lose_backends(fleet, environment, 0);
-  } else if (options.scenario == Scenario::kRollingRestart) {
-    restart_all(fleet, environment, 0);
+  switch (options.scenario) {
+    case Scenario::kLoss:
+      lose(fleet, environment, {.backend = true, .leader = false}, 0);
+      break;
+    case Scenario::kLeaderLoss:
+      lose(fleet, environment, {.backend = false, .leader = true}, 0);
+      break;
+    case Scenario::kLeaderAndBackendLoss:
+      lose(fleet, environment, {.backend = true, .leader = true}, 0);
+      break;
+    case Scenario::kRollingRestart:
+      restart_all(fleet, environment, 0);
+      break;
+    case Scenario::kSteady:
+    case Scenario::kHotKey:
+    case Scenario::kOverload:
+      break;
   }
   scheduler.run_until(scheduler.now() + options.measured);
   environment.measures.end(scheduler.now());
@@ -170,9 +202,14 @@
 }
 
 const std::vector<Scenario>& all_scenarios() {
-  static const std::vector<Scenario> kAll = {Scenario::kSteady, Scenario::kHotKey,
-                                             Scenario::kOverload, Scenario::kLoss,
-                                             Scenario::kRollingRestart};
+  static const std::vector<Scenario> kAll = [] {
+    std::vector<Scenario> all;
+    all.reserve(kScenarios.size());
+    for (const auto& item : kScenarios) {
+      all.push_back(item.value);
+    }
+    return all;
+  }();
   return kAll;
 }
 
--- a/src/sim/bench.hpp
+++ b/src/sim/bench.hpp
@@ -10,11 +10,13 @@
 namespace planktray::sim {
 
 enum class Scenario : std::uint8_t {
-  kSteady,          ///< peak load at half of the capacity
-  kHotKey,          ///< the same, with a hot key that changes 200 times a minute
-  kOverload,        ///< half as much again as the capacity
-  kLoss,            ///< a back end of the keyed service dies every 10 s and comes back
-  kRollingRestart,  ///< every back end and router stops as planned, one after the other
+  kSteady,                ///< peak load at half of the capacity
+  kHotKey,                ///< the same, with a hot key that changes 200 times a minute
+  kOverload,              ///< half as much again as the capacity
+  kLoss,                  ///< a back end of the keyed service dies every 10 s and comes back
+  kLeaderLoss,            ///< the controllers' leader dies every 10 s and comes back
+  kLeaderAndBackendLoss,  ///< both at the same moment
+  kRollingRestart,        ///< every back end and router stops as planned, one after the other
 };
 
 struct BenchOptions {
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -418,7 +418,8 @@
       "bench", "Measure imbalance, churn, unavailable time and latency without random faults");
   bench_command->add_option("--deployment", arguments.deployment, "zilina or canelones");
   bench_command->add_option("--scenario", arguments.scenario,
-                            "all, steady, hot-key, overload, loss or rolling-restart");
+                            "all, steady, hot-key, overload, loss, leader-loss, "
+                            "leader-and-backend-loss or rolling-restart");
   bench_command->add_option("--policy", arguments.policy,
                             "budgeted, modulo, consistent-hash or greedy");
   bench_command->add_option("--subset", arguments.subset, "aperture, random-subset or full-mesh");
--- a/src/sim/measures.hpp
+++ b/src/sim/measures.hpp
@@ -33,7 +33,11 @@
   void on_executed(TimePoint now, const std::string& service, const std::string& machine);
   void on_hold_ended(TimePoint now, const std::string& shard, GapCause cause);
   void on_hold_began(TimePoint now, const std::string& shard, const std::string& incarnation);
-  void on_change_in_force(Duration took) { in_force_.add(took); }
+  void on_change_in_force(Duration took) {
+    if (counting_) {
+      in_force_.add(took);
+    }
+  }
   /// Tells how many targets a service has, for loads that are zero.
   void set_targets(const std::string& service, std::size_t targets) { targets_[service] = targets; }
 
