Balancing: a new leader starts with an empty move budget

Cause: each new leader got the whole minute's budget and no load figures, and spent it at once: 33 (zilina) and 40 (canelones) owner changes a minute with a leader lost every 10 s, against 6 and 8 in steady state.

Ruled out: carrying budgets in the log (an entry a second for a hint).

--- a/src/ownership/planner.cpp
+++ b/src/ownership/planner.cpp
@@ -304,7 +304,7 @@
   const bool is_new = !budgets_.contains(service.id);
   Budget& budget = budgets_[service.id];
   if (is_new) {
-    budget = {per_minute, now};
+    budget = {0.0, now};  // a new leader has seen no load yet
   }
   const double minutes =
       std::chrono::duration<double, std::ratio<60>>(now - budget.filled_at).count();
