--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -31,6 +31,11 @@
 
 void TableDistributor::on_hello(common::TimePoint now, const routing::RouterHello& hello) {
   Subscriber& subscriber = subscribers_[hello.router];
+  if (hello.table_index.value > 0 && subscriber.snapshot_under_way &&
+      hello.table_index > subscriber.view.table_index) {
+    subscriber.snapshot_under_way = false;
+    subscriber.sent_at.reset();
+  }
   subscriber.view = {hello.router, hello.address, hello.table_index, hello.serving, now};
   subscriber.clock_us = hello.clock_us;
   subscriber.hello_pending = true;
@@ -41,12 +46,13 @@
   std::vector<OutgoingTable> outgoing;
   const common::LogIndex newest = deltas_.empty() ? common::LogIndex() : deltas_.back().to;
   std::erase_if(subscribers_, [&](const auto& item) { return !may_serve(now, item.second); });
+  std::size_t snapshots = snapshots_under_way(now);
   std::uint32_t rank = 0;
   for (auto& [name, subscriber] : subscribers_) {
     const std::uint32_t own_rank = rank++;
-    const bool waiting =
-        subscriber.sent_at.has_value() && now - *subscriber.sent_at < options_.resend;
-    const bool has_news = subscriber.view.table_index < newest && !waiting;
+    const common::LogIndex have = subscriber.view.table_index;
+    const bool waiting = is_waiting(now, subscriber);
+    const bool has_news = have < newest && !waiting;
     if (!subscriber.hello_pending && !has_news) {
       continue;
     }
@@ -57,7 +63,17 @@
     update.current_index = state.applied();
     update.router_rank = own_rank;
     update.router_count = static_cast<std::uint32_t>(subscribers_.size());
-    add_changes(update, subscriber.view.table_index, state);
+    if (deltas_reach(have, state)) {
+      update.base_index = have;
+      update.deltas.assign(first_after(have), deltas_.cend());
+      subscriber.snapshot_under_way = false;
+    } else if (waiting || snapshots >= options_.concurrent_snapshots) {
+      continue;
+    } else {
+      ++snapshots;
+      update.deltas.push_back(state.table_snapshot());
+      subscriber.snapshot_under_way = true;
+    }
     subscriber.hello_pending = false;
     subscriber.sent_at = update.deltas.empty() ? std::nullopt : std::optional(now);
     outgoing.push_back({name, std::move(update)});
@@ -65,21 +81,31 @@
   return outgoing;
 }
 
-void TableDistributor::add_changes(routing::TableUpdate& update, common::LogIndex have,
-                                   const ownership::CellState& state) const {
-  update.base_index = have;
-  const auto first =
-      std::find_if(deltas_.begin(), deltas_.end(),
-                   [have](const routing::TableDelta& delta) { return delta.to > have; });
+bool TableDistributor::is_waiting(common::TimePoint now, const Subscriber& subscriber) const {
+  const common::Duration patience =
+      subscriber.snapshot_under_way ? options_.resend_snapshot : options_.resend;
+  return subscriber.sent_at.has_value() && now - *subscriber.sent_at < patience;
+}
+
+std::size_t TableDistributor::snapshots_under_way(common::TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::count_if(subscribers_.begin(), subscribers_.end(), [&](const auto& item) {
+        return item.second.snapshot_under_way && is_waiting(now, item.second);
+      }));
+}
+
+std::deque<routing::TableDelta>::const_iterator TableDistributor::first_after(
+    common::LogIndex have) const {
+  return std::find_if(deltas_.begin(), deltas_.end(),
+                      [have](const routing::TableDelta& delta) { return delta.to > have; });
+}
+
+bool TableDistributor::deltas_reach(common::LogIndex have,
+                                    const ownership::CellState& state) const {
   const bool reaches_back = have.value > 0 && (have == state.applied() ||
                                                (!deltas_.empty() && deltas_.front().from <= have));
-  const bool few = static_cast<std::size_t>(deltas_.end() - first) <= options_.maximum_deltas;
-  if (reaches_back && few) {
-    update.deltas.assign(first, deltas_.end());
-    return;
-  }
-  update.base_index = common::LogIndex();
-  update.deltas.push_back(state.table_snapshot());
+  return reaches_back &&
+         static_cast<std::size_t>(deltas_.cend() - first_after(have)) <= options_.maximum_deltas;
 }
 
 bool TableDistributor::may_serve(common::TimePoint now, const Subscriber& subscriber) const {
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -25,6 +25,10 @@
   common::Duration margin = std::chrono::milliseconds(150);
   /// An update without an acknowledgement for this long counts as lost.
   common::Duration resend = std::chrono::milliseconds(500);
+  /// A snapshot may take this long before it counts as lost: many routers may want one at once.
+  common::Duration resend_snapshot = std::chrono::milliseconds(5000);
+  /// Snapshots under way at once; the other routers wait without a table.
+  std::size_t concurrent_snapshots = 32;
   std::size_t retained_deltas = 4096;
   /// More deltas than this are replaced by a snapshot.
   std::size_t maximum_deltas = 512;
@@ -72,10 +76,14 @@
     std::int64_t clock_us = 0;
     bool hello_pending = false;  ///< a hello waits for its answer
     std::optional<common::TimePoint> sent_at;
+    bool snapshot_under_way = false;
   };
 
-  void add_changes(routing::TableUpdate& update, common::LogIndex have,
-                   const ownership::CellState& state) const;
+  /// True where deltas lead from `have` to the present table.
+  bool deltas_reach(common::LogIndex have, const ownership::CellState& state) const;
+  std::deque<routing::TableDelta>::const_iterator first_after(common::LogIndex have) const;
+  bool is_waiting(common::TimePoint now, const Subscriber& subscriber) const;
+  std::size_t snapshots_under_way(common::TimePoint now) const;
   bool may_serve(common::TimePoint now, const Subscriber& subscriber) const;
 
   common::CellName cell_;
--- /dev/null
+++ b/test/controller/table_distributor_test.cpp
@@ -0,0 +1,77 @@
+#include "controller/core/table_distributor.hpp"
+
+#include <doctest/doctest.h>
+
+namespace planktray::controller {
+namespace {
+
+common::TimePoint at(std::int64_t value) { return common::from_microseconds(value * 1000); }
+
+struct Fixture {
+  ownership::CellState state;
+  TableDistributor distributor{common::CellName("cell"), DistributorOptions()};
+
+  Fixture() {
+    distributor.begin_term(at(0), common::Term(1));
+    state.apply(common::LogIndex(5), ownership::DrainMachine{common::MachineName("m"), true});
+  }
+
+  void hello(std::int64_t time, int router, std::uint64_t index) {
+    routing::RouterHello hello;
+    hello.router = common::RouterName("r" + std::to_string(router));
+    hello.clock_us = time * 1000;
+    hello.table_index = common::LogIndex(index);
+    hello.serving = index > 0;
+    distributor.on_hello(at(time), hello);
+  }
+};
+
+TEST_CASE("many new routers get their snapshots a few at a time") {
+  Fixture fixture;
+  constexpr int kRouters = 100;
+  for (int i = 0; i < kRouters; ++i) {
+    fixture.hello(1, i, 0);
+  }
+  CHECK(fixture.distributor.collect(at(2), fixture.state).size() == 32);
+  // They ask again before the first have acknowledged: nothing more goes out.
+  for (int i = 0; i < kRouters; ++i) {
+    fixture.hello(600, i, 0);
+  }
+  CHECK(fixture.distributor.collect(at(601), fixture.state).empty());
+  std::size_t sent = 0;
+  for (int i = 0; i < kRouters; ++i) {
+    fixture.hello(700, i, i < 50 ? 5 : 0);
+  }
+  for (const OutgoingTable& table : fixture.distributor.collect(at(701), fixture.state)) {
+    sent += table.update.deltas.empty() ? 0 : 1;
+  }
+  CHECK(sent > 0);
+  CHECK(sent <= 32);
+}
+
+TEST_CASE("a snapshot that is lost is sent again") {
+  Fixture fixture;
+  fixture.hello(1, 1, 0);
+  CHECK(fixture.distributor.collect(at(2), fixture.state).size() == 1);
+  fixture.hello(3000, 1, 0);
+  CHECK(fixture.distributor.collect(at(3001), fixture.state).empty());
+  fixture.hello(5100, 1, 0);
+  CHECK(fixture.distributor.collect(at(5101), fixture.state).size() == 1);
+}
+
+TEST_CASE("in force is what every router that may serve has acknowledged") {
+  Fixture fixture;
+  CHECK_FALSE(fixture.distributor.in_force(at(100), fixture.state).has_value());
+  fixture.hello(4000, 1, 5);
+  fixture.hello(4000, 2, 3);
+  CHECK(*fixture.distributor.in_force(at(4001), fixture.state) == common::LogIndex(3));
+  fixture.hello(4100, 2, 5);
+  CHECK(*fixture.distributor.in_force(at(4101), fixture.state) == common::LogIndex(5));
+  // A router that was not heard for the table lease and the margin has stopped by itself.
+  fixture.hello(4200, 3, 2);
+  fixture.hello(7300, 1, 5);
+  CHECK(*fixture.distributor.in_force(at(7351), fixture.state) == common::LogIndex(5));
+}
+
+}  // namespace
+}  // namespace planktray::controller
