--- a/src/sim/faults.hpp
+++ b/src/sim/faults.hpp
@@ -107,6 +107,7 @@
   bool running_ = false;
   bool repairing_ = false;  ///< a disk was lost and its repair is not complete
   bool second_loss_wanted_ = false;
+  bool staggered_ = false;  ///< a staggered cut is under way
   std::set<common::MachineName> drained_;
   std::set<common::MachineName> leaving_;
 };
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -288,6 +288,7 @@
       {"imbalance", imbalance_json(measures)},
       {"owner_changes_per_minute", static_cast<double>(measures.owner_changes()) * 60.0 / seconds},
       {"without_owner", gaps},
+      {"configuration_in_force", gap_json(measures.in_force())},
       {"latency_ms",
        {{"p50", milliseconds_of(measures.latency().quantile(0.5))},
         {"p99", milliseconds_of(measures.latency().quantile(0.99))}}},
