Stand-in back end: the linger after a drain is really there; bench without lost answers

The bench measured configuration in force with a fifth of the operators' answers lost, which is a fault.

Ruled out: the simulator's back end (its condition had the second from the start).

--- a/src/sim/bench.cpp
+++ b/src/sim/bench.cpp
@@ -151,6 +151,7 @@
   fleet_options.subset = options.subset;
   fleet_options.choice = options.choice;
   fleet_options.operators.racing = 1;
+  fleet_options.operators.lost_answers = 0;
   fleet_options.callers.rate = result.offered_per_second;
   fleet_options.callers.hot_share = options.scenario == Scenario::kHotKey ? 0.05 : 0.0;
   fleet_options.callers.hot_shift = options.scenario == Scenario::kHotKey ? kHotShift : Duration(0);
--- a/src/standin/backend_process.cpp
+++ b/src/standin/backend_process.cpp
@@ -71,8 +71,9 @@
   loop_.every(kTick, [this] {
     core_.tick(boot_time_now());
     flush();
-    const bool finished =
-        core_.is_idle() && work_.empty() && core_.holder().held(boot_time_now()).empty();
+    const bool finished = core_.is_idle() && work_.empty() &&
+                          core_.holder().held(boot_time_now()).empty() &&
+                          boot_time_now() - last_work_ > kDrainQuiet;
     if (stopping_ && (finished || boot_time_now() >= stop_by_)) {
       loop_.quit();
     }
