Routers and back ends end only when the last answer is written

The core had answered (unfinished=0 in its log), but libsoup had not written the bytes when the process ended.

Ruled out: the core's drain (it waits for every request), the back end (it executed and answered), a kill (the script sends SIGTERM there).

Conclusion: a planned stop waits for the bytes, not only for the decision.

--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -129,13 +129,14 @@
   loop_.every(kTick, [this] {
     core_.tick(boot_time_now());
     flush();
-    if (draining_ && (callers_.empty() || boot_time_now() >= drain_until_)) {
+    const bool finished = callers_.empty() && server_->unfinished() == 0;
+    if (draining_ && (finished || boot_time_now() >= drain_until_)) {
       loop_.quit();
     }
   });
   loop_.on_terminate([this] { begin_drain(); });
   loop_.run();
-  log_event("stopped", {{"unfinished", std::to_string(callers_.size())}});
+  log_event("stopped", {{"unfinished", std::to_string(server_->unfinished())}});
   return 0;
 }
 
--- a/src/standin/backend_process.cpp
+++ b/src/standin/backend_process.cpp
@@ -73,7 +73,7 @@
     flush();
     const bool finished = core_.is_idle() && work_.empty() &&
                           core_.holder().held(boot_time_now()).empty() &&
-                          boot_time_now() - last_work_ > kDrainQuiet;
+                          boot_time_now() - last_work_ > kDrainQuiet && server_->unfinished() == 0;
     if (stopping_ && (finished || boot_time_now() >= stop_by_)) {
       loop_.quit();
     }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -220,7 +220,23 @@
 
 void HttpServer::on_request(SoupServer* /*server*/, SoupServerMessage* message, const char* path,
                             GHashTable* /*query*/, gpointer self) {
-  static_cast<HttpServer*>(self)->handler_(std::make_shared<HttpExchange>(message, path));
+  auto* server = static_cast<HttpServer*>(self);
+  // Lives until the last byte of the answer is written, or the connection is gone.
+  ++*server->unfinished_;
+  g_signal_connect_data(message, "finished", G_CALLBACK(on_finished),
+                        new std::shared_ptr<std::size_t>(server->unfinished_), drop_counter,
+                        static_cast<GConnectFlags>(0));
+  server->handler_(std::make_shared<HttpExchange>(message, path));
+}
+
+void HttpServer::on_finished(SoupServerMessage* message, gpointer counter) {
+  auto* unfinished = static_cast<std::shared_ptr<std::size_t>*>(counter);
+  --**unfinished;
+  g_signal_handlers_disconnect_by_func(message, reinterpret_cast<gpointer>(on_finished), counter);
+}
+
+void HttpServer::drop_counter(gpointer counter, GClosure* /*closure*/) {
+  delete static_cast<std::shared_ptr<std::size_t>*>(counter);
 }
 
 }  // namespace planktray::transport
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -74,11 +74,16 @@
   /// Accepts no further connections.
   void stop_listening();
   std::uint64_t refused() const { return refused_; }
+  /// Requests whose answer is not written to its last byte; a process that ends before it is 0 cuts
+  /// them.
+  std::size_t unfinished() const { return *unfinished_; }
 
  private:
   HttpServer(std::size_t maximum_body, Handler handler);
   static void on_early(SoupServer* server, SoupServerMessage* message, const char* path,
                        GHashTable* query, gpointer self);
+  static void on_finished(SoupServerMessage* message, gpointer counter);
+  static void drop_counter(gpointer counter, GClosure* closure);
   static void on_request(SoupServer* server, SoupServerMessage* message, const char* path,
                          GHashTable* query, gpointer self);
 
@@ -86,6 +91,7 @@
   std::size_t maximum_body_;
   Handler handler_;
   std::uint64_t refused_ = 0;
+  std::shared_ptr<std::size_t> unfinished_ = std::make_shared<std::size_t>(0);
 };
 
 /// Splits "IP:port". @return kInvalid for anything else.
