Decoder: a claimed length reserves no memory

Cause: the first run under sanitizers stopped in decode_wire: a damaged frame that claims an array of 2^32 - 1 elements made the reader ask for 137 GB. In the release build such an allocation may succeed lazily or throw; on a small machine it can end the process.

Ruled out: rapidcheck or the sanitizer itself (the bytes dd ff ff ff ff do it alone).

The sanitizer build has not run again.

--- a/src/common/codec.hpp
+++ b/src/common/codec.hpp
@@ -27,8 +27,10 @@
 template <typename T>
 Result<T> decode(std::string_view bytes, std::string_view step, std::string_view peer) {
   try {
-    const msgpack::unpack_limit limit(0xffffffff, 0xffffffff, 0xffffffff, 0xffffffff, 0xffffffff,
-                                      kMaxDecodeDepth);
+    // No container or text can have more parts than there are bytes: a short message must not make
+    // the reader reserve memory for a length that it only claims.
+    const std::size_t most = bytes.size();
+    const msgpack::unpack_limit limit(most, most, most, most, most, kMaxDecodeDepth);
     std::size_t offset = 0;
     const msgpack::object_handle handle =
         msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
--- a/test/transport/decoders_test.cpp
+++ b/test/transport/decoders_test.cpp
@@ -65,6 +65,15 @@
   });
 }
 
+TEST_CASE("a claimed length reserves no memory") {
+  // An array of 2^32 - 1 elements in five bytes; the sanitizer build failed on this with 137 GB.
+  const std::string claim("\xdd\xff\xff\xff\xff", 5);
+  const auto decoded = decode_wire(kProtocolVersion, claim, "peer-1");
+  REQUIRE_FALSE(decoded.has_value());
+  CHECK(decoded.error().peer == "peer-1");
+  CHECK(decoded.error().message.find("bad_alloc") == std::string::npos);
+}
+
 TEST_CASE("damaged JSON is refused with step and peer") {
   const std::string lease = to_json(ownership::LeaseRequest());
   const std::string reply = to_json(ownership::LeaseReply());
