Simulator: names, restarts, threads and the end of leaving stand once each

Cause: reading the change again. The tables of names and their parsing stood in bench.cpp and faults.cpp, the start after a planned stop stood four times, the loop over threads three times, and whoever started a back end again had to tell the history that it leaves no more; the back end, which told that it leaves, tells both now. Unused members (byte and message counters, set_rate, held_count, is_paused) are gone.

Ruled out: merging Callers with Operators or the two disks (same shape, other jobs), and the mutants' table (data).

--- a/src/sim/backend_node.cpp
+++ b/src/sim/backend_node.cpp
@@ -21,6 +21,10 @@
       settings_(std::move(settings)) {}
 
 void BackendNode::start() {
+  if (host().generation() > 0) {
+    // Another process than the one that may have been leaving.
+    environment_.observe(LeavingEnded{settings_.machine.value});
+  }
   host().start();
   standin::BackendOptions options;
   options.incarnation =
--- a/src/sim/backend_node.hpp
+++ b/src/sim/backend_node.hpp
@@ -67,7 +67,6 @@
   bool is_stopping() const { return stopping_; }
   /// True where it would accept work for this shard.
   bool holds(const std::string& shard) const { return held_.contains(shard); }
-  std::size_t held_count() const { return held_.size(); }
 
  private:
   struct Work {
--- a/src/sim/bench.cpp
+++ b/src/sim/bench.cpp
@@ -4,6 +4,9 @@
 #include <array>
 #include <limits>
 
+#include "sim/names.hpp"
+#include "sim/restart.hpp"
+
 namespace planktray::sim {
 namespace {
 
@@ -18,12 +21,6 @@
 constexpr Duration kBackDelay = seconds(3);
 constexpr Duration kRestartInterval = milliseconds(1500);
 
-template <typename T>
-struct Named {
-  std::string_view name;
-  T value;
-};
-
 constexpr std::array kScenarios = {
     Named<Scenario>{"steady", Scenario::kSteady},
     Named<Scenario>{"hot-key", Scenario::kHotKey},
@@ -46,20 +43,6 @@
     Named<routing::ChoicePolicy>{"least-outstanding", routing::ChoicePolicy::kLeastOutstanding},
     Named<routing::ChoicePolicy>{"round-robin", routing::ChoicePolicy::kRoundRobin}};
 
-template <typename List>
-auto parse(const List& list, const std::string& name, const std::string& what)
-    -> common::Result<decltype(list.front().value)> {
-  std::string names;
-  for (const auto& item : list) {
-    if (item.name == name) {
-      return item.value;
-    }
-    names += " " + std::string(item.name);
-  }
-  return common::fail(common::ErrorCode::kInvalid, "read " + what, "",
-                      "\"" + name + "\" is none of:" + names);
-}
-
 /// Which processes die together.
 struct Losses {
   bool backend = false;
@@ -86,24 +69,6 @@
   });
 }
 
-void start_when_down(BackendNode* backend, Environment& environment) {
-  environment.scheduler.after(milliseconds(200), [backend, &environment] {
-    if (backend->is_up()) {
-      return start_when_down(backend, environment);
-    }
-    backend->start();
-  });
-}
-
-void start_when_down(RouterNode* router, Environment& environment) {
-  environment.scheduler.after(milliseconds(200), [router, &environment] {
-    if (router->is_up()) {
-      return start_when_down(router, environment);
-    }
-    router->start();
-  });
-}
-
 void restart_all(Fleet& fleet, Environment& environment, std::size_t next) {
   environment.scheduler.after(kRestartInterval, [&fleet, &environment, next] {
     const std::size_t backends = fleet.backends().size();
@@ -111,10 +76,10 @@
     const std::size_t controllers = fleet.controllers().size();
     if (next < backends) {
       fleet.backends()[next]->stop_as_planned();
-      start_when_down(fleet.backends()[next], environment);
+      start_when_stopped(environment.scheduler, fleet.backends()[next], kStopPoll);
     } else if (next < backends + routers) {
       fleet.routers()[next - backends]->stop_as_planned();
-      start_when_down(fleet.routers()[next - backends], environment);
+      start_when_stopped(environment.scheduler, fleet.routers()[next - backends], kStopPoll);
     } else if (next < backends + routers + controllers) {
       ControllerNode* controller = fleet.controllers()[next - backends - routers];
       controller->kill(false);
@@ -190,40 +155,26 @@
 }
 
 common::Result<Scenario> parse_scenario(const std::string& name) {
-  return parse(kScenarios, name, "scenario");
+  return parse_name(kScenarios, name, "scenario");
 }
 
-std::string_view to_string(Scenario scenario) {
-  for (const auto& item : kScenarios) {
-    if (item.value == scenario) {
-      return item.name;
-    }
-  }
-  return "";
-}
+std::string_view to_string(Scenario scenario) { return name_in(kScenarios, scenario); }
 
 const std::vector<Scenario>& all_scenarios() {
-  static const std::vector<Scenario> kAll = [] {
-    std::vector<Scenario> all;
-    all.reserve(kScenarios.size());
-    for (const auto& item : kScenarios) {
-      all.push_back(item.value);
-    }
-    return all;
-  }();
+  static const std::vector<Scenario> kAll = values_of(kScenarios);
   return kAll;
 }
 
 common::Result<ownership::BalanceMode> parse_balance(const std::string& name) {
-  return parse(kBalances, name, "policy");
+  return parse_name(kBalances, name, "policy");
 }
 
 common::Result<routing::SubsetPolicy> parse_subset(const std::string& name) {
-  return parse(kSubsets, name, "subset");
+  return parse_name(kSubsets, name, "subset");
 }
 
 common::Result<routing::ChoicePolicy> parse_choice(const std::string& name) {
-  return parse(kChoices, name, "choice");
+  return parse_name(kChoices, name, "choice");
 }
 
 }  // namespace planktray::sim
--- a/src/sim/callers.cpp
+++ b/src/sim/callers.cpp
@@ -75,7 +75,6 @@
   }
   environment_.observe(RequestSent{call.request, !writes});
   environment_.measures.on_sent();
-  ++open_;
   const TimePoint sent = environment_.now();
   environment_.network.send_once(host_, router->host_id(), [this, router, call, sent] {
     if (!router->is_up()) {
@@ -83,7 +82,6 @@
     }
     router->receive(call, [this, router, request = call.request, sent](const CallerReply& reply) {
       environment_.network.send_once(router->host_id(), host_, [this, request, sent, reply] {
-        --open_;
         environment_.observe(RequestTold{request, reply.outcome, reply.answer_to, reply.whole});
         environment_.measures.on_told(reply.outcome, environment_.now() - sent);
       });
--- a/src/sim/callers.hpp
+++ b/src/sim/callers.hpp
@@ -28,9 +28,6 @@
   /// Sends until stop().
   void start();
   void stop() { running_ = false; }
-  void set_rate(double rate) { options_.rate = rate; }
-  /// Requests that wait for their answer.
-  std::uint64_t open() const { return open_; }
 
  private:
   void schedule_next();
@@ -46,7 +43,6 @@
   common::RandomEngine random_;
   bool running_ = false;
   std::uint64_t next_request_ = 1;
-  std::uint64_t open_ = 0;
   std::uint64_t hot_key_ = 0;
   TimePoint next_shift_;
 };
--- a/src/sim/controller_node.cpp
+++ b/src/sim/controller_node.cpp
@@ -203,8 +203,7 @@
   }
   persisting_ = true;
   const std::uint64_t sequence = waiting_.back().sequence;
-  const auto written = store_->write(std::exchange(waiting_, {}));
-  persisted_bytes_ += written.value_or(0);
+  (void)store_->write(std::exchange(waiting_, {}));  // a virtual disk does not fail
   const Duration sync_time(common::uniform(environment_.random, kFastestSyncUs, kSlowestSyncUs));
   host().after(sync_time, [this, sequence] {
     (void)store_->sync();
--- a/src/sim/controller_node.hpp
+++ b/src/sim/controller_node.hpp
@@ -56,7 +56,6 @@
   common::ReplicaId replica() const { return store_->identity().replica; }
   consensus::Member as_member() const;
   bool is_leading() { return is_up() && core_->is_serving(host().clock()); }
-  std::uint64_t persisted_bytes() const { return persisted_bytes_; }
 
  private:
   void tick();
@@ -84,7 +83,6 @@
   std::map<controller::OperatorRequestId, ChangeReply> changes_;
   std::map<controller::OperatorRequestId, CommandReply> commands_;
   std::map<controller::OperatorRequestId, ReadReply> reads_;
-  std::uint64_t persisted_bytes_ = 0;
 };
 
 }  // namespace planktray::sim
--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -3,50 +3,48 @@
 #include <array>
 #include <sstream>
 
+#include "sim/names.hpp"
+#include "sim/restart.hpp"
+
 namespace planktray::sim {
 namespace {
 
 using std::chrono::milliseconds;
 
-struct FaultName {
-  Fault fault;
-  std::string_view name;
-};
-
 constexpr std::array kNames = {
-    FaultName{Fault::kKillController, "kill-controller"},
-    FaultName{Fault::kKillLeader, "kill-leader"},
-    FaultName{Fault::kKillRouter, "kill-router"},
-    FaultName{Fault::kKillBackend, "kill-backend"},
-    FaultName{Fault::kKillLeaderAndBackend, "kill-leader-and-backend"},
-    FaultName{Fault::kKillAllControllers, "kill-all-controllers"},
-    FaultName{Fault::kLostDisk, "lost-disk"},
-    FaultName{Fault::kSecondLossAfterRepair, "second-loss-after-repair"},
-    FaultName{Fault::kTornWrite, "torn-write"},
-    FaultName{Fault::kCutTwoWay, "cut-two-way"},
-    FaultName{Fault::kCutOneWay, "cut-one-way"},
-    FaultName{Fault::kIsolateController, "isolate-controller"},
-    FaultName{Fault::kIsolateRouter, "isolate-router"},
-    FaultName{Fault::kStaggeredCut, "staggered-cut"},
-    FaultName{Fault::kFreezeController, "freeze-controller"},
-    FaultName{Fault::kFreezeRouter, "freeze-router"},
-    FaultName{Fault::kFreezeBackend, "freeze-backend"},
-    FaultName{Fault::kClockDrift, "clock-drift"},
-    FaultName{Fault::kLateMessages, "late-messages"},
-    FaultName{Fault::kDuplicateMessages, "duplicate-messages"},
-    FaultName{Fault::kCrossedAnswers, "crossed-answers"},
-    FaultName{Fault::kTruncatedAnswers, "truncated-answers"},
-    FaultName{Fault::kClosedConnections, "closed-connections"},
-    FaultName{Fault::kLyingHealth, "lying-health"},
-    FaultName{Fault::kLaggingList, "lagging-list"},
-    FaultName{Fault::kLyingList, "lying-list"},
-    FaultName{Fault::kLeavingMachine, "leaving-machine"},
-    FaultName{Fault::kDrainMachine, "drain-machine"},
-    FaultName{Fault::kMoveShards, "move-shards"},
-    FaultName{Fault::kStopBackend, "stop-backend"},
-    FaultName{Fault::kStopRouter, "stop-router"},
-    FaultName{Fault::kManyChanges, "many-changes"},
-    FaultName{Fault::kOperatorRaces, "operator-races"},
+    Named<Fault>{"kill-controller", Fault::kKillController},
+    Named<Fault>{"kill-leader", Fault::kKillLeader},
+    Named<Fault>{"kill-router", Fault::kKillRouter},
+    Named<Fault>{"kill-backend", Fault::kKillBackend},
+    Named<Fault>{"kill-leader-and-backend", Fault::kKillLeaderAndBackend},
+    Named<Fault>{"kill-all-controllers", Fault::kKillAllControllers},
+    Named<Fault>{"lost-disk", Fault::kLostDisk},
+    Named<Fault>{"second-loss-after-repair", Fault::kSecondLossAfterRepair},
+    Named<Fault>{"torn-write", Fault::kTornWrite},
+    Named<Fault>{"cut-two-way", Fault::kCutTwoWay},
+    Named<Fault>{"cut-one-way", Fault::kCutOneWay},
+    Named<Fault>{"isolate-controller", Fault::kIsolateController},
+    Named<Fault>{"isolate-router", Fault::kIsolateRouter},
+    Named<Fault>{"staggered-cut", Fault::kStaggeredCut},
+    Named<Fault>{"freeze-controller", Fault::kFreezeController},
+    Named<Fault>{"freeze-router", Fault::kFreezeRouter},
+    Named<Fault>{"freeze-backend", Fault::kFreezeBackend},
+    Named<Fault>{"clock-drift", Fault::kClockDrift},
+    Named<Fault>{"late-messages", Fault::kLateMessages},
+    Named<Fault>{"duplicate-messages", Fault::kDuplicateMessages},
+    Named<Fault>{"crossed-answers", Fault::kCrossedAnswers},
+    Named<Fault>{"truncated-answers", Fault::kTruncatedAnswers},
+    Named<Fault>{"closed-connections", Fault::kClosedConnections},
+    Named<Fault>{"lying-health", Fault::kLyingHealth},
+    Named<Fault>{"lagging-list", Fault::kLaggingList},
+    Named<Fault>{"lying-list", Fault::kLyingList},
+    Named<Fault>{"leaving-machine", Fault::kLeavingMachine},
+    Named<Fault>{"drain-machine", Fault::kDrainMachine},
+    Named<Fault>{"move-shards", Fault::kMoveShards},
+    Named<Fault>{"stop-backend", Fault::kStopBackend},
+    Named<Fault>{"stop-router", Fault::kStopRouter},
+    Named<Fault>{"many-changes", Fault::kManyChanges},
+    Named<Fault>{"operator-races", Fault::kOperatorRaces},
 };
 
 /// Clock rates differ from true time by up to this much: half of what the lease margin covers.
@@ -54,8 +52,6 @@
 /// The mutant's drift, beyond the margin of 20 ms in 500 ms.
 constexpr double kDriftBeyondMargin = 0.4;
 constexpr std::uint32_t kManyChanges = 300;
-/// A planned stop under way is looked at this often; it may outlast the faults' end.
-constexpr Duration kStopPoll = milliseconds(200);
 /// A staggered cut lasts this long, and the next waits until all leases are renewed again.
 constexpr Duration kStaggeredCut = milliseconds(1500);
 constexpr Duration kStaggeredRest = milliseconds(1000);
@@ -63,24 +59,10 @@
 
 }  // namespace
 
-std::string_view to_string(Fault fault) {
-  for (const FaultName& item : kNames) {
-    if (item.fault == fault) {
-      return item.name;
-    }
-  }
-  return "";
-}
+std::string_view to_string(Fault fault) { return name_in(kNames, fault); }
 
 const std::vector<Fault>& all_faults() {
-  static const std::vector<Fault> kFaults = [] {
-    std::vector<Fault> list;
-    list.reserve(kNames.size());
-    for (const FaultName& item : kNames) {
-      list.push_back(item.fault);
-    }
-    return list;
-  }();
+  static const std::vector<Fault> kFaults = values_of(kNames);
   return kFaults;
 }
 
@@ -95,17 +77,11 @@
   std::istringstream input(text);
   std::string name;
   while (std::getline(input, name, ',')) {
-    bool known = false;
-    for (const FaultName& item : kNames) {
-      if (item.name == name) {
-        faults.insert(item.fault);
-        known = true;
-      }
-    }
-    if (!known) {
-      return common::fail(common::ErrorCode::kInvalid, "read faults", "",
-                          "there is no fault \"" + name + "\"");
+    const auto fault = parse_name(kNames, name, "faults");
+    if (!fault.has_value()) {
+      return tl::unexpected(fault.error());
     }
+    faults.insert(*fault);
   }
   return faults;
 }
@@ -175,7 +151,6 @@
   for (BackendNode* backend : fleet_.backends()) {
     backend->set_lying(false);
     if (!backend->is_up()) {
-      environment_.observe(LeavingEnded{backend->settings().machine.value});
       backend->start();
     }
   }
@@ -300,10 +275,10 @@
       return;
     case Fault::kStopBackend:
       backend->stop_as_planned();
-      return start_when_down(backend, span + milliseconds(4000));
+      return start_when_stopped(environment_.scheduler, backend, span + milliseconds(4000));
     case Fault::kStopRouter:
       router->stop_as_planned();
-      return start_when_down(router, span);
+      return start_when_stopped(environment_.scheduler, router, span);
     case Fault::kManyChanges:
       return many_changes();
     case Fault::kOperatorRaces:
@@ -311,29 +286,6 @@
   }
 }
 
-void FaultInjector::start_when_down(BackendNode* backend, Duration delay) {
-  environment_.scheduler.after(delay, [this, backend] {
-    if (backend->is_up() && backend->is_stopping()) {
-      return start_when_down(backend, kStopPoll);
-    }
-    if (!backend->is_up()) {
-      environment_.observe(LeavingEnded{backend->settings().machine.value});
-      backend->start();
-    }
-  });
-}
-
-void FaultInjector::start_when_down(RouterNode* router, Duration delay) {
-  environment_.scheduler.after(delay, [this, router] {
-    if (router->is_up() && !router->is_listening()) {
-      return start_when_down(router, kStopPoll);
-    }
-    if (!router->is_up()) {
-      router->start();
-    }
-  });
-}
-
 void FaultInjector::kill_controller(ControllerNode* controller, bool torn) {
   if (controller == nullptr || !controller->is_up()) {
     return;
@@ -360,7 +312,6 @@
   backend->kill();
   later(between(milliseconds(300), milliseconds(5000)), [this, backend] {
     if (!backend->is_up()) {
-      environment_.observe(LeavingEnded{backend->settings().machine.value});
       backend->start();
     }
   });
--- a/src/sim/faults.hpp
+++ b/src/sim/faults.hpp
@@ -94,9 +94,6 @@
   void freeze(HostId host, const std::string& name, Duration longest);
   void restart_controller(ControllerNode* controller, Duration delay);
   void leave(BackendNode* backend);
-  /// Starts it again once its planned stop is done.
-  void start_when_down(BackendNode* backend, Duration delay);
-  void start_when_down(RouterNode* router, Duration delay);
   void many_changes();
 
   Fleet& fleet_;
--- a/src/sim/host.hpp
+++ b/src/sim/host.hpp
@@ -18,7 +18,6 @@
   explicit Host(Scheduler& scheduler) : scheduler_(&scheduler) {}
 
   bool is_alive() const { return alive_; }
-  bool is_paused() const { return paused_; }
   /// Grows with every start; what an earlier life began is not carried on.
   std::uint64_t generation() const { return generation_; }
 
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -4,6 +4,7 @@
 #include <CLI/CLI.hpp>
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <iostream>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -162,27 +163,34 @@
           {"violations", summary.violations}};
 }
 
+/// Calls `work` with each number below `count`, on up to `threads` threads at once.
+void for_each_parallel(std::size_t count, unsigned threads,
+                       const std::function<void(std::size_t)>& work) {
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> pool;
+  for (unsigned i = 0; i < threads; ++i) {
+    pool.emplace_back([&] {
+      for (std::size_t number = next++; number < count; number = next++) {
+        work(number);
+      }
+    });
+  }
+  for (std::thread& thread : pool) {
+    thread.join();
+  }
+}
+
 int run_seeds(const Arguments& arguments, const RunOptions& base, const SeedRange& range) {
-  std::atomic<std::uint64_t> next{range.first};
   std::mutex mutex;
   Summary summary;
   const auto began = std::chrono::steady_clock::now();
-  const auto work = [&] {
-    for (std::uint64_t seed = next++; seed <= range.last; seed = next++) {
-      RunOptions options = base;
-      options.seed = seed;
-      const RunResult result = run_once(options);
-      const std::lock_guard lock(mutex);
-      add(summary, result, arguments.as_json);
-    }
-  };
-  std::vector<std::thread> threads;
-  for (unsigned i = 0; i < arguments.threads; ++i) {
-    threads.emplace_back(work);
-  }
-  for (std::thread& thread : threads) {
-    thread.join();
-  }
+  for_each_parallel(range.last - range.first + 1, arguments.threads, [&](std::size_t number) {
+    RunOptions options = base;
+    options.seed = range.first + number;
+    const RunResult result = run_once(options);
+    const std::lock_guard lock(mutex);
+    add(summary, result, arguments.as_json);
+  });
   const std::chrono::duration<double> wall = std::chrono::steady_clock::now() - began;
   json body = summary_json(summary, wall.count(), arguments.threads);
   if (!arguments.as_json) {
@@ -225,18 +233,9 @@
     std::erase_if(mutants, [&](const Mutant& mutant) { return mutant.name != arguments.only; });
   }
   std::vector<MutantVerdict> verdicts(mutants.size());
-  std::atomic<std::size_t> next{0};
-  std::vector<std::thread> threads;
-  for (unsigned i = 0; i < arguments.threads; ++i) {
-    threads.emplace_back([&] {
-      for (std::size_t mutant = next++; mutant < mutants.size(); mutant = next++) {
-        verdicts[mutant] = hunt(mutants[mutant], base, arguments.maximum_seeds);
-      }
-    });
-  }
-  for (std::thread& thread : threads) {
-    thread.join();
-  }
+  for_each_parallel(mutants.size(), arguments.threads, [&](std::size_t mutant) {
+    verdicts[mutant] = hunt(mutants[mutant], base, arguments.maximum_seeds);
+  });
   json body = json::array();
   bool all_caught = true;
   for (std::size_t i = 0; i < mutants.size(); ++i) {
@@ -346,17 +345,12 @@
     scenarios = {*scenario};
   }
   std::vector<json> results(scenarios.size());
-  std::vector<std::thread> threads;
-  for (std::size_t i = 0; i < scenarios.size(); ++i) {
-    threads.emplace_back([&, i] {
-      BenchOptions mine = *options;
-      mine.scenario = scenarios[i];
-      results[i] = bench_json(mine, run_bench(mine));
-    });
-  }
-  for (std::thread& thread : threads) {
-    thread.join();
-  }
+  for_each_parallel(scenarios.size(), static_cast<unsigned>(scenarios.size()),
+                    [&](std::size_t scenario) {
+                      BenchOptions mine = *options;
+                      mine.scenario = scenarios[scenario];
+                      results[scenario] = bench_json(mine, run_bench(mine));
+                    });
   std::cout << json{{"deployment", arguments.deployment},
                     {"policy", arguments.policy},
                     {"subset", arguments.subset},
--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -22,7 +22,6 @@
 }
 
 void Network::send_with(HostId from, HostId to, Action action, bool may_repeat) {
-  ++messages_;
   if (is_cut(from, to)) {
     return;
   }
--- a/src/sim/network.hpp
+++ b/src/sim/network.hpp
@@ -45,7 +45,6 @@
   void send_once(HostId from, HostId to, Action action) {
     send_with(from, to, std::move(action), false);
   }
-  std::uint64_t messages() const { return messages_; }
 
  private:
   void send_with(HostId from, HostId to, Action action, bool may_repeat);
@@ -57,7 +56,6 @@
   std::function<Duration(HostId, HostId)> delay_;
   std::set<std::pair<HostId, HostId>> cuts_;
   NetworkFaults faults_;
-  std::uint64_t messages_ = 0;
 };
 
 }  // namespace planktray::sim
--- a/src/sim/router_node.hpp
+++ b/src/sim/router_node.hpp
@@ -52,6 +52,7 @@
   Host& host() { return environment_.network.host(host_); }
   HostId host_id() const { return host_; }
   bool is_up() { return host().is_alive(); }
+  bool is_stopping() const { return stopping_; }
   bool is_listening() { return is_up() && !stopping_; }
   const router::RouterCore& core() const { return *core_; }
   const common::RouterName& name() const { return options_.name; }
--- a/src/sim/run.cpp
+++ b/src/sim/run.cpp
@@ -56,9 +56,6 @@
   result.trace_hash = scheduler.digest() ^ environment.history.digest();
   result.simulated = scheduler.now() - TimePoint();
   result.actions = scheduler.executed();
-  for (ControllerNode* controller : fleet.controllers()) {
-    result.controller_bytes_synced += controller->persisted_bytes();
-  }
   result.notes = std::move(environment.notes);
   result.measures = std::move(environment.measures);
   result.history = std::move(environment.history);
--- a/src/sim/run.hpp
+++ b/src/sim/run.hpp
@@ -26,7 +26,6 @@
   Measures measures;
   Duration simulated{0};
   std::uint64_t actions = 0;
-  std::uint64_t controller_bytes_synced = 0;
   std::vector<Note> notes;
   History history;
 };
