--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -46,7 +46,7 @@
   std::vector<OutgoingTable> outgoing;
   const common::LogIndex newest = deltas_.empty() ? common::LogIndex() : deltas_.back().to;
   std::erase_if(subscribers_, [&](const auto& item) { return !may_serve(now, item.second); });
-  std::size_t snapshots = snapshots_under_way(now);
+  std::optional<std::size_t> snapshots;  // counted only where a router needs one
   std::uint32_t rank = 0;
   for (auto& [name, subscriber] : subscribers_) {
     const std::uint32_t own_rank = rank++;
@@ -67,10 +67,14 @@
       update.base_index = have;
       update.deltas.assign(first_after(have), deltas_.cend());
       subscriber.snapshot_under_way = false;
-    } else if (waiting || snapshots >= options_.concurrent_snapshots) {
-      continue;
     } else {
-      ++snapshots;
+      if (!snapshots.has_value()) {
+        snapshots = snapshots_under_way(now);
+      }
+      if (waiting || *snapshots >= options_.concurrent_snapshots) {
+        continue;
+      }
+      ++*snapshots;
       update.deltas.push_back(state.table_snapshot());
       subscriber.snapshot_under_way = true;
     }
--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -310,7 +310,7 @@
   }
   note("kill " + backend->settings().machine.value);
   backend->kill();
-  later(between(milliseconds(300), milliseconds(5000)), [this, backend] {
+  later(between(milliseconds(300), milliseconds(5000)), [backend] {
     if (!backend->is_up()) {
       backend->start();
     }
--- a/src/standin/backend_process.cpp
+++ b/src/standin/backend_process.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "standin/lease_endpoint.hpp"
 #include "transport/json_messages.hpp"
 #include "transport/logging.hpp"
 
@@ -102,7 +103,7 @@
 void BackendProcess::on_http(const transport::ExchangePointer& exchange) {
   const std::string& path = exchange->path();
   if (path == "/planktray/v1/lease") {
-    return on_lease(exchange);
+    return answer_lease(core_, exchange);
   }
   if (path == "/planktray/v1/release") {
     return on_release(exchange);
@@ -119,16 +120,6 @@
   later([this, exchange] { on_work(exchange); });
 }
 
-void BackendProcess::on_lease(const transport::ExchangePointer& exchange) {
-  const auto request = transport::parse_lease_request(exchange->body(), "controller");
-  if (!request.has_value()) {
-    return exchange->respond_error(request.error());
-  }
-  const ownership::LeaseReply reply = core_.on_lease(boot_time_now(), *request);
-  const bool accepted = reply.status == ownership::LeaseStatus::kAccepted;
-  exchange->respond_json(accepted ? kStatusOk : kStatusConflict, transport::to_json(reply));
-}
-
 void BackendProcess::on_release(const transport::ExchangePointer& exchange) {
   const auto request = transport::parse_release_request(exchange->body(), "controller");
   if (!request.has_value()) {
--- a/src/standin/backend_process.hpp
+++ b/src/standin/backend_process.hpp
@@ -39,7 +39,6 @@
   };
 
   void on_http(const transport::ExchangePointer& exchange);
-  void on_lease(const transport::ExchangePointer& exchange);
   void on_release(const transport::ExchangePointer& exchange);
   void on_work(const transport::ExchangePointer& exchange);
   void flush();
--- a/src/standin/hollow_process.cpp
+++ b/src/standin/hollow_process.cpp
@@ -1,6 +1,7 @@
 #include "standin/hollow_process.hpp"
 
 #include "membership/machine_list.hpp"
+#include "standin/lease_endpoint.hpp"
 #include "transport/json_messages.hpp"
 #include "transport/logging.hpp"
 
@@ -14,7 +15,6 @@
 /// Above what the library allows by itself, 1,023.
 constexpr int kMaxSockets = 20'000;
 constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusConflict = 409;
 constexpr unsigned kStatusNotFound = 404;
 
 }  // namespace
@@ -94,13 +94,7 @@
   if (exchange->path() != "/planktray/v1/lease") {
     return exchange->respond_json(kStatusNotFound, R"({"error":"hollow"})");
   }
-  const auto request = transport::parse_lease_request(exchange->body(), "controller");
-  if (!request.has_value()) {
-    return exchange->respond_error(request.error());
-  }
-  const ownership::LeaseReply reply = backend.core->on_lease(boot_time_now(), *request);
-  const bool accepted = reply.status == ownership::LeaseStatus::kAccepted;
-  exchange->respond_json(accepted ? kStatusOk : kStatusConflict, transport::to_json(reply));
+  answer_lease(*backend.core, exchange);
 }
 
 void HollowProcess::tick_routers() {
