--- a/src/cli/controller_client.cpp
+++ b/src/cli/controller_client.cpp
@@ -25,10 +25,12 @@
                                                            const std::string& path,
                                                            const nlohmann::json& body) {
   transport::EventLoop loop;
-  transport::HttpClient client(1);
+  transport::HttpClient client(transport::HttpClientOptions{});
   transport::HttpRequest request;
   request.method = method;
-  request.url = "http://" + controller + path;
+  request.address = controller;
+  request.target = path;
+  request.headers = {{"Content-Type", "application/json"}};
   request.body = body.is_null() ? "" : body.dump();
   request.timeout = kRequestTimeout;
   transport::HttpResponse response;
--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -78,6 +78,10 @@
 
   RaftOutput take_output();
 
+  /// When tick() next has something to do, if no message comes before.
+  TimePoint next_due() const {
+    return role_ == Role::kLeader ? next_heartbeat_ : election_deadline_;
+  }
   Role role() const { return role_; }
   bool is_leader() const { return role_ == Role::kLeader; }
   /// True where the leader's lease holds and an entry of its own term has committed.
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -1,6 +1,7 @@
 #include "controller/controller_process.hpp"
 
 #include <random>
+#include <tuple>
 #include <utility>
 
 #include "transport/json_messages.hpp"
@@ -16,7 +17,7 @@
 
 constexpr common::Duration kTick = std::chrono::milliseconds(5);
 constexpr std::size_t kMaxOperatorBody = 4 * 1024 * 1024;
-constexpr int kConnectionsPerBackend = 8;
+constexpr std::size_t kConnectionsPerBackend = 8;
 /// Lease requests under way to one machine; a frozen machine must not gather more.
 constexpr int kLeasesInFlight = 4;
 
@@ -25,12 +26,18 @@
   return common::RandomEngine((static_cast<std::uint64_t>(device()) << 32U) | device());
 }
 
+transport::HttpClientOptions client_options() {
+  transport::HttpClientOptions options;
+  options.connections_per_server = kConnectionsPerBackend;
+  return options;
+}
+
 }  // namespace
 
 ControllerProcess::ControllerProcess(ControllerSettings settings)
-    : settings_(std::move(settings)) {}
+    : settings_(std::move(settings)), alarm_([this] { tick(); }) {}
 
-common::Result<void> ControllerProcess::start() {
+common::Result<void> ControllerProcess::open_folder() {
   auto disk = transport::FileDisk::open(settings_.data_folder);
   if (!disk.has_value()) {
     return tl::unexpected(disk.error());
@@ -38,7 +45,12 @@
   disk_ = std::move(*disk);
   store_ = std::make_unique<storage::LogStore>(*disk_);
   common::RandomEngine random = seeded_engine();
-  auto state = store_->open(settings_.options.cell, random);
+  std::optional<storage::Identity> founder;
+  if (settings_.first_start) {
+    founder = founder_identity(settings_.options.cell, settings_.founders,
+                               settings_.options.peer_address);
+  }
+  auto state = store_->open(settings_.options.cell, random, founder);
   if (!state.has_value()) {
     return tl::unexpected(state.error());
   }
@@ -46,6 +58,10 @@
                                            std::move(*state), random, boot_time_now());
   worker_ = std::make_unique<transport::StorageWorker>(
       *store_, [this](const auto& persisted) { on_persisted(persisted); });
+  return {};
+}
+
+common::Result<void> ControllerProcess::open_sockets() {
   auto socket = transport::ZmqSocket::bind(
       context_, settings_.options.peer_address,
       [this](const std::string& identity, const auto& message) { on_message(identity, message); });
@@ -53,23 +69,48 @@
     return tl::unexpected(socket.error());
   }
   server_socket_ = std::move(*socket);
+  http_client_ = std::make_unique<transport::HttpClient>(client_options());
   api_ = std::make_unique<OperatorApi>(*core_, metrics_, [this] { flush(); });
   api_->on_metrics = [this] { update_metrics(); };
+  if (settings_.make_control) {
+    control_ = settings_.make_control(*core_, [this] { flush(); });
+    auto control = transport::HttpServer::listen(
+        settings_.control_address, transport::options_with_body_limit(kMaxOperatorBody),
+        [this](const transport::ExchangePointer& exchange) { control_->handle(exchange); });
+    if (!control.has_value()) {
+      return tl::unexpected(control.error());
+    }
+    control_server_ = std::move(*control);
+  }
   auto server = transport::HttpServer::listen(
-      settings_.options.operator_address, kMaxOperatorBody,
+      settings_.operator_listen_address(), transport::options_with_body_limit(kMaxOperatorBody),
       [this](const transport::ExchangePointer& exchange) { api_->handle(exchange); });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
   }
   http_server_ = std::move(*server);
-  http_client_ = std::make_unique<transport::HttpClient>(kConnectionsPerBackend);
+  return {};
+}
+
+common::Result<void> ControllerProcess::start() {
+  if (auto opened = open_folder(); !opened) {
+    return opened;
+  }
+  if (auto opened = open_sockets(); !opened) {
+    return opened;
+  }
+  if (!store_->identity().founders.members.empty() && core_->raft().membership().members.empty()) {
+    if (auto created = core_->create_cell(boot_time_now(), store_->identity().founders); !created) {
+      return created;
+    }
+  }
   log_event("started", {{"replica", std::to_string(core_->raft().self().value)},
                         {"applied", std::to_string(core_->state().applied().value)}});
   return {};
 }
 
 int ControllerProcess::run() {
-  loop_.every(kTick, [this] { tick(); });
+  tick();
   if (!settings_.platform_url.empty()) {
     poll_platform();
     loop_.every(settings_.platform_interval, [this] { poll_platform(); });
@@ -92,43 +133,65 @@
     return;  // the loop below picks up what was added
   }
   flushing_ = true;
-  while (true) {
-    ControllerOutput output = core_->take_output();
-    const bool nothing = output.peer_messages.empty() && output.persist.empty() &&
-                         output.leases.empty() && output.releases.empty() &&
-                         output.tables.empty() && output.completions.empty() &&
-                         !output.join.has_value();
-    if (nothing) {
-      break;
-    }
-    if (!output.persist.empty()) {
-      worker_->submit(std::move(output.persist));
-    }
-    for (const consensus::RaftMessage& message : output.peer_messages) {
-      send_peer(message);
-    }
-    if (output.join.has_value()) {
-      for (const std::string& peer : settings_.peers) {
-        if (transport::ZmqSocket* socket = dealer(peer)) {
-          socket->send(transport::WireMessage(*output.join));
-        }
+  for (ControllerOutput output = core_->take_output(); !output.empty();
+       output = core_->take_output()) {
+    carry_out(output);
+  }
+  flushing_ = false;
+  log_changes();
+  alarm_.set(core_->next_due(boot_time_now()));
+}
+
+void ControllerProcess::carry_out(ControllerOutput& output) {
+  if (!output.persist.empty()) {
+    worker_->submit(std::move(output.persist));
+  }
+  for (const consensus::RaftMessage& message : output.peer_messages) {
+    send_peer(message);
+  }
+  if (output.join.has_value()) {
+    for (const std::string& peer : settings_.peers) {
+      if (transport::ZmqSocket* socket = dealer(peer)) {
+        socket->send(transport::WireMessage(*output.join));
       }
     }
-    for (const ownership::OutgoingLease& lease : output.leases) {
-      send_lease(lease);
-    }
-    for (const ownership::OutgoingRelease& release : output.releases) {
-      send_release(release);
-    }
-    for (const OutgoingTable& table : output.tables) {
-      send_table(table);
-    }
-    for (const Completion& completion : output.completions) {
-      api_->complete(completion);
+  }
+  for (const ownership::OutgoingLease& lease : output.leases) {
+    send_lease(lease);
+  }
+  for (const ownership::OutgoingRelease& release : output.releases) {
+    send_release(release);
+  }
+  for (const ownership::GrantOrder& order : output.grants) {
+    send_order(order, settings_.order_timeout);
+  }
+  for (const ownership::ReleaseOrder& order : output.key_releases) {
+    send_order(order, settings_.release_timeout);
+  }
+  for (const OutgoingTable& table : output.tables) {
+    send_table(table);
+  }
+  for (const Completion& completion : output.completions) {
+    api_->complete(completion);
+    if (control_ != nullptr) {
+      control_->complete(completion);
     }
   }
-  flushing_ = false;
-  log_changes();
+}
+
+template <typename Order>
+void ControllerProcess::send_order(const Order& order, common::Duration timeout) {
+  if (control_ == nullptr) {
+    return;
+  }
+  transport::HttpRequest request = control_->to_request(order);
+  request.address = order.address;
+  request.timeout = timeout;
+  http_client_->send(std::move(request),
+                     [this, id = order.id](const transport::HttpResponse& response) {
+                       core_->on_order_reply(boot_time_now(), id, control_->read_reply(response));
+                       flush();
+                     });
 }
 
 transport::ZmqSocket* ControllerProcess::dealer(const std::string& address) {
@@ -203,7 +266,9 @@
   ++leases_sent_;
   transport::HttpRequest request;
   request.method = "PUT";
-  request.url = "http://" + lease.address + "/planktray/v1/lease";
+  request.address = lease.address;
+  request.target = "/planktray/v1/lease";
+  request.headers = {{"Content-Type", "application/json"}};
   request.body = transport::to_json(lease.request);
   request.timeout = settings_.lease_timeout;
   http_client_->send(request, [this, machine = lease.machine,
@@ -227,7 +292,9 @@
 void ControllerProcess::send_release(const ownership::OutgoingRelease& release) {
   transport::HttpRequest request;
   request.method = "PUT";
-  request.url = "http://" + release.address + "/planktray/v1/release";
+  request.address = release.address;
+  request.target = "/planktray/v1/release";
+  request.headers = {{"Content-Type", "application/json"}};
   request.body = transport::to_json(release.request);
   request.timeout = std::chrono::milliseconds(release.request.wait_ms) + settings_.lease_timeout;
   http_client_->send(request, [this, backend = release.backend,
@@ -254,7 +321,7 @@
 
 void ControllerProcess::poll_platform() {
   transport::HttpRequest request;
-  request.url = settings_.platform_url;
+  std::tie(request.address, request.target) = transport::split_url(settings_.platform_url);
   request.timeout = settings_.platform_interval;
   http_client_->send(request, [this](const transport::HttpResponse& response) {
     common::Result<membership::MachineList> list =
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -1,12 +1,14 @@
 #pragma once
-/// The shell around ControllerCore: GLib main loop, ZeroMQ, libsoup and the data folder.
+/// The shell around ControllerCore: GLib main loop, ZeroMQ, HTTP and the data folder.
 
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "controller/control_interface.hpp"
 #include "controller/core/controller_core.hpp"
+#include "controller/founding.hpp"
 #include "controller/operator_api.hpp"
 #include "storage/log_store.hpp"
 #include "transport/event_loop.hpp"
@@ -22,10 +24,26 @@
 struct ControllerSettings {
   ControllerOptions options;
   std::string data_folder;
+  /// "IP:port" of the product's operator API, where it is not the address that members know.
+  std::string operator_listen;
   std::vector<std::string> peers;  ///< ZeroMQ endpoints of the other controllers
   std::string platform_url;        ///< "http://IP:port/machines"
   common::Duration platform_interval = std::chrono::milliseconds(500);
   common::Duration lease_timeout = std::chrono::milliseconds(400);
+  /// The whole system starts for the first time: with an empty folder, a founder makes the cell.
+  bool first_start = false;
+  std::vector<FoundingAddress> founders;
+  /// "IP:port" of the deployment's own interface; empty: none.
+  std::string control_address;
+  ControlInterfaceFactory make_control;
+  /// An order to a back end without an answer is given up after this time.
+  common::Duration order_timeout = std::chrono::milliseconds(500);
+  /// The same for a release, which waits for running work.
+  common::Duration release_timeout = std::chrono::milliseconds(3000);
+
+  const std::string& operator_listen_address() const {
+    return operator_listen.empty() ? options.operator_address : operator_listen;
+  }
 };
 
 class ControllerProcess {
@@ -38,8 +56,13 @@
   int run();
 
  private:
+  common::Result<void> open_folder();
+  common::Result<void> open_sockets();
   void tick();
   void flush();
+  void carry_out(ControllerOutput& output);
+  template <typename Order>
+  void send_order(const Order& order, common::Duration timeout);
   void send_peer(const consensus::RaftMessage& message);
   void send_lease(const ownership::OutgoingLease& lease);
   void send_release(const ownership::OutgoingRelease& release);
@@ -53,6 +76,7 @@
 
   ControllerSettings settings_;
   transport::EventLoop loop_;
+  transport::Alarm alarm_;
   zmq::context_t context_;
   std::unique_ptr<transport::FileDisk> disk_;
   std::unique_ptr<storage::LogStore> store_;
@@ -60,7 +84,9 @@
   std::unique_ptr<transport::StorageWorker> worker_;
   transport::Metrics metrics_;
   std::unique_ptr<OperatorApi> api_;
+  std::unique_ptr<ControlInterface> control_;
   std::unique_ptr<transport::HttpServer> http_server_;
+  std::unique_ptr<transport::HttpServer> control_server_;
   std::unique_ptr<transport::HttpClient> http_client_;
   std::unique_ptr<transport::ZmqSocket> server_socket_;
   std::map<std::string, std::unique_ptr<transport::ZmqSocket>> dealers_;
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -10,12 +10,13 @@
 using ownership::ApplyPlan;
 using ownership::Command;
 
-/// A learner this close to the commit index may vote.
-constexpr std::uint64_t kPromotionLag = 64;
 /// A plan without a change of state is tried again this often: losses come with time alone.
 constexpr Duration kPlanInterval = std::chrono::milliseconds(20);
 /// All sessions and subscribers are looked through this often, and at once after a change.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(5);
+/// A controller looks around at least this often, and at most, where nothing comes in.
+constexpr Duration kLongestRest = std::chrono::milliseconds(250);
+constexpr Duration kShortestRest = std::chrono::milliseconds(2);
 
 }  // namespace
 
@@ -27,6 +28,7 @@
       leases_(options_.cell, options_.lease),
       planner_(options_.planner),
       distributor_(options_.cell, options_.distributor),
+      ranges_(options_.ranges),
       next_balance_(now),
       next_join_(now),
       next_plan_(now) {
@@ -54,6 +56,8 @@
   }
   distributor_.on_hello(now, hello);
   loads_.add(hello.loads);
+  ranges_.note_loads(hello.key_loads);
+  sweep_needed_ = true;
   step(now);
 }
 
@@ -70,6 +74,13 @@
   step(now);
 }
 
+void ControllerCore::on_order_reply(TimePoint now, ownership::OrderId id,
+                                    const ownership::OrderReply& reply) {
+  ranges_.on_order_reply(now, state_, id, reply);
+  sweep_needed_ = true;
+  step(now);
+}
+
 void ControllerCore::on_release_failure(common::BackendId backend) {
   leases_.on_release_failure(backend);
 }
@@ -84,6 +95,23 @@
 
 ControllerOutput ControllerCore::take_output() { return std::exchange(output_, {}); }
 
+TimePoint ControllerCore::next_due(TimePoint now) const {
+  TimePoint due = std::min(raft_.next_due(), now + kLongestRest);
+  if (!raft_.is_leader()) {
+    return due;
+  }
+  if (leases_.sessions() > 0 || !machines_.machines.empty()) {
+    due = std::min(due, now + kSweepInterval);
+  }
+  return std::min(due, std::max(ranges_.next_due(), now + kShortestRest));
+}
+
+bool ControllerOutput::empty() const {
+  return peer_messages.empty() && !join.has_value() && persist.empty() && leases.empty() &&
+         releases.empty() && grants.empty() && key_releases.empty() && tables.empty() &&
+         completions.empty();
+}
+
 // ---------------------------------------------------------------- the log
 
 void ControllerCore::step(TimePoint now) {
@@ -105,7 +133,10 @@
   mark_leaving(now);
   plan(now);
   maintain_members(now);
+  maintain_roster(now);
+  plan_ranges(now);
   leases_.collect(now, state_, machines_, output_.leases, output_.releases);
+  ranges_.collect_orders(now, state_, output_.grants, output_.key_releases);
   for (OutgoingTable& table : distributor_.collect(now, state_)) {
     output_.tables.push_back(std::move(table));
   }
@@ -146,6 +177,7 @@
   if (leading_ && (!leads || raft_.term() != leading_term_)) {
     leading_ = false;
     leases_.end_term();
+    ranges_.end_term();
     fail_pending();
   }
   if (leads && !leading_) {
@@ -153,13 +185,16 @@
     leading_term_ = raft_.term();
     ++counters_.elections_won;
     leases_.begin_term(now, raft_.term(), state_);
+    ranges_.begin_term(now, state_);
     planner_.begin_term();
     loads_.clear();
     distributor_.begin_term(now, raft_.term());
     registering_.clear();
     marking_.clear();
+    listing_.clear();
     replaced_.clear();
     plan_index_ = common::LogIndex();
+    range_plan_index_ = common::LogIndex();
     planned_state_ = common::LogIndex();
   }
 }
@@ -180,6 +215,9 @@
     ++counters_.backends_registered;
     registering_.erase({registration->machine, registration->incarnation});
   }
+  if (const auto* presence = std::get_if<ownership::RouterPresence>(&command->value)) {
+    listing_.erase(presence->router);
+  }
   if (const auto* leaving = std::get_if<ownership::MarkLeaving>(&command->value)) {
     marking_.erase(leaving->backend);
   }
@@ -295,6 +333,11 @@
   submit(now, request, Command(std::move(change)), true);
 }
 
+void ControllerCore::change_routes(TimePoint now, OperatorRequestId request,
+                                   config::RouteChange change) {
+  submit(now, request, Command(ownership::ChangeRoutes{std::move(change)}), true);
+}
+
 void ControllerCore::drain_machine(TimePoint now, OperatorRequestId request,
                                    ownership::DrainMachine drain) {
   submit(now, request, Command(std::move(drain)), false);
@@ -359,91 +402,6 @@
   step(now);
 }
 
-// ---------------------------------------------------------------- members
-
-void ControllerCore::on_join(TimePoint now, const consensus::JoinRequest& request) {
-  const consensus::Membership& present = raft_.membership();
-  if (request.cell != options_.cell || !is_serving(now) ||
-      present.find(request.candidate.id) != nullptr) {
-    return;
-  }
-  bool known = allowed_names_.contains(request.candidate.name);
-  for (const consensus::Member& member : present.members) {
-    if (member.name != request.candidate.name) {
-      continue;
-    }
-    replaced_.insert(member.id);  // its folder is gone: another one speaks for its place
-    const auto heard = raft_.last_heard(member.id);
-    const bool silent = now - raft_.leader_since() > options_.replace_after &&
-                        (!heard.has_value() || now - *heard > options_.replace_after);
-    if (member.id == raft_.self() || !silent) {
-      return;  // the name is in use
-    }
-    known = true;
-  }
-  if (!known) {
-    return;
-  }
-  consensus::Membership next = present;
-  next.members.push_back(request.candidate);
-  next.members.back().voter = false;
-  // A refusal means that another change is under way; the candidate asks again.
-  (void)raft_.propose_membership(now, next);
-  step(now);
-}
-
-void ControllerCore::maintain_members(TimePoint now) {
-  const consensus::Membership& present = raft_.membership();
-  if (raft_.membership_change_pending()) {
-    return;
-  }
-  const auto is_recent = [&](common::ReplicaId id) {
-    return is_present(now, id, options_.replace_after);
-  };
-  for (std::size_t i = 0; i < present.members.size(); ++i) {
-    const consensus::Member& member = present.members[i];
-    const bool caught_up =
-        raft_.match_index(member.id).value + kPromotionLag >= raft_.commit_index().value;
-    if (!member.voter && caught_up && is_recent(member.id)) {
-      consensus::Membership next = present;
-      next.members[i].voter = true;
-      (void)raft_.propose_membership(now, next);
-      return;
-    }
-    const bool replaced = std::any_of(present.members.begin(), present.members.end(),
-                                      [&](const consensus::Member& other) {
-                                        return other.name == member.name && other.id != member.id &&
-                                               other.voter && is_recent(other.id);
-                                      });
-    if (replaced && member.id != raft_.self() && !is_recent(member.id)) {
-      consensus::Membership next = present;
-      next.members.erase(next.members.begin() + static_cast<std::ptrdiff_t>(i));
-      (void)raft_.propose_membership(now, next);
-      return;
-    }
-  }
-}
-
-bool ControllerCore::is_fully_replicated(TimePoint now) const {
-  if (!is_serving(now) || raft_.membership_change_pending()) {
-    return false;
-  }
-  const auto& members = raft_.membership().members;
-  return std::all_of(members.begin(), members.end(), [&](const consensus::Member& member) {
-    return member.voter && !replaced_.contains(member.id) &&
-           is_present(now, member.id, options_.presence_window) &&
-           (member.id == raft_.self() || raft_.match_index(member.id) >= raft_.commit_index());
-  });
-}
-
-bool ControllerCore::is_present(TimePoint now, common::ReplicaId id, Duration window) const {
-  if (id == raft_.self()) {
-    return true;
-  }
-  const auto heard = raft_.last_heard(id);
-  return heard.has_value() && now - *heard < window;
-}
-
 // ---------------------------------------------------------------- back ends and shards
 
 void ControllerCore::register_backends(TimePoint now) {
@@ -506,4 +464,81 @@
   }
 }
 
+// ---------------------------------------------------------------- back ends with fenced grants
+
+void ControllerCore::heartbeat(TimePoint now, OperatorRequestId request,
+                               const Heartbeat& heartbeat) {
+  const auto complete_now = [&](common::Result<common::LogIndex> index) {
+    output_.completions.emplace_back(CommandCompleted{request, std::move(index)});
+  };
+  if (!is_serving(now)) {
+    return complete_now(tl::unexpected(not_leader("take heartbeat")));
+  }
+  const bool is_late = !ranges_.note_heartbeat(now, heartbeat.incarnation, heartbeat.sequence);
+  if (state_.has_departed(heartbeat.incarnation) || (is_late && !heartbeat.draining)) {
+    return complete_now(state_.applied());
+  }
+  const ownership::BackendRecord* known = state_.find_incarnation(heartbeat.incarnation);
+  if (known == nullptr) {
+    ownership::RegisterBackend registration;
+    registration.machine = common::MachineName(heartbeat.incarnation.value);
+    registration.address = heartbeat.address;
+    registration.zone = heartbeat.zone;
+    registration.pool = common::PoolName(heartbeat.service);
+    registration.incarnation = heartbeat.incarnation;
+    registration.contract = static_cast<std::uint8_t>(ownership::OwnershipContract::kFencedGrant);
+    registration.slots = heartbeat.slots;
+    registration.cold_ms = heartbeat.cold_ms;
+    registration.leaving = heartbeat.draining;
+    return submit(now, request, Command(std::move(registration)), false);
+  }
+  if (heartbeat.draining && !known->leaving) {
+    return submit(now, request, Command(ownership::MarkLeaving{known->id, true, false}), false);
+  }
+  complete_now(state_.applied());
+}
+
+void ControllerCore::depart(TimePoint now, OperatorRequestId request,
+                            const common::Incarnation& incarnation) {
+  if (!is_serving(now)) {
+    output_.completions.emplace_back(
+        CommandCompleted{request, tl::unexpected(not_leader("take goodbye"))});
+    return;
+  }
+  const ownership::BackendRecord* known = state_.find_incarnation(incarnation);
+  if (known == nullptr || known->departed) {
+    output_.completions.emplace_back(CommandCompleted{request, state_.applied()});
+    return;
+  }
+  submit(now, request, Command(ownership::MarkLeaving{known->id, true, true}), false);
+}
+
+void ControllerCore::plan_ranges(TimePoint now) {
+  if (range_plan_index_ > state_.applied()) {
+    return;
+  }
+  ownership::ApplyRangePlan next = ranges_.plan(now, state_, distributor_.in_force(now, state_));
+  if (next.empty()) {
+    return;
+  }
+  const auto index = propose(now, Command(std::move(next)));
+  if (index.has_value()) {
+    range_plan_index_ = *index;
+  }
+}
+
+void ControllerCore::maintain_roster(TimePoint now) {
+  const auto propose_presence = [&](const common::RouterName& router, bool present) {
+    if (listing_.insert({router, present}).second) {
+      (void)propose(now, Command(ownership::RouterPresence{router, present}));
+    }
+  };
+  for (const common::RouterName& router : distributor_.unlisted(state_)) {
+    propose_presence(router, true);
+  }
+  for (const common::RouterName& router : distributor_.silent(now, state_)) {
+    propose_presence(router, false);
+  }
+}
+
 }  // namespace planktray::controller
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -14,6 +14,7 @@
 #include "common/error.hpp"
 #include "consensus/join.hpp"
 #include "consensus/raft.hpp"
+#include "controller/core/range_controller.hpp"
 #include "controller/core/table_distributor.hpp"
 #include "membership/machine_list.hpp"
 #include "ownership/cell_state.hpp"
@@ -35,6 +36,7 @@
   ownership::LeaseOptions lease;
   ownership::PlannerOptions planner;
   DistributorOptions distributor;
+  RangeOptions ranges;
   /// How often load is folded and balancing may act.
   Duration balance_interval = std::chrono::milliseconds(1000);
   /// A snapshot is taken after this many applied entries.
@@ -42,11 +44,30 @@
   Duration join_interval = std::chrono::milliseconds(500);
   /// A member that was silent for this long may be replaced by a new folder under its name.
   Duration replace_after = std::chrono::milliseconds(1500);
+  /// Any controller may join, up to `maximum_members`; `wanted_voters` of them vote, the others
+  /// stand by. Off: only names that an operator has allowed join, and all of them vote.
+  bool admits_anyone = false;
+  std::size_t wanted_voters = 3;
+  std::size_t maximum_members = 9;
+  /// With admits_anyone, a voter that was silent for this long gives its place to a standby.
+  Duration abandon_after = std::chrono::seconds(12);
   /// A member counts as present where it was heard this recently: three heartbeats, and less than
   /// a machine takes to come back with an empty disk.
   Duration presence_window = std::chrono::milliseconds(90);
 };
 
+/// What a back end that registers itself says in a heartbeat.
+struct Heartbeat {
+  common::Incarnation incarnation;
+  std::string address;  ///< "IP:port"
+  std::string service;
+  common::ZoneName zone;
+  std::uint32_t slots = 0;
+  bool draining = false;
+  std::uint64_t sequence = 0;
+  std::uint32_t cold_ms = 0;
+};
+
 /// Identity of an operator's request inside this process.
 using OperatorRequestId = std::uint64_t;
 
@@ -70,8 +91,13 @@
   std::vector<consensus::PersistRequest> persist;
   std::vector<ownership::OutgoingLease> leases;
   std::vector<ownership::OutgoingRelease> releases;
+  std::vector<ownership::GrantOrder> grants;
+  std::vector<ownership::ReleaseOrder> key_releases;
   std::vector<OutgoingTable> tables;
   std::vector<Completion> completions;
+
+  /// True where there is nothing to carry out.
+  bool empty() const;
 };
 
 struct ControllerCounters {
@@ -103,11 +129,18 @@
   void on_release_failure(common::BackendId backend);
   void on_machine_list(TimePoint now, membership::MachineList list);
 
+  void on_order_reply(TimePoint now, ownership::OrderId id, const ownership::OrderReply& reply);
+  /// Completed once what it says is in the replicated state, or at once where it is already.
+  void heartbeat(TimePoint now, OperatorRequestId request, const Heartbeat& heartbeat);
+  /// A back end says goodbye; as above.
+  void depart(TimePoint now, OperatorRequestId request, const common::Incarnation& incarnation);
+
   /// Makes the cell with these members. Only for a folder that belongs to no cell yet; a repeat
   /// with the same members does nothing.
   common::Result<void> create_cell(TimePoint now, const consensus::Membership& membership);
   void change_declaration(TimePoint now, OperatorRequestId request,
                           ownership::ChangeDeclaration change);
+  void change_routes(TimePoint now, OperatorRequestId request, config::RouteChange change);
   void drain_machine(TimePoint now, OperatorRequestId request, ownership::DrainMachine drain);
   /// Begins a planned move of one shard to a machine.
   void move_shard(TimePoint now, OperatorRequestId request, const common::ServiceKey& service,
@@ -118,7 +151,11 @@
   /// Asks for a moment at which the state may be read linearizably.
   void read(TimePoint now, OperatorRequestId request);
 
+  /// A number for a request to this process, different from all before.
+  OperatorRequestId new_request() { return next_request_++; }
   ControllerOutput take_output();
+  /// When tick() next has something to do, if no input comes before.
+  TimePoint next_due(TimePoint now) const;
 
   /// True where this replica may answer and grant.
   bool is_serving(TimePoint now) const { return raft_.has_leader_lease(now); }
@@ -148,7 +185,16 @@
   void fail_pending();
   void take_snapshot();
   void maintain_members(TimePoint now);
+  /// The present membership with one change that is due, or nothing.
+  std::optional<consensus::Membership> next_membership(TimePoint now) const;
+  std::optional<consensus::Membership> next_standby_change(TimePoint now) const;
+  bool is_replaced(TimePoint now, const consensus::Member& member) const;
+  bool has_caught_up(const consensus::Member& member) const;
+  /// True where a voter of the same name stands for an older folder of the same place.
+  bool takes_a_place(const consensus::Member& member) const;
   bool is_present(TimePoint now, common::ReplicaId id, Duration window) const;
+  void maintain_roster(TimePoint now);
+  void plan_ranges(TimePoint now);
   void register_backends(TimePoint now);
   void mark_leaving(TimePoint now);
   void plan(TimePoint now);
@@ -164,16 +210,20 @@
   ownership::Planner planner_;
   ownership::LoadView loads_;
   TableDistributor distributor_;
+  RangeController ranges_;
   membership::MachineList machines_;
 
+  OperatorRequestId next_request_ = 1;
   bool leading_ = false;
   common::Term leading_term_;
   std::map<common::LogIndex, PendingRequest> pending_;
   std::set<std::pair<common::MachineName, common::Incarnation>> registering_;
   std::set<common::BackendId> marking_;
+  std::map<common::RouterName, bool> listing_;  ///< roster changes under way
   std::set<std::string> allowed_names_;
   std::set<common::ReplicaId> replaced_;  ///< members whose place has a new folder
   common::LogIndex plan_index_;           ///< the last plan proposed; wait for it before the next
+  common::LogIndex range_plan_index_;     ///< the same for plans of key ranges
   common::LogIndex planned_state_;        ///< state that the last plan was made from
   TimePoint next_balance_;
   TimePoint next_join_;
--- /dev/null
+++ b/src/controller/core/range_controller.cpp
@@ -0,0 +1,133 @@
+#include "controller/core/range_controller.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace planktray::controller {
+namespace {
+
+using ownership::BackendRecord;
+using ownership::CellState;
+using ownership::OwnershipContract;
+
+/// A range that waits for its holder's end is looked at this often.
+constexpr Duration kMovingInterval = std::chrono::milliseconds(20);
+
+bool has_moving(const CellState& state) {
+  for (const auto& [id, service] : state.routed_services()) {
+    for (const auto& [first, range] : service.ranges.records()) {
+      if (range.moving) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+RangeController::RangeController(RangeOptions options)
+    : options_(options),
+      heartbeats_(options.heartbeat),
+      grants_(options.grant),
+      planner_(options.planner),
+      loads_(options.load_half_life) {}
+
+void RangeController::begin_term(TimePoint now, const CellState& state) {
+  heartbeats_.begin_term(now);
+  grants_.begin_term(now, state);
+  loads_.clear();
+  planned_state_ = common::LogIndex();
+  next_plan_ = now;
+  next_balance_ = now + options_.balance_interval;
+  joined_.clear();
+}
+
+void RangeController::on_order_reply(TimePoint now, const CellState& state, ownership::OrderId id,
+                                     const ownership::OrderReply& reply) {
+  const auto backend = grants_.on_reply(now, id, reply);
+  const BackendRecord* record = backend.has_value() ? state.find_backend(*backend) : nullptr;
+  if (record != nullptr && reply.end == ownership::OrderEnd::kAccepted) {
+    heartbeats_.note_answer(now, record->incarnation);
+  }
+  next_plan_ = now;
+}
+
+bool RangeController::is_eligible(TimePoint now, const BackendRecord& backend) const {
+  return backend.has_contract(OwnershipContract::kFencedGrant) && !backend.leaving &&
+         !backend.ended && !heartbeats_.is_silent(now, backend.incarnation);
+}
+
+bool RangeController::is_settled(TimePoint now, const CellState& state,
+                                 const ownership::RoutedServiceRecord& service) {
+  const auto& records = service.ranges.records();
+  const bool untouched = records.size() == 1 && records.begin()->second.owner.value == 0;
+  if (!untouched) {
+    return true;
+  }
+  const auto targets = static_cast<std::size_t>(
+      std::count_if(state.backends().begin(), state.backends().end(), [&](const auto& item) {
+        return item.second.pool.value == service.config.name.value && is_eligible(now, item.second);
+      }));
+  Joined& joined = joined_[service.id];
+  if (targets != joined.targets) {
+    joined = {targets, now};
+  }
+  return targets > 0 && now - joined.changed >= options_.settle_time;
+}
+
+std::vector<common::BackendId> RangeController::forgotten(TimePoint now,
+                                                          const CellState& state) const {
+  std::vector<common::BackendId> gone;
+  for (const auto& [id, backend] : state.backends()) {
+    if (!backend.has_contract(OwnershipContract::kFencedGrant) || state.owns_keys(id)) {
+      continue;
+    }
+    const bool silent = heartbeats_.is_silent(now, backend.incarnation);
+    if (backend.ended || (backend.leaving && silent) ||
+        heartbeats_.is_forgotten(now, backend.incarnation)) {
+      gone.push_back(id);
+    }
+  }
+  return gone;
+}
+
+ownership::ApplyRangePlan RangeController::plan(TimePoint now, const CellState& state,
+                                                const ownership::InForce& in_force) {
+  const bool balance = now >= next_balance_;
+  const bool changed = state.applied() != planned_state_;
+  if (!balance && !changed && now < next_plan_) {
+    return {};
+  }
+  if (balance) {
+    next_balance_ = now + options_.balance_interval;
+    loads_.fold(now);
+  }
+  planned_state_ = state.applied();
+  ownership::RangePlannerInput input{state, loads_, {}, {}, balance};
+  input.is_eligible = [&](const BackendRecord& backend) { return is_eligible(now, backend); };
+  input.may_assign = [&](common::ServiceId service, const ownership::RangeRecord& record) {
+    const auto found = state.routed_services().find(service);
+    if (!is_settled(now, state, found->second)) {
+      return ownership::GrantManager::Verdict();
+    }
+    return grants_.may_assign(now, state, service, record, in_force);
+  };
+  ownership::ApplyRangePlan plan = planner_.plan(input);
+  for (ownership::RangeMove& move : grants_.withdrawals(now, state)) {
+    plan.moves.push_back(std::move(move));
+  }
+  plan.removed = forgotten(now, state);
+  next_plan_ = next_balance_;
+  if (has_moving(state)) {
+    next_plan_ = now + kMovingInterval;
+  }
+  next_plan_ = std::min(next_plan_, std::max(grants_.next_due(), now + kMovingInterval));
+  return plan;
+}
+
+TimePoint RangeController::next_due() const {
+  return std::min({next_plan_, next_balance_, grants_.next_due()});
+}
+
+}  // namespace planktray::controller
--- /dev/null
+++ b/src/controller/core/range_controller.hpp
@@ -0,0 +1,82 @@
+#pragma once
+/// The leader's work for back ends that register themselves and hold fenced grants: who is heard,
+/// which orders go out, and which plan is proposed next.
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "membership/heartbeat_monitor.hpp"
+#include "ownership/cell_state.hpp"
+#include "ownership/grant_manager.hpp"
+#include "ownership/key_loads.hpp"
+#include "ownership/range_planner.hpp"
+
+namespace planktray::controller {
+
+using common::Duration;
+using common::TimePoint;
+
+struct RangeOptions {
+  membership::HeartbeatOptions heartbeat;
+  ownership::GrantOptions grant;
+  ownership::RangePlannerOptions planner;
+  Duration load_half_life = std::chrono::milliseconds(800);
+  /// How often loads are folded and keys may be moved for balance.
+  Duration balance_interval = std::chrono::milliseconds(300);
+  /// The first owners of a service are chosen when no back end has joined it for this long.
+  Duration settle_time = std::chrono::milliseconds(1600);
+};
+
+class RangeController {
+ public:
+  explicit RangeController(RangeOptions options);
+
+  void begin_term(TimePoint now, const ownership::CellState& state);
+  void end_term() { grants_.end_term(); }
+
+  void note_loads(const std::vector<routing::KeyLoad>& loads) { loads_.add(loads); }
+  /// @return false for a late heartbeat that says nothing about now.
+  bool note_heartbeat(TimePoint now, const common::Incarnation& incarnation,
+                      std::uint64_t sequence) {
+    return heartbeats_.note_heartbeat(now, incarnation, sequence);
+  }
+  void on_order_reply(TimePoint now, const ownership::CellState& state, ownership::OrderId id,
+                      const ownership::OrderReply& reply);
+
+  /// Makes the orders that are due.
+  void collect_orders(TimePoint now, const ownership::CellState& state,
+                      std::vector<ownership::GrantOrder>& grants,
+                      std::vector<ownership::ReleaseOrder>& releases) {
+    grants_.collect(now, state, grants, releases);
+  }
+  /// Makes the next plan where one is due; it may be empty.
+  ownership::ApplyRangePlan plan(TimePoint now, const ownership::CellState& state,
+                                 const ownership::InForce& in_force);
+  /// When there is something to do, if nothing happens before.
+  TimePoint next_due() const;
+  const ownership::GrantManager& grants() const { return grants_; }
+
+ private:
+  bool is_eligible(TimePoint now, const ownership::BackendRecord& backend) const;
+  bool is_settled(TimePoint now, const ownership::CellState& state,
+                  const ownership::RoutedServiceRecord& service);
+  std::vector<common::BackendId> forgotten(TimePoint now, const ownership::CellState& state) const;
+
+  RangeOptions options_;
+  membership::HeartbeatMonitor heartbeats_;
+  ownership::GrantManager grants_;
+  ownership::RangePlanner planner_;
+  ownership::KeyLoads loads_;
+  common::LogIndex planned_state_;
+  TimePoint next_plan_;
+  TimePoint next_balance_;
+  struct Joined {
+    std::size_t targets = 0;
+    TimePoint changed;
+  };
+  std::map<common::ServiceId, Joined> joined_;
+};
+
+}  // namespace planktray::controller
--- a/src/controller/operator_api.cpp
+++ b/src/controller/operator_api.cpp
@@ -83,15 +83,15 @@
   const std::string second = parts.size() > 1 ? parts[1] : "";
   const bool is_get = method == "GET";
   if (first == "metrics" && is_get) {
-    return exchange->respond(kStatusOk, "text/plain; version=0.0.4", metrics_text());
+    return exchange->respond_text(kStatusOk, "text/plain; version=0.0.4", metrics_text());
   }
   if (first == "healthz" && is_get) {
-    return exchange->respond(kStatusOk, "text/plain", "ok\n");
+    return exchange->respond_text(kStatusOk, "text/plain", "ok\n");
   }
   if (first == "readyz" && is_get) {
     const bool ready = core_.raft().leader().value != 0;
-    return exchange->respond(ready ? kStatusOk : kStatusUnavailable, "text/plain",
-                             ready ? "ready\n" : "no leader is known\n");
+    return exchange->respond_text(ready ? kStatusOk : kStatusUnavailable, "text/plain",
+                                  ready ? "ready\n" : "no leader is known\n");
   }
   if (first == "v1" && parts.size() == 3 && (second == "templates" || second == "tenants")) {
     const auto kind = second == "templates" ? DeclarationKind::kTemplate : DeclarationKind::kTenant;
@@ -286,7 +286,7 @@
 // ---------------------------------------------------------------- waiting and completing
 
 OperatorRequestId OperatorApi::await(const ExchangePointer& exchange, Render render) {
-  const OperatorRequestId id = next_request_++;
+  const OperatorRequestId id = core_.new_request();
   waiting_[id] = {exchange, std::move(render)};
   return id;
 }
--- a/src/controller/operator_api.hpp
+++ b/src/controller/operator_api.hpp
@@ -56,7 +56,6 @@
   ControllerCore& core_;
   transport::Metrics& metrics_;
   std::function<void()> flush_;
-  OperatorRequestId next_request_ = 1;
   std::map<OperatorRequestId, Waiting> waiting_;
 };
 
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -22,8 +22,13 @@
   std::vector<common::MachineName> drained;
   std::vector<ServiceRecord> services;
   std::uint64_t next_service = 1;
+  config::RouteConfiguration routes;
+  std::map<std::uint64_t, std::uint64_t> taken_changes;
+  std::vector<RoutedServiceRecord> routed_services;
+  std::vector<common::Incarnation> departed;
+  std::vector<common::RouterName> routers;
   MSGPACK_DEFINE_MAP(applied, templates, tenants, answers, backends, drained, services,
-                     next_service)
+                     next_service, routes, taken_changes, routed_services, departed, routers)
 };
 
 std::string digest_of(const std::vector<Grant>& grants) {
@@ -73,6 +78,9 @@
       return;
     }
   }
+  if (has_departed(command.incarnation)) {
+    return;
+  }
   BackendRecord record;
   record.id = BackendId(index.value);
   record.machine = command.machine;
@@ -81,7 +89,14 @@
   record.pool = command.pool;
   record.incarnation = command.incarnation;
   record.grants_index = index;
+  record.contract = command.contract;
+  record.slots = command.slots;
+  record.cold_ms = command.cold_ms;
+  record.leaving = command.leaving;
   result.delta.backends.push_back(backend_route(record));
+  if (record.has_contract(OwnershipContract::kFencedGrant)) {
+    end_others_at(record, result);
+  }
   backends_[record.id] = std::move(record);
 }
 
@@ -101,9 +116,24 @@
 
 void CellState::apply_command(LogIndex /*index*/, const MarkLeaving& command, ApplyResult& result) {
   const auto found = backends_.find(command.backend);
-  if (found != backends_.end()) {
-    found->second.leaving = command.leaving;
-    result.delta.backends.push_back(backend_route(found->second));
+  if (found == backends_.end()) {
+    return;
+  }
+  BackendRecord& backend = found->second;
+  backend.leaving = command.leaving;
+  if (command.departed) {
+    backend.departed = true;
+    remember_departure(backend.incarnation);
+  }
+  result.delta.backends.push_back(backend_route(backend));
+}
+
+void CellState::apply_command(LogIndex /*index*/, const RouterPresence& command,
+                              ApplyResult& /*result*/) {
+  if (command.present) {
+    routers_.insert(command.router);
+  } else {
+    routers_.erase(command.router);
   }
 }
 
@@ -242,8 +272,11 @@
 // ---------------------------------------------------------------- routing table and snapshot
 
 routing::BackendRoute CellState::backend_route(const BackendRecord& backend) const {
-  return {backend.id,   backend.machine,     backend.address,
-          backend.zone, backend.incarnation, is_draining(backend)};
+  return {backend.id,          backend.machine,
+          backend.address,     backend.zone,
+          backend.incarnation, is_draining(backend),
+          backend.pool,        backend.slots,
+          backend.cold_ms,     backend.has_contract(OwnershipContract::kFencedGrant)};
 }
 
 routing::ServiceRoute CellState::service_route(const ServiceRecord& service) {
@@ -274,6 +307,7 @@
   for (const auto& [name, record] : tenants_) {
     table.tenants.push_back({common::TenantName(name), record.revision});
   }
+  add_routes_snapshot(table);
   return table;
 }
 
@@ -293,6 +327,13 @@
     form.services.push_back(service);
   }
   form.next_service = next_service_;
+  form.routes = routes_;
+  form.taken_changes = taken_changes_;
+  for (const auto& [id, service] : routed_services_) {
+    form.routed_services.push_back(service);
+  }
+  form.departed.assign(departed_.begin(), departed_.end());
+  form.routers.assign(routers_.begin(), routers_.end());
   return common::encode(form);
 }
 
@@ -326,6 +367,16 @@
     state.services_[service.id] = std::move(service);
   }
   state.next_service_ = form->next_service;
+  state.routers_ = {form->routers.begin(), form->routers.end()};
+  state.routes_ = std::move(form->routes);
+  state.taken_changes_ = std::move(form->taken_changes);
+  for (RoutedServiceRecord& service : form->routed_services) {
+    state.routed_ids_[service.config.name.value] = service.id;
+    state.routed_services_[service.id] = std::move(service);
+  }
+  for (const common::Incarnation& incarnation : form->departed) {
+    state.remember_departure(incarnation);
+  }
   return state;
 }
 
--- a/src/ownership/cell_state.hpp
+++ b/src/ownership/cell_state.hpp
@@ -38,9 +38,19 @@
   common::PoolName pool;
   common::Incarnation incarnation;
   bool leaving = false;
-  LogIndex grants_index;              ///< index at which its set of shards last changed
+  LogIndex grants_index;      ///< index at which its set of shards last changed
+  std::uint8_t contract = 0;  ///< an OwnershipContract
+  std::uint32_t slots = 0;    ///< requests it runs at once; 0: as its service says
+  std::uint32_t cold_ms = 0;  ///< how long it is slow from its registration
+  bool departed = false;      ///< it has said goodbye
+  bool ended = false;         ///< its process has ended for certain: its address has another
   std::set<common::ShardRef> shards;  ///< derived from the services, not encoded
-  MSGPACK_DEFINE_ARRAY(id, machine, address, zone, pool, incarnation, leaving, grants_index)
+  MSGPACK_DEFINE_ARRAY(id, machine, address, zone, pool, incarnation, leaving, grants_index,
+                       contract, slots, cold_ms, departed, ended)
+
+  bool has_contract(OwnershipContract wanted) const {
+    return contract == static_cast<std::uint8_t>(wanted);
+  }
 };
 
 struct ShardRecord {
@@ -60,6 +70,16 @@
   MSGPACK_DEFINE_ARRAY(id, config, retired, targets, shards)
 };
 
+/// A service of the route configuration, and who owns its keys. It stays after the configuration
+/// has dropped it, so that fences go on where they were when it comes back.
+struct RoutedServiceRecord {
+  ServiceId id;
+  config::RoutedService config;
+  bool retired = false;
+  KeyRangeMap ranges;  ///< empty unless keyed
+  MSGPACK_DEFINE_ARRAY(id, config, retired, ranges)
+};
+
 /// A run of consecutive shards that a back end holds under one epoch.
 struct Grant {
   common::ServiceKey service;
@@ -77,7 +97,7 @@
 };
 
 struct ApplyResult {
-  std::optional<ChangeAnswer> answer;  ///< for ChangeDeclaration
+  std::optional<ChangeAnswer> answer;  ///< for ChangeDeclaration and ChangeRoutes
   routing::TableDelta delta;
 };
 
@@ -105,6 +125,20 @@
   /// @return the shard, or nullptr.
   const ShardRecord* find_shard(const common::ShardRef& ref) const;
   const std::set<common::MachineName>& drained_machines() const { return drained_; }
+  /// Routers that may serve from a table of this cell.
+  const std::set<common::RouterName>& routers() const { return routers_; }
+  const config::RouteConfiguration& routes() const { return routes_; }
+  const std::map<ServiceId, RoutedServiceRecord>& routed_services() const {
+    return routed_services_;
+  }
+  /// @return the service of the route configuration, or nullptr.
+  const RoutedServiceRecord* find_routed_service(const std::string& name) const;
+  /// @return the back end that registered itself as this incarnation, or nullptr.
+  const BackendRecord* find_incarnation(const common::Incarnation& incarnation) const;
+  /// True where it is the owner of any key, moving or not.
+  bool owns_keys(BackendId id) const;
+  /// True where this incarnation has said goodbye.
+  bool has_departed(const common::Incarnation& incarnation) const;
   GrantSet grants_of(BackendId id) const;
   /// The whole routing table.
   routing::TableDelta table_snapshot() const;
@@ -115,6 +149,9 @@
   void apply_command(LogIndex index, const DrainMachine& command, ApplyResult& result);
   void apply_command(LogIndex index, const MarkLeaving& command, ApplyResult& result);
   void apply_command(LogIndex index, const ApplyPlan& plan, ApplyResult& result);
+  void apply_command(LogIndex index, const ChangeRoutes& command, ApplyResult& result);
+  void apply_command(LogIndex index, const ApplyRangePlan& plan, ApplyResult& result);
+  void apply_command(LogIndex index, const RouterPresence& command, ApplyResult& result);
 
   ChangeAnswer judge(LogIndex index, const ChangeDeclaration& change) const;
   common::Result<void> validate(const ChangeDeclaration& change) const;
@@ -134,6 +171,13 @@
   ShardRecord* mutable_shard(const common::ShardRef& ref);
   void set_owner(LogIndex index, common::ShardRef ref, ShardRecord& record, BackendId owner);
 
+  void adopt_routes(LogIndex index, config::RouteConfiguration next, ApplyResult& result);
+  void put_routed_service(LogIndex index, const config::RoutedService& service,
+                          ApplyResult& result);
+  void end_others_at(const BackendRecord& newcomer, ApplyResult& result);
+  void remember_departure(const common::Incarnation& incarnation);
+  void add_routes_snapshot(routing::TableDelta& table) const;
+
   routing::BackendRoute backend_route(const BackendRecord& backend) const;
   static routing::ServiceRoute service_route(const ServiceRecord& service);
   static routing::ShardRoute shard_route(ServiceId service, ShardNumber shard,
@@ -150,6 +194,16 @@
   std::map<common::ServiceKey, ServiceId> service_ids_;
   std::set<common::ShardRef> moving_;  ///< derived from the services
   std::uint64_t next_service_ = 1;
+
+  std::set<common::RouterName> routers_;
+  config::RouteConfiguration routes_;
+  /// Digest of every change that was taken, by its version: kept for good, so that any resend is
+  /// acknowledged again.
+  std::map<std::uint64_t, std::uint64_t> taken_changes_;
+  std::map<ServiceId, RoutedServiceRecord> routed_services_;
+  std::map<std::string, ServiceId> routed_ids_;
+  std::deque<common::Incarnation> departed_;  ///< the oldest first
+  std::set<common::Incarnation> departed_set_;
 };
 
 }  // namespace planktray::ownership
--- /dev/null
+++ b/src/ownership/cell_state_routes.cpp
@@ -0,0 +1,215 @@
+/// The route configuration in CellState, and the key ranges of its services.
+
+#include <utility>
+
+#include "ownership/cell_state.hpp"
+
+namespace planktray::ownership {
+namespace {
+
+/// Goodbyes that are remembered, so that a late word of a departed back end does not bring it back.
+constexpr std::size_t kRememberedDepartures = 4096;
+
+/// Routers need no source text.
+config::Route without_document(config::Route route) {
+  route.document.clear();
+  return route;
+}
+
+routing::RoutedServiceRoute service_route_of(const RoutedServiceRecord& record) {
+  routing::RoutedServiceRoute route{record.id, record.config};
+  route.config.document.clear();
+  return route;
+}
+
+routing::KeyRangeRoute range_route(ServiceId service, const RangeRecord& record) {
+  const BackendId owner = record.moving ? BackendId() : record.owner;
+  return {service, record.keys.first, record.keys.last, owner};
+}
+
+config::RequestLimits without_document(config::RequestLimits limits) {
+  limits.document.clear();
+  return limits;
+}
+
+}  // namespace
+
+const RoutedServiceRecord* CellState::find_routed_service(const std::string& name) const {
+  const auto found = routed_ids_.find(name);
+  return found == routed_ids_.end() ? nullptr : &routed_services_.at(found->second);
+}
+
+const BackendRecord* CellState::find_incarnation(const common::Incarnation& incarnation) const {
+  for (const auto& [id, backend] : backends_) {
+    if (backend.has_contract(OwnershipContract::kFencedGrant) &&
+        backend.incarnation == incarnation) {
+      return &backend;
+    }
+  }
+  return nullptr;
+}
+
+bool CellState::has_departed(const common::Incarnation& incarnation) const {
+  return departed_set_.contains(incarnation);
+}
+
+void CellState::remember_departure(const common::Incarnation& incarnation) {
+  if (!departed_set_.insert(incarnation).second) {
+    return;
+  }
+  departed_.push_back(incarnation);
+  if (departed_.size() > kRememberedDepartures) {
+    departed_set_.erase(departed_.front());
+    departed_.pop_front();
+  }
+}
+
+void CellState::end_others_at(const BackendRecord& newcomer, ApplyResult& result) {
+  for (auto& [id, backend] : backends_) {
+    const bool replaced = id != newcomer.id && backend.address == newcomer.address &&
+                          backend.has_contract(OwnershipContract::kFencedGrant);
+    if (replaced) {
+      backend.ended = true;
+      backend.leaving = true;
+      result.delta.backends.push_back(backend_route(backend));
+    }
+  }
+}
+
+void CellState::apply_command(LogIndex index, const ChangeRoutes& command, ApplyResult& result) {
+  const config::RouteChange& change = command.change;
+  ChangeAnswer answer;
+  answer.index = index;
+  answer.revision = common::Revision(routes_.version);
+  const auto taken = taken_changes_.find(change.version);
+  if (taken != taken_changes_.end() && taken->second == change.digest) {
+    result.answer = answer;  // the same change again
+    return;
+  }
+  if (change.base_version != routes_.version) {
+    answer.status = static_cast<std::uint8_t>(ChangeStatus::kConflict);
+    answer.message = "the present version is " + std::to_string(routes_.version);
+    result.answer = answer;
+    return;
+  }
+  auto next = config::apply_change(routes_, change);
+  if (!next.has_value()) {
+    answer.status = static_cast<std::uint8_t>(ChangeStatus::kInvalid);
+    answer.message = next.error().message;
+    result.answer = answer;
+    return;
+  }
+  taken_changes_[change.version] = change.digest;
+  adopt_routes(index, std::move(*next), result);
+  answer.revision = common::Revision(routes_.version);
+  result.answer = answer;
+}
+
+void CellState::adopt_routes(LogIndex index, config::RouteConfiguration next, ApplyResult& result) {
+  routing::TableDelta& delta = result.delta;
+  for (const auto& [name, route] : routes_.routes) {
+    if (!next.routes.contains(name)) {
+      delta.removed_routes.push_back(name);
+    }
+  }
+  for (const auto& [name, route] : next.routes) {
+    const auto present = routes_.routes.find(name);
+    if (present == routes_.routes.end() || present->second != route) {
+      delta.routes.push_back(without_document(route));
+    }
+  }
+  for (const auto& [name, service] : next.services) {
+    put_routed_service(index, service, result);
+  }
+  for (auto& [id, record] : routed_services_) {
+    if (!next.services.contains(record.config.name.value) && !record.retired) {
+      record.retired = true;
+      delta.removed_routed_services.push_back(id);
+    }
+  }
+  if (next.limits != routes_.limits) {
+    delta.limits.push_back(without_document(next.limits));
+  }
+  delta.routes_version = next.version;
+  routes_ = std::move(next);
+}
+
+void CellState::put_routed_service(LogIndex index, const config::RoutedService& service,
+                                   ApplyResult& result) {
+  ServiceId& id = routed_ids_[service.name.value];
+  const bool is_new = id.value == 0;
+  if (is_new) {
+    id = ServiceId(next_service_++);
+  }
+  RoutedServiceRecord& record = routed_services_[id];
+  const bool reappears = is_new || record.retired;
+  const bool changed = record.config != service;
+  if (!reappears && !changed) {
+    return;
+  }
+  record.id = id;
+  record.config = service;
+  record.retired = false;
+  if (service.keyed && record.ranges.records().empty()) {
+    record.ranges = KeyRangeMap(Epoch(index.value));
+  }
+  result.delta.routed_services.push_back(service_route_of(record));
+  for (const auto& [first, range] : record.ranges.records()) {
+    result.delta.ranges.push_back(range_route(id, range));
+  }
+}
+
+void CellState::apply_command(LogIndex index, const ApplyRangePlan& plan, ApplyResult& result) {
+  for (const RangeMove& move : plan.moves) {
+    const auto service = routed_services_.find(move.service);
+    if (service != routed_services_.end() &&
+        service->second.ranges.begin_move(index, move.keys, move.expected_fence, move.to)) {
+      result.delta.ranges.push_back({move.service, move.keys.first, move.keys.last, BackendId()});
+    }
+  }
+  for (const RangeAssignment& assignment : plan.assignments) {
+    const auto service = routed_services_.find(assignment.service);
+    const bool owner_known = assignment.owner.value == 0 || backends_.contains(assignment.owner);
+    if (service != routed_services_.end() && owner_known &&
+        service->second.ranges.assign(index, assignment.keys, assignment.expected_fence,
+                                      assignment.owner, assignment.handover)) {
+      result.delta.ranges.push_back(
+          {assignment.service, assignment.keys.first, assignment.keys.last, assignment.owner});
+    }
+  }
+  for (const BackendId id : plan.removed) {
+    if (!owns_keys(id) && backends_.erase(id) > 0) {
+      result.delta.removed_backends.push_back(id);
+    }
+  }
+}
+
+bool CellState::owns_keys(BackendId id) const {
+  for (const auto& [service_id, service] : routed_services_) {
+    for (const auto& [first, range] : service.ranges.records()) {
+      if (range.owner == id) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void CellState::add_routes_snapshot(routing::TableDelta& table) const {
+  for (const auto& [name, route] : routes_.routes) {
+    table.routes.push_back(without_document(route));
+  }
+  for (const auto& [id, service] : routed_services_) {
+    if (service.retired) {
+      continue;
+    }
+    table.routed_services.push_back(service_route_of(service));
+    for (const auto& [first, range] : service.ranges.records()) {
+      table.ranges.push_back(range_route(id, range));
+    }
+  }
+  table.limits.push_back(without_document(routes_.limits));
+  table.routes_version = routes_.version;
+}
+
+}  // namespace planktray::ownership
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -8,6 +8,8 @@
 
 #include "common/codec.hpp"
 #include "common/ids.hpp"
+#include "config/route_configuration.hpp"
+#include "ownership/key_ranges.hpp"
 
 namespace planktray::ownership {
 
@@ -29,6 +31,12 @@
   MSGPACK_DEFINE_ARRAY(kind, name, replaces, change_id, document)
 };
 
+/// How a back end holds what it owns.
+enum class OwnershipContract : std::uint8_t {
+  kHolderClockLease = 0,  ///< lease sessions whose expiry is fixed in the holder's clock
+  kFencedGrant = 1,       ///< fenced grants whose time runs from their arrival at the holder
+};
+
 /// A back end's incarnation was seen; the entry's index becomes its BackendId.
 struct RegisterBackend {
   common::MachineName machine;
@@ -36,7 +44,11 @@
   common::ZoneName zone;
   common::PoolName pool;
   common::Incarnation incarnation;
-  MSGPACK_DEFINE_ARRAY(machine, address, zone, pool, incarnation)
+  std::uint8_t contract = 0;  ///< an OwnershipContract
+  std::uint32_t slots = 0;    ///< requests it runs at once; 0: as its service says
+  std::uint32_t cold_ms = 0;  ///< how much longer it is slow from its start
+  bool leaving = false;       ///< it is draining already
+  MSGPACK_DEFINE_ARRAY(machine, address, zone, pool, incarnation, contract, slots, cold_ms, leaving)
 };
 
 /// An operator drains a machine, or takes that back. Holds for later incarnations too.
@@ -50,7 +62,9 @@
 struct MarkLeaving {
   BackendId backend;
   bool leaving = true;
-  MSGPACK_DEFINE_ARRAY(backend, leaving)
+  /// It has said goodbye: its incarnation is never registered again.
+  bool departed = false;
+  MSGPACK_DEFINE_ARRAY(backend, leaving, departed)
 };
 
 struct TargetSet {
@@ -90,15 +104,60 @@
   }
 };
 
-using Command = common::EncodedVariant<ChangeDeclaration, RegisterBackend, DrainMachine,
-                                       MarkLeaving, ApplyPlan>;
+/// An operator's change of the route configuration.
+struct ChangeRoutes {
+  config::RouteChange change;
+  MSGPACK_DEFINE_ARRAY(change)
+};
+
+/// Routers send nothing more for these keys, and their owner is to give them up. Ignored unless
+/// the keys are part of one range under `expected_fence`.
+struct RangeMove {
+  ServiceId service;
+  KeyRange keys;
+  Epoch expected_fence;
+  BackendId to;  ///< the owner intended next; 0: none yet
+  MSGPACK_DEFINE_ARRAY(service, keys, expected_fence, to)
+};
+
+/// Gives keys to an owner; its index becomes their fence. Ignored as above.
+struct RangeAssignment {
+  ServiceId service;
+  KeyRange keys;
+  Epoch expected_fence;
+  BackendId owner;
+  std::string handover;
+  MSGPACK_DEFINE_ARRAY(service, keys, expected_fence, owner, handover)
+};
+
+/// The leader's decisions of one moment about back ends that hold fenced grants.
+struct ApplyRangePlan {
+  std::vector<BackendId> removed;  ///< gone, and owning nothing any more
+  std::vector<RangeMove> moves;
+  std::vector<RangeAssignment> assignments;
+  MSGPACK_DEFINE_ARRAY(removed, moves, assignments)
+
+  bool empty() const { return removed.empty() && moves.empty() && assignments.empty(); }
+};
+
+/// A router was seen for the first time, or has stopped serving for certain. Only routers of this
+/// roster get the table, so that a new leader knows whom it has to wait for.
+struct RouterPresence {
+  common::RouterName router;
+  bool present = true;
+  MSGPACK_DEFINE_ARRAY(router, present)
+};
+
+using Command =
+    common::EncodedVariant<ChangeDeclaration, RegisterBackend, DrainMachine, MarkLeaving, ApplyPlan,
+                           ChangeRoutes, ApplyRangePlan, RouterPresence>;
 
 enum class ChangeStatus : std::uint8_t { kAccepted = 0, kConflict = 1, kInvalid = 2 };
 
-/// What an operator is told about a change; a resend of the same change id gets the same answer.
+/// What an operator is told about a change; a resend of the same change gets the same answer.
 struct ChangeAnswer {
   std::uint8_t status = 0;    ///< a ChangeStatus
-  common::Revision revision;  ///< accepted: the new revision; conflict: the winner's
+  common::Revision revision;  ///< accepted: the new revision or version; conflict: the winner's
   LogIndex index;             ///< log index of the accepted change
   common::ChangeId winner;    ///< conflict: the change that came first
   std::string message;
--- /dev/null
+++ b/src/ownership/grant_manager.hpp
@@ -0,0 +1,170 @@
+#pragma once
+/// The leader's side of fenced grants: keys are granted to a back end for a time that runs from the
+/// arrival of the order, and are given to another one only when the first cannot use them.
+///
+/// Safety argument (docs/PROOF.md). Keys pass from X to Y only after one of:
+///  - X answered a release under a fence above its grant's: it runs nothing on them, and refuses
+///    every older order that is still under way;
+///  - X's process has ended for certain: another incarnation answers at its address;
+///  - both barriers: every answered order to X has run out on a clock that is slow by
+///    `clock_error`, and no order without an answer can matter: none can still be taken, or every
+///    router has stopped sending these keys to X.
+/// A new leader does not know the orders of the one before: it takes all that may have been sent
+/// until its election as answered then, and one more as without an answer.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/time.hpp"
+#include "ownership/cell_state.hpp"
+
+namespace planktray::ownership {
+
+using common::Duration;
+using common::TimePoint;
+
+struct GrantOptions {
+  /// How long a grant holds from its arrival.
+  Duration hold_time = std::chrono::milliseconds(2500);
+  Duration renewal_interval = std::chrono::milliseconds(600);
+  /// An order without an answer is repeated after this time.
+  Duration retry_interval = std::chrono::milliseconds(200);
+  /// A holder's clock may run slow by this fraction.
+  double clock_error = 0.02;
+  /// Added to every wait, for what the fraction does not cover.
+  Duration margin = std::chrono::milliseconds(30);
+  /// An order without an answer may be taken this much after it was sent.
+  Duration late_delivery = std::chrono::milliseconds(12'500);
+  /// A holder that cannot be renewed loses its requests this long before its grant ends.
+  Duration withdraw_before_end = std::chrono::milliseconds(100);
+  /// Routers get this long to stop sending before a release goes out.
+  Duration release_delay = std::chrono::milliseconds(15);
+  /// Safeguards; off only in mutants.
+  bool wait_for_answered = true;    ///< wait until answered orders have run out
+  bool wait_for_unanswered = true;  ///< wait for routers, or for orders without an answer
+  bool wait_after_election = true;  ///< count the orders of earlier leaders
+  bool release_with_new_fence = true;
+};
+
+using OrderId = std::uint64_t;
+
+/// Effect: grant these keys, or renew the grant.
+struct GrantOrder {
+  OrderId id = 0;
+  BackendId backend;
+  std::string address;
+  common::Incarnation incarnation;
+  KeyRange keys;
+  Epoch fence;
+  Duration hold_time{0};
+  std::string handover;
+};
+
+/// Effect: take these keys back; answered when what ran on them has ended.
+struct ReleaseOrder {
+  OrderId id = 0;
+  BackendId backend;
+  std::string address;
+  common::Incarnation incarnation;
+  KeyRange keys;
+  Epoch fence;
+};
+
+enum class OrderEnd : std::uint8_t {
+  kAccepted,
+  kFenced,      ///< it has seen a higher fence
+  kGone,        ///< another incarnation answers at the address
+  kRefused,     ///< any other answer
+  kNotSent,     ///< no connection: nothing can have been taken
+  kUnanswered,  ///< it may have been taken, or may still be
+};
+
+struct OrderReply {
+  OrderEnd end = OrderEnd::kUnanswered;
+  std::string handover;  ///< of an accepted release
+};
+
+/// Tells whether every router that may serve has acknowledged the table of this index.
+using InForce = std::optional<LogIndex>;
+
+class GrantManager {
+ public:
+  explicit GrantManager(GrantOptions options) : options_(options) {}
+
+  /// Starts over as the leader of a term.
+  void begin_term(TimePoint now, const CellState& state);
+  void end_term() { active_ = false; }
+
+  /// Makes the orders that are due. Call only while the leader lease holds.
+  void collect(TimePoint now, const CellState& state, std::vector<GrantOrder>& grants,
+               std::vector<ReleaseOrder>& releases);
+  /// @return the back end the order was for, or nothing where the order is not known any more.
+  std::optional<BackendId> on_reply(TimePoint now, OrderId id, const OrderReply& reply);
+
+  /// Keys whose holder cannot or will not hold them on: routers should stop sending, so that they
+  /// can be given away.
+  std::vector<RangeMove> withdrawals(TimePoint now, const CellState& state) const;
+
+  /// Whether the keys of a moving range may be given to another owner now.
+  struct Verdict {
+    bool free = false;
+    std::string handover;
+  };
+  Verdict may_assign(TimePoint now, const CellState& state, ServiceId service,
+                     const RangeRecord& record, const InForce& in_force) const;
+  /// When collect() or withdrawals() next has something to do.
+  TimePoint next_due() const { return next_due_; }
+  std::size_t holdings() const { return holdings_.size(); }
+
+ private:
+  /// What is known of one range at its owner.
+  struct HoldingKey {
+    ServiceId service;
+    KeyRange keys;
+    Epoch fence;
+    auto operator<=>(const HoldingKey&) const = default;
+  };
+  enum class UnderWay : std::uint8_t { kNothing, kGrant, kRelease };
+  struct Holding {
+    BackendId owner;
+    TimePoint held_until;      ///< answered orders have run out then
+    TimePoint doubtful_until;  ///< orders without an answer have run out then
+    TimePoint next_order;
+    UnderWay under_way = UnderWay::kNothing;
+    bool moving = false;    ///< its release has begun
+    bool refused = false;   ///< the owner refuses the grant
+    bool released = false;  ///< the owner has released them under a higher fence
+    bool gone = false;      ///< the owner's process has ended
+    std::string handover;
+  };
+  struct Order {
+    HoldingKey holding;
+    BackendId backend;
+    TimePoint sent;
+    bool is_release = false;
+  };
+
+  Duration longest_hold() const;
+  void sync(TimePoint now, const CellState& state);
+  Holding derive_holding(TimePoint now, const CellState& state, const HoldingKey& key,
+                         const RangeRecord& record,
+                         const std::map<HoldingKey, Holding>& before) const;
+  void send_order(TimePoint now, const CellState& state, const HoldingKey& key, Holding& holding,
+                  std::vector<GrantOrder>& grants, std::vector<ReleaseOrder>& releases);
+  void take_grant_reply(TimePoint now, const Order& order, const OrderReply& reply,
+                        Holding& holding) const;
+  void take_release_reply(TimePoint now, const OrderReply& reply, Holding& holding) const;
+
+  GrantOptions options_;
+  bool active_ = false;
+  LogIndex synced_;
+  TimePoint next_due_;
+  std::map<HoldingKey, Holding> holdings_;
+  std::map<OrderId, Order> orders_;
+  OrderId next_order_ = 1;
+};
+
+}  // namespace planktray::ownership
--- /dev/null
+++ b/src/ownership/key_loads.cpp
@@ -0,0 +1,70 @@
+#include "ownership/key_loads.hpp"
+
+#include <cmath>
+
+namespace planktray::ownership {
+namespace {
+
+/// A smaller rate is as good as none; it bounds the memory to keys in use.
+constexpr float kSmallestRate = 0.01F;
+
+}  // namespace
+
+void KeyLoads::add(const std::vector<routing::KeyLoad>& loads) {
+  for (const routing::KeyLoad& load : loads) {
+    if (load.key < config::kKeyCount) {
+      services_[load.service].counted[load.key] += static_cast<float>(load.requests);
+    }
+  }
+}
+
+void KeyLoads::fold(common::TimePoint now) {
+  const double seconds = std::chrono::duration<double>(now - folded_at_).count();
+  folded_at_ = now;
+  if (seconds <= 0) {
+    return;
+  }
+  const double half_lives = seconds / std::chrono::duration<double>(half_life_).count();
+  const auto kept = static_cast<float>(std::exp2(-half_lives));
+  const auto taken = static_cast<float>((1.0 - kept) / seconds);
+  for (auto& [id, service] : services_) {
+    for (auto& [key, rate] : service.rates) {
+      rate *= kept;
+    }
+    for (const auto& [key, count] : service.counted) {
+      service.rates[key] += count * taken;
+    }
+    service.counted.clear();
+    std::erase_if(service.rates, [](const auto& item) { return item.second < kSmallestRate; });
+  }
+}
+
+void KeyLoads::clear() { services_.clear(); }
+
+double KeyLoads::rate(common::ServiceId service, std::uint32_t key) const {
+  return rate(service, KeyRange{key, key});
+}
+
+double KeyLoads::rate(common::ServiceId service, const KeyRange& keys) const {
+  double sum = 0;
+  for (const KeyRate& busy : busy_keys(service, keys)) {
+    sum += busy.rate;
+  }
+  return sum;
+}
+
+std::vector<KeyRate> KeyLoads::busy_keys(common::ServiceId service, const KeyRange& keys) const {
+  std::vector<KeyRate> busy;
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return busy;
+  }
+  const auto& rates = found->second.rates;
+  for (auto item = rates.lower_bound(keys.first); item != rates.end() && item->first <= keys.last;
+       ++item) {
+    busy.push_back({item->first, item->second});
+  }
+  return busy;
+}
+
+}  // namespace planktray::ownership
--- /dev/null
+++ b/src/ownership/key_ranges.cpp
@@ -0,0 +1,98 @@
+#include "ownership/key_ranges.hpp"
+
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace planktray::ownership {
+
+bool RangeRecord::is_like(const RangeRecord& other) const {
+  return std::tie(owner, fence, moving, move_to, moving_since, handover) ==
+         std::tie(other.owner, other.fence, other.moving, other.move_to, other.moving_since,
+                  other.handover);
+}
+
+KeyRangeMap::KeyRangeMap(Epoch fence) {
+  RangeRecord all;
+  all.fence = fence;
+  records_[all.keys.first] = all;
+}
+
+const RangeRecord& KeyRangeMap::record_of(std::uint32_t key) const {
+  return std::prev(records_.upper_bound(key))->second;
+}
+
+const RangeRecord* KeyRangeMap::find(const KeyRange& keys, Epoch fence) const {
+  if (records_.empty() || keys.first > keys.last || keys.last >= config::kKeyCount) {
+    return nullptr;
+  }
+  const RangeRecord& record = record_of(keys.first);
+  return record.fence == fence && record.keys.contains(keys) ? &record : nullptr;
+}
+
+bool KeyRangeMap::begin_move(LogIndex index, const KeyRange& keys, Epoch expected_fence,
+                             BackendId to) {
+  const RangeRecord* present = find(keys, expected_fence);
+  if (present == nullptr || present->moving || present->owner.value == 0) {
+    return false;
+  }
+  RangeRecord record = *present;
+  record.keys = keys;
+  record.moving = true;
+  record.move_to = to;
+  record.moving_since = index;
+  put(std::move(record));
+  return true;
+}
+
+bool KeyRangeMap::assign(LogIndex index, const KeyRange& keys, Epoch expected_fence,
+                         BackendId owner, std::string handover) {
+  if (find(keys, expected_fence) == nullptr) {
+    return false;
+  }
+  RangeRecord record;
+  record.keys = keys;
+  record.owner = owner;
+  record.fence = Epoch(index.value);
+  record.handover = std::move(handover);
+  put(std::move(record));
+  return true;
+}
+
+void KeyRangeMap::put(RangeRecord record) {
+  const auto found = std::prev(records_.upper_bound(record.keys.first));
+  const RangeRecord whole = found->second;
+  records_.erase(found);
+  if (whole.keys.first < record.keys.first) {
+    RangeRecord before = whole;
+    before.keys.last = record.keys.first - 1;
+    records_[before.keys.first] = before;
+  }
+  if (record.keys.last < whole.keys.last) {
+    RangeRecord after = whole;
+    after.keys.first = record.keys.last + 1;
+    records_[after.keys.first] = after;
+  }
+  const std::uint32_t first = record.keys.first;
+  records_[first] = std::move(record);
+  join_neighbours(first);
+}
+
+void KeyRangeMap::join_neighbours(std::uint32_t first) {
+  auto record = records_.find(first);
+  const auto next = std::next(record);
+  if (next != records_.end() && next->second.is_like(record->second)) {
+    record->second.keys.last = next->second.keys.last;
+    records_.erase(next);
+  }
+  if (record == records_.begin()) {
+    return;
+  }
+  const auto before = std::prev(record);
+  if (before->second.is_like(record->second)) {
+    before->second.keys.last = record->second.keys.last;
+    records_.erase(record);
+  }
+}
+
+}  // namespace planktray::ownership
--- a/src/ownership/lease_manager.cpp
+++ b/src/ownership/lease_manager.cpp
@@ -13,6 +13,7 @@
   term_ = term;
   earliest_loss_ = now + longest_grant();
   sessions_.clear();
+  synced_ = LogIndex();
   next_contact_ = now;
   released_.clear();
   new_incarnations_.clear();
@@ -24,13 +25,14 @@
 }
 
 void LeaseManager::sync_sessions(TimePoint now, const CellState& state) {
-  std::erase_if(sessions_,
-                [&](const auto& item) { return state.find_backend(item.first) == nullptr; });
-  if (sessions_.size() == state.backends().size()) {
+  if (synced_ == state.applied()) {
     return;
   }
+  synced_ = state.applied();
+  std::erase_if(sessions_,
+                [&](const auto& item) { return state.find_backend(item.first) == nullptr; });
   for (const auto& [id, backend] : state.backends()) {
-    if (!sessions_.contains(id)) {
+    if (backend.has_contract(OwnershipContract::kHolderClockLease) && !sessions_.contains(id)) {
       Session session;
       session.next_renewal = now;
       session.owner_until = std::max(earliest_loss_, now + longest_grant());
--- a/src/ownership/lease_manager.hpp
+++ b/src/ownership/lease_manager.hpp
@@ -124,6 +124,7 @@
 
   common::CellName cell_;
   LeaseOptions options_;
+  LogIndex synced_;  ///< state that the sessions were made for
   bool active_ = false;
   common::Term term_;
   TimePoint earliest_loss_;
--- a/src/ownership/planner.cpp
+++ b/src/ownership/planner.cpp
@@ -102,6 +102,7 @@
     const bool in_zone = wanted_zones.empty() || std::find(wanted_zones.begin(), wanted_zones.end(),
                                                            backend.zone) != wanted_zones.end();
     return in_zone && backend.pool == service.config.parameters.pool &&
+           backend.has_contract(OwnershipContract::kHolderClockLease) &&
            !input.state.is_draining(backend) &&
            std::find(input.lost.begin(), input.lost.end(), backend.id) == input.lost.end();
   };
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -116,6 +116,7 @@
                              common::to_microseconds(now),
                              table_.index(),
                              is_serving(now),
+                             {},
                              {}};
   if (now >= next_load_) {
     next_load_ = now + options_.load_interval;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -32,10 +32,6 @@
   return common::RandomEngine((static_cast<std::uint64_t>(device()) << 32U) | device());
 }
 
-bool equals_ignoring_case(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && g_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 /// Headers that belong to one connection, or that this router sets itself (RFC 9110, 7.6.1).
 bool is_passed_on(std::string_view name) {
   constexpr std::array<std::string_view, 12> kOwn = {"Connection",
@@ -52,9 +48,9 @@
                                                      "Server"};
   constexpr std::string_view kPrefix = "Planktray-";
   const bool is_ours = name.size() >= kPrefix.size() &&
-                       equals_ignoring_case(name.substr(0, kPrefix.size()), kPrefix);
+                       transport::equals_ignoring_case(name.substr(0, kPrefix.size()), kPrefix);
   return !is_ours && std::none_of(kOwn.begin(), kOwn.end(), [&](std::string_view own) {
-    return equals_ignoring_case(own, name);
+    return transport::equals_ignoring_case(own, name);
   });
 }
 
@@ -90,6 +86,13 @@
   return std::to_string(std::max<std::int64_t>(1, seconds));
 }
 
+transport::HttpClientOptions client_options(const RouterSettings& settings) {
+  transport::HttpClientOptions options;
+  options.connections_per_server = static_cast<std::size_t>(settings.connections_per_backend);
+  options.limits.body_bytes = settings.maximum_body;
+  return options;
+}
+
 }  // namespace
 
 RouterProcess::RouterProcess(RouterSettings settings)
@@ -100,13 +103,13 @@
 
 common::Result<void> RouterProcess::start() {
   auto server = transport::HttpServer::listen(
-      settings_.options.address, settings_.maximum_body,
+      settings_.options.address, transport::options_with_body_limit(settings_.maximum_body),
       [this](const transport::ExchangePointer& exchange) { on_http(exchange); });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
   }
   server_ = std::move(*server);
-  client_ = std::make_unique<transport::HttpClient>(settings_.connections_per_backend);
+  client_ = std::make_unique<transport::HttpClient>(client_options(settings_));
   const std::string identity = "router/" + settings_.options.name.value;
   for (const std::string& address : settings_.controllers) {
     auto socket = transport::ZmqSocket::connect(
@@ -155,15 +158,15 @@
 
 void RouterProcess::on_http(const transport::ExchangePointer& exchange) {
   if (exchange->path() == "/metrics") {
-    return exchange->respond(kStatusOk, "text/plain; version=0.0.4", metrics_text());
+    return exchange->respond_text(kStatusOk, "text/plain; version=0.0.4", metrics_text());
   }
   if (exchange->path() == "/healthz") {
-    return exchange->respond(kStatusOk, "text/plain", "ok\n");
+    return exchange->respond_text(kStatusOk, "text/plain", "ok\n");
   }
   if (exchange->path() == "/readyz") {
     const bool ready = core_.is_serving(boot_time_now()) && !draining_;
-    return exchange->respond(ready ? kStatusOk : kStatusUnavailable, "text/plain",
-                             ready ? "ready\n" : "no confirmed table\n");
+    return exchange->respond_text(ready ? kStatusOk : kStatusUnavailable, "text/plain",
+                                  ready ? "ready\n" : "no confirmed table\n");
   }
   on_caller(exchange);
 }
@@ -259,12 +262,10 @@
   const Caller& caller = found->second;
   transport::HttpRequest request;
   request.method = std::string(caller.exchange->method());
-  request.url = "http://" + forward.address + caller.exchange->target();
+  request.address = forward.address;
+  request.target = caller.exchange->target();
   request.headers = passed_on(caller.exchange->headers());
   request.body = std::string(caller.exchange->body());
-  const std::string_view content_type = caller.exchange->header("Content-Type");
-  request.content_type =
-      content_type.empty() ? "application/octet-stream" : std::string(content_type);
   request.fresh_connection = !forward.repeatable;
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(forward.time_left).count();
@@ -337,8 +338,7 @@
     headers = passed_on(sent->second.response.headers);
     headers.emplace_back(kOutcome, "answered");
     headers.emplace_back(kRequestId, caller.request_id);
-    caller.exchange->respond_bytes(sent->second.response.status, sent->second.response.body.get(),
-                                   headers);
+    caller.exchange->respond(sent->second.response.status, headers, sent->second.response.body);
     sent_.erase(sent);
     return;
   }
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -1,5 +1,5 @@
 #pragma once
-/// The shell around RouterCore: libsoup towards callers and back ends, ZeroMQ towards controllers.
+/// The shell around RouterCore: HTTP towards callers and back ends, ZeroMQ towards controllers.
 
 #include <map>
 #include <memory>
--- /dev/null
+++ b/src/routing/route_table.cpp
@@ -0,0 +1,157 @@
+#include "routing/route_table.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <iterator>
+
+namespace planktray::routing {
+namespace {
+
+/// Host names are compared without case and without a port.
+std::string plain_host(std::string_view host) {
+  const auto colon = host.rfind(':');
+  std::string plain(host.substr(0, colon));
+  std::transform(plain.begin(), plain.end(), plain.begin(),
+                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  return plain;
+}
+
+}  // namespace
+
+void KeyOwners::cut_at(std::uint32_t first) {
+  auto found = ranges_.upper_bound(first);
+  if (found == ranges_.begin()) {
+    return;
+  }
+  found = std::prev(found);
+  if (found->first < first && found->second.last >= first) {
+    ranges_[first] = found->second;
+    found->second.last = first - 1;
+  }
+}
+
+void KeyOwners::put(std::uint32_t first, std::uint32_t last, BackendId owner) {
+  cut_at(first);
+  if (last + 1 < config::kKeyCount) {
+    cut_at(last + 1);
+  }
+  ranges_.erase(ranges_.lower_bound(first), ranges_.upper_bound(last));
+  ranges_[first] = {last, owner};
+}
+
+BackendId KeyOwners::owner_of(std::uint32_t key) const {
+  const auto found = ranges_.upper_bound(key);
+  if (found == ranges_.begin()) {
+    return BackendId();
+  }
+  const auto& [first, owned] = *std::prev(found);
+  return key <= owned.last ? owned.owner : BackendId();
+}
+
+void RouteTable::install(const TableDelta& delta,
+                         const std::unordered_map<BackendId, BackendRoute>& backends) {
+  if (delta.is_snapshot) {
+    *this = RouteTable();
+  }
+  for (const std::string& name : delta.removed_routes) {
+    remove_route(name);
+  }
+  for (const config::Route& route : delta.routes) {
+    remove_route(route.name);
+    put_route(route);
+  }
+  for (const ServiceId id : delta.removed_routed_services) {
+    const auto found = services_.find(id);
+    if (found != services_.end()) {
+      service_ids_.erase(found->second.route.config.name.value);
+      services_.erase(found);
+      owners_.erase(id);
+    }
+  }
+  for (const RoutedServiceRoute& service : delta.routed_services) {
+    services_[service.id].route = service;
+    service_ids_[service.config.name.value] = service.id;
+  }
+  for (const KeyRangeRoute& range : delta.ranges) {
+    if (services_.contains(range.service)) {
+      owners_[range.service].put(range.first, range.last, range.owner);
+    }
+  }
+  if (!delta.limits.empty()) {
+    limits_ = delta.limits.front();
+  }
+  version_ = std::max(version_, delta.routes_version);
+  const bool targets_changed = delta.is_snapshot || !delta.backends.empty() ||
+                               !delta.removed_backends.empty() || !delta.routed_services.empty();
+  if (targets_changed) {
+    list_targets(backends);
+  }
+}
+
+void RouteTable::remove_route(const std::string& name) {
+  const auto found = routes_.find(name);
+  if (found == routes_.end()) {
+    return;
+  }
+  const auto host = by_host_.find(plain_host(found->second.host));
+  std::erase(host->second, name);
+  if (host->second.empty()) {
+    by_host_.erase(host);
+  }
+  routes_.erase(found);
+}
+
+void RouteTable::put_route(const config::Route& route) {
+  routes_[route.name] = route;
+  std::vector<std::string>& names = by_host_[plain_host(route.host)];
+  names.push_back(route.name);
+  std::sort(names.begin(), names.end(), [this](const std::string& a, const std::string& b) {
+    return routes_.at(a).path_prefix.size() > routes_.at(b).path_prefix.size();
+  });
+}
+
+void RouteTable::list_targets(const std::unordered_map<BackendId, BackendRoute>& backends) {
+  for (auto& [id, service] : services_) {
+    service.targets.clear();
+  }
+  for (const auto& [id, backend] : backends) {
+    const auto service = service_ids_.find(backend.pool.value);
+    if (backend.self_registered && service != service_ids_.end()) {
+      services_.at(service->second).targets.push_back(id);
+    }
+  }
+  for (auto& [id, service] : services_) {
+    std::sort(service.targets.begin(), service.targets.end());
+  }
+}
+
+const config::Route* RouteTable::find(std::string_view host, std::string_view path) const {
+  const auto names = by_host_.find(plain_host(host));
+  if (names == by_host_.end()) {
+    return nullptr;
+  }
+  for (const std::string& name : names->second) {
+    const config::Route& route = routes_.at(name);
+    if (path.starts_with(route.path_prefix)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+const RoutedTableService* RouteTable::find_service(const common::ServiceName& name) const {
+  const auto found = service_ids_.find(name.value);
+  return found == service_ids_.end() ? nullptr : &services_.at(found->second);
+}
+
+const RoutedTableService* RouteTable::find_service(ServiceId id) const {
+  const auto found = services_.find(id);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+BackendId RouteTable::owner_of(ServiceId service, std::uint32_t key) const {
+  const auto found = owners_.find(service);
+  return found == owners_.end() ? BackendId() : found->second.owner_of(key);
+}
+
+}  // namespace planktray::routing
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -6,6 +6,13 @@
 
 namespace planktray::routing {
 
+bool TableDelta::empty() const {
+  return backends.empty() && removed_backends.empty() && services.empty() &&
+         removed_services.empty() && shards.empty() && tenants.empty() && routes.empty() &&
+         removed_routes.empty() && routed_services.empty() && removed_routed_services.empty() &&
+         ranges.empty() && limits.empty() && routes_version == 0;
+}
+
 ShardNumber shard_of_key(std::string_view key, const config::ServiceTemplate& parameters) {
   return ShardNumber(static_cast<std::uint32_t>(common::hash_bytes(key, parameters.hash_seed) %
                                                 parameters.shards));
@@ -61,6 +68,7 @@
   for (const TenantRevision& tenant : delta.tenants) {
     tenants_[tenant.tenant] = tenant.revision;
   }
+  routes_.install(delta, backends_);
 }
 
 void RoutingTable::put_service(const ServiceRoute& route) {
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "routing/route_table.hpp"
 #include "routing/table_messages.hpp"
 
 namespace planktray::routing {
@@ -41,6 +42,7 @@
   const std::unordered_map<BackendId, BackendRoute>& backends() const { return backends_; }
   /// True where the tenant is or was declared.
   const std::map<common::TenantName, common::Revision>& tenants() const { return tenants_; }
+  const RouteTable& routes() const { return routes_; }
 
  private:
   struct KeyHash {
@@ -55,6 +57,7 @@
   std::unordered_map<ServiceId, TableService> services_;
   std::unordered_map<common::ServiceKey, ServiceId, KeyHash> service_ids_;
   std::map<common::TenantName, common::Revision> tenants_;
+  RouteTable routes_;
 };
 
 }  // namespace planktray::routing
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -10,6 +10,7 @@
 #include "common/codec.hpp"
 #include "common/ids.hpp"
 #include "config/declaration.hpp"
+#include "config/route_configuration.hpp"
 
 namespace planktray::routing {
 
@@ -27,7 +28,12 @@
   common::ZoneName zone;
   common::Incarnation incarnation;
   bool draining = false;
-  MSGPACK_DEFINE_ARRAY(id, machine, address, zone, incarnation, draining)
+  common::PoolName pool{};    ///< self-registered: the name of its service
+  std::uint32_t slots = 0;    ///< requests it runs at once; 0: as its service says
+  std::uint32_t cold_ms = 0;  ///< how long it is slow from its registration
+  bool self_registered = false;
+  MSGPACK_DEFINE_ARRAY(id, machine, address, zone, incarnation, draining, pool, slots, cold_ms,
+                       self_registered)
 };
 
 struct ServiceRoute {
@@ -54,6 +60,22 @@
   MSGPACK_DEFINE_ARRAY(tenant, revision)
 };
 
+/// A service of the route configuration; its targets are the back ends that registered for it.
+struct RoutedServiceRoute {
+  ServiceId id;
+  config::RoutedService config;
+  MSGPACK_DEFINE_ARRAY(id, config)
+};
+
+/// Who gets the requests for keys `first` to `last`; 0 while nobody does.
+struct KeyRangeRoute {
+  ServiceId service;
+  std::uint32_t first = 0;
+  std::uint32_t last = 0;
+  BackendId owner;
+  MSGPACK_DEFINE_ARRAY(service, first, last, owner)
+};
+
 /// Changes of the table from one log index to another; a snapshot starts from nothing.
 struct TableDelta {
   bool is_snapshot = false;
@@ -65,8 +87,27 @@
   std::vector<ServiceId> removed_services;
   std::vector<ShardRoute> shards;
   std::vector<TenantRevision> tenants;
+  std::vector<config::Route> routes;
+  std::vector<std::string> removed_routes;
+  std::vector<RoutedServiceRoute> routed_services;
+  std::vector<ServiceId> removed_routed_services;
+  std::vector<KeyRangeRoute> ranges;
+  std::vector<config::RequestLimits> limits;  ///< one at most
+  std::uint64_t routes_version = 0;           ///< 0: unchanged
   MSGPACK_DEFINE_ARRAY(is_snapshot, from, to, backends, removed_backends, services,
-                       removed_services, shards, tenants)
+                       removed_services, shards, tenants, routes, removed_routes, routed_services,
+                       removed_routed_services, ranges, limits, routes_version)
+
+  /// True where nothing changes but the index.
+  bool empty() const;
+};
+
+/// Requests that a router saw for one key since its last report.
+struct KeyLoad {
+  ServiceId service;
+  std::uint32_t key = 0;
+  std::uint32_t requests = 0;
+  MSGPACK_DEFINE_ARRAY(service, key, requests)
 };
 
 /// Requests that a router saw for one shard since its last report.
@@ -86,7 +127,8 @@
   LogIndex table_index;       ///< the table the router serves from; 0 is none
   bool serving = false;
   std::vector<ShardLoad> loads;
-  MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads)
+  std::vector<KeyLoad> key_loads;
+  MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads)
 };
 
 /// Leader to router: confirmation that the table is current, and what changed.
--- a/src/standin/backend_process.cpp
+++ b/src/standin/backend_process.cpp
@@ -58,7 +58,7 @@
     }
   }
   auto server = transport::HttpServer::listen(
-      settings_.address, kMaxBody,
+      settings_.address, transport::options_with_body_limit(kMaxBody),
       [this](const transport::ExchangePointer& exchange) { on_http(exchange); });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
@@ -112,10 +112,10 @@
     return exchange->respond_json(kStatusOk, transport::to_json(core_.describe(boot_time_now())));
   }
   if (path == "/metrics") {
-    return exchange->respond(kStatusOk, "text/plain; version=0.0.4", metrics_text());
+    return exchange->respond_text(kStatusOk, "text/plain; version=0.0.4", metrics_text());
   }
   if (path == "/healthz" || path == "/readyz") {
-    return exchange->respond(kStatusOk, "text/plain", "ok\n");
+    return exchange->respond_text(kStatusOk, "text/plain", "ok\n");
   }
   later([this, exchange] { on_work(exchange); });
 }
--- a/src/standin/backend_process.hpp
+++ b/src/standin/backend_process.hpp
@@ -1,5 +1,5 @@
 #pragma once
-/// A back end as a process: BackendCore behind libsoup, with a ledger of what ran.
+/// A back end as a process: BackendCore behind an HTTP server, with a ledger of what ran.
 
 #include <fstream>
 #include <memory>
--- a/src/standin/hollow_process.cpp
+++ b/src/standin/hollow_process.cpp
@@ -31,7 +31,8 @@
               common::ZoneName(settings_.zone), common::PoolName(settings_.pool), false});
   }
   machine_list_ = transport::to_json(list);
-  auto server = transport::HttpServer::listen(address(settings_.first_port), kMaxBody,
+  auto server = transport::HttpServer::listen(address(settings_.first_port),
+                                              transport::options_with_body_limit(kMaxBody),
                                               [this](const transport::ExchangePointer& exchange) {
                                                 exchange->respond_json(kStatusOk, machine_list_);
                                               });
@@ -57,7 +58,7 @@
   Backend& backend = backends_.emplace_back();
   backend.core = std::make_unique<BackendCore>(options);
   auto server = transport::HttpServer::listen(
-      address(settings_.first_port + number), kMaxBody,
+      address(settings_.first_port + number), transport::options_with_body_limit(kMaxBody),
       [this, &backend](const transport::ExchangePointer& exchange) { answer(backend, exchange); });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
--- a/src/standin/load_process.cpp
+++ b/src/standin/load_process.cpp
@@ -12,7 +12,7 @@
 using transport::boot_time_now;
 
 constexpr common::Duration kTick = std::chrono::milliseconds(1);
-constexpr int kConnections = 4096;
+constexpr std::size_t kConnections = 4096;
 /// Answers may come this much after the deadline before the tool stops waiting.
 constexpr std::uint32_t kGraceMs = 3000;
 
@@ -20,10 +20,16 @@
   return std::chrono::duration<double, std::milli>(value).count();
 }
 
+transport::HttpClientOptions client_options() {
+  transport::HttpClientOptions options;
+  options.connections_per_server = kConnections;
+  return options;
+}
+
 }  // namespace
 
 LoadProcess::LoadProcess(LoadSettings settings)
-    : settings_(std::move(settings)), random_(settings_.seed), client_(kConnections) {}
+    : settings_(std::move(settings)), random_(settings_.seed), client_(client_options()) {}
 
 common::Result<void> LoadProcess::start() {
   if (!settings_.record.empty()) {
@@ -73,7 +79,8 @@
       settings_.routers[common::uniform(random_, 0, settings_.routers.size() - 1)];
   transport::HttpRequest request;
   request.method = call.method;
-  request.url = "http://" + router + "/" + call.service + "/item";
+  request.address = router;
+  request.target = "/" + call.service + "/item";
   request.headers = {{"Planktray-Request-Id", call.id},
                      {"Planktray-Key", call.key},
                      {"Planktray-Timeout-Ms", std::to_string(settings_.timeout_ms)}};
--- a/src/standin/platform_process.cpp
+++ b/src/standin/platform_process.cpp
@@ -28,7 +28,7 @@
   }
   versions_.emplace_back(common::TimePoint(), std::move(*list));
   auto server = transport::HttpServer::listen(
-      settings_.address, kMaxBody,
+      settings_.address, transport::options_with_body_limit(kMaxBody),
       [this](const transport::ExchangePointer& exchange) { on_http(exchange); });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
@@ -61,7 +61,7 @@
     return change(exchange, path.substr(kPrefix.size()));
   }
   if (path == "/healthz" || path == "/readyz") {
-    return exchange->respond(kStatusOk, "text/plain", "ok\n");
+    return exchange->respond_text(kStatusOk, "text/plain", "ok\n");
   }
   exchange->respond_error({common::ErrorCode::kNotFound, "route request", "", "no such resource"});
 }
--- a/src/standin/relay_process.cpp
+++ b/src/standin/relay_process.cpp
@@ -93,7 +93,7 @@
     }
   }
   auto control = transport::HttpServer::listen(
-      settings_.control, kMaxBody,
+      settings_.control, transport::options_with_body_limit(kMaxBody),
       [this](const transport::ExchangePointer& exchange) { on_control(exchange); });
   if (!control.has_value()) {
     return tl::unexpected(control.error());
@@ -135,7 +135,7 @@
 void RelayProcess::on_control(const transport::ExchangePointer& exchange) {
   const std::string& path = exchange->path();
   if (path == "/healthz") {
-    return exchange->respond(kStatusOk, "text/plain", "ok\n");
+    return exchange->respond_text(kStatusOk, "text/plain", "ok\n");
   }
   std::size_t number = links_.size();
   if (path.starts_with(kPrefix)) {
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -73,8 +73,9 @@
 }  // namespace
 
 common::Result<DurableState> LogStore::open(const common::CellName& cell,
-                                            common::RandomEngine& random) {
-  if (auto opened = open_identity(cell, random); !opened) {
+                                            common::RandomEngine& random,
+                                            const std::optional<Identity>& founder) {
+  if (auto opened = open_identity(cell, random, founder); !opened) {
     return tl::unexpected(opened.error());
   }
   generation_ = 0;
@@ -113,7 +114,8 @@
 }
 
 common::Result<void> LogStore::open_identity(const common::CellName& cell,
-                                             common::RandomEngine& random) {
+                                             common::RandomEngine& random,
+                                             const std::optional<Identity>& founder) {
   const auto bytes = disk_.read(kIdentityFile);
   if (bytes) {
     auto scanned = scan_records(*bytes, kIdentityFile);
@@ -135,7 +137,7 @@
     return common::fail(ErrorCode::kCorrupt, "read identity", "",
                         "the folder has files but no identity");
   }
-  identity_ = {cell, common::ReplicaId(random() | 1U)};
+  identity_ = founder.value_or(Identity{cell, common::ReplicaId(random() | 1U), {}});
   return disk_.replace(kIdentityFile, frame_record(common::encode(identity_)));
 }
 
--- a/src/storage/log_store.hpp
+++ b/src/storage/log_store.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,11 @@
 struct Identity {
   common::CellName cell;
   common::ReplicaId replica;
+  /// The members that made the cell, where this folder was made by one of them. They are synced
+  /// before the folder's first vote, so that a restart goes on with the same ones.
+  consensus::Membership founders;
   bool operator==(const Identity&) const = default;
-  MSGPACK_DEFINE_MAP(cell, replica)
+  MSGPACK_DEFINE_MAP(cell, replica, founders)
 };
 
 class LogStore {
@@ -31,8 +35,11 @@
 
   /// Reads the folder, cutting a torn tail; makes an identity where the folder is empty.
   /// @return kCorrupt where synced data is damaged: the disk counts as lost.
+  /// @param founder where the folder is empty and this process is one of the makers of the cell:
+  ///   its identity; nothing otherwise, and an empty folder becomes a new replica.
   common::Result<consensus::DurableState> open(const common::CellName& cell,
-                                               common::RandomEngine& random);
+                                               common::RandomEngine& random,
+                                               const std::optional<Identity>& founder = {});
   const Identity& identity() const { return identity_; }
 
   /// Writes a group of requests with one sync. @return the bytes written.
@@ -42,7 +49,8 @@
   common::Result<void> sync();
 
  private:
-  common::Result<void> open_identity(const common::CellName& cell, common::RandomEngine& random);
+  common::Result<void> open_identity(const common::CellName& cell, common::RandomEngine& random,
+                                     const std::optional<Identity>& founder);
   common::Result<void> start_generation(const consensus::PersistRequest& request);
   std::string file_name(std::uint64_t generation) const;
 
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <glib-unix.h>
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <utility>
@@ -58,12 +59,43 @@
   }
 }
 
+void EventLoop::on_hangup(std::function<void()> callback) {
+  callbacks_.push_back(std::make_unique<std::function<void()>>(std::move(callback)));
+  sources_.push_back(g_unix_signal_add(SIGHUP, call_repeatedly, callbacks_.back().get()));
+}
+
 void EventLoop::post(std::function<void()> callback) {
-  g_main_context_invoke(nullptr, call_once, new std::function<void()>(std::move(callback)));
+  g_idle_add_full(G_PRIORITY_HIGH, call_once, new std::function<void()>(std::move(callback)),
+                  nullptr);
 }
 
 void EventLoop::run() { g_main_loop_run(loop_); }
 
 void EventLoop::quit() { g_main_loop_quit(loop_); }
 
+void Alarm::set(common::TimePoint when) {
+  if (source_ != 0 && when == when_) {
+    return;
+  }
+  cancel();
+  when_ = when;
+  const auto wait = std::max(common::Duration(0), when - boot_time_now());
+  const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+  source_ =
+      g_timeout_add_full(G_PRIORITY_HIGH, static_cast<guint>(milliseconds), on_time, this, nullptr);
+}
+
+void Alarm::cancel() {
+  if (source_ != 0) {
+    g_source_remove(std::exchange(source_, 0));
+  }
+}
+
+gboolean Alarm::on_time(gpointer self) {
+  auto* alarm = static_cast<Alarm*>(self);
+  alarm->source_ = 0;
+  alarm->callback_();
+  return G_SOURCE_REMOVE;
+}
+
 }  // namespace planktray::transport
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "common/time.hpp"
@@ -27,7 +28,9 @@
   void after(common::Duration delay, std::function<void()> callback);
   /// Calls `callback` at each SIGTERM or SIGINT.
   void on_terminate(std::function<void()> callback);
-  /// Calls `callback` on the loop's thread; may be called from any thread.
+  /// Calls `callback` at each SIGHUP.
+  void on_hangup(std::function<void()> callback);
+  /// Calls `callback` from the loop, never within this call; may be called from any thread.
   static void post(std::function<void()> callback);
 
   void run();
@@ -39,4 +42,25 @@
   std::vector<guint> sources_;
 };
 
+/// One call at a time that can be put off or brought forward, so that a process wakes only when
+/// there is something to do.
+class Alarm {
+ public:
+  explicit Alarm(std::function<void()> callback) : callback_(std::move(callback)) {}
+  Alarm(const Alarm&) = delete;
+  Alarm& operator=(const Alarm&) = delete;
+  ~Alarm() { cancel(); }
+
+  /// Calls back once at `when`, in place of an earlier time.
+  void set(common::TimePoint when);
+  void cancel();
+
+ private:
+  static gboolean on_time(gpointer self);
+
+  std::function<void()> callback_;
+  guint source_ = 0;
+  common::TimePoint when_;
+};
+
 }  // namespace planktray::transport
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,6 +1,9 @@
 #include "transport/http_client.hpp"
 
-#include <map>
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+#include <optional>
 #include <utility>
 
 #include "transport/event_loop.hpp"
@@ -8,201 +11,409 @@
 namespace planktray::transport {
 namespace {
 
-/// A server that was not used for this long loses its session.
-constexpr common::Duration kSessionIdle = std::chrono::minutes(15);
+using common::Duration;
+using common::ErrorCode;
+using common::TimePoint;
 
-/// The "IP:port" of a URL, or the whole text where there is none.
-std::string server_of(const std::string& url) {
-  const auto scheme = url.find("://");
-  if (scheme == std::string::npos) {
-    return url;
+constexpr guint kSweepSeconds = 1;
+constexpr unsigned kFirstFinalStatus = 200;
+/// A connection is used again only in this part of the time that the server keeps it: a request
+/// that crosses the server's close is a request whose end is not known.
+constexpr double kUsableShareOfIdle = 0.75;
+
+/// The time in `Keep-Alive: timeout=N`, or nothing.
+std::optional<Duration> announced_idle(const HeaderList& headers) {
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view value = find_header(headers, "Keep-Alive");
+  const auto at = value.find(kName);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::int64_t seconds = 0;
+  const char* first = value.data() + at + kName.size();
+  const auto [end, error] = std::from_chars(first, value.data() + value.size(), seconds);
+  if (error != std::errc() || seconds < 0) {
+    return std::nullopt;
   }
-  const auto begin = scheme + 3;
-  const auto end = url.find('/', begin);
-  return url.substr(begin, end == std::string::npos ? end : end - begin);
+  return std::chrono::seconds(seconds);
 }
 
-void mark_started(SoupMessage* /*message*/, gpointer flag) { *static_cast<bool*>(flag) = true; }
+}  // namespace
 
-void append_header(const char* name, const char* value, gpointer list) {
-  static_cast<HeaderList*>(list)->emplace_back(name, value);
+std::pair<std::string, std::string> split_url(const std::string& url) {
+  constexpr std::string_view kScheme = "http://";
+  const std::string rest = url.starts_with(kScheme) ? url.substr(kScheme.size()) : url;
+  const auto slash = rest.find('/');
+  return {rest.substr(0, slash), slash == std::string::npos ? "/" : rest.substr(slash)};
 }
 
-}  // namespace
+// ---------------------------------------------------------------- one connection
 
-struct HttpClient::Call {
-  std::uint64_t id = 0;
-  std::weak_ptr<Calls> calls;
-  SoupMessage* message = nullptr;
-  GCancellable* cancellable = nullptr;
-  guint timer = 0;
-  bool started = false;
-  bool timed_out = false;
-  Callback callback;
-  std::string url;
-};
+/// One connection to a server: carries one call at a time and rests in between.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(HttpClient& client, std::string address, std::shared_ptr<TcpStream> stream)
+      : client_(client),
+        address_(std::move(address)),
+        stream_(std::move(stream)),
+        reader_(HttpRole::kResponse, client.options_.limits),
+        idle_(client.options_.idle_timeout),
+        since_(boot_time_now()) {}
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
+  ~ClientConnection() { stop_connect_timer(); }
 
-struct HttpClient::Calls {
-  std::uint64_t next_id = 1;
-  std::map<std::uint64_t, Call*> active;
-};
+  void start() {
+    const auto wait =
+        std::chrono::ceil<std::chrono::milliseconds>(client_.options_.connect_timeout).count();
+    connect_timer_ = g_timeout_add(static_cast<guint>(wait), on_connect_timeout, this);
+    TcpStream::Handlers handlers;
+    handlers.on_connected = [this] { stop_connect_timer(); };
+    handlers.on_data = [this](std::string_view bytes) { on_data(bytes); };
+    handlers.on_end = [this](StreamEnd end) { on_end(end); };
+    stream_->start(std::move(handlers));
+  }
 
-std::string_view HttpResponse::text() const {
-  if (!body) {
-    return {};
+  /// Begins a call; the connection is new or rests.
+  void carry(std::uint64_t call, const HttpRequest& request) {
+    call_ = call;
+    used_before_ = calls_carried_++ > 0;
+    fresh_only_ = request.fresh_connection;
+    answer_header_ = request.answer_header;
+    answer_value_ = request.answer_value;
+    expects_no_body_ = request.method == "HEAD";
+    if (expects_no_body_) {
+      reader_.expect_no_body();
+    }
+    HeaderList headers = request.headers;
+    if (find_header(headers, "Host").empty()) {
+      headers.emplace_back("Host", address_);
+    }
+    if (fresh_only_) {
+      headers.emplace_back("Connection", "close");
+    }
+    stream_->write(serialize_request(request.method, request.target, headers, request.body));
   }
-  gsize size = 0;
-  const void* data = g_bytes_get_data(body.get(), &size);
-  return {static_cast<const char*>(data), size};
-}
 
-std::string_view HttpResponse::header(std::string_view name) const {
-  for (const auto& [key, value] : headers) {
-    if (key.size() == name.size() &&
-        g_ascii_strncasecmp(key.data(), name.data(), name.size()) == 0) {
-      return value;
+  /// True where some of the present call's bytes may have reached the server.
+  bool was_sent() const { return used_before_ || stream_->has_sent(); }
+  bool is_usable(TimePoint now) const {
+    return stream_->is_open() &&
+           now - since_ < std::chrono::duration_cast<Duration>(idle_ * kUsableShareOfIdle);
+  }
+
+  void close() {
+    const auto keep = shared_from_this();
+    call_ = 0;
+    stop_connect_timer();
+    stream_->close();
+    if (!std::exchange(forgotten_, true)) {
+      client_.forget(address_, this);
+    }
+  }
+
+ private:
+  static gboolean on_connect_timeout(gpointer self) {
+    auto* connection = static_cast<ClientConnection*>(self);
+    const auto keep = connection->shared_from_this();
+    connection->connect_timer_ = 0;
+    connection->fail(
+        {ErrorCode::kTimeout, "connect", connection->address_, "the connection did not come up"});
+    return G_SOURCE_REMOVE;
+  }
+  void stop_connect_timer() {
+    if (connect_timer_ != 0) {
+      g_source_remove(std::exchange(connect_timer_, 0));
+    }
+  }
+
+  void on_data(std::string_view bytes) {
+    const auto keep = shared_from_this();
+    if (call_ == 0) {
+      close();  // bytes that belong to no request
+      return;
+    }
+    while (!bytes.empty() && call_ != 0) {
+      bytes.remove_prefix(reader_.feed(bytes));
+      if (reader_.has_failed()) {
+        fail({ErrorCode::kCorrupt, "read answer", address_, "the answer cannot be read"});
+        return;
+      }
+      if (reader_.is_whole()) {
+        take_message(bytes.empty());
+      }
     }
   }
-  return {};
-}
 
-HttpClient::HttpClient(int connections_per_host)
-    : connections_per_host_(connections_per_host), calls_(std::make_shared<Calls>()) {}
+  /// @param is_last no byte has come behind this message.
+  void take_message(bool is_last) {
+    HttpMessage message = reader_.take();
+    if (expects_no_body_) {
+      reader_.expect_no_body();
+    }
+    if (message.status < kFirstFinalStatus) {
+      return;  // an interim response
+    }
+    const bool is_own =
+        answer_header_.empty() || find_header(message.headers, answer_header_) == answer_value_;
+    if (!is_own) {
+      has_surplus_ = true;
+      return;
+    }
+    idle_ = announced_idle(message.headers).value_or(client_.options_.idle_timeout);
+    const bool reusable = message.keep_alive && is_last && !has_surplus_ && !fresh_only_ &&
+                          !stream_->is_writing() && stream_->is_open();
+    HttpResponse response;
+    response.status = message.status;
+    response.headers = std::move(message.headers);
+    response.body = std::move(message.body);
+    complete(std::move(response), reusable);
+  }
+
+  void on_end(StreamEnd end) {
+    const auto keep = shared_from_this();
+    if (call_ == 0) {
+      close();
+      return;
+    }
+    if (end == StreamEnd::kClosed) {
+      reader_.finish();
+      if (reader_.is_whole()) {
+        take_message(true);
+      }
+    }
+    if (call_ != 0) {
+      const bool sent = was_sent();
+      fail({ErrorCode::kUnavailable, sent ? "read answer" : "connect", address_,
+            end == StreamEnd::kClosed ? "the connection was closed" : "the connection was reset"});
+    }
+  }
+
+  void fail(common::Error error) {
+    HttpResponse response;
+    response.error = std::move(error);
+    complete(std::move(response), false);
+  }
+
+  void complete(HttpResponse response, bool reusable) {
+    response.was_sent = was_sent();
+    response.used_before = used_before_;
+    const std::uint64_t call = std::exchange(call_, 0);
+    since_ = boot_time_now();
+    if (reusable) {
+      client_.rest(address_, shared_from_this());
+    } else {
+      close();
+    }
+    client_.finish(call, std::move(response));
+  }
+
+  HttpClient& client_;
+  std::string address_;
+  std::shared_ptr<TcpStream> stream_;
+  HttpReader reader_;
+  Duration idle_;
+  TimePoint since_;         ///< when it was opened, or last carried a call
+  std::uint64_t call_ = 0;  ///< 0: rests
+  std::uint64_t calls_carried_ = 0;
+  std::string answer_header_;
+  std::string answer_value_;
+  bool used_before_ = false;
+  bool fresh_only_ = false;
+  bool expects_no_body_ = false;
+  bool has_surplus_ = false;
+  bool forgotten_ = false;
+  guint connect_timer_ = 0;
+};
+
+// ---------------------------------------------------------------- client
+
+HttpClient::HttpClient(HttpClientOptions options) : options_(options) {
+  sweep_source_ = g_timeout_add_seconds(kSweepSeconds, on_sweep, this);
+}
 
 HttpClient::~HttpClient() {
-  for (auto& [server, session] : sessions_) {
-    soup_session_abort(session.session);
-    g_object_unref(session.session);
+  *alive_ = false;
+  g_source_remove(sweep_source_);
+  const auto calls = std::exchange(calls_, {});
+  for (const auto& [id, call] : calls) {
+    if (call.timer != 0) {
+      g_source_remove(call.timer);
+    }
+    if (call.connection != nullptr) {
+      call.connection->close();
+    }
+  }
+  auto servers = std::exchange(servers_, {});
+  for (auto& [address, server] : servers) {
+    for (const auto& connection : server.idle) {
+      connection->close();
+    }
   }
 }
 
-SoupSession* HttpClient::session_for(const std::string& url) {
-  const common::TimePoint now = boot_time_now();
-  drop_idle_sessions(now);
-  Session& session = sessions_[server_of(url)];
-  session.last_used = now;
-  if (session.session == nullptr) {
-    session.session =
-        soup_session_new_with_options("max-conns", connections_per_host_, "max-conns-per-host",
-                                      connections_per_host_, "timeout", 0, nullptr);
-    soup_session_remove_feature_by_type(session.session, SOUP_TYPE_CONTENT_DECODER);
+std::uint64_t HttpClient::send(HttpRequest request, Callback callback) {
+  const std::uint64_t id = next_id_++;
+  Call& call = calls_[id];
+  call.callback = std::move(callback);
+  call.request = std::move(request);
+  if (call.request.timeout.count() > 0) {
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(call.request.timeout).count();
+    call.timer = g_timeout_add_full(G_PRIORITY_DEFAULT, static_cast<guint>(wait), on_timeout,
+                                    new Timer{this, id},
+                                    [](gpointer timer) { delete static_cast<Timer*>(timer); });
+  }
+  if (!call.request.fresh_connection) {
+    call.connection = take_idle(call.request.address);
   }
-  return session.session;
+  if (call.connection == nullptr) {
+    Server& server = servers_[call.request.address];
+    if (server.open >= options_.connections_per_server) {
+      fail_later(
+          id, {ErrorCode::kUnavailable, "connect", call.request.address, "no connection is free"});
+      return id;
+    }
+    auto stream = TcpStream::connect(call.request.address, options_.unacknowledged_timeout);
+    if (!stream.has_value()) {
+      fail_later(id, stream.error());
+      return id;
+    }
+    ++server.open;
+    ++opened_;
+    call.connection =
+        std::make_shared<ClientConnection>(*this, call.request.address, std::move(*stream));
+    call.connection->start();
+  }
+  sending_ = id;
+  call.connection->carry(id, call.request);
+  sending_ = 0;
+  return id;
 }
 
-void HttpClient::drop_idle_sessions(common::TimePoint now) {
-  if (now < next_cleaning_) {
-    return;
+std::shared_ptr<ClientConnection> HttpClient::take_idle(const std::string& address) {
+  const auto found = servers_.find(address);
+  if (found == servers_.end()) {
+    return nullptr;
+  }
+  const TimePoint now = boot_time_now();
+  while (!found->second.idle.empty()) {
+    auto connection = std::move(found->second.idle.back());
+    found->second.idle.pop_back();
+    if (connection->is_usable(now)) {
+      return connection;
+    }
+    connection->close();
   }
-  next_cleaning_ = now + kSessionIdle;
-  std::erase_if(sessions_, [&](auto& item) {
-    // Longer than any request may take: nothing is under way in an idle session.
-    if (now - item.second.last_used < kSessionIdle) {
-      return false;
+  return nullptr;
+}
+
+void HttpClient::fail_later(std::uint64_t id, common::Error error) {
+  EventLoop::post([this, alive = alive_, id, error = std::move(error)] {
+    if (*alive) {
+      HttpResponse response;
+      response.error = error;
+      finish(id, std::move(response));
     }
-    g_object_unref(item.second.session);
-    return true;
   });
 }
 
-std::size_t HttpClient::in_flight() const { return calls_->active.size(); }
+void HttpClient::finish(std::uint64_t id, HttpResponse response) {
+  if (id == sending_) {
+    EventLoop::post([this, alive = alive_, id, response = std::move(response)] {
+      if (*alive) {
+        finish(id, response);
+      }
+    });
+    return;
+  }
+  auto node = calls_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  Call& call = node.mapped();
+  if (call.timer != 0) {
+    g_source_remove(call.timer);
+  }
+  call.connection.reset();
+  call.callback(response);
+}
 
-std::uint64_t HttpClient::send(const HttpRequest& request, Callback callback) {
-  auto* call = new Call;
-  call->id = calls_->next_id++;
-  call->calls = calls_;
-  call->callback = std::move(callback);
-  call->url = request.url;
-  call->message = soup_message_new(request.method.c_str(), request.url.c_str());
-  const std::uint64_t id = call->id;
-  if (call->message == nullptr) {
-    HttpResponse response;
-    response.error = {common::ErrorCode::kInvalid, "send request", request.url, "not a valid URL"};
-    call->callback(response);
-    delete call;
-    return id;
-  }
-  SoupMessageHeaders* headers = soup_message_get_request_headers(call->message);
-  for (const auto& [name, value] : request.headers) {
-    soup_message_headers_replace(headers, name.c_str(), value.c_str());
-  }
-  if (!request.body.empty()) {
-    GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
-    soup_message_set_request_body_from_bytes(call->message, request.content_type.c_str(), bytes);
-    g_bytes_unref(bytes);
-  }
-  unsigned flags = SOUP_MESSAGE_NO_REDIRECT;
-  if (request.fresh_connection) {
-    flags |= SOUP_MESSAGE_NEW_CONNECTION;
-    soup_message_headers_replace(headers, "Connection", "close");
-  }
-  soup_message_set_flags(call->message, static_cast<SoupMessageFlags>(flags));
-  g_signal_connect(call->message, "starting", G_CALLBACK(mark_started), &call->started);
-  call->cancellable = g_cancellable_new();
-  if (request.timeout.count() > 0) {
-    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count();
-    call->timer = g_timeout_add(static_cast<guint>(wait), on_timeout, call);
-  }
-  calls_->active[id] = call;
-  soup_session_send_and_read_async(session_for(request.url), call->message, G_PRIORITY_DEFAULT,
-                                   call->cancellable, on_done, call);
-  return id;
+void HttpClient::cancel(std::uint64_t id) {
+  auto node = calls_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  if (node.mapped().timer != 0) {
+    g_source_remove(node.mapped().timer);
+  }
+  if (node.mapped().connection != nullptr) {
+    node.mapped().connection->close();
+  }
 }
 
 gboolean HttpClient::on_timeout(gpointer data) {
-  auto* call = static_cast<Call*>(data);
-  call->timer = 0;
-  call->timed_out = true;
-  g_cancellable_cancel(call->cancellable);
+  const Timer timer = *static_cast<Timer*>(data);
+  timer.client->expire(timer.call);
   return G_SOURCE_REMOVE;
 }
 
-void HttpClient::cancel(std::uint64_t id) {
-  const auto found = calls_->active.find(id);
-  if (found != calls_->active.end()) {
-    found->second->callback = nullptr;
-    g_cancellable_cancel(found->second->cancellable);
+void HttpClient::expire(std::uint64_t id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  found->second.timer = 0;
+  HttpResponse response;
+  response.error = {ErrorCode::kTimeout, "read answer", found->second.request.address,
+                    "no answer in time"};
+  if (const auto connection = found->second.connection) {
+    response.was_sent = connection->was_sent();
+    connection->close();
   }
+  finish(id, std::move(response));
 }
 
-void HttpClient::on_done(GObject* source, GAsyncResult* result, gpointer data) {
-  const std::unique_ptr<Call> call(static_cast<Call*>(data));
-  GError* error = nullptr;
-  GBytes* bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
-  HttpResponse response;
-  response.was_sent = call->started;
-  if (bytes != nullptr) {
-    response.body = std::shared_ptr<GBytes>(bytes, g_bytes_unref);
-    SoupMessageHeaders* headers = soup_message_get_response_headers(call->message);
-    const bool states_length =
-        soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
-    const bool is_head = soup_message_get_method(call->message) == SOUP_METHOD_HEAD;
-    const auto stated = static_cast<gsize>(soup_message_headers_get_content_length(headers));
-    if (states_length && !is_head && stated != g_bytes_get_size(bytes)) {
-      response.error = {common::ErrorCode::kCorrupt, "read answer", call->url,
-                        "the answer is shorter than stated"};
-    } else {
-      response.status = soup_message_get_status(call->message);
-      soup_message_headers_foreach(headers, append_header, &response.headers);
-    }
-  } else {
-    const auto code =
-        call->timed_out ? common::ErrorCode::kTimeout : common::ErrorCode::kUnavailable;
-    response.error = {code, call->started ? "read answer" : "connect", call->url,
-                      call->timed_out ? "no answer in time" : error->message};
-    g_error_free(error);
+void HttpClient::rest(const std::string& address,
+                      const std::shared_ptr<ClientConnection>& connection) {
+  servers_[address].idle.push_back(connection);
+}
+
+void HttpClient::forget(const std::string& address, const ClientConnection* connection) {
+  const auto found = servers_.find(address);
+  if (found == servers_.end()) {
+    return;
   }
-  if (call->timer != 0) {
-    g_source_remove(call->timer);
+  std::erase_if(found->second.idle,
+                [connection](const auto& item) { return item.get() == connection; });
+  found->second.open -= found->second.open > 0 ? 1 : 0;
+  if (found->second.open == 0) {
+    servers_.erase(found);
   }
-  if (const auto calls = call->calls.lock()) {
-    calls->active.erase(call->id);
+}
+
+gboolean HttpClient::on_sweep(gpointer self) {
+  static_cast<HttpClient*>(self)->sweep();
+  return G_SOURCE_CONTINUE;
+}
+
+void HttpClient::sweep() {
+  const TimePoint now = boot_time_now();
+  std::vector<std::shared_ptr<ClientConnection>> stale;
+  for (const auto& [address, server] : servers_) {
+    std::copy_if(server.idle.begin(), server.idle.end(), std::back_inserter(stale),
+                 [now](const auto& connection) { return !connection->is_usable(now); });
+  }
+  for (const auto& connection : stale) {
+    connection->close();
   }
-  g_object_unref(call->message);
-  g_object_unref(call->cancellable);
-  if (call->callback) {
-    call->callback(response);
+}
+
+std::size_t HttpClient::connections() const {
+  std::size_t count = 0;
+  for (const auto& [address, server] : servers_) {
+    count += server.open;
   }
+  return count;
 }
 
 }  // namespace planktray::transport
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -1,7 +1,12 @@
 #pragma once
-/// HTTP client by libsoup, with what retries need to know: whether anything was written.
-
-#include <libsoup/soup.h>
+/// HTTP/1.1 client on GIO sockets and the http-parser library, with what retries need to know:
+/// whether anything was written.
+///
+/// Invariants:
+///  - A request is written once, on one connection. Nothing is resent here.
+///  - A response is handed out only when it is whole and, where the request says how to know its
+///    own answer, carries that mark; answers to other requests are read past.
+///  - A connection is used again only if nothing but the whole answer came on it.
 
 #include <cstdint>
 #include <functional>
@@ -9,76 +14,116 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "common/error.hpp"
 #include "common/time.hpp"
-#include "transport/http_server.hpp"
+#include "transport/http_message.hpp"
+#include "transport/tcp_stream.hpp"
 
 namespace planktray::transport {
 
+/// "http://IP:port/path" as the "IP:port" and the "/path" of a request.
+std::pair<std::string, std::string> split_url(const std::string& url);
+
 struct HttpRequest {
+  std::string address;  ///< "IP:port"
   std::string method = "GET";
-  std::string url;
-  HeaderList headers;
-  std::string content_type = "application/json";
+  std::string target = "/";  ///< path and query, sent as they are
+  HeaderList headers;        ///< Host is added where it is missing
   std::string body;
   common::Duration timeout{0};  ///< 0: until cancelled
-  /// Opens a connection for this request alone. A used connection that the server closes makes
-  /// libsoup resend an idempotent method by itself; a fresh one never does.
+  /// Opens a connection for this request alone, and closes it afterwards.
   bool fresh_connection = false;
+  /// The answer carries this header with this value; answers with another one are not to this
+  /// request. Empty: the next answer is the one.
+  std::string answer_header;
+  std::string answer_value;
 };
 
 /// How a request ended. Either `status` is set, or `error` tells why not.
 struct HttpResponse {
   unsigned status = 0;
   HeaderList headers;
-  std::shared_ptr<GBytes> body;
-  bool was_sent = false;  ///< some of the request may have reached the server
+  std::string body;
+  bool was_sent = false;     ///< some of the request may have reached the server
+  bool used_before = false;  ///< the connection had carried an earlier request
   common::Error error;
 
   bool is_whole() const { return status != 0; }
-  std::string_view text() const;
+  std::string_view text() const { return body; }
   /// @return the header's value, or "".
-  std::string_view header(std::string_view name) const;
+  std::string_view header(std::string_view name) const { return find_header(headers, name); }
+};
+
+struct HttpClientOptions {
+  /// Connections open to one server at once; a request beyond them fails as not sent.
+  std::size_t connections_per_server = 64;
+  /// A connection that is not up by then has failed; nothing was sent.
+  common::Duration connect_timeout = std::chrono::seconds(5);
+  /// A connection rests for this long at most, less where the server says so (Keep-Alive).
+  common::Duration idle_timeout = std::chrono::seconds(30);
+  /// Ends a connection whose sent bytes stay without an acknowledgement; 0: the system's time.
+  common::Duration unacknowledged_timeout{0};
+  HttpLimits limits{64 * 1024, 64 * 1024 * 1024};
 };
 
+class ClientConnection;
+
 class HttpClient {
  public:
-  using Callback = std::function<void(const HttpResponse& response)>;
+  using Callback = std::function<void(HttpResponse& response)>;
 
-  /// @param connections_per_host open at once.
-  explicit HttpClient(int connections_per_host);
+  explicit HttpClient(HttpClientOptions options);
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
   ~HttpClient();
 
-  /// Sends; the callback comes exactly once, unless cancel() was called for the returned id.
-  std::uint64_t send(const HttpRequest& request, Callback callback);
+  /// Sends; the callback comes exactly once and never within this call, unless cancel() was called
+  /// for the returned id.
+  std::uint64_t send(HttpRequest request, Callback callback);
   /// Closes the connection of a request whose answer is no longer wanted.
   void cancel(std::uint64_t id);
-  std::size_t in_flight() const;
+  std::size_t in_flight() const { return calls_.size(); }
+  std::size_t connections() const;
+  std::uint64_t connections_opened() const { return opened_; }
 
  private:
-  struct Call;
-  struct Calls;
-
-  /// One libsoup session for each server: a session looks through all its connections for every
-  /// request, which grows with the square of the servers.
-  struct Session {
-    SoupSession* session = nullptr;
-    common::TimePoint last_used;
+  friend class ClientConnection;
+  struct Call {
+    HttpRequest request;
+    Callback callback;
+    std::shared_ptr<ClientConnection> connection;
+    guint timer = 0;
+  };
+  struct Server {
+    std::vector<std::shared_ptr<ClientConnection>> idle;  ///< the last used at the back
+    std::size_t open = 0;
+  };
+  struct Timer {
+    HttpClient* client;
+    std::uint64_t call;
   };
 
-  SoupSession* session_for(const std::string& url);
-  void drop_idle_sessions(common::TimePoint now);
-
-  static void on_done(GObject* source, GAsyncResult* result, gpointer data);
   static gboolean on_timeout(gpointer data);
-
-  int connections_per_host_;
-  std::map<std::string, Session> sessions_;  ///< by "IP:port"
-  common::TimePoint next_cleaning_;
-  std::shared_ptr<Calls> calls_;
+  static gboolean on_sweep(gpointer self);
+  void expire(std::uint64_t id);
+  void sweep();
+  std::shared_ptr<ClientConnection> take_idle(const std::string& address);
+  void fail_later(std::uint64_t id, common::Error error);
+  void finish(std::uint64_t id, HttpResponse response);
+  void rest(const std::string& address, const std::shared_ptr<ClientConnection>& connection);
+  void forget(const std::string& address, const ClientConnection* connection);
+
+  HttpClientOptions options_;
+  std::map<std::uint64_t, Call> calls_;
+  std::map<std::string, Server> servers_;
+  std::uint64_t next_id_ = 1;
+  std::uint64_t opened_ = 0;
+  std::uint64_t sending_ = 0;  ///< the call that send() is about, while it runs
+  guint sweep_source_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace planktray::transport
--- /dev/null
+++ b/src/transport/http_message.cpp
@@ -0,0 +1,224 @@
+#include "transport/http_message.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace planktray::transport {
+namespace {
+
+constexpr unsigned kStatusNoContent = 204;
+constexpr unsigned kStatusNotModified = 304;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr int kContinueParsing = 0;
+constexpr int kStopParsing = 1;
+constexpr int kNoBodyFollows = 1;
+
+HttpReader& reader_of(http_parser* parser) { return *static_cast<HttpReader*>(parser->data); }
+
+char lower(char letter) {
+  return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+}
+
+bool allows_body(unsigned status) {
+  return status >= kFirstFinalStatus && status != kStatusNoContent && status != kStatusNotModified;
+}
+
+/// Whether the sender may leave out a body's length: only requests without a body.
+bool states_length(std::string_view method, std::string_view body) {
+  return !body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+const char* reason_of(unsigned status) {
+  const char* text = http_status_str(static_cast<http_status>(status));
+  return text == nullptr ? "" : text;
+}
+
+void append_headers(std::string& out, const HeaderList& headers) {
+  for (const auto& [name, value] : headers) {
+    out.append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
+}  // namespace
+
+bool equals_ignoring_case(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         std::equal(left.begin(), left.end(), right.begin(),
+                    [](char a, char b) { return lower(a) == lower(b); });
+}
+
+std::string_view find_header(const HeaderList& headers, std::string_view name) {
+  const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto& header) {
+    return equals_ignoring_case(header.first, name);
+  });
+  return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+HttpReader::HttpReader(HttpRole role, HttpLimits limits) : role_(role), limits_(limits) { reset(); }
+
+const http_parser_settings& HttpReader::callbacks() {
+  static const http_parser_settings kCallbacks = [] {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_url = on_url;
+    settings.on_header_field = on_header_field;
+    settings.on_header_value = on_header_value;
+    settings.on_headers_complete = on_headers_complete;
+    settings.on_body = on_body;
+    settings.on_message_complete = on_message_complete;
+    return settings;
+  }();
+  return kCallbacks;
+}
+
+void HttpReader::reset() {
+  http_parser_init(&parser_, role_ == HttpRole::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  message_ = HttpMessage();
+  header_bytes_ = 0;
+  begun_ = false;
+  has_head_ = false;
+  whole_ = false;
+  in_value_ = false;
+}
+
+std::size_t HttpReader::feed(std::string_view bytes) {
+  if (whole_ || has_failed() || bytes.empty()) {
+    return 0;
+  }
+  begun_ = true;
+  const std::size_t taken = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+  if (whole_) {
+    return taken;
+  }
+  const bool stopped = HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0;
+  if (stopped && !has_failed()) {
+    failure_ = ReadFailure::kMalformed;
+  }
+  return taken;
+}
+
+void HttpReader::finish() {
+  if (whole_ || has_failed()) {
+    return;
+  }
+  if (begun_) {
+    http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+  }
+  if (!whole_) {
+    failure_ = ReadFailure::kCutShort;
+  }
+}
+
+HttpMessage HttpReader::take() {
+  HttpMessage taken = std::move(message_);
+  skip_body_ = false;
+  reset();
+  return taken;
+}
+
+bool HttpReader::count_header(std::size_t bytes) {
+  header_bytes_ += bytes;
+  if (header_bytes_ > limits_.header_bytes) {
+    failure_ = ReadFailure::kHeaderTooLarge;
+    return false;
+  }
+  return true;
+}
+
+int HttpReader::on_url(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader& reader = reader_of(parser);
+  reader.message_.target.append(at, length);
+  return reader.count_header(length) ? kContinueParsing : kStopParsing;
+}
+
+int HttpReader::on_header_field(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader& reader = reader_of(parser);
+  if (reader.has_head_) {
+    return reader.count_header(length) ? kContinueParsing : kStopParsing;  // trailers are dropped
+  }
+  if (reader.in_value_ || reader.message_.headers.empty()) {
+    reader.message_.headers.emplace_back();
+    reader.in_value_ = false;
+  }
+  reader.message_.headers.back().first.append(at, length);
+  return reader.count_header(length) ? kContinueParsing : kStopParsing;
+}
+
+int HttpReader::on_header_value(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader& reader = reader_of(parser);
+  reader.in_value_ = true;
+  if (reader.has_head_) {
+    return reader.count_header(length) ? kContinueParsing : kStopParsing;
+  }
+  reader.message_.headers.back().second.append(at, length);
+  return reader.count_header(length) ? kContinueParsing : kStopParsing;
+}
+
+int HttpReader::on_headers_complete(http_parser* parser) { return reader_of(parser).end_head(); }
+
+int HttpReader::end_head() {
+  has_head_ = true;
+  if (role_ == HttpRole::kRequest) {
+    message_.method = http_method_str(static_cast<http_method>(parser_.method));
+  } else {
+    message_.status = parser_.status_code;
+  }
+  constexpr std::uint64_t kNoLength = UINT64_MAX;
+  const bool stated = parser_.content_length != kNoLength;
+  if (stated && parser_.content_length > limits_.body_bytes && !skip_body_) {
+    failure_ = ReadFailure::kBodyTooLarge;
+    return -1;
+  }
+  return skip_body_ ? kNoBodyFollows : kContinueParsing;
+}
+
+int HttpReader::on_body(http_parser* parser, const char* at, std::size_t length) {
+  HttpReader& reader = reader_of(parser);
+  if (reader.message_.body.size() + length > reader.limits_.body_bytes) {
+    reader.failure_ = ReadFailure::kBodyTooLarge;
+    return kStopParsing;
+  }
+  reader.message_.body.append(at, length);
+  return kContinueParsing;
+}
+
+int HttpReader::on_message_complete(http_parser* parser) {
+  HttpReader& reader = reader_of(parser);
+  reader.message_.keep_alive = http_should_keep_alive(parser) != 0;
+  reader.whole_ = true;
+  http_parser_pause(parser, 1);
+  return kContinueParsing;
+}
+
+std::string serialize_request(std::string_view method, std::string_view target,
+                              const HeaderList& headers, std::string_view body) {
+  std::string out;
+  out.reserve(256 + body.size());
+  out.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  append_headers(out, headers);
+  if (states_length(method, body)) {
+    out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+  }
+  out.append("\r\n").append(body);
+  return out;
+}
+
+std::string serialize_response(unsigned status, const HeaderList& headers, std::string_view body,
+                               bool omit_body) {
+  std::string out;
+  out.reserve(256 + body.size());
+  out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason_of(status));
+  out.append("\r\n");
+  append_headers(out, headers);
+  if (!allows_body(status)) {
+    return out.append("\r\n");
+  }
+  out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+  if (!omit_body) {
+    out.append(body);
+  }
+  return out;
+}
+
+}  // namespace planktray::transport
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,15 +1,44 @@
 #include "transport/http_server.hpp"
 
-#include <gio/gio.h>
+#include <glib-unix.h>
 
-#include <charconv>
 #include <nlohmann/json.hpp>
+#include <utility>
+
+#include "transport/event_loop.hpp"
 
 namespace planktray::transport {
 namespace {
 
-void append_header(const char* name, const char* value, gpointer list) {
-  static_cast<HeaderList*>(list)->emplace_back(name, value);
+constexpr unsigned kStatusBadRequest = 400;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusTimeout = 408;
+constexpr unsigned kStatusConflict = 409;
+constexpr unsigned kStatusBodyTooLarge = 413;
+constexpr unsigned kStatusHeaderTooLarge = 431;
+constexpr unsigned kStatusInternalError = 500;
+constexpr unsigned kStatusUnavailable = 503;
+constexpr unsigned kStatusGatewayTimeout = 504;
+constexpr int kBacklog = 512;
+/// Idle and slow connections are looked for this often.
+constexpr guint kSweepSeconds = 1;
+/// Bytes of later requests kept while one is being answered.
+constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+unsigned status_of_failure(ReadFailure failure) {
+  switch (failure) {
+    case ReadFailure::kHeaderTooLarge:
+      return kStatusHeaderTooLarge;
+    case ReadFailure::kBodyTooLarge:
+      return kStatusBodyTooLarge;
+    default:
+      return kStatusBadRequest;
+  }
+}
+
+std::string error_json(std::string_view message, std::string_view step) {
+  return nlohmann::json{{"error", message}, {"step", step}, {"peer", ""}}.dump();
 }
 
 }  // namespace
@@ -17,127 +46,203 @@
 unsigned status_of(common::ErrorCode code) {
   switch (code) {
     case common::ErrorCode::kInvalid:
-      return SOUP_STATUS_BAD_REQUEST;
+      return kStatusBadRequest;
     case common::ErrorCode::kNotFound:
-      return SOUP_STATUS_NOT_FOUND;
+      return kStatusNotFound;
     case common::ErrorCode::kConflict:
-      return SOUP_STATUS_CONFLICT;
+      return kStatusConflict;
     case common::ErrorCode::kTimeout:
-      return SOUP_STATUS_GATEWAY_TIMEOUT;
+      return kStatusGatewayTimeout;
     default:
-      return SOUP_STATUS_SERVICE_UNAVAILABLE;
+      return kStatusUnavailable;
   }
 }
 
-common::Result<Endpoint> parse_endpoint(const std::string& address) {
-  const auto colon = address.rfind(':');
-  std::uint16_t port = 0;
-  const char* first = address.data() + (colon == std::string::npos ? 0 : colon + 1);
-  const char* last = address.data() + address.size();
-  const auto [end, error] = std::from_chars(first, last, port);
-  const std::string host = address.substr(0, colon == std::string::npos ? 0 : colon);
-  GInetAddress* parsed = g_inet_address_new_from_string(host.c_str());
-  const bool is_ip = parsed != nullptr;
-  g_clear_object(&parsed);
-  if (colon == std::string::npos || error != std::errc() || end != last || port == 0 || !is_ip) {
-    return common::fail(common::ErrorCode::kInvalid, "parse address", address,
-                        "must be IP:port, such as 127.0.0.1:7001");
-  }
-  return Endpoint{host, port};
+HttpServerOptions options_with_body_limit(std::size_t bytes) {
+  HttpServerOptions options;
+  options.limits.body_bytes = bytes;
+  return options;
 }
 
-// ---------------------------------------------------------------- exchange
+// ---------------------------------------------------------------- one connection
+
+/// One client's connection: reads a request, waits for its answer, writes it, reads the next.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(HttpServer& server, std::uint64_t id, std::shared_ptr<TcpStream> stream)
+      : server_(server),
+        id_(id),
+        stream_(std::move(stream)),
+        reader_(HttpRole::kRequest, server.options().limits),
+        since_(boot_time_now()) {}
+
+  void start() {
+    TcpStream::Handlers handlers;
+    handlers.on_data = [this](std::string_view bytes) { on_data(bytes); };
+    handlers.on_end = [this](StreamEnd /*end*/) { on_end(); };
+    handlers.on_drained = [this] { on_drained(); };
+    stream_->start(std::move(handlers));
+  }
 
-HttpExchange::HttpExchange(SoupServerMessage* message, std::string path)
-    : message_(message), path_(std::move(path)) {
-  g_object_ref(message_);
-  soup_server_message_pause(message_);
-  gone_handler_ = g_signal_connect(message_, "disconnected", G_CALLBACK(on_disconnected), this);
-}
+  void answer(unsigned status, const HeaderList& headers, std::string_view body, bool is_head) {
+    exchange_.reset();
+    const bool close = closing_ || server_.closing_;
+    closing_ = close;
+    HeaderList all = headers;
+    if (close) {
+      all.emplace_back("Connection", "close");
+    }
+    writing_ = true;
+    stream_->write(serialize_response(status, all, body, is_head));
+  }
 
-HttpExchange::~HttpExchange() {
-  g_signal_handler_disconnect(message_, gone_handler_);
-  if (!answered_) {
-    soup_server_message_set_status(message_, SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
-    soup_server_message_unpause(message_);
+  /// Ends the connection from this side; a request that waits is told that its client has left.
+  void shut() {
+    const auto keep = shared_from_this();
+    stream_->close();
+    on_end();
   }
-  g_object_unref(message_);
-}
 
-void HttpExchange::on_disconnected(SoupServerMessage* /*message*/, gpointer self) {
-  auto* exchange = static_cast<HttpExchange*>(self);
-  if (exchange->answered_) {
-    return;
+  bool is_busy() const { return !exchange_.expired() || writing_ || reader_.has_begun(); }
+  void close_if_idle() {
+    if (!is_busy()) {
+      shut();
+    }
   }
-  exchange->answered_ = true;
-  if (exchange->gone_) {
-    const auto gone = std::exchange(exchange->gone_, nullptr);
-    gone();
+  void sweep(common::TimePoint now) {
+    const HttpServerOptions& options = server_.options();
+    if (!exchange_.expired()) {
+      return;
+    }
+    if (reader_.has_begun() && now - since_ > options.request_timeout) {
+      refuse(kStatusTimeout, "the request did not come whole in time");
+    } else if (!is_busy() && now - since_ > options.idle_timeout) {
+      shut();
+    }
   }
-}
 
-std::string_view HttpExchange::method() const { return soup_server_message_get_method(message_); }
+ private:
+  void on_data(std::string_view bytes) {
+    if (!exchange_.expired() || writing_) {
+      waiting_.append(bytes);
+      if (waiting_.size() > kMaxPipelinedBytes) {
+        shut();
+      }
+      return;
+    }
+    if (closing_) {
+      return;  // bytes that cross the end of the connection
+    }
+    if (!reader_.has_begun()) {
+      since_ = boot_time_now();
+      reader_.set_limits(server_.options().limits);
+    }
+    const bool had_head = reader_.has_head();
+    const std::size_t taken = reader_.feed(bytes);
+    if (reader_.has_failed()) {
+      refuse(status_of_failure(reader_.failure()), "the request cannot be read");
+      return;
+    }
+    if (!reader_.is_whole()) {
+      if (!had_head && reader_.has_head()) {
+        answer_expectation();
+      }
+      return;
+    }
+    waiting_.append(bytes.substr(taken));
+    deliver();
+  }
 
-std::string HttpExchange::target() const {
-  GUri* uri = soup_server_message_get_uri(message_);
-  const char* query = g_uri_get_query(uri);
-  std::string target = g_uri_get_path(uri);
-  return query == nullptr ? target : target + "?" + query;
-}
+  void answer_expectation() {
+    if (equals_ignoring_case(find_header(reader_.message().headers, "Expect"), "100-continue")) {
+      stream_->write(kContinue);
+    }
+  }
 
-std::string_view HttpExchange::header(const char* name) const {
-  const char* value =
-      soup_message_headers_get_one(soup_server_message_get_request_headers(message_), name);
-  return value == nullptr ? std::string_view() : std::string_view(value);
-}
+  void deliver() {
+    HttpMessage request = reader_.take();
+    closing_ = closing_ || !request.keep_alive;
+    const auto exchange = std::make_shared<HttpExchange>(weak_from_this(), std::move(request));
+    exchange_ = exchange;
+    server_.handler_(exchange);
+  }
 
-HeaderList HttpExchange::headers() const {
-  HeaderList list;
-  soup_message_headers_foreach(soup_server_message_get_request_headers(message_), append_header,
-                               &list);
-  return list;
-}
+  void refuse(unsigned status, std::string_view message) {
+    ++server_.refused_;
+    closing_ = true;
+    answer(status, {{"Content-Type", "application/json"}}, error_json(message, "read request"),
+           false);
+  }
 
-std::string_view HttpExchange::body() const {
-  SoupMessageBody* body = soup_server_message_get_request_body(message_);
-  return {body->data == nullptr ? "" : body->data, static_cast<std::size_t>(body->length)};
-}
+  void on_drained() {
+    if (!writing_) {
+      return;
+    }
+    writing_ = false;
+    since_ = boot_time_now();
+    if (closing_) {
+      stream_->finish_writing();  // the client's close follows, or the sweep's
+      return;
+    }
+    if (!waiting_.empty()) {
+      const std::string next = std::exchange(waiting_, {});
+      on_data(next);
+    }
+  }
 
-void HttpExchange::on_gone(std::function<void()> gone) { gone_ = std::move(gone); }
+  void on_end() {
+    const auto keep = shared_from_this();
+    if (const auto exchange = exchange_.lock()) {
+      exchange_.reset();
+      exchange->client_left();
+    }
+    server_.forget(id_);
+  }
 
-void HttpExchange::finish(unsigned status, const HeaderList& headers) {
-  answered_ = true;
-  gone_ = nullptr;
-  soup_server_message_set_status(message_, status, nullptr);
-  SoupMessageHeaders* out = soup_server_message_get_response_headers(message_);
-  for (const auto& [name, value] : headers) {
-    soup_message_headers_replace(out, name.c_str(), value.c_str());
+  HttpServer& server_;
+  std::uint64_t id_;
+  std::shared_ptr<TcpStream> stream_;
+  HttpReader reader_;
+  std::weak_ptr<HttpExchange> exchange_;  ///< the request that waits for its answer
+  std::string waiting_;                   ///< bytes of later requests
+  common::TimePoint since_;               ///< last answer, or first byte of the present request
+  bool writing_ = false;
+  bool closing_ = false;
+};
+
+// ---------------------------------------------------------------- exchange
+
+HttpExchange::HttpExchange(std::weak_ptr<ServerConnection> connection, HttpMessage request)
+    : connection_(std::move(connection)), request_(std::move(request)) {}
+
+HttpExchange::~HttpExchange() {
+  if (!answered_) {
+    respond_json(kStatusInternalError, error_json("the request was dropped", "handle request"));
   }
-  soup_server_message_unpause(message_);
 }
 
-void HttpExchange::respond(unsigned status, const char* content_type, std::string_view body,
-                           const HeaderList& headers) {
-  if (answered_) {
-    return;
-  }
-  soup_server_message_set_response(message_, content_type, SOUP_MEMORY_COPY, body.data(),
-                                   body.size());
-  finish(status, headers);
+std::string HttpExchange::path() const {
+  return request_.target.substr(0, request_.target.find('?'));
 }
 
-void HttpExchange::respond_bytes(unsigned status, GBytes* body, const HeaderList& headers) {
+void HttpExchange::respond(unsigned status, const HeaderList& headers, std::string_view body) {
   if (answered_) {
     return;
   }
-  SoupMessageBody* out = soup_server_message_get_response_body(message_);
-  soup_message_body_append_bytes(out, body);
-  finish(status, headers);
+  answered_ = true;
+  gone_ = nullptr;
+  if (const auto connection = connection_.lock()) {
+    connection->answer(status, headers, body, request_.method == "HEAD");
+  }
 }
 
-void HttpExchange::respond_json(unsigned status, const std::string& json,
-                                const HeaderList& headers) {
-  respond(status, "application/json", json, headers);
+void HttpExchange::respond_text(unsigned status, const char* content_type, std::string_view body) {
+  respond(status, {{"Content-Type", content_type}}, body);
+}
+
+void HttpExchange::respond_json(unsigned status, std::string_view json, HeaderList headers) {
+  headers.emplace_back("Content-Type", "application/json");
+  respond(status, headers, json);
 }
 
 void HttpExchange::respond_error(const common::Error& error) {
@@ -148,95 +253,119 @@
   respond_json(status_of(error.code), body.dump());
 }
 
+void HttpExchange::client_left() {
+  answered_ = true;
+  if (const auto gone = std::exchange(gone_, nullptr)) {
+    gone();
+  }
+}
+
 // ---------------------------------------------------------------- server
 
-HttpServer::HttpServer(std::size_t maximum_body, Handler handler)
-    : server_(soup_server_new("server-header", "planktray", nullptr)),
-      maximum_body_(maximum_body),
-      handler_(std::move(handler)) {
-  soup_server_add_early_handler(server_, nullptr, on_early, this, nullptr);
-  soup_server_add_handler(server_, nullptr, on_request, this, nullptr);
-}
+HttpServer::HttpServer(HttpServerOptions options, Handler handler)
+    : options_(options), handler_(std::move(handler)) {}
 
 HttpServer::~HttpServer() {
-  soup_server_disconnect(server_);
-  g_object_unref(server_);
+  stop_listening();
+  if (sweep_source_ != 0) {
+    g_source_remove(sweep_source_);
+  }
+  const auto connections = std::exchange(connections_, {});
+  for (const auto& [id, connection] : connections) {
+    connection->shut();
+  }
 }
 
 common::Result<std::unique_ptr<HttpServer>> HttpServer::listen(const std::string& address,
-                                                               std::size_t maximum_body,
+                                                               HttpServerOptions options,
                                                                Handler handler) {
   const auto endpoint = parse_endpoint(address);
   if (!endpoint.has_value()) {
     return tl::unexpected(endpoint.error());
   }
-  std::unique_ptr<HttpServer> server(new HttpServer(maximum_body, std::move(handler)));
-  GSocketAddress* socket_address =
-      g_inet_socket_address_new_from_string(endpoint->host.c_str(), endpoint->port);
+  std::unique_ptr<HttpServer> server(new HttpServer(options, std::move(handler)));
   GError* error = nullptr;
-  const gboolean listening = soup_server_listen(server->server_, socket_address,
-                                                static_cast<SoupServerListenOptions>(0), &error);
-  g_object_unref(socket_address);
-  if (listening == FALSE) {
+  GSocketAddress* at =
+      g_inet_socket_address_new_from_string(endpoint->host.c_str(), endpoint->port);
+  server->listener_ =
+      g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
+  bool listening = server->listener_ != nullptr;
+  if (listening) {
+    g_socket_set_blocking(server->listener_, FALSE);
+    g_socket_set_listen_backlog(server->listener_, kBacklog);
+    listening = g_socket_bind(server->listener_, at, TRUE, &error) != FALSE &&
+                g_socket_listen(server->listener_, &error) != FALSE;
+  }
+  g_object_unref(at);
+  if (!listening) {
     const std::string message = error->message;
     g_error_free(error);
     return common::fail(common::ErrorCode::kIo, "listen", address, message);
   }
+  server->accept_source_ =
+      g_unix_fd_add(g_socket_get_fd(server->listener_), G_IO_IN, on_incoming, server.get());
+  server->sweep_source_ = g_timeout_add_seconds(kSweepSeconds, on_sweep, server.get());
   return server;
 }
 
+void HttpServer::set_options(HttpServerOptions options) { options_ = options; }
+
 void HttpServer::stop_listening() {
-  GSList* listeners = soup_server_get_listeners(server_);
-  for (GSList* item = listeners; item != nullptr; item = item->next) {
-    g_socket_close(static_cast<GSocket*>(item->data), nullptr);
+  if (accept_source_ != 0) {
+    g_source_remove(std::exchange(accept_source_, 0));
+  }
+  if (listener_ != nullptr) {
+    g_socket_close(listener_, nullptr);
+    g_clear_object(&listener_);
   }
-  g_slist_free(listeners);
 }
 
-void HttpServer::on_early(SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/,
-                          GHashTable* /*query*/, gpointer self) {
-  auto* server = static_cast<HttpServer*>(self);
-  SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-  const bool too_long = soup_message_headers_get_content_length(headers) >
-                        static_cast<goffset>(server->maximum_body_);
-  const bool unstated = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED;
-  if (!too_long && !unstated) {
-    return;
+gboolean HttpServer::on_incoming(gint /*fd*/, GIOCondition /*condition*/, gpointer self) {
+  static_cast<HttpServer*>(self)->accept_one();
+  return G_SOURCE_CONTINUE;
+}
+
+void HttpServer::accept_one() {
+  GSocket* socket = g_socket_accept(listener_, nullptr, nullptr);
+  if (socket == nullptr) {
+    return;  // the client has gone already, or no descriptor is free: the sweep frees some
+  }
+  const std::uint64_t id = next_id_++;
+  auto connection = std::make_shared<ServerConnection>(
+      *this, id, TcpStream::adopt(socket, options_.unacknowledged_timeout));
+  g_object_unref(socket);
+  connections_[id] = connection;
+  connection->start();
+}
+
+gboolean HttpServer::on_sweep(gpointer self) {
+  static_cast<HttpServer*>(self)->sweep();
+  return G_SOURCE_CONTINUE;
+}
+
+void HttpServer::sweep() {
+  const common::TimePoint now = boot_time_now();
+  const auto connections = connections_;
+  for (const auto& [id, connection] : connections) {
+    connection->sweep(now);
+  }
+}
+
+void HttpServer::close_idle() {
+  const auto connections = connections_;
+  for (const auto& [id, connection] : connections) {
+    connection->close_if_idle();
+  }
+}
+
+void HttpServer::forget(std::uint64_t id) { connections_.erase(id); }
+
+std::size_t HttpServer::unfinished() const {
+  std::size_t count = 0;
+  for (const auto& [id, connection] : connections_) {
+    count += connection->is_busy() ? 1 : 0;
   }
-  ++server->refused_;
-  const nlohmann::json body = {
-      {"error", too_long ? "the body is too long" : "the body's length must be stated"},
-      {"step", "read request"},
-      {"peer", ""}};
-  const std::string text = body.dump();
-  soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, text.data(),
-                                   text.size());
-  soup_server_message_set_status(
-      message, too_long ? SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE : SOUP_STATUS_LENGTH_REQUIRED,
-      nullptr);
-  soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection",
-                               "close");
-}
-
-void HttpServer::on_request(SoupServer* /*server*/, SoupServerMessage* message, const char* path,
-                            GHashTable* /*query*/, gpointer self) {
-  auto* server = static_cast<HttpServer*>(self);
-  // Lives until the last byte of the answer is written, or the connection is gone.
-  ++*server->unfinished_;
-  g_signal_connect_data(message, "finished", G_CALLBACK(on_finished),
-                        new std::shared_ptr<std::size_t>(server->unfinished_), drop_counter,
-                        static_cast<GConnectFlags>(0));
-  server->handler_(std::make_shared<HttpExchange>(message, path));
-}
-
-void HttpServer::on_finished(SoupServerMessage* message, gpointer counter) {
-  auto* unfinished = static_cast<std::shared_ptr<std::size_t>*>(counter);
-  --**unfinished;
-  g_signal_handlers_disconnect_by_func(message, reinterpret_cast<gpointer>(on_finished), counter);
-}
-
-void HttpServer::drop_counter(gpointer counter, GClosure* /*closure*/) {
-  delete static_cast<std::shared_ptr<std::size_t>*>(counter);
+  return count;
 }
 
 }  // namespace planktray::transport
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -1,105 +1,131 @@
 #pragma once
-/// HTTP server by libsoup. Handlers may answer later.
-
-#include <libsoup/soup.h>
+/// HTTP/1.1 server on GIO sockets and the http-parser library. Handlers may answer later.
+///
+/// Invariants:
+///  - A handler gets whole requests only, one at a time for each connection.
+///  - A client that closes while its request waits is noticed at once.
+///  - A connection is announced as closing (`Connection: close`) in the answer before it is closed;
+///    an idle one is closed after its idle time, or when a stop asks for it.
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "common/error.hpp"
+#include "transport/http_message.hpp"
+#include "transport/tcp_stream.hpp"
 
 namespace planktray::transport {
 
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
+class HttpServer;
+class ServerConnection;
 
 /// One request that waits for its answer. Answering twice, or after the client has gone, does
 /// nothing.
 class HttpExchange {
  public:
-  HttpExchange(SoupServerMessage* message, std::string path);
+  HttpExchange(std::weak_ptr<ServerConnection> connection, HttpMessage request);
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
+  /// A handler that drops an exchange without an answer has failed: the client is told 500.
   ~HttpExchange();
 
-  std::string_view method() const;
-  const std::string& path() const { return path_; }
-  /// Path with the query, as it was asked.
-  std::string target() const;
+  std::string_view method() const { return request_.method; }
+  /// The path as it came, without the query.
+  std::string path() const;
+  /// Path and query as they came.
+  const std::string& target() const { return request_.target; }
   /// @return the header's value, or "".
-  std::string_view header(const char* name) const;
-  std::string_view body() const;
-  /// All headers of the request.
-  HeaderList headers() const;
-
-  void respond(unsigned status, const char* content_type, std::string_view body,
-               const HeaderList& headers = {});
-  /// Answers with bytes that are shared, not copied.
-  void respond_bytes(unsigned status, GBytes* body, const HeaderList& headers);
-  void respond_json(unsigned status, const std::string& json, const HeaderList& headers = {});
+  std::string_view header(std::string_view name) const {
+    return find_header(request_.headers, name);
+  }
+  std::string_view body() const { return request_.body; }
+  const HeaderList& headers() const { return request_.headers; }
+
+  /// Answers; the length is stated here, `Connection` where it is needed.
+  void respond(unsigned status, const HeaderList& headers, std::string_view body);
+  void respond_text(unsigned status, const char* content_type, std::string_view body);
+  void respond_json(unsigned status, std::string_view json, HeaderList headers = {});
   /// Answers {"error", "step", "peer"} with the status that fits the error's code.
   void respond_error(const common::Error& error);
   /// Calls `gone` when the client closes before it was answered.
-  void on_gone(std::function<void()> gone);
+  void on_gone(std::function<void()> gone) { gone_ = std::move(gone); }
 
  private:
-  static void on_disconnected(SoupServerMessage* message, gpointer self);
-  void finish(unsigned status, const HeaderList& headers);
+  friend class ServerConnection;
+  void client_left();
 
-  SoupServerMessage* message_;
-  std::string path_;
+  std::weak_ptr<ServerConnection> connection_;
+  HttpMessage request_;
   std::function<void()> gone_;
-  gulong gone_handler_ = 0;
   bool answered_ = false;
 };
 
 using ExchangePointer = std::shared_ptr<HttpExchange>;
 
+struct HttpServerOptions {
+  HttpLimits limits;
+  /// A request must be whole this long after its first byte.
+  common::Duration request_timeout = std::chrono::seconds(30);
+  /// A connection without a request is closed after this time.
+  common::Duration idle_timeout = std::chrono::seconds(60);
+  /// Ends a connection whose sent bytes stay without an acknowledgement; 0: the system's time.
+  common::Duration unacknowledged_timeout{0};
+};
+
+/// Options with a limit of body bytes and the other values at their defaults.
+HttpServerOptions options_with_body_limit(std::size_t bytes);
+
 class HttpServer {
  public:
   using Handler = std::function<void(ExchangePointer exchange)>;
 
-  /// Listens at "IP:port". Bodies above `maximum_body` are refused with 413, bodies of unstated
-  /// length with 411. @return kIo or kInvalid.
+  /// Listens at "IP:port". @return kIo or kInvalid.
   static common::Result<std::unique_ptr<HttpServer>> listen(const std::string& address,
-                                                            std::size_t maximum_body,
+                                                            HttpServerOptions options,
                                                             Handler handler);
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
 
+  /// Holds for connections and requests from now on.
+  void set_options(HttpServerOptions options);
+  const HttpServerOptions& options() const { return options_; }
+  /// From now on every answer announces the end of its connection.
+  void announce_close() { closing_ = true; }
   /// Accepts no further connections.
   void stop_listening();
+  /// Closes connections that carry no request and have no answer under way.
+  void close_idle();
+  /// Requests refused before a handler saw them: malformed, too long, too slow.
   std::uint64_t refused() const { return refused_; }
-  /// Requests whose answer is not written to its last byte; a process that ends before it is 0 cuts
-  /// them.
-  std::size_t unfinished() const { return *unfinished_; }
+  /// Requests begun or read whose answer is not written to its last byte; a process that ends
+  /// before it is 0 cuts them.
+  std::size_t unfinished() const;
+  std::size_t connections() const { return connections_.size(); }
 
  private:
-  HttpServer(std::size_t maximum_body, Handler handler);
-  static void on_early(SoupServer* server, SoupServerMessage* message, const char* path,
-                       GHashTable* query, gpointer self);
-  static void on_finished(SoupServerMessage* message, gpointer counter);
-  static void drop_counter(gpointer counter, GClosure* closure);
-  static void on_request(SoupServer* server, SoupServerMessage* message, const char* path,
-                         GHashTable* query, gpointer self);
-
-  SoupServer* server_;
-  std::size_t maximum_body_;
+  friend class ServerConnection;
+  HttpServer(HttpServerOptions options, Handler handler);
+  static gboolean on_incoming(gint fd, GIOCondition condition, gpointer self);
+  static gboolean on_sweep(gpointer self);
+  void accept_one();
+  void sweep();
+  void forget(std::uint64_t id);
+
+  HttpServerOptions options_;
   Handler handler_;
+  GSocket* listener_ = nullptr;
+  guint accept_source_ = 0;
+  guint sweep_source_ = 0;
+  bool closing_ = false;
+  std::uint64_t next_id_ = 1;
   std::uint64_t refused_ = 0;
-  std::shared_ptr<std::size_t> unfinished_ = std::make_shared<std::size_t>(0);
-};
-
-/// Splits "IP:port". @return kInvalid for anything else.
-struct Endpoint {
-  std::string host;
-  std::uint16_t port = 0;
+  std::map<std::uint64_t, std::shared_ptr<ServerConnection>> connections_;
 };
-common::Result<Endpoint> parse_endpoint(const std::string& address);
 
 /// HTTP status of an error code.
 unsigned status_of(common::ErrorCode code);
--- /dev/null
+++ b/src/transport/tcp_stream.cpp
@@ -0,0 +1,228 @@
+#include "transport/tcp_stream.hpp"
+
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace planktray::transport {
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+/// Frees a GError and says whether it only means "not now".
+bool is_would_block(GError* error) {
+  const bool would_block = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE ||
+                           g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING) != FALSE;
+  g_error_free(error);
+  return would_block;
+}
+
+}  // namespace
+
+common::Result<Endpoint> parse_endpoint(const std::string& address) {
+  const auto colon = address.rfind(':');
+  std::uint16_t port = 0;
+  const char* first = address.data() + (colon == std::string::npos ? 0 : colon + 1);
+  const char* last = address.data() + address.size();
+  const auto [end, error] = std::from_chars(first, last, port);
+  const std::string host = address.substr(0, colon == std::string::npos ? 0 : colon);
+  GInetAddress* parsed = g_inet_address_new_from_string(host.c_str());
+  const bool is_ip = parsed != nullptr;
+  g_clear_object(&parsed);
+  if (colon == std::string::npos || error != std::errc() || end != last || port == 0 || !is_ip) {
+    return common::fail(common::ErrorCode::kInvalid, "parse address", address,
+                        "must be IP:port, such as 127.0.0.1:7001");
+  }
+  return Endpoint{host, port};
+}
+
+common::Result<std::shared_ptr<TcpStream>> TcpStream::connect(
+    const std::string& address, common::Duration unacknowledged_timeout) {
+  const auto endpoint = parse_endpoint(address);
+  if (!endpoint.has_value()) {
+    return tl::unexpected(endpoint.error());
+  }
+  GError* error = nullptr;
+  GSocket* socket =
+      g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
+  if (socket == nullptr) {
+    const std::string message = error->message;
+    g_error_free(error);
+    return common::fail(common::ErrorCode::kIo, "make socket", address, message);
+  }
+  g_socket_set_blocking(socket, FALSE);
+  const std::shared_ptr<TcpStream> stream(new TcpStream(socket, false));
+  stream->set_options(unacknowledged_timeout);
+  GSocketAddress* to =
+      g_inet_socket_address_new_from_string(endpoint->host.c_str(), endpoint->port);
+  const gboolean connected = g_socket_connect(socket, to, nullptr, &error);
+  g_object_unref(to);
+  if (connected == FALSE) {
+    const std::string message = error->message;
+    if (!is_would_block(error)) {
+      return common::fail(common::ErrorCode::kUnavailable, "connect", address, message);
+    }
+  }
+  return stream;
+}
+
+std::shared_ptr<TcpStream> TcpStream::adopt(GSocket* socket,
+                                            common::Duration unacknowledged_timeout) {
+  g_socket_set_blocking(socket, FALSE);
+  std::shared_ptr<TcpStream> stream(
+      new TcpStream(static_cast<GSocket*>(g_object_ref(socket)), true));
+  stream->set_options(unacknowledged_timeout);
+  return stream;
+}
+
+TcpStream::~TcpStream() { close(); }
+
+void TcpStream::set_options(common::Duration unacknowledged_timeout) {
+  g_socket_set_option(socket_, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  if (unacknowledged_timeout.count() > 0) {
+    const auto milliseconds =
+        std::chrono::ceil<std::chrono::milliseconds>(unacknowledged_timeout).count();
+    g_socket_set_option(socket_, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<gint>(milliseconds),
+                        nullptr);
+  }
+}
+
+void TcpStream::start(Handlers handlers) {
+  handlers_ = std::move(handlers);
+  if (connected_) {
+    read_source_ = g_unix_fd_add(g_socket_get_fd(socket_), G_IO_IN, on_readable, this);
+  } else {
+    watch_writable();
+  }
+}
+
+void TcpStream::watch_writable() {
+  if (write_source_ == 0) {
+    write_source_ = g_unix_fd_add(g_socket_get_fd(socket_), G_IO_OUT, on_writable, this);
+  }
+}
+
+gboolean TcpStream::on_readable(gint /*fd*/, GIOCondition /*condition*/, gpointer self) {
+  const auto stream = static_cast<TcpStream*>(self)->shared_from_this();
+  stream->receive();
+  return stream->read_source_ != 0 ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+void TcpStream::receive() {
+  std::array<char, kReadBytes> buffer;  // NOLINT: filled by the read
+  GError* error = nullptr;
+  const gssize count = g_socket_receive(socket_, buffer.data(), buffer.size(), nullptr, &error);
+  if (count > 0) {
+    handlers_.on_data({buffer.data(), static_cast<std::size_t>(count)});
+    return;
+  }
+  if (count == 0) {
+    end(StreamEnd::kClosed);
+    return;
+  }
+  if (!is_would_block(error)) {
+    end(StreamEnd::kReset);
+  }
+}
+
+gboolean TcpStream::on_writable(gint /*fd*/, GIOCondition /*condition*/, gpointer self) {
+  const auto stream = static_cast<TcpStream*>(self)->shared_from_this();
+  if (!stream->connected_) {
+    GError* error = nullptr;
+    if (g_socket_check_connect_result(stream->socket_, &error) == FALSE) {
+      g_error_free(error);
+      stream->end(StreamEnd::kReset);
+      return G_SOURCE_REMOVE;
+    }
+    stream->connected_ = true;
+    stream->read_source_ =
+        g_unix_fd_add(g_socket_get_fd(stream->socket_), G_IO_IN, on_readable, stream.get());
+    if (stream->handlers_.on_connected) {
+      stream->handlers_.on_connected();
+    }
+  }
+  if (stream->is_open()) {
+    stream->send_backlog();
+  }
+  if (stream->is_open() && !stream->backlog_.empty()) {
+    return G_SOURCE_CONTINUE;
+  }
+  stream->write_source_ = 0;
+  return G_SOURCE_REMOVE;
+}
+
+void TcpStream::write(std::string_view bytes) {
+  if (!is_open()) {
+    return;
+  }
+  const bool waits = !backlog_.empty() || !connected_;
+  backlog_.append(bytes);
+  if (!waits) {
+    send_backlog();
+    if (is_open() && !backlog_.empty()) {
+      watch_writable();
+    }
+  }
+}
+
+void TcpStream::send_backlog() {
+  while (!backlog_.empty()) {
+    GError* error = nullptr;
+    const gssize count = g_socket_send(socket_, backlog_.data(), backlog_.size(), nullptr, &error);
+    if (count < 0) {
+      if (!is_would_block(error)) {
+        end(StreamEnd::kReset);
+      }
+      return;
+    }
+    sent_ = true;
+    backlog_.erase(0, static_cast<std::size_t>(count));
+  }
+  if (finishing_) {
+    g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
+  }
+  if (handlers_.on_drained) {
+    handlers_.on_drained();
+  }
+}
+
+void TcpStream::finish_writing() {
+  finishing_ = true;
+  if (is_open() && backlog_.empty() && connected_) {
+    g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
+  }
+}
+
+void TcpStream::end(StreamEnd how) {
+  const std::function<void(StreamEnd)> on_end = handlers_.on_end;
+  close();
+  if (on_end) {
+    on_end(how);
+  }
+}
+
+void TcpStream::drop_sources() {
+  if (read_source_ != 0) {
+    g_source_remove(std::exchange(read_source_, 0));
+  }
+  if (write_source_ != 0) {
+    g_source_remove(std::exchange(write_source_, 0));
+  }
+}
+
+void TcpStream::close() {
+  if (socket_ == nullptr) {
+    return;
+  }
+  drop_sources();
+  g_socket_close(socket_, nullptr);
+  g_clear_object(&socket_);
+  backlog_.clear();
+  connected_ = false;
+}
+
+}  // namespace planktray::transport
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -1,10 +1,10 @@
-/// The HTTP client against back ends that read, count and misbehave, for every method. libsoup
-/// resends some methods by itself when a used connection closes; a fresh connection must not.
+/// The HTTP client against back ends that read, count and misbehave, for every method.
 
 #include "transport/http_client.hpp"
 
 #include <doctest/doctest.h>
 #include <gio/gio.h>
+#include <sys/socket.h>
 
 #include <string>
 #include <vector>
@@ -17,7 +17,25 @@
 using std::chrono::milliseconds;
 
 /// How the server treats a request after it has read and counted it.
-enum class Behaviour : std::uint8_t { kAnswerOnceThenClose, kClose, kTruncate, kFreeze };
+enum class Behaviour : std::uint8_t {
+  kAnswerOnceThenClose,
+  kClose,
+  kTruncate,
+  kFreeze,
+  kCutChunk,        ///< a chunked answer without its last chunk
+  kUnstatedLength,  ///< an answer that ends with the connection
+  kUnstatedReset,   ///< the same, but the connection is reset
+  kSurplusLater,    ///< the first answer again in place of the second, then the second
+  kSurplusAtOnce,   ///< two answers to each request
+  kNonsense,        ///< bytes that are no answer
+};
+
+constexpr const char* kMark = "Request-Mark";
+
+std::string answer_to(int number) {
+  return "HTTP/1.1 200 OK\r\nRequest-Mark: " + std::to_string(number) +
+         "\r\nContent-Length: 2\r\n\r\nok";
+}
 
 /// A raw TCP server: reads a request to the end of its headers, counts it, and then misbehaves.
 class RawServer {
@@ -39,7 +57,7 @@
     }
   }
 
-  std::string url() const { return "http://127.0.0.1:" + std::to_string(port_) + "/x"; }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   int requests() const { return requests_; }
 
  private:
@@ -68,23 +86,49 @@
       self->respond(connection);
     }
   }
-  void respond(GSocketConnection* connection) {
-    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-    const std::string part = "HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\nok";
-    const bool answers = behaviour_ == Behaviour::kTruncate ||
-                         (behaviour_ == Behaviour::kAnswerOnceThenClose && requests_ == 1);
-    if (behaviour_ == Behaviour::kFreeze) {
-      return;
+  /// What the server sends for the request it has just read; empty: nothing.
+  std::string bytes_to_send() const {
+    const std::string chunk = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    switch (behaviour_) {
+      case Behaviour::kAnswerOnceThenClose:
+        return requests_ == 1 ? answer_to(1) : "";
+      case Behaviour::kTruncate:
+        return "HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\nok";
+      case Behaviour::kCutChunk:
+        return chunk;
+      case Behaviour::kUnstatedLength:
+      case Behaviour::kUnstatedReset:
+        return "HTTP/1.1 200 OK\r\n\r\npart";
+      case Behaviour::kSurplusLater:
+        return requests_ == 1 ? answer_to(1) : answer_to(1) + answer_to(requests_);
+      case Behaviour::kSurplusAtOnce:
+        return answer_to(requests_) + answer_to(requests_);
+      case Behaviour::kNonsense:
+        return "\x01\x02 nonsense\r\n\r\n";
+      case Behaviour::kClose:
+      case Behaviour::kFreeze:
+        break;
     }
-    if (answers) {
-      const std::string& text = behaviour_ == Behaviour::kTruncate ? part : whole;
-      GOutputStream* output = g_io_stream_get_output_stream(G_IO_STREAM(connection));
-      g_output_stream_write_all(output, text.data(), text.size(), nullptr, nullptr, nullptr);
-    }
-    if (behaviour_ == Behaviour::kAnswerOnceThenClose && requests_ == 1) {
+    return "";
+  }
+  bool stays_open() const {
+    return behaviour_ == Behaviour::kFreeze || behaviour_ == Behaviour::kSurplusLater ||
+           behaviour_ == Behaviour::kSurplusAtOnce || behaviour_ == Behaviour::kNonsense ||
+           (behaviour_ == Behaviour::kAnswerOnceThenClose && requests_ == 1);
+  }
+  void respond(GSocketConnection* connection) {
+    const std::string text = bytes_to_send();
+    GOutputStream* output = g_io_stream_get_output_stream(G_IO_STREAM(connection));
+    g_output_stream_write_all(output, text.data(), text.size(), nullptr, nullptr, nullptr);
+    if (stays_open()) {
       read_next(connection);
       return;
     }
+    if (behaviour_ == Behaviour::kUnstatedReset) {
+      constexpr linger kReset{1, 0};
+      setsockopt(g_socket_get_fd(g_socket_connection_get_socket(connection)), SOL_SOCKET, SO_LINGER,
+                 &kReset, sizeof(kReset));
+    }
     g_io_stream_close(G_IO_STREAM(connection), nullptr, nullptr);
   }
 
@@ -100,17 +144,24 @@
   HttpResponse result;
   client.send(request, [&](const HttpResponse& response) {
     result = response;
-    // Anything that libsoup sends by itself comes within this time.
+    // Anything that a client sent by itself comes within this time.
     loop.after(milliseconds(50), [&loop] { loop.quit(); });
   });
   loop.run();
   return result;
 }
 
+HttpClientOptions options_of_four() {
+  HttpClientOptions options;
+  options.connections_per_server = 4;
+  return options;
+}
+
 HttpRequest request_for(const RawServer& server, const std::string& method) {
   HttpRequest request;
   request.method = method;
-  request.url = server.url();
+  request.address = server.address();
+  request.target = "/x";
   request.fresh_connection = true;
   request.timeout = milliseconds(2000);
   if (method == "POST" || method == "PUT" || method == "PATCH") {
@@ -126,7 +177,7 @@
   for (const std::string& method : kMethods) {
     CAPTURE(method);
     RawServer server(Behaviour::kClose);
-    HttpClient client(4);
+    HttpClient client(options_of_four());
     const HttpResponse response = send_and_wait(client, request_for(server, method));
     CHECK(server.requests() == 1);
     CHECK_FALSE(response.is_whole());
@@ -138,7 +189,7 @@
   for (const std::string& method : kMethods) {
     CAPTURE(method);
     RawServer server(Behaviour::kAnswerOnceThenClose);
-    HttpClient client(4);
+    HttpClient client(options_of_four());
     HttpRequest first = request_for(server, "GET");
     first.fresh_connection = false;
     CHECK(send_and_wait(client, first).is_whole());
@@ -150,7 +201,7 @@
 
 TEST_CASE("a truncated answer is not whole") {
   RawServer server(Behaviour::kTruncate);
-  HttpClient client(4);
+  HttpClient client(options_of_four());
   const HttpResponse response = send_and_wait(client, request_for(server, "POST"));
   CHECK_FALSE(response.is_whole());
   CHECK(response.was_sent);
@@ -159,7 +210,7 @@
 
 TEST_CASE("a frozen server is given up at the deadline, as maybe run") {
   RawServer server(Behaviour::kFreeze);
-  HttpClient client(4);
+  HttpClient client(options_of_four());
   HttpRequest request = request_for(server, "POST");
   request.timeout = milliseconds(100);
   const HttpResponse response = send_and_wait(client, request);
@@ -169,15 +220,78 @@
 }
 
 TEST_CASE("where nobody listens nothing was sent") {
-  HttpClient client(4);
+  HttpClient client(options_of_four());
   HttpRequest request;
   request.method = "POST";
-  request.url = "http://127.0.0.1:1/x";
+  request.address = "127.0.0.1:1";
   request.fresh_connection = true;
   const HttpResponse response = send_and_wait(client, request);
   CHECK_FALSE(response.is_whole());
   CHECK_FALSE(response.was_sent);
 }
 
+TEST_CASE("a chunked answer without its last chunk is not whole") {
+  RawServer server(Behaviour::kCutChunk);
+  HttpClient client(options_of_four());
+  CHECK_FALSE(send_and_wait(client, request_for(server, "GET")).is_whole());
+}
+
+TEST_CASE("an answer without a length is whole when its connection closes, not when it is reset") {
+  RawServer closing(Behaviour::kUnstatedLength);
+  RawServer resetting(Behaviour::kUnstatedReset);
+  HttpClient client(options_of_four());
+  const HttpResponse whole = send_and_wait(client, request_for(closing, "GET"));
+  CHECK(whole.is_whole());
+  CHECK(whole.text() == "part");
+  CHECK_FALSE(send_and_wait(client, request_for(resetting, "GET")).is_whole());
+}
+
+TEST_CASE("bytes that form no answer end the call without one") {
+  RawServer server(Behaviour::kNonsense);
+  HttpClient client(options_of_four());
+  const HttpResponse response = send_and_wait(client, request_for(server, "GET"));
+  CHECK_FALSE(response.is_whole());
+  CHECK(response.was_sent);
+}
+
+HttpRequest marked_request(const RawServer& server, int number) {
+  HttpRequest request = request_for(server, "GET");
+  request.fresh_connection = false;
+  request.answer_header = kMark;
+  request.answer_value = std::to_string(number);
+  return request;
+}
+
+TEST_CASE("a surplus answer in the place of the next one is read past") {
+  RawServer server(Behaviour::kSurplusLater);
+  HttpClient client(options_of_four());
+  CHECK(send_and_wait(client, marked_request(server, 1)).header(kMark) == "1");
+  const HttpResponse second = send_and_wait(client, marked_request(server, 2));
+  CHECK(second.used_before);
+  CHECK(second.header(kMark) == "2");
+  CHECK(client.connections() == 0);  // a connection with surplus bytes is not used again
+}
+
+TEST_CASE("a connection with bytes behind the answer is not used again") {
+  RawServer server(Behaviour::kSurplusAtOnce);
+  HttpClient client(options_of_four());
+  CHECK(send_and_wait(client, marked_request(server, 1)).is_whole());
+  const HttpResponse second = send_and_wait(client, marked_request(server, 2));
+  CHECK(second.header(kMark) == "2");
+  CHECK_FALSE(second.used_before);
+  CHECK(client.connections_opened() == 2);
+}
+
+TEST_CASE("a request beyond the connections of one server fails as not sent") {
+  RawServer server(Behaviour::kFreeze);
+  HttpClientOptions options;
+  options.connections_per_server = 1;
+  HttpClient client(options);
+  client.send(request_for(server, "GET"), [](const HttpResponse& /*response*/) {});
+  const HttpResponse second = send_and_wait(client, request_for(server, "GET"));
+  CHECK_FALSE(second.was_sent);
+  CHECK_FALSE(second.is_whole());
+}
+
 }  // namespace
 }  // namespace planktray::transport
