--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -1,6 +1,7 @@
 #include "router/core/router_core.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace planktray::router {
 namespace {
@@ -40,7 +41,7 @@
     const RequestHandle handle = retries_.begin()->second;
     retries_.erase(retries_.begin());
     const auto found = requests_.find(handle);
-    if (found != requests_.end()) {
+    if (found != requests_.end() && found->second.attempt == 0) {
       dispatch(now, found->second);
     }
   }
@@ -54,6 +55,20 @@
   }
 }
 
+TimePoint RouterCore::next_due() const {
+  TimePoint due = next_hello_;
+  if (!deadlines_.empty()) {
+    due = std::min(due, deadlines_.begin()->first);
+  }
+  if (!retries_.empty()) {
+    due = std::min(due, retries_.begin()->first);
+  }
+  if (!wakeups_.empty()) {
+    due = std::min(due, wakeups_.begin()->first);
+  }
+  return due;
+}
+
 // ---------------------------------------------------------------- the table
 
 void RouterCore::on_table_update(TimePoint now, const routing::TableUpdate& update) {
@@ -85,8 +100,9 @@
   std::erase_if(targets_, [this](const auto& item) {
     return item.second.outstanding == 0 && table_.find_backend(item.first) == nullptr;
   });
+  note_routed_targets(now);
   for (const auto& [id, backend] : table_.backends()) {
-    if (!targets_.contains(id)) {
+    if (!backend.self_registered && !targets_.contains(id)) {
       Target target;
       target.first_seen = now;
       target.is_warm = !had_table_;
@@ -124,6 +140,7 @@
       hello.loads.push_back({ref.service, ref.shard, count});
     }
     loads_.clear();
+    report_key_loads(hello);
     if (hello.loads.size() > options_.maximum_reported_shards) {
       const auto end =
           hello.loads.begin() + static_cast<std::ptrdiff_t>(options_.maximum_reported_shards);
@@ -135,10 +152,32 @@
   output_.hello = std::move(hello);
 }
 
+void RouterCore::report_key_loads(routing::RouterHello& hello) {
+  for (const auto& [place, count] : key_loads_) {
+    hello.key_loads.push_back({place.first, place.second, count});
+  }
+  key_loads_.clear();
+  if (hello.key_loads.size() <= options_.maximum_reported_keys) {
+    return;
+  }
+  // Every n-th of the lightest would be lost; a random part with its weight raised keeps the sum.
+  const double kept_share = static_cast<double>(options_.maximum_reported_keys) /
+                            static_cast<double>(hello.key_loads.size());
+  std::erase_if(hello.key_loads, [&](const auto& /*load*/) {
+    return !common::chance(random_, kept_share);
+  });
+  for (routing::KeyLoad& load : hello.key_loads) {
+    load.requests = static_cast<std::uint32_t>(std::lround(load.requests / kept_share));
+  }
+}
+
 // ---------------------------------------------------------------- requests
 
 void RouterCore::on_request(TimePoint now, const CallerRequest& caller) {
   ++counters_.requests;
+  if (caller.route.has_value()) {
+    return on_route_request(now, caller);
+  }
   Request request;
   request.caller = caller;
   const auto refuse = [&](NotRunReason reason, bool never, Duration retry_after) {
@@ -184,6 +223,9 @@
 }
 
 void RouterCore::dispatch(TimePoint now, Request& request) {
+  if (request.routed) {
+    return dispatch_routed(now, request);
+  }
   const routing::TableService* service = table_.find_service(request.service);
   if (service == nullptr || !is_serving(now)) {
     const NotRunReason reason =
@@ -368,11 +410,13 @@
   for (const auto& [when, handle] : retries_) {
     handles.push_back(handle);
   }
+  handles.insert(handles.end(), routed_waiting_.begin(), routed_waiting_.end());
   queues_.clear();
   queued_.clear();
   wakeups_.clear();
   retries_.clear();
   std::sort(handles.begin(), handles.end());
+  handles.erase(std::unique(handles.begin(), handles.end()), handles.end());
   for (const RequestHandle handle : handles) {
     const auto found = requests_.find(handle);
     if (found != requests_.end() && found->second.attempt == 0) {
@@ -391,6 +435,10 @@
   }
   const Attempt attempt = found->second;
   attempts_.erase(found);
+  if (requests_.at(attempt.handle).routed) {
+    on_routed_attempt_done(now, id, attempt, result);
+    return dispatch_waiting(now);
+  }
   release_target(attempt.backend);
   Target& target = targets_[attempt.backend];
   Request& request = requests_.at(attempt.handle);
@@ -488,9 +536,10 @@
   const AttemptId attempt = request.attempt;
   const BackendId backend = attempts_.at(attempt).backend;
   const common::ServiceId service = request.service;
-  output_.cancels.push_back(attempt);
-  attempts_.erase(attempt);
-  release_target(backend);
+  drop_attempt(request);
+  if (request.routed) {
+    return answer_unknown(request);
+  }
   block(now, backend);
   if (options_.claim_not_run) {
     answer_not_run(request, NotRunReason::kDeadline, Duration(0));
@@ -506,15 +555,35 @@
     return;
   }
   ++counters_.cancelled;
-  const AttemptId attempt = found->second.attempt;
-  if (attempt != 0) {
-    output_.cancels.push_back(attempt);
-    release_target(attempts_.at(attempt).backend);
-    attempts_.erase(attempt);
+  if (found->second.attempt != 0) {
+    drop_attempt(found->second);
   }
   finish(handle);
 }
 
+void RouterCore::drop_attempt(Request& request) {
+  const auto attempt = attempts_.find(request.attempt);
+  output_.cancels.push_back(request.attempt);
+  if (request.routed) {
+    routed_service(request.service)
+        .targets.on_ended(attempt->second.backend, attempt->second.sent);
+  } else {
+    release_target(attempt->second.backend);
+  }
+  attempts_.erase(attempt);
+  request.attempt = 0;
+}
+
+void RouterCore::dispatch_waiting(TimePoint now) {
+  const std::set<RequestHandle> waiting = routed_waiting_;
+  for (const RequestHandle handle : waiting) {
+    const auto found = requests_.find(handle);
+    if (found != requests_.end() && found->second.attempt == 0) {
+      dispatch_routed(now, found->second);
+    }
+  }
+}
+
 void RouterCore::answer_not_run(const Request& request, NotRunReason reason, Duration retry_after) {
   if (request.may_have_run && !options_.claim_not_run) {
     answer_unknown(request);  // an earlier attempt left no proof
@@ -541,6 +610,7 @@
     return;
   }
   leave_queue(found->second);
+  routed_waiting_.erase(handle);
   deadlines_.erase({found->second.deadline, handle});
   requests_.erase(found);
 }
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -21,7 +21,9 @@
 #include "common/time.hpp"
 #include "routing/outcome.hpp"
 #include "routing/retry_budget.hpp"
+#include "routing/retry_window.hpp"
 #include "routing/table.hpp"
+#include "routing/target_book.hpp"
 #include "routing/target_choice.hpp"
 
 namespace planktray::router {
@@ -45,6 +47,21 @@
   /// A target that appears after the first table reaches its full share over this time.
   Duration warm_up = std::chrono::milliseconds(5000);
   routing::RetryBudgetOptions retry_budget;
+  /// For requests on routes.
+  routing::RetryWindowOptions retry_window;
+  routing::TargetBookOptions targets;
+  /// A request that is not sent within this part of its objective is refused.
+  double patience = 0.2;
+  /// The same where its route states no objective.
+  Duration default_patience = std::chrono::milliseconds(60);
+  /// A request is refused where its answer is expected later than this part of the time it has.
+  double usable_time = 0.9;
+  /// Told to callers who should come back soon.
+  Duration short_retry_after = std::chrono::milliseconds(150);
+  /// A target in another zone counts as slower by this part.
+  double other_zone_cost = 0.05;
+  /// Requests for the same key counted in one load report at most.
+  std::size_t maximum_reported_keys = 400;
   routing::SubsetPolicy subset = routing::SubsetPolicy::kDeterministicAperture;
   routing::ChoicePolicy choice = routing::ChoicePolicy::kPowerOfTwoChoices;
   /// Targets a router uses at least, where a service has more.
@@ -62,12 +79,20 @@
 /// Identity of one attempt inside this router.
 using AttemptId = std::uint64_t;
 
+/// Where a request on a route wants to go.
+struct RouteCall {
+  std::string host;
+  std::string path;                  ///< without the query
+  std::optional<std::uint32_t> key;  ///< for services divided by key
+};
+
 struct CallerRequest {
   RequestHandle handle = 0;
   common::ServiceKey service;
   std::string key;  ///< empty: none given
   std::string method;
-  std::uint32_t timeout_ms = 0;  ///< 0: the service's default
+  std::uint32_t timeout_ms = 0;  ///< 0: the service's or the route's default
+  std::optional<RouteCall> route = std::nullopt;  ///< set: the service follows from it
 };
 
 /// Effect: send the request to this back end.
@@ -97,6 +122,8 @@
 struct AttemptResult {
   routing::AttemptEnd end = routing::AttemptEnd::kBroken;
   routing::Refusal refusal = routing::Refusal::kShed;
+  bool is_failure = false;  ///< answered, but by a failure of the back end
+  std::optional<routing::LoadReport> load = std::nullopt;
 };
 
 struct RouterOutput {
@@ -104,6 +131,11 @@
   std::vector<AttemptId> cancels;
   std::vector<Answer> answers;
   std::optional<routing::RouterHello> hello;  ///< to every controller
+
+  /// True where there is nothing to carry out.
+  bool empty() const {
+    return forwards.empty() && cancels.empty() && answers.empty() && !hello.has_value();
+  }
 };
 
 struct RouterCounters {
@@ -138,6 +170,10 @@
   }
 
   RouterOutput take_output() { return std::exchange(output_, {}); }
+  /// When tick() next has something to do, if no input comes before.
+  TimePoint next_due() const;
+  /// True where the table holds a route configuration.
+  bool has_routes() const { return table_.routes().version() > 0; }
 
   /// True where the table is confirmed recently enough.
   bool is_serving(TimePoint now) const;
@@ -164,12 +200,26 @@
     AttemptId attempt = 0;  ///< 0: waiting
     std::set<BackendId> refused_by;
     Duration backoff{0};
+    // Requests on routes only.
+    bool routed = false;
+    std::uint32_t key = 0;
+    std::uint32_t attempts = 0;  ///< targets it was sent to
+    std::uint32_t maximum_attempts = 1;
+    TimePoint patience_until;  ///< it is refused where it cannot be sent before
+    TimePoint not_before;      ///< an owner that refused it is not asked again before
   };
   struct Attempt {
     RequestHandle handle;
     BackendId backend;
     TimePoint sent;
   };
+  /// What the router keeps of one routed service.
+  struct RoutedService {
+    RoutedService(const routing::TargetBookOptions& book, const routing::RetryWindowOptions& window)
+        : targets(book), retries(window) {}
+    routing::TargetBook targets;
+    routing::RetryWindow retries;
+  };
   struct Target {
     std::uint32_t outstanding = 0;
     Duration latency{0};  ///< smoothed
@@ -194,6 +244,26 @@
   void redispatch_all(TimePoint now);
   void expire(TimePoint now, Request& request);
 
+  // Requests on routes.
+  void on_route_request(TimePoint now, const CallerRequest& caller);
+  void dispatch_routed(TimePoint now, Request& request);
+  void send_routed(TimePoint now, Request& request, BackendId backend);
+  void wait_routed(TimePoint now, Request& request, routing::NotRunReason reason);
+  void on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
+                              const AttemptResult& result);
+  void retry_routed(TimePoint now, Request& request, bool may_arrive_again);
+  /// The service that a request of this route goes to: parts take turns by their weights.
+  const routing::RoutedTableService* choose_part(const config::Route& route);
+  std::optional<BackendId> choose_target(TimePoint now, const Request& request,
+                                         const routing::RoutedTableService& service);
+  bool has_connection(const Request& request, BackendId backend,
+                      const routing::RoutedTableService& service);
+  RoutedService& routed_service(common::ServiceId id);
+  void note_routed_targets(TimePoint now);
+  void dispatch_waiting(TimePoint now);
+  void drop_attempt(Request& request);
+  void report_key_loads(routing::RouterHello& hello);
+
   void answer_not_run(const Request& request, routing::NotRunReason reason, Duration retry_after);
   void answer_unknown(const Request& request);
   void finish(RequestHandle handle);
@@ -231,6 +301,10 @@
   std::set<std::pair<TimePoint, QueueKey>> wakeups_;
   std::unordered_map<common::ServiceId, std::vector<routing::WeightedTarget>> subsets_;
   std::map<common::ShardRef, std::uint32_t> loads_;
+  std::map<common::ServiceId, RoutedService> routed_;
+  std::map<std::string, std::vector<double>> part_credits_;  ///< by route name
+  std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
+  std::set<RequestHandle> routed_waiting_;
   TimePoint next_hello_;
   TimePoint next_load_;
   AttemptId next_attempt_ = 1;
--- /dev/null
+++ b/src/router/core/router_core_routed.cpp
@@ -0,0 +1,266 @@
+/// Requests on routes in RouterCore: which service, which target, how often, and when not at all.
+
+#include <algorithm>
+#include <vector>
+
+#include "router/core/router_core.hpp"
+
+namespace planktray::router {
+namespace {
+
+using routing::AttemptEnd;
+using routing::NotRunReason;
+using routing::Outcome;
+using routing::Refusal;
+
+/// Told to callers whose request cannot run before a table is there.
+constexpr Duration kRetryAfterUnavailable = std::chrono::milliseconds(1000);
+/// A request that waits for a target looks again this often.
+constexpr Duration kLookAgain = std::chrono::milliseconds(20);
+
+}  // namespace
+
+RouterCore::RoutedService& RouterCore::routed_service(common::ServiceId id) {
+  return routed_.try_emplace(id, options_.targets, options_.retry_window).first->second;
+}
+
+void RouterCore::note_routed_targets(TimePoint now) {
+  std::erase_if(routed_, [this](const auto& item) {
+    return table_.routes().find_service(item.first) == nullptr;
+  });
+  for (const auto& [id, backend] : table_.backends()) {
+    const auto* service = table_.routes().find_service(common::ServiceName(backend.pool.value));
+    if (!backend.self_registered || service == nullptr) {
+      continue;
+    }
+    // What is cold in the first table has been there before this router.
+    const Duration cold_for = had_table_ ? std::chrono::milliseconds(backend.cold_ms) : Duration(0);
+    routed_service(service->route.id).targets.add(now, id, backend.slots, cold_for);
+  }
+  for (auto& [id, service] : routed_) {
+    service.targets.drop_unless(
+        [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
+  }
+}
+
+void RouterCore::on_route_request(TimePoint now, const CallerRequest& caller) {
+  const auto refuse = [&](NotRunReason reason, bool never, Duration retry_after) {
+    ++counters_.not_run;
+    output_.answers.push_back({caller.handle, Outcome::kNotRun, 0, reason, never, retry_after});
+  };
+  if (!has_routes()) {
+    return refuse(NotRunReason::kNotServing, false, kRetryAfterUnavailable);
+  }
+  const config::Route* route = table_.routes().find(caller.route->host, caller.route->path);
+  if (route == nullptr) {
+    return refuse(NotRunReason::kUnknownRoute, true, Duration(0));
+  }
+  const routing::RoutedTableService* service = choose_part(*route);
+  if (service == nullptr) {
+    return refuse(NotRunReason::kNoTarget, false, kRetryAfterUnavailable);
+  }
+  if (service->route.config.keyed && !caller.route->key.has_value()) {
+    return refuse(NotRunReason::kKeyMissing, true, Duration(0));
+  }
+  Request request;
+  request.caller = caller;
+  request.routed = true;
+  request.service = service->route.id;
+  request.keyed = service->route.config.keyed;
+  request.key = caller.route->key.value_or(0);
+  request.repeatable = route->repeatable;
+  request.maximum_attempts = route->maximum_attempts;
+  const std::uint32_t stated = caller.timeout_ms > 0 ? caller.timeout_ms : config::kMaxTimeoutMs;
+  const std::uint32_t allowed = route->timeout_ms > 0 ? route->timeout_ms : stated;
+  request.deadline = now + std::chrono::milliseconds(std::min(stated, allowed));
+  const Duration objective = std::chrono::milliseconds(route->objective_ms);
+  const Duration patience = route->objective_ms > 0
+                                ? std::chrono::duration_cast<Duration>(objective * options_.patience)
+                                : options_.default_patience;
+  request.patience_until = std::min(now + patience, request.deadline);
+  routed_service(request.service).retries.on_request(now);
+  if (request.keyed) {
+    ++key_loads_[{request.service, request.key}];
+  }
+  deadlines_.insert({request.deadline, caller.handle});
+  Request& stored = requests_[caller.handle] = std::move(request);
+  dispatch_routed(now, stored);
+}
+
+const routing::RoutedTableService* RouterCore::choose_part(const config::Route& route) {
+  if (route.parts.size() == 1) {
+    return table_.routes().find_service(route.parts.front().service);
+  }
+  // Smooth weighted round robin: each part gains its weight, the richest pays the whole.
+  std::vector<double>& credits = part_credits_[route.name];
+  credits.resize(route.parts.size(), 0.0);
+  double total = 0;
+  std::size_t richest = 0;
+  for (std::size_t i = 0; i < route.parts.size(); ++i) {
+    credits[i] += route.parts[i].weight;
+    total += route.parts[i].weight;
+    richest = credits[i] > credits[richest] ? i : richest;
+  }
+  if (total <= 0) {
+    return nullptr;
+  }
+  credits[richest] -= total;
+  return table_.routes().find_service(route.parts[richest].service);
+}
+
+void RouterCore::dispatch_routed(TimePoint now, Request& request) {
+  routed_waiting_.erase(request.caller.handle);
+  const routing::RoutedTableService* service = table_.routes().find_service(request.service);
+  if (service == nullptr) {
+    return answer_not_run(request, NotRunReason::kNoTarget, kRetryAfterUnavailable);
+  }
+  if (request.keyed && !is_serving(now)) {
+    return answer_not_run(request, NotRunReason::kNotServing, options_.short_retry_after);
+  }
+  const auto target = choose_target(now, request, *service);
+  if (!target.has_value()) {
+    const bool ownerless =
+        request.keyed && table_.routes().owner_of(request.service, request.key).value == 0;
+    return wait_routed(now, request, ownerless ? NotRunReason::kNoOwner : NotRunReason::kNoTarget);
+  }
+  const Duration left = request.deadline - now;
+  const Duration usable = std::chrono::duration_cast<Duration>(left * options_.usable_time);
+  if (routed_service(request.service).targets.projected(now, *target) > usable) {
+    return wait_routed(now, request, NotRunReason::kOverload);
+  }
+  send_routed(now, request, *target);
+}
+
+bool RouterCore::has_connection(const Request& request, BackendId backend,
+                                const routing::RoutedTableService& service) {
+  const std::uint32_t all = service.route.config.connections;
+  if (all == 0) {
+    return true;
+  }
+  const std::uint32_t share = std::max<std::uint32_t>(1, all / router_count_);
+  return routed_service(request.service).targets.outstanding(backend) < share;
+}
+
+std::optional<BackendId> RouterCore::choose_target(TimePoint now, const Request& request,
+                                                   const routing::RoutedTableService& service) {
+  const routing::TargetBook& book = routed_service(request.service).targets;
+  const auto is_usable = [&](BackendId id) {
+    return table_.find_backend(id) != nullptr && !book.is_blocked(now, id) &&
+           has_connection(request, id, service);
+  };
+  if (request.keyed) {
+    const BackendId owner = table_.routes().owner_of(request.service, request.key);
+    const bool refuses = request.refused_by.contains(owner) && now < request.not_before;
+    return owner.value != 0 && !refuses && is_usable(owner) ? std::optional(owner) : std::nullopt;
+  }
+  std::optional<BackendId> best;
+  double best_cost = 0;
+  for (const BackendId id : service.targets) {
+    const routing::BackendRoute* route = table_.find_backend(id);
+    if (!is_usable(id) || route->draining || request.refused_by.contains(id)) {
+      continue;
+    }
+    constexpr double kNoise = 0.2;
+    double cost = static_cast<double>(book.projected(now, id).count());
+    cost *= 1.0 + kNoise * common::uniform_real(random_);
+    cost *= route->zone == options_.zone ? 1.0 : 1.0 + options_.other_zone_cost;
+    if (!best.has_value() || cost < best_cost) {
+      best = id;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+void RouterCore::send_routed(TimePoint now, Request& request, BackendId backend) {
+  const routing::BackendRoute& route = *table_.find_backend(backend);
+  request.attempt = next_attempt_++;
+  ++request.attempts;
+  attempts_[request.attempt] = {request.caller.handle, backend, now};
+  routed_service(request.service).targets.on_sent(now, backend);
+  Forward effect;
+  effect.attempt = request.attempt;
+  effect.handle = request.caller.handle;
+  effect.address = route.address;
+  effect.machine = route.machine;
+  effect.incarnation = route.incarnation;
+  effect.keyed = request.keyed;
+  effect.time_left = request.deadline - now;
+  effect.repeatable = request.repeatable;
+  output_.forwards.push_back(std::move(effect));
+}
+
+void RouterCore::wait_routed(TimePoint now, Request& request, NotRunReason reason) {
+  if (now >= request.patience_until) {
+    return answer_not_run(request, reason, options_.short_retry_after);
+  }
+  routed_waiting_.insert(request.caller.handle);
+  retries_.insert({std::min(request.patience_until, now + kLookAgain), request.caller.handle});
+}
+
+void RouterCore::on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
+                                        const AttemptResult& result) {
+  Request& request = requests_.at(attempt.handle);
+  request.attempt = 0;
+  routing::TargetBook& book = routed_service(request.service).targets;
+  if (result.end == AttemptEnd::kAnswered) {
+    book.on_answered(now, attempt.backend, attempt.sent, result.load);
+    const bool again = result.is_failure && request.repeatable &&
+                       request.attempts < request.maximum_attempts;
+    if (again && routed_service(request.service).retries.take(now, router_count_)) {
+      request.may_have_run = true;
+      request.refused_by.insert(attempt.backend);
+      ++counters_.retries;
+      return dispatch_routed(now, request);
+    }
+    ++counters_.answered;
+    output_.answers.push_back(
+        {attempt.handle, Outcome::kAnswered, id, NotRunReason::kNone, false, Duration(0)});
+    return finish(attempt.handle);
+  }
+  book.on_ended(attempt.backend, attempt.sent);
+  request.refused_by.insert(attempt.backend);
+  switch (result.end) {
+    case AttemptEnd::kRefused:
+      ++counters_.refusals;
+      if (result.refusal == Refusal::kExpired) {
+        return answer_not_run(request, NotRunReason::kDeadline, Duration(0));
+      }
+      if (result.refusal == Refusal::kWrongIncarnation || result.refusal == Refusal::kShed) {
+        book.block(now, attempt.backend);
+      }
+      return retry_routed(now, request, true);
+    case AttemptEnd::kNotSent:
+      book.block(now, attempt.backend);
+      --request.attempts;
+      return retry_routed(now, request, false);
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kForeign:
+    case AttemptEnd::kAnswered:
+      book.block(now, attempt.backend);
+      request.may_have_run = true;
+      if (!request.repeatable) {
+        return answer_unknown(request);
+      }
+      return retry_routed(now, request, true);
+  }
+}
+
+void RouterCore::retry_routed(TimePoint now, Request& request, bool may_arrive_again) {
+  if (request.attempts >= request.maximum_attempts) {
+    return answer_not_run(request, NotRunReason::kNoTarget, options_.short_retry_after);
+  }
+  // An attempt that never reached a target leaves the budget as it was.
+  if (may_arrive_again && !routed_service(request.service).retries.take(now, router_count_)) {
+    return answer_not_run(request, NotRunReason::kBudgetSpent, options_.short_retry_after);
+  }
+  ++counters_.retries;
+  if (!request.keyed) {
+    return dispatch_routed(now, request);
+  }
+  // The owner has refused: what it takes is a newer table, or a moment.
+  request.not_before = now + kLookAgain;
+  wait_routed(now, request, NotRunReason::kNoOwner);
+}
+
+}  // namespace planktray::router
--- /dev/null
+++ b/src/router/native_dialect.cpp
@@ -0,0 +1,187 @@
+#include "router/native_dialect.hpp"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace planktray::router {
+namespace {
+
+constexpr const char* kRequestId = "Planktray-Request-Id";
+constexpr const char* kOutcome = "Planktray-Outcome";
+constexpr const char* kOwnPrefix = "Planktray-";
+constexpr std::size_t kMaxRequestIdLength = 128;
+constexpr std::size_t kMaxKeyLength = 1024;
+
+constexpr unsigned kStatusBadRequest = 400;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusUnavailable = 503;
+constexpr unsigned kStatusTimeout = 504;
+
+/// "/tenant/service/..." @return false where the path has no two parts.
+bool parse_path(const std::string& path, common::ServiceKey& service) {
+  const auto first = path.find('/', 1);
+  if (path.empty() || path[0] != '/' || first == std::string::npos) {
+    return false;
+  }
+  const auto second = path.find('/', first + 1);
+  service.tenant.value = path.substr(1, first - 1);
+  service.service.value =
+      path.substr(first + 1, second == std::string::npos ? second : second - first - 1);
+  return !service.tenant.value.empty() && !service.service.value.empty();
+}
+
+std::string new_request_id() {
+  char* text = g_uuid_string_random();
+  std::string id(text);
+  g_free(text);
+  return id;
+}
+
+std::string retry_after_seconds(common::Duration wait) {
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait).count();
+  return std::to_string(std::max<std::int64_t>(1, seconds));
+}
+
+tl::unexpected<common::Error> bad_request(const std::string& message) {
+  return common::fail(common::ErrorCode::kInvalid, "read request", "", message);
+}
+
+}  // namespace
+
+transport::HeaderList passed_on(const transport::HeaderList& headers, std::string_view own_prefix) {
+  constexpr std::array<std::string_view, 12> kOwn = {"Connection",
+                                                     "Keep-Alive",
+                                                     "Proxy-Connection",
+                                                     "Transfer-Encoding",
+                                                     "TE",
+                                                     "Trailer",
+                                                     "Upgrade",
+                                                     "Host",
+                                                     "Content-Length",
+                                                     "Expect",
+                                                     "Date",
+                                                     "Server"};
+  const auto is_kept = [&](const auto& header) {
+    const std::string_view name = header.first;
+    const bool is_ours = !own_prefix.empty() && name.size() >= own_prefix.size() &&
+                         transport::equals_ignoring_case(name.substr(0, own_prefix.size()),
+                                                         own_prefix);
+    return !is_ours && std::none_of(kOwn.begin(), kOwn.end(), [&](std::string_view own) {
+      return transport::equals_ignoring_case(own, name);
+    });
+  };
+  transport::HeaderList kept;
+  std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept), is_kept);
+  return kept;
+}
+
+common::Result<ReadRequest> NativeDialect::read(const transport::HttpExchange& exchange) const {
+  ReadRequest read;
+  CallerRequest& request = read.request;
+  if (!parse_path(exchange.path(), request.service)) {
+    return bad_request("the path must be /tenant/service/...");
+  }
+  const std::string_view timeout = exchange.header("Planktray-Timeout-Ms");
+  if (!timeout.empty()) {
+    const char* end = timeout.data() + timeout.size();
+    const auto parsed = std::from_chars(timeout.data(), end, request.timeout_ms);
+    if (parsed.ec != std::errc() || parsed.ptr != end || request.timeout_ms == 0 ||
+        request.timeout_ms > config::kMaxTimeoutMs) {
+      return bad_request("Planktray-Timeout-Ms must be from 1 to " +
+                         std::to_string(config::kMaxTimeoutMs));
+    }
+  }
+  const std::string_view given_id = exchange.header(kRequestId);
+  const std::string_view key = exchange.header("Planktray-Key");
+  if (given_id.size() > kMaxRequestIdLength || key.size() > kMaxKeyLength) {
+    return bad_request("Planktray-Request-Id or Planktray-Key is too long");
+  }
+  request.key = std::string(key);
+  request.method = std::string(exchange.method());
+  read.request_id = given_id.empty() ? new_request_id() : std::string(given_id);
+  return read;
+}
+
+void NativeDialect::refuse(transport::HttpExchange& exchange, const common::Error& error) const {
+  const nlohmann::json body = {{"error", error.message}, {"step", error.step}, {"peer", ""}};
+  exchange.respond_json(
+      kStatusBadRequest, body.dump(),
+      {{kOutcome, "not-run"}, {kRequestId, std::string(exchange.header(kRequestId))}});
+}
+
+transport::HttpRequest NativeDialect::to_backend(const transport::HttpExchange& exchange,
+                                                 const ReadRequest& read,
+                                                 const Forward& forward) const {
+  transport::HttpRequest request;
+  request.method = std::string(exchange.method());
+  request.target = exchange.target();
+  request.headers = passed_on(exchange.headers(), kOwnPrefix);
+  request.body = std::string(exchange.body());
+  request.fresh_connection = !forward.repeatable;
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(forward.time_left).count();
+  request.headers.insert(request.headers.end(),
+                         {{kRequestId, read.request_id},
+                          {"Planktray-Tenant", read.request.service.tenant.value},
+                          {"Planktray-Service", read.request.service.service.value},
+                          {"Planktray-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left))},
+                          {"Planktray-Incarnation", forward.incarnation.value}});
+  if (forward.keyed) {
+    request.headers.insert(request.headers.end(),
+                           {{"Planktray-Key", read.request.key},
+                            {"Planktray-Shard", std::to_string(forward.shard.value)},
+                            {"Planktray-Epoch", std::to_string(forward.epoch.value)}});
+  }
+  return request;
+}
+
+AttemptResult NativeDialect::judge(const ReadRequest& read,
+                                   const transport::HttpResponse& response) const {
+  AttemptResult result;
+  if (!response.is_whole()) {
+    result.end =
+        response.was_sent ? routing::AttemptEnd::kBroken : routing::AttemptEnd::kNotSent;
+  } else if (routing::parse_refusal(response.header("Planktray-Not-Run"), result.refusal)) {
+    result.end = routing::AttemptEnd::kRefused;
+  } else if (response.header(kRequestId) == read.request_id) {
+    result.end = routing::AttemptEnd::kAnswered;
+  } else {
+    result.end = routing::AttemptEnd::kForeign;
+  }
+  return result;
+}
+
+void NativeDialect::pass_on(transport::HttpExchange& exchange, const ReadRequest& read,
+                            const transport::HttpResponse& response) const {
+  transport::HeaderList headers = passed_on(response.headers, kOwnPrefix);
+  headers.emplace_back(kOutcome, "answered");
+  headers.emplace_back(kRequestId, read.request_id);
+  exchange.respond(response.status, headers, response.body);
+}
+
+void NativeDialect::answer(transport::HttpExchange& exchange, const ReadRequest& read,
+                           const Answer& answer) const {
+  transport::HeaderList headers = {{kOutcome, std::string(routing::to_string(answer.outcome))},
+                                   {kRequestId, read.request_id}};
+  nlohmann::json body = {{"step", "route request"}, {"peer", router_}};
+  if (answer.outcome == routing::Outcome::kUnknown) {
+    body["error"] = "the request was sent, but no whole answer came; it may have run";
+    return exchange.respond_json(kStatusTimeout, body.dump(), headers);
+  }
+  body["error"] = "not run: " + std::string(routing::to_string(answer.reason));
+  unsigned status = kStatusUnavailable;
+  if (answer.can_never_run) {
+    status =
+        answer.reason == routing::NotRunReason::kKeyMissing ? kStatusBadRequest : kStatusNotFound;
+  } else {
+    headers.emplace_back("Retry-After", retry_after_seconds(answer.retry_after));
+  }
+  exchange.respond_json(status, body.dump(), headers);
+}
+
+}  // namespace planktray::router
--- /dev/null
+++ b/src/router/native_dialect.hpp
@@ -0,0 +1,30 @@
+#pragma once
+/// The product's own HTTP interface to callers and back ends (docs/PROTOCOLS.md).
+
+#include <string>
+
+#include "router/request_dialect.hpp"
+
+namespace planktray::router {
+
+class NativeDialect final : public RequestDialect {
+ public:
+  /// @param router name told in errors.
+  explicit NativeDialect(std::string router) : router_(std::move(router)) {}
+
+  common::Result<ReadRequest> read(const transport::HttpExchange& exchange) const override;
+  void refuse(transport::HttpExchange& exchange, const common::Error& error) const override;
+  transport::HttpRequest to_backend(const transport::HttpExchange& exchange,
+                                    const ReadRequest& read, const Forward& forward) const override;
+  AttemptResult judge(const ReadRequest& read,
+                      const transport::HttpResponse& response) const override;
+  void pass_on(transport::HttpExchange& exchange, const ReadRequest& read,
+               const transport::HttpResponse& response) const override;
+  void answer(transport::HttpExchange& exchange, const ReadRequest& read,
+              const Answer& answer) const override;
+
+ private:
+  std::string router_;
+};
+
+}  // namespace planktray::router
--- /dev/null
+++ b/src/router/request_dialect.hpp
@@ -0,0 +1,50 @@
+#pragma once
+/// How requests and answers look on the wire, to callers and to back ends. The router's process
+/// knows HTTP; the names of headers, and which statuses mean what, are the dialect's.
+
+#include <string>
+#include <string_view>
+
+#include "router/core/router_core.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+
+namespace planktray::router {
+
+/// A caller's request as it was read.
+struct ReadRequest {
+  CallerRequest request;   ///< its handle is set by the process
+  std::string request_id;  ///< as the caller sent it, or made here where it sent none
+};
+
+class RequestDialect {
+ public:
+  RequestDialect() = default;
+  RequestDialect(const RequestDialect&) = delete;
+  RequestDialect& operator=(const RequestDialect&) = delete;
+  virtual ~RequestDialect() = default;
+
+  /// @return kInvalid where the request can never run as it is.
+  virtual common::Result<ReadRequest> read(const transport::HttpExchange& exchange) const = 0;
+  /// Answers a request that read() refused.
+  virtual void refuse(transport::HttpExchange& exchange, const common::Error& error) const = 0;
+  /// The request as a back end gets it. Its address is the process's.
+  virtual transport::HttpRequest to_backend(const transport::HttpExchange& exchange,
+                                            const ReadRequest& read,
+                                            const Forward& forward) const = 0;
+  /// What a response, or the lack of one, says of the attempt.
+  virtual AttemptResult judge(const ReadRequest& read,
+                              const transport::HttpResponse& response) const = 0;
+  /// Passes a back end's answer on.
+  virtual void pass_on(transport::HttpExchange& exchange, const ReadRequest& read,
+                       const transport::HttpResponse& response) const = 0;
+  /// Answers "not run" or "unknown".
+  virtual void answer(transport::HttpExchange& exchange, const ReadRequest& read,
+                      const Answer& answer) const = 0;
+};
+
+/// Headers that are passed on: all but those of one connection (RFC 9110, 7.6.1), those that the
+/// router sets by itself for every message, and those with the prefix `own_prefix`.
+transport::HeaderList passed_on(const transport::HeaderList& headers, std::string_view own_prefix);
+
+}  // namespace planktray::router
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -1,9 +1,6 @@
 #include "router/router_process.hpp"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
 
@@ -15,93 +12,50 @@
 using transport::boot_time_now;
 using transport::log_event;
 
-constexpr common::Duration kTick = std::chrono::milliseconds(2);
-constexpr const char* kRequestId = "Planktray-Request-Id";
-constexpr const char* kOutcome = "Planktray-Outcome";
-constexpr std::size_t kMaxRequestIdLength = 128;
-constexpr std::size_t kMaxKeyLength = 1024;
+/// A router that stops looks this often whether it has finished.
+constexpr common::Duration kDrainPoll = std::chrono::milliseconds(20);
 
 constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusBadRequest = 400;
-constexpr unsigned kStatusNotFound = 404;
 constexpr unsigned kStatusUnavailable = 503;
-constexpr unsigned kStatusTimeout = 504;
 
 common::RandomEngine seeded_engine() {
   std::random_device device;
   return common::RandomEngine((static_cast<std::uint64_t>(device()) << 32U) | device());
 }
 
-/// Headers that belong to one connection, or that this router sets itself (RFC 9110, 7.6.1).
-bool is_passed_on(std::string_view name) {
-  constexpr std::array<std::string_view, 12> kOwn = {"Connection",
-                                                     "Keep-Alive",
-                                                     "Proxy-Connection",
-                                                     "Transfer-Encoding",
-                                                     "TE",
-                                                     "Trailer",
-                                                     "Upgrade",
-                                                     "Host",
-                                                     "Content-Length",
-                                                     "Expect",
-                                                     "Date",
-                                                     "Server"};
-  constexpr std::string_view kPrefix = "Planktray-";
-  const bool is_ours = name.size() >= kPrefix.size() &&
-                       transport::equals_ignoring_case(name.substr(0, kPrefix.size()), kPrefix);
-  return !is_ours && std::none_of(kOwn.begin(), kOwn.end(), [&](std::string_view own) {
-    return transport::equals_ignoring_case(own, name);
-  });
-}
-
-transport::HeaderList passed_on(const transport::HeaderList& headers) {
-  transport::HeaderList kept;
-  std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept),
-               [](const auto& header) { return is_passed_on(header.first); });
-  return kept;
-}
-
-/// "/tenant/service/..." @return false where the path has no two parts.
-bool parse_path(const std::string& path, common::ServiceKey& service) {
-  const auto first = path.find('/', 1);
-  if (path.empty() || path[0] != '/' || first == std::string::npos) {
-    return false;
-  }
-  const auto second = path.find('/', first + 1);
-  service.tenant.value = path.substr(1, first - 1);
-  service.service.value =
-      path.substr(first + 1, second == std::string::npos ? second : second - first - 1);
-  return !service.tenant.value.empty() && !service.service.value.empty();
-}
-
-std::string new_request_id() {
-  char* text = g_uuid_string_random();
-  std::string id(text);
-  g_free(text);
-  return id;
-}
-
-std::string retry_after_seconds(common::Duration wait) {
-  const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait).count();
-  return std::to_string(std::max<std::int64_t>(1, seconds));
-}
-
 transport::HttpClientOptions client_options(const RouterSettings& settings) {
   transport::HttpClientOptions options;
   options.connections_per_server = static_cast<std::size_t>(settings.connections_per_backend);
+  options.connect_timeout = settings.connect_timeout;
   options.limits.body_bytes = settings.maximum_body;
   return options;
 }
 
 }  // namespace
 
-RouterProcess::RouterProcess(RouterSettings settings)
+RouterProcess::RouterProcess(RouterSettings settings, std::unique_ptr<RequestDialect> dialect)
     : settings_(std::move(settings)),
+      dialect_(std::move(dialect)),
+      alarm_([this] { tick(); }),
       core_(settings_.options, seeded_engine(), boot_time_now()),
       latency_(metrics_.latency_histogram("planktray_request_seconds",
                                           "Time from arrival to the caller's answer.")) {}
 
 common::Result<void> RouterProcess::start() {
+  if (auto listening = listen(); !listening) {
+    return listening;
+  }
+  client_ = std::make_unique<transport::HttpClient>(client_options(settings_));
+  for (const std::string& address : settings_.controllers) {
+    if (auto connected = connect_controller(address); !connected) {
+      return connected;
+    }
+  }
+  log_event("started", {{"address", settings_.options.address}});
+  return {};
+}
+
+common::Result<void> RouterProcess::listen() {
   auto server = transport::HttpServer::listen(
       settings_.options.address, transport::options_with_body_limit(settings_.maximum_body),
       [this](const transport::ExchangePointer& exchange) { on_http(exchange); });
@@ -109,107 +63,130 @@
     return tl::unexpected(server.error());
   }
   server_ = std::move(*server);
-  client_ = std::make_unique<transport::HttpClient>(client_options(settings_));
-  const std::string identity = "router/" + settings_.options.name.value;
-  for (const std::string& address : settings_.controllers) {
-    auto socket = transport::ZmqSocket::connect(
-        context_, address, identity, [this](const std::string& /*identity*/, const auto& message) {
-          if (const auto* update = std::get_if<routing::TableUpdate>(&message.value)) {
-            core_.on_table_update(boot_time_now(), *update);
-            flush();
-          }
-        });
-    if (!socket.has_value()) {
-      return tl::unexpected(socket.error());
-    }
-    controllers_.push_back(std::move(*socket));
+  if (settings_.status_address.empty()) {
+    return {};
   }
-  log_event("started", {{"address", settings_.options.address}});
+  auto status = transport::HttpServer::listen(
+      settings_.status_address, transport::options_with_body_limit(0),
+      [this](const transport::ExchangePointer& exchange) {
+        if (!answer_status(exchange)) {
+          exchange->respond_error({common::ErrorCode::kNotFound, "route request", "", "no such page"});
+        }
+      });
+  if (!status.has_value()) {
+    return tl::unexpected(status.error());
+  }
+  status_server_ = std::move(*status);
+  return {};
+}
+
+common::Result<void> RouterProcess::connect_controller(const std::string& address) {
+  if (controllers_.contains(address)) {
+    return {};
+  }
+  auto socket = transport::ZmqSocket::connect(
+      context_, address, "router/" + settings_.options.name.value,
+      [this](const std::string& /*identity*/, const auto& message) {
+        if (const auto* update = std::get_if<routing::TableUpdate>(&message.value)) {
+          core_.on_table_update(boot_time_now(), *update);
+          flush();
+        }
+      });
+  if (!socket.has_value()) {
+    return tl::unexpected(socket.error());
+  }
+  controllers_[address] = std::move(*socket);
   return {};
 }
 
 int RouterProcess::run() {
-  loop_.every(kTick, [this] {
-    core_.tick(boot_time_now());
-    flush();
-    const bool finished = callers_.empty() && server_->unfinished() == 0;
-    if (draining_ && (finished || boot_time_now() >= drain_until_)) {
-      loop_.quit();
-    }
-  });
+  tick();
   loop_.on_terminate([this] { begin_drain(); });
   loop_.run();
   log_event("stopped", {{"unfinished", std::to_string(server_->unfinished())}});
   return 0;
 }
 
+void RouterProcess::tick() {
+  core_.tick(boot_time_now());
+  flush();
+}
+
+// ---------------------------------------------------------------- stopping
+
 void RouterProcess::begin_drain() {
   if (draining_) {
     return;
   }
   draining_ = true;
-  drain_until_ = boot_time_now() + settings_.drain_timeout;
-  core_.begin_drain();
-  server_->stop_listening();
+  const common::TimePoint now = boot_time_now();
+  accept_until_ = now + settings_.accept_while_draining;
+  drain_until_ = now + settings_.drain_timeout;
+  server_->announce_close();
   log_event("draining", {{"in_flight", std::to_string(callers_.size())}});
+  loop_.every(kDrainPoll, [this] { continue_drain(); });
+  continue_drain();
 }
 
-// ---------------------------------------------------------------- callers
-
-void RouterProcess::on_http(const transport::ExchangePointer& exchange) {
-  if (exchange->path() == "/metrics") {
-    return exchange->respond_text(kStatusOk, "text/plain; version=0.0.4", metrics_text());
+void RouterProcess::continue_drain() {
+  const common::TimePoint now = boot_time_now();
+  if (now < accept_until_) {
+    return;
   }
-  if (exchange->path() == "/healthz") {
-    return exchange->respond_text(kStatusOk, "text/plain", "ok\n");
+  if (accepting_) {
+    accepting_ = false;
+    core_.begin_drain();
+    server_->stop_listening();
+    server_->close_idle();
   }
-  if (exchange->path() == "/readyz") {
-    const bool ready = core_.is_serving(boot_time_now()) && !draining_;
-    return exchange->respond_text(ready ? kStatusOk : kStatusUnavailable, "text/plain",
-                                  ready ? "ready\n" : "no confirmed table\n");
+  const bool finished = callers_.empty() && server_->unfinished() == 0;
+  if (finished || now >= drain_until_) {
+    loop_.quit();
   }
-  on_caller(exchange);
 }
 
-void RouterProcess::refuse_bad_request(const transport::ExchangePointer& exchange,
-                                       const std::string& message) {
-  const nlohmann::json body = {{"error", message}, {"step", "read request"}, {"peer", ""}};
-  exchange->respond_json(
-      kStatusBadRequest, body.dump(),
-      {{kOutcome, "not-run"}, {kRequestId, std::string(exchange->header(kRequestId))}});
+// ---------------------------------------------------------------- callers
+
+bool RouterProcess::is_ready() const {
+  const bool has_table = settings_.serves_routes ? core_.has_routes()
+                                                 : core_.is_serving(boot_time_now());
+  return has_table && !draining_;
 }
 
-void RouterProcess::on_caller(const transport::ExchangePointer& exchange) {
-  CallerRequest request;
-  if (!parse_path(exchange->path(), request.service)) {
-    return refuse_bad_request(exchange, "the path must be /tenant/service/...");
-  }
-  const std::string_view timeout = exchange->header("Planktray-Timeout-Ms");
-  if (!timeout.empty()) {
-    const char* end = timeout.data() + timeout.size();
-    const auto parsed = std::from_chars(timeout.data(), end, request.timeout_ms);
-    if (parsed.ec != std::errc() || parsed.ptr != end || request.timeout_ms == 0 ||
-        request.timeout_ms > config::kMaxTimeoutMs) {
-      return refuse_bad_request(exchange, "Planktray-Timeout-Ms must be from 1 to " +
-                                              std::to_string(config::kMaxTimeoutMs));
-    }
+bool RouterProcess::answer_status(const transport::ExchangePointer& exchange) {
+  const std::string path = exchange->path();
+  if (path == "/metrics") {
+    exchange->respond_text(kStatusOk, "text/plain; version=0.0.4", metrics_text());
+  } else if (path == "/healthz") {
+    exchange->respond_text(kStatusOk, "text/plain", "ok\n");
+  } else if (path == settings_.ready_path) {
+    const bool ready = is_ready();
+    exchange->respond_text(ready ? kStatusOk : kStatusUnavailable, "text/plain",
+                           ready ? "ready\n" : "no confirmed table\n");
+  } else {
+    return false;
   }
-  const std::string_view given_id = exchange->header(kRequestId);
-  const std::string_view key = exchange->header("Planktray-Key");
-  if (given_id.size() > kMaxRequestIdLength || key.size() > kMaxKeyLength) {
-    return refuse_bad_request(exchange, "Planktray-Request-Id or Planktray-Key is too long");
-  }
-  request.handle = next_handle_++;
-  request.key = std::string(key);
-  request.method = std::string(exchange->method());
-  callers_[request.handle] = {exchange, given_id.empty() ? new_request_id() : std::string(given_id),
-                              request.key, request.service, boot_time_now()};
-  exchange->on_gone([this, handle = request.handle] {
+  return true;
+}
+
+void RouterProcess::on_http(const transport::ExchangePointer& exchange) {
+  if (settings_.status_address.empty() && answer_status(exchange)) {
+    return;
+  }
+  auto read = dialect_->read(*exchange);
+  if (!read.has_value()) {
+    return dialect_->refuse(*exchange, read.error());
+  }
+  const RequestHandle handle = next_handle_++;
+  read->request.handle = handle;
+  const Caller& caller =
+      callers_[handle] = {exchange, std::move(*read), boot_time_now()};
+  exchange->on_gone([this, handle] {
     callers_.erase(handle);
     core_.on_caller_gone(handle);
     flush();
   });
-  core_.on_request(boot_time_now(), request);
+  core_.on_request(boot_time_now(), caller.read.request);
   flush();
 }
 
@@ -220,38 +197,64 @@
     return;
   }
   flushing_ = true;
-  while (true) {
-    RouterOutput output = core_.take_output();
-    if (output.forwards.empty() && output.cancels.empty() && output.answers.empty() &&
-        !output.hello.has_value()) {
-      break;
-    }
-    if (output.hello.has_value()) {
-      for (const auto& controller : controllers_) {
-        controller->send(transport::WireMessage(*output.hello));
-      }
-    }
-    for (const AttemptId attempt : output.cancels) {
-      const auto found = sent_.find(attempt);
-      if (found != sent_.end()) {
-        client_->cancel(found->second.call);
-        sent_.erase(found);
-      }
-    }
-    for (const Answer& answer : output.answers) {
-      send_answer(answer);
+  for (RouterOutput output = core_.take_output(); !output.empty(); output = core_.take_output()) {
+    carry_out(output);
+  }
+  flushing_ = false;
+  note_changes();
+  alarm_.set(core_.next_due());
+}
+
+void RouterProcess::carry_out(const RouterOutput& output) {
+  if (output.hello.has_value()) {
+    for (const auto& [address, controller] : controllers_) {
+      controller->send(transport::WireMessage(*output.hello));
     }
-    for (const Forward& forward : output.forwards) {
-      send_forward(forward);
+  }
+  for (const AttemptId attempt : output.cancels) {
+    const auto found = sent_.find(attempt);
+    if (found != sent_.end()) {
+      client_->cancel(found->second.call);
+      sent_.erase(found);
     }
   }
-  flushing_ = false;
+  for (const Answer& answer : output.answers) {
+    send_answer(answer);
+  }
+  for (const Forward& forward : output.forwards) {
+    send_forward(forward);
+  }
+}
+
+void RouterProcess::note_changes() {
   const bool serving = core_.is_serving(boot_time_now());
   if (serving != was_serving_) {
     was_serving_ = serving;
     log_event(serving ? "serving" : "not_serving",
               {{"table_index", std::to_string(core_.table().index().value)}});
   }
+  const config::RequestLimits& limits = core_.table().routes().limits();
+  if (limits != limits_) {
+    limits_ = limits;
+    adopt_limits();
+  }
+}
+
+void RouterProcess::adopt_limits() {
+  transport::HttpServerOptions options = server_->options();
+  if (limits_.header_bytes > 0) {
+    options.limits.header_bytes = limits_.header_bytes;
+  }
+  if (limits_.body_bytes > 0) {
+    options.limits.body_bytes = std::min<std::uint64_t>(limits_.body_bytes, settings_.maximum_body);
+  }
+  if (limits_.header_timeout_ms > 0) {
+    options.request_timeout = std::chrono::milliseconds(limits_.header_timeout_ms);
+  }
+  if (limits_.idle_timeout_ms > 0) {
+    options.idle_timeout = std::chrono::milliseconds(limits_.idle_timeout_ms);
+  }
+  server_->set_options(options);
 }
 
 void RouterProcess::send_forward(const Forward& forward) {
@@ -260,49 +263,16 @@
     return;
   }
   const Caller& caller = found->second;
-  transport::HttpRequest request;
-  request.method = std::string(caller.exchange->method());
+  transport::HttpRequest request = dialect_->to_backend(*caller.exchange, caller.read, forward);
   request.address = forward.address;
-  request.target = caller.exchange->target();
-  request.headers = passed_on(caller.exchange->headers());
-  request.body = std::string(caller.exchange->body());
-  request.fresh_connection = !forward.repeatable;
-  const auto left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(forward.time_left).count();
-  request.headers.insert(request.headers.end(),
-                         {{kRequestId, caller.request_id},
-                          {"Planktray-Tenant", caller.service.tenant.value},
-                          {"Planktray-Service", caller.service.service.value},
-                          {"Planktray-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left))},
-                          {"Planktray-Incarnation", forward.incarnation.value}});
-  if (forward.keyed) {
-    request.headers.insert(request.headers.end(),
-                           {{"Planktray-Key", caller.key},
-                            {"Planktray-Shard", std::to_string(forward.shard.value)},
-                            {"Planktray-Epoch", std::to_string(forward.epoch.value)}});
-  }
   const AttemptId attempt = forward.attempt;
-  sent_[attempt].call = client_->send(
-      request, [this, attempt](const auto& response) { on_response(attempt, response); });
-}
-
-AttemptResult RouterProcess::judge(const Caller& caller,
-                                   const transport::HttpResponse& response) const {
-  if (!response.is_whole()) {
-    return {response.was_sent ? routing::AttemptEnd::kBroken : routing::AttemptEnd::kNotSent, {}};
-  }
-  AttemptResult result;
-  if (routing::parse_refusal(response.header("Planktray-Not-Run"), result.refusal)) {
-    result.end = routing::AttemptEnd::kRefused;
-  } else if (response.header(kRequestId) == caller.request_id) {
-    result.end = routing::AttemptEnd::kAnswered;
-  } else {
-    result.end = routing::AttemptEnd::kForeign;
-  }
-  return result;
+  sent_[attempt].call =
+      client_->send(std::move(request), [this, attempt](transport::HttpResponse& response) {
+        on_response(attempt, response);
+      });
 }
 
-void RouterProcess::on_response(AttemptId attempt, const transport::HttpResponse& response) {
+void RouterProcess::on_response(AttemptId attempt, transport::HttpResponse& response) {
   const auto found = sent_.find(attempt);
   const auto handle = core_.handle_of(attempt);
   if (found == sent_.end() || !handle.has_value()) {
@@ -313,9 +283,9 @@
     sent_.erase(found);
     return;
   }
-  const AttemptResult result = judge(caller->second, response);
+  const AttemptResult result = dialect_->judge(caller->second.read, response);
   if (result.end == routing::AttemptEnd::kAnswered) {
-    found->second.response = response;
+    found->second.response = std::move(response);
   } else {
     sent_.erase(found);
   }
@@ -332,32 +302,13 @@
   callers_.erase(found);
   const std::chrono::duration<double> took = boot_time_now() - caller.arrived;
   latency_.Observe(took.count());
-  transport::HeaderList headers;
   if (answer.outcome == routing::Outcome::kAnswered) {
     const auto sent = sent_.find(answer.attempt);
-    headers = passed_on(sent->second.response.headers);
-    headers.emplace_back(kOutcome, "answered");
-    headers.emplace_back(kRequestId, caller.request_id);
-    caller.exchange->respond(sent->second.response.status, headers, sent->second.response.body);
+    dialect_->pass_on(*caller.exchange, caller.read, sent->second.response);
     sent_.erase(sent);
     return;
   }
-  headers = {{kOutcome, std::string(routing::to_string(answer.outcome))},
-             {kRequestId, caller.request_id}};
-  nlohmann::json body = {{"step", "route request"}, {"peer", settings_.options.name.value}};
-  if (answer.outcome == routing::Outcome::kUnknown) {
-    body["error"] = "the request was sent, but no whole answer came; it may have run";
-    return caller.exchange->respond_json(kStatusTimeout, body.dump(), headers);
-  }
-  body["error"] = "not run: " + std::string(routing::to_string(answer.reason));
-  unsigned status = kStatusUnavailable;
-  if (answer.can_never_run) {
-    status =
-        answer.reason == routing::NotRunReason::kKeyMissing ? kStatusBadRequest : kStatusNotFound;
-  } else {
-    headers.emplace_back("Retry-After", retry_after_seconds(answer.retry_after));
-  }
-  caller.exchange->respond_json(status, body.dump(), headers);
+  dialect_->answer(*caller.exchange, caller.read, answer);
 }
 
 std::string RouterProcess::metrics_text() {
@@ -386,7 +337,7 @@
                      static_cast<double>(core_.waiting()));
   std::uint64_t bytes = 0;
   std::uint64_t refused = 0;
-  for (const auto& controller : controllers_) {
+  for (const auto& [address, controller] : controllers_) {
     bytes += controller->counters().bytes_sent + controller->counters().bytes_received;
     refused += controller->counters().refused;
   }
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "router/core/router_core.hpp"
+#include "router/request_dialect.hpp"
 #include "transport/event_loop.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
@@ -21,23 +22,30 @@
   std::vector<std::string> controllers;  ///< ZeroMQ endpoints
   std::size_t maximum_body = 8 * 1024 * 1024;
   int connections_per_backend = 130;
+  /// A connection to a back end that is not up by then has failed; nothing was sent.
+  common::Duration connect_timeout = std::chrono::milliseconds(5000);
   common::Duration drain_timeout = std::chrono::milliseconds(30'000);
+  /// At a stop, new connections are still taken for this long: callers notice late.
+  common::Duration accept_while_draining{0};
+  /// "IP:port" of readiness and metrics; empty: they stand beside the callers' paths.
+  std::string status_address;
+  std::string ready_path = "/readyz";
+  /// Ready with a route configuration, rather than with a confirmed table.
+  bool serves_routes = false;
 };
 
 class RouterProcess {
  public:
-  explicit RouterProcess(RouterSettings settings);
+  RouterProcess(RouterSettings settings, std::unique_ptr<RequestDialect> dialect);
 
   common::Result<void> start();
   int run();
 
  private:
-  /// A caller that waits, with what its request carries.
+  /// A caller that waits.
   struct Caller {
     transport::ExchangePointer exchange;
-    std::string request_id;
-    std::string key;
-    common::ServiceKey service;
+    ReadRequest read;
     common::TimePoint arrived;
   };
   /// An attempt that is under way, or whose answer waits to be passed on.
@@ -46,32 +54,44 @@
     transport::HttpResponse response;
   };
 
+  common::Result<void> listen();
+  common::Result<void> connect_controller(const std::string& address);
+  void tick();
   void on_http(const transport::ExchangePointer& exchange);
-  void on_caller(const transport::ExchangePointer& exchange);
-  void refuse_bad_request(const transport::ExchangePointer& exchange, const std::string& message);
+  bool answer_status(const transport::ExchangePointer& exchange);
+  bool is_ready() const;
   void flush();
+  void carry_out(const RouterOutput& output);
+  void note_changes();
+  void adopt_limits();
   void send_forward(const Forward& forward);
-  void on_response(AttemptId attempt, const transport::HttpResponse& response);
-  AttemptResult judge(const Caller& caller, const transport::HttpResponse& response) const;
+  void on_response(AttemptId attempt, transport::HttpResponse& response);
   void send_answer(const Answer& answer);
   void begin_drain();
+  void continue_drain();
   std::string metrics_text();
 
   RouterSettings settings_;
+  std::unique_ptr<RequestDialect> dialect_;
   transport::EventLoop loop_;
+  transport::Alarm alarm_;
   zmq::context_t context_;
   RouterCore core_;
   transport::Metrics metrics_;
   prometheus::Histogram& latency_;
   std::unique_ptr<transport::HttpServer> server_;
+  std::unique_ptr<transport::HttpServer> status_server_;
   std::unique_ptr<transport::HttpClient> client_;
-  std::vector<std::unique_ptr<transport::ZmqSocket>> controllers_;
+  std::map<std::string, std::unique_ptr<transport::ZmqSocket>> controllers_;  ///< by endpoint
   std::unordered_map<RequestHandle, Caller> callers_;
   std::unordered_map<AttemptId, Sent> sent_;
   RequestHandle next_handle_ = 1;
+  config::RequestLimits limits_;
   bool was_serving_ = false;
   bool flushing_ = false;
   bool draining_ = false;
+  bool accepting_ = true;
+  common::TimePoint accept_until_;
   common::TimePoint drain_until_;
 };
 
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -43,6 +43,12 @@
       return "retry-budget-spent";
     case NotRunReason::kDrainingRouter:
       return "router-draining";
+    case NotRunReason::kUnknownRoute:
+      return "unknown-route";
+    case NotRunReason::kNoOwner:
+      return "no-owner";
+    case NotRunReason::kOverload:
+      return "overload";
   }
   return "none";
 }
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -24,6 +24,9 @@
   kDeadline,     ///< it could not be sent in time
   kBudgetSpent,  ///< a retry was possible, but retries are limited
   kDrainingRouter,
+  kUnknownRoute,  ///< no route for this host and path
+  kNoOwner,       ///< the key has no owner at present
+  kOverload,      ///< it could not be answered in time
 };
 
 /// A back end's refusal with proof that nothing ran (`Planktray-Not-Run`).
--- /dev/null
+++ b/src/routing/target_book.cpp
@@ -0,0 +1,111 @@
+#include "routing/target_book.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace planktray::routing {
+namespace {
+
+/// A request that is outstanding for this many times its expected time speaks for a slower target.
+constexpr double kOverdueFactor = 2.0;
+
+double to_us(Duration value) { return static_cast<double>(value.count()); }
+
+/// How many times longer than its work a request takes where `ahead` others are at the target.
+double queue_factor(double ahead, std::uint32_t slots) {
+  return 1.0 + std::max(0.0, ahead + 1.0 - slots) / slots;
+}
+
+void erase_one(std::multiset<TimePoint>& times, TimePoint time) {
+  const auto found = times.find(time);
+  if (found != times.end()) {
+    times.erase(found);
+  }
+}
+
+}  // namespace
+
+void TargetBook::add(TimePoint now, BackendId id, std::uint32_t slots, Duration cold_for) {
+  const auto [found, is_new] = targets_.try_emplace(id);
+  found->second.slots = std::max<std::uint32_t>(1, slots);
+  if (is_new) {
+    found->second.cold_until = now + cold_for;
+  }
+}
+
+void TargetBook::on_sent(TimePoint now, BackendId id) { targets_[id].outstanding.insert(now); }
+
+void TargetBook::on_answered(TimePoint now, BackendId id, TimePoint sent,
+                             const std::optional<LoadReport>& report) {
+  TargetView& target = targets_[id];
+  const double ahead = static_cast<double>(target.outstanding.size()) - 1.0 + target.others;
+  const double work = to_us(now - sent) / queue_factor(std::max(0.0, ahead), target.slots);
+  const double present = service_time_us(now, target);
+  target.time_us = present + options_.weight * (work - present);
+  target.learnt_at = now;
+  typical_us_ = typical_us_ == 0 ? work : typical_us_ + options_.weight / 4 * (work - typical_us_);
+  target.block = Duration(0);
+  target.blocked_until = TimePoint();
+  erase_one(target.outstanding, sent);
+  if (report.has_value()) {
+    const double seen = report->running + report->waiting;
+    const double others = std::max(0.0, seen - static_cast<double>(target.outstanding.size()));
+    target.others += 2 * options_.weight * (others - target.others);
+    target.slots = report->slots > 0 ? report->slots : target.slots;
+  }
+}
+
+void TargetBook::on_ended(BackendId id, TimePoint sent) {
+  erase_one(targets_[id].outstanding, sent);
+}
+
+void TargetBook::block(TimePoint now, BackendId id) {
+  TargetView& target = targets_[id];
+  target.block = std::clamp(target.block * 2, options_.minimum_block, options_.maximum_block);
+  target.blocked_until = std::max(target.blocked_until, now + target.block);
+}
+
+bool TargetBook::is_blocked(TimePoint now, BackendId id) const {
+  const auto found = targets_.find(id);
+  return found != targets_.end() && now < found->second.blocked_until;
+}
+
+std::size_t TargetBook::outstanding(BackendId id) const {
+  const auto found = targets_.find(id);
+  return found == targets_.end() ? 0 : found->second.outstanding.size();
+}
+
+const TargetView* TargetBook::find(BackendId id) const {
+  const auto found = targets_.find(id);
+  return found == targets_.end() ? nullptr : &found->second;
+}
+
+double TargetBook::service_time_us(TimePoint now, const TargetView& target) const {
+  const double typical = typical_us_ > 0 ? typical_us_ : to_us(options_.initial_time);
+  double time = typical;
+  if (target.time_us > 0) {
+    const double half_lives = to_us(now - target.learnt_at) / to_us(options_.forget_half);
+    const double kept = std::exp2(-half_lives);
+    time = kept * target.time_us + (1.0 - kept) * typical;
+  } else if (now < target.cold_until) {
+    time *= options_.cold_factor;
+  }
+  return time;
+}
+
+Duration TargetBook::projected(TimePoint now, BackendId id) const {
+  const auto found = targets_.find(id);
+  if (found == targets_.end()) {
+    return options_.initial_time;
+  }
+  const TargetView& target = found->second;
+  double time = service_time_us(now, target);
+  if (!target.outstanding.empty()) {
+    const double overdue = to_us(now - *target.outstanding.begin());
+    time = overdue > kOverdueFactor * time ? overdue : time;
+  }
+  const double ahead = static_cast<double>(target.outstanding.size()) + target.others;
+  return Duration(static_cast<Duration::rep>(time * queue_factor(ahead, target.slots)));
+}
+
+}  // namespace planktray::routing
--- /dev/null
+++ b/src/routing/target_book.hpp
@@ -0,0 +1,88 @@
+#pragma once
+/// What one router knows of each target from its own experience: what is outstanding there, how
+/// long requests take, what its last load report said, and whether it failed lately.
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+#include "common/ids.hpp"
+#include "common/time.hpp"
+
+namespace planktray::routing {
+
+using common::BackendId;
+using common::Duration;
+using common::TimePoint;
+
+/// What a target says of itself in an answer.
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+struct TargetBookOptions {
+  /// Assumed work time of a service of which nothing is known.
+  Duration initial_time = std::chrono::milliseconds(100);
+  /// Weight of a new observation in smoothed times.
+  double weight = 0.15;
+  /// After this time without an answer, what was learnt of a target counts half.
+  Duration forget_half = std::chrono::milliseconds(2500);
+  /// A target is avoided this long after a failure; doubles with each more, up to the maximum.
+  Duration minimum_block = std::chrono::milliseconds(100);
+  Duration maximum_block = std::chrono::milliseconds(1600);
+  /// How much slower a target is while it is cold.
+  double cold_factor = 2.0;
+};
+
+struct TargetView {
+  std::uint32_t slots = 1;
+  std::multiset<TimePoint> outstanding;  ///< when each was sent
+  double time_us = 0;               ///< smoothed time of an answer, 0: none seen
+  double others = 0;                ///< smoothed requests of other routers at the target
+  TimePoint learnt_at;              ///< when time_us last changed
+  TimePoint cold_until;
+  TimePoint blocked_until;
+  Duration block{0};
+};
+
+class TargetBook {
+ public:
+  explicit TargetBook(TargetBookOptions options) : options_(options) {}
+
+  /// Notes a target of the table. @param cold_for how much longer it is slow from its start.
+  void add(TimePoint now, BackendId id, std::uint32_t slots, Duration cold_for);
+  /// Drops targets that the table lacks, once nothing is outstanding there.
+  template <typename Keep>
+  void drop_unless(const Keep& keep) {
+    std::erase_if(targets_, [&](const auto& item) {
+      return item.second.outstanding.empty() && !keep(item.first);
+    });
+  }
+
+  void on_sent(TimePoint now, BackendId id);
+  /// The request sent at `sent` was answered; `report` where the answer carried one.
+  void on_answered(TimePoint now, BackendId id, TimePoint sent,
+                   const std::optional<LoadReport>& report);
+  /// The request has ended without an answer that tells the target's speed.
+  void on_ended(BackendId id, TimePoint sent);
+  /// The target failed: it is avoided for a while.
+  void block(TimePoint now, BackendId id);
+
+  bool is_blocked(TimePoint now, BackendId id) const;
+  std::size_t outstanding(BackendId id) const;
+  /// Expected time until an answer to a request sent now.
+  Duration projected(TimePoint now, BackendId id) const;
+  const TargetView* find(BackendId id) const;
+
+ private:
+  double service_time_us(TimePoint now, const TargetView& target) const;
+
+  TargetBookOptions options_;
+  std::unordered_map<BackendId, TargetView> targets_;
+  double typical_us_ = 0;  ///< smoothed time over all targets of the book
+};
+
+}  // namespace planktray::routing
