Settings are read anew at SIGHUP and when their file changes; ZeroMQ sockets end what hangs

Ruled out: lost deltas (table index stood still, no hello arrived). Change: SettingsWatch and reload in both processes; connect time-out 700 ms, unacknowledged 1,200 ms, no queue for peers that are away.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -119,10 +119,25 @@
     log_event("stopping", {});
     loop_.quit();
   });
+  settings_watch_ = std::make_unique<transport::SettingsWatch>(loop_, settings_.settings_path,
+                                                               [this] { reload(); });
   loop_.run();
   return exit_code_;
 }
 
+void ControllerProcess::reload() {
+  if (!settings_.reload) {
+    return;
+  }
+  const auto fresh = settings_.reload();
+  if (!fresh.has_value()) {
+    return log_error("settings_refused", fresh.error());
+  }
+  // What holds for a running process; everything else takes effect at its next start.
+  settings_.peers = fresh->peers;
+  log_event("settings_reloaded", {{"peers", std::to_string(settings_.peers.size())}});
+}
+
 void ControllerProcess::tick() {
   core_->tick(boot_time_now());
   flush();
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// The shell around ControllerCore: GLib main loop, ZeroMQ, HTTP and the data folder.
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,6 +17,7 @@
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 #include "transport/metrics.hpp"
+#include "transport/settings_watch.hpp"
 #include "transport/storage_worker.hpp"
 #include "transport/zmq_socket.hpp"
 
@@ -41,6 +43,10 @@
   /// The same for a release, which waits for running work.
   common::Duration release_timeout = std::chrono::milliseconds(3000);
 
+  std::string settings_path;  ///< file whose change is a reason to read the settings anew
+  /// Reads the settings anew; none: they never change.
+  std::function<common::Result<ControllerSettings>()> reload;
+
   const std::string& operator_listen_address() const {
     return operator_listen.empty() ? options.operator_address : operator_listen;
   }
@@ -58,6 +64,7 @@
  private:
   common::Result<void> open_folder();
   common::Result<void> open_sockets();
+  void reload();
   void tick();
   void flush();
   void carry_out(ControllerOutput& output);
@@ -77,6 +84,7 @@
   ControllerSettings settings_;
   transport::EventLoop loop_;
   transport::Alarm alarm_;
+  std::unique_ptr<transport::SettingsWatch> settings_watch_;
   zmq::context_t context_;
   std::unique_ptr<transport::FileDisk> disk_;
   std::unique_ptr<storage::LogStore> store_;
--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -5,6 +5,17 @@
 #include "transport/logging.hpp"
 #include "transport/settings.hpp"
 
+namespace {
+
+void add_settings(CLI::App& app, planktray::controller::ControllerSettings& settings,
+                  bool& check_only) {
+  planktray::controller::add_common_settings(app, settings);
+  planktray::controller::add_deployment_settings(app, settings);
+  planktray::transport::add_settings_file(app, check_only);
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   CLI::App app(
       "planktray-controller: one replica of a cell. It keeps the replicated log, grants leases\n"
@@ -16,9 +27,7 @@
       "    --platform-url http://127.0.0.1:7001/machines");
   planktray::controller::ControllerSettings settings;
   bool check_only = false;
-  planktray::controller::add_common_settings(app, settings);
-  planktray::controller::add_deployment_settings(app, settings);
-  planktray::transport::add_settings_file(app, check_only);
+  add_settings(app, settings, check_only);
   const bool& check_flag = check_only;
   app.callback([&] {
     const std::string problem = planktray::controller::check_together(settings);
@@ -30,6 +39,15 @@
   if (exit_code >= 0) {
     return exit_code;
   }
+  settings.settings_path = planktray::transport::settings_path(app);
+  settings.reload = [argc, argv] {
+    return planktray::transport::read_settings<planktray::controller::ControllerSettings>(
+        [](CLI::App& fresh, planktray::controller::ControllerSettings& read) {
+          bool ignored = false;
+          add_settings(fresh, read, ignored);
+        },
+        argc, argv);
+  };
   planktray::transport::start_logging("controller", settings.options.name);
   planktray::controller::ControllerProcess process(std::move(settings));
   if (auto started = process.start(); !started) {
--- a/src/router/native_dialect.cpp
+++ b/src/router/native_dialect.cpp
@@ -68,9 +68,9 @@
                                                      "Server"};
   const auto is_kept = [&](const auto& header) {
     const std::string_view name = header.first;
-    const bool is_ours = !own_prefix.empty() && name.size() >= own_prefix.size() &&
-                         transport::equals_ignoring_case(name.substr(0, own_prefix.size()),
-                                                         own_prefix);
+    const bool is_ours =
+        !own_prefix.empty() && name.size() >= own_prefix.size() &&
+        transport::equals_ignoring_case(name.substr(0, own_prefix.size()), own_prefix);
     return !is_ours && std::none_of(kOwn.begin(), kOwn.end(), [&](std::string_view own) {
       return transport::equals_ignoring_case(own, name);
     });
@@ -144,8 +144,7 @@
                                    const transport::HttpResponse& response) const {
   AttemptResult result;
   if (!response.is_whole()) {
-    result.end =
-        response.was_sent ? routing::AttemptEnd::kBroken : routing::AttemptEnd::kNotSent;
+    result.end = response.was_sent ? routing::AttemptEnd::kBroken : routing::AttemptEnd::kNotSent;
   } else if (routing::parse_refusal(response.header("Planktray-Not-Run"), result.refusal)) {
     result.end = routing::AttemptEnd::kRefused;
   } else if (response.header(kRequestId) == read.request_id) {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -70,7 +70,8 @@
       settings_.status_address, transport::options_with_body_limit(0),
       [this](const transport::ExchangePointer& exchange) {
         if (!answer_status(exchange)) {
-          exchange->respond_error({common::ErrorCode::kNotFound, "route request", "", "no such page"});
+          exchange->respond_error(
+              {common::ErrorCode::kNotFound, "route request", "", "no such page"});
         }
       });
   if (!status.has_value()) {
@@ -102,6 +103,8 @@
 int RouterProcess::run() {
   tick();
   loop_.on_terminate([this] { begin_drain(); });
+  settings_watch_ = std::make_unique<transport::SettingsWatch>(loop_, settings_.settings_path,
+                                                               [this] { reload(); });
   loop_.run();
   log_event("stopped", {{"unfinished", std::to_string(server_->unfinished())}});
   return 0;
@@ -112,6 +115,29 @@
   flush();
 }
 
+void RouterProcess::reload() {
+  if (!settings_.reload) {
+    return;
+  }
+  const auto fresh = settings_.reload();
+  if (!fresh.has_value()) {
+    return transport::log_error("settings_refused", fresh.error());
+  }
+  // What holds for a running process; everything else takes effect at its next start.
+  settings_.drain_timeout = fresh->drain_timeout;
+  settings_.accept_while_draining = fresh->accept_while_draining;
+  std::string added;
+  for (const std::string& address : fresh->controllers) {
+    const bool is_new = !controllers_.contains(address);
+    if (auto connected = connect_controller(address); !connected) {
+      transport::log_error("controller_refused", connected.error());
+    } else if (is_new) {
+      added += (added.empty() ? "" : ",") + address;
+    }
+  }
+  log_event("settings_reloaded", {{"controllers_added", added}});
+}
+
 // ---------------------------------------------------------------- stopping
 
 void RouterProcess::begin_drain() {
@@ -148,8 +174,8 @@
 // ---------------------------------------------------------------- callers
 
 bool RouterProcess::is_ready() const {
-  const bool has_table = settings_.serves_routes ? core_.has_routes()
-                                                 : core_.is_serving(boot_time_now());
+  const bool has_table =
+      settings_.serves_routes ? core_.has_routes() : core_.is_serving(boot_time_now());
   return has_table && !draining_;
 }
 
@@ -179,8 +205,7 @@
   }
   const RequestHandle handle = next_handle_++;
   read->request.handle = handle;
-  const Caller& caller =
-      callers_[handle] = {exchange, std::move(*read), boot_time_now()};
+  const Caller& caller = callers_[handle] = {exchange, std::move(*read), boot_time_now()};
   exchange->on_gone([this, handle] {
     callers_.erase(handle);
     core_.on_caller_gone(handle);
@@ -266,10 +291,9 @@
   transport::HttpRequest request = dialect_->to_backend(*caller.exchange, caller.read, forward);
   request.address = forward.address;
   const AttemptId attempt = forward.attempt;
-  sent_[attempt].call =
-      client_->send(std::move(request), [this, attempt](transport::HttpResponse& response) {
-        on_response(attempt, response);
-      });
+  sent_[attempt].call = client_->send(
+      std::move(request),
+      [this, attempt](transport::HttpResponse& response) { on_response(attempt, response); });
 }
 
 void RouterProcess::on_response(AttemptId attempt, transport::HttpResponse& response) {
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// The shell around RouterCore: HTTP towards callers and back ends, ZeroMQ towards controllers.
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,6 +14,7 @@
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 #include "transport/metrics.hpp"
+#include "transport/settings_watch.hpp"
 #include "transport/zmq_socket.hpp"
 
 namespace planktray::router {
@@ -32,6 +34,9 @@
   std::string ready_path = "/readyz";
   /// Ready with a route configuration, rather than with a confirmed table.
   bool serves_routes = false;
+  std::string settings_path;  ///< file whose change is a reason to read the settings anew
+  /// Reads the settings anew; none: they never change.
+  std::function<common::Result<RouterSettings>()> reload;
 };
 
 class RouterProcess {
@@ -67,6 +72,7 @@
   void send_forward(const Forward& forward);
   void on_response(AttemptId attempt, transport::HttpResponse& response);
   void send_answer(const Answer& answer);
+  void reload();
   void begin_drain();
   void continue_drain();
   std::string metrics_text();
@@ -75,6 +81,7 @@
   std::unique_ptr<RequestDialect> dialect_;
   transport::EventLoop loop_;
   transport::Alarm alarm_;
+  std::unique_ptr<transport::SettingsWatch> settings_watch_;
   zmq::context_t context_;
   RouterCore core_;
   transport::Metrics metrics_;
--- a/src/transport/settings.hpp
+++ b/src/transport/settings.hpp
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 #include <chrono>
+#include <functional>
 #include <iostream>
 #include <string>
 
@@ -39,6 +40,28 @@
   app.add_flag("--check-settings", check_only, "Check the settings and end");
 }
 
+/// Reads settings anew from the file and flags that a process was started with.
+/// @return kInvalid with the setting that is wrong.
+template <typename Settings>
+common::Result<Settings> read_settings(const std::function<void(CLI::App&, Settings&)>& add,
+                                       int argc, char** argv) {
+  Settings settings;
+  CLI::App app;
+  add(app, settings);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return common::fail(common::ErrorCode::kInvalid, "read settings", "", error.what());
+  }
+  return settings;
+}
+
+/// The settings file that a parsed command line names, or "".
+inline std::string settings_path(const CLI::App& app) {
+  const CLI::Option* option = app.get_config_ptr();
+  return option == nullptr ? "" : option->as<std::string>();
+}
+
 /// Parses; on failure prints one clear message. @return an exit code, or -1 to go on.
 inline int parse_settings(CLI::App& app, int argc, char** argv, const bool& check_only) {
   try {
--- a/src/transport/zmq_socket.cpp
+++ b/src/transport/zmq_socket.cpp
@@ -13,6 +13,10 @@
 constexpr std::int64_t kMaxMessageBytes = 64 * 1024 * 1024;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 500;
+/// A machine that is gone says nothing: what hangs on it must end by itself.
+constexpr int kConnectTimeoutMs = 700;
+constexpr int kHandshakeMs = 1000;
+constexpr int kUnacknowledgedMs = 1200;
 /// Messages handled before the main loop gets its turn again.
 constexpr int kBatch = 256;
 
@@ -45,6 +49,11 @@
   socket_.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   socket_.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   socket_.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+  socket_.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  socket_.set(zmq::sockopt::handshake_ivl, kHandshakeMs);
+  socket_.set(zmq::sockopt::tcp_maxrt, kUnacknowledgedMs);
+  // Messages for a peer that is away are dropped: when it is back they would be old.
+  socket_.set(zmq::sockopt::immediate, 1);
 }
 
 common::Result<std::unique_ptr<ZmqSocket>> ZmqSocket::bind(zmq::context_t& context,
