Keys pass on only when no order can be taken late; full disks and lost controllers are borne

Routers that have stopped sending do not help: taking the keys is the break. (3) replace_core: the place of a controller that is gone for good was given to its successor after 12 s only; the second loss found two of three dead. Ruled out: a release with the grant's own fence (an equal fence is no refusal); the roster of routers with table leases for keyed requests (taken out again). Change: every order goes on a connection of its own, so that one to a dead or cut machine is known not to have been sent; orders without an answer are waited out for 12.5 s and their hold, unless a release under a new fence was answered; the state marks orders in doubt for the next leader. Refused writes are tried again, the log keeps whole records; processes end at once. A standby takes the place of a voter silent for 2.5 s; a dropped replica asks to join again. Abandoned calls end by a reset.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -57,7 +57,11 @@
   core_ = std::make_unique<ControllerCore>(settings_.options, store_->identity().replica,
                                            std::move(*state), random, boot_time_now());
   worker_ = std::make_unique<transport::StorageWorker>(
-      *store_, [this](const auto& persisted) { on_persisted(persisted); });
+      *store_, [this](const auto& persisted) { on_persisted(persisted); },
+      [this](const common::Error& error) {
+        disk_refuses_ = true;
+        log_error("data_folder_refuses", error);
+      });
   return {};
 }
 
@@ -202,11 +206,31 @@
   transport::HttpRequest request = control_->to_request(order);
   request.address = order.address;
   request.timeout = timeout;
-  http_client_->send(std::move(request),
-                     [this, id = order.id](const transport::HttpResponse& response) {
-                       core_->on_order_reply(boot_time_now(), id, control_->read_reply(response));
-                       flush();
-                     });
+  // A connection of its own: where it never comes up, the order cannot have been taken.
+  request.fresh_connection = true;
+  http_client_->send(std::move(request), [this, order](const transport::HttpResponse& response) {
+    const ownership::OrderReply reply = control_->read_reply(response);
+    log_order(order, reply, response.error);
+    core_->on_order_reply(boot_time_now(), order.id, reply);
+    flush();
+  });
+}
+
+template <typename Order>
+void ControllerProcess::log_order(const Order& order, const ownership::OrderReply& reply,
+                                  const common::Error& error) const {
+  constexpr bool kIsRelease = std::is_same_v<Order, ownership::ReleaseOrder>;
+  if (!kIsRelease && reply.end == ownership::OrderEnd::kAccepted) {
+    return;  // renewals go on all the time
+  }
+  log_event(kIsRelease ? "release" : "grant",
+            {{"outcome", std::string(ownership::to_string(reply.end))},
+             {"order", std::to_string(order.id)},
+             {"backend", order.incarnation.value},
+             {"peer", order.address},
+             {"keys", std::to_string(order.keys.first) + "-" + std::to_string(order.keys.last)},
+             {"fence", std::to_string(order.fence.value)},
+             {"error", error.message}});
 }
 
 transport::ZmqSocket* ControllerProcess::dealer(const std::string& address) {
@@ -268,6 +292,9 @@
     loop_.quit();
     return;
   }
+  if (std::exchange(disk_refuses_, false)) {
+    log_event("data_folder_back", {});
+  }
   core_->on_persisted(boot_time_now(), *persisted);
   flush();
 }
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -70,6 +70,9 @@
   void carry_out(ControllerOutput& output);
   template <typename Order>
   void send_order(const Order& order, common::Duration timeout);
+  template <typename Order>
+  void log_order(const Order& order, const ownership::OrderReply& reply,
+                 const common::Error& error) const;
   void send_peer(const consensus::RaftMessage& message);
   void send_lease(const ownership::OutgoingLease& lease);
   void send_release(const ownership::OutgoingRelease& release);
@@ -106,6 +109,7 @@
   bool was_leader_ = false;
   bool had_platform_ = true;
   bool flushing_ = false;
+  bool disk_refuses_ = false;
   int exit_code_ = 0;
 };
 
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -116,7 +116,9 @@
 
 void ControllerCore::step(TimePoint now) {
   absorb_raft(now);
-  if (raft_.membership().members.empty() || raft_.membership().find(raft_.self()) == nullptr) {
+  // A replica that hears no leader may have been dropped without being told.
+  const bool is_outside = raft_.membership().find(raft_.self()) == nullptr;
+  if (is_outside || (options_.admits_anyone && raft_.leader().value == 0)) {
     if (now >= next_join_) {
       next_join_ = now + options_.join_interval;
       output_.join = consensus::JoinRequest{
@@ -133,7 +135,7 @@
   mark_leaving(now);
   plan(now);
   maintain_members(now);
-  maintain_roster(now);
+  mark_doubt(now);
   plan_ranges(now);
   leases_.collect(now, state_, machines_, output_.leases, output_.releases);
   ranges_.collect_orders(now, state_, output_.grants, output_.key_releases);
@@ -191,10 +193,10 @@
     distributor_.begin_term(now, raft_.term());
     registering_.clear();
     marking_.clear();
-    listing_.clear();
     replaced_.clear();
     plan_index_ = common::LogIndex();
     range_plan_index_ = common::LogIndex();
+    doubt_index_ = common::LogIndex();
     planned_state_ = common::LogIndex();
   }
 }
@@ -215,9 +217,6 @@
     ++counters_.backends_registered;
     registering_.erase({registration->machine, registration->incarnation});
   }
-  if (const auto* presence = std::get_if<ownership::RouterPresence>(&command->value)) {
-    listing_.erase(presence->router);
-  }
   if (const auto* leaving = std::get_if<ownership::MarkLeaving>(&command->value)) {
     marking_.erase(leaving->backend);
   }
@@ -517,7 +516,7 @@
   if (range_plan_index_ > state_.applied()) {
     return;
   }
-  ownership::ApplyRangePlan next = ranges_.plan(now, state_, distributor_.in_force(now, state_));
+  ownership::ApplyRangePlan next = ranges_.plan(now, state_);
   if (next.empty()) {
     return;
   }
@@ -527,17 +526,11 @@
   }
 }
 
-void ControllerCore::maintain_roster(TimePoint now) {
-  const auto propose_presence = [&](const common::RouterName& router, bool present) {
-    if (listing_.insert({router, present}).second) {
-      (void)propose(now, Command(ownership::RouterPresence{router, present}));
-    }
-  };
-  for (const common::RouterName& router : distributor_.unlisted(state_)) {
-    propose_presence(router, true);
-  }
-  for (const common::RouterName& router : distributor_.silent(now, state_)) {
-    propose_presence(router, false);
+void ControllerCore::mark_doubt(TimePoint now) {
+  const bool in_doubt = ranges_.grants().has_orders_in_doubt(now);
+  if (in_doubt != state_.orders_in_doubt() && doubt_index_ <= state_.applied()) {
+    const auto index = propose(now, Command(ownership::MarkOrdersInDoubt{in_doubt}));
+    doubt_index_ = index.value_or(common::LogIndex());
   }
 }
 
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -50,7 +50,7 @@
   std::size_t wanted_voters = 3;
   std::size_t maximum_members = 9;
   /// With admits_anyone, a voter that was silent for this long gives its place to a standby.
-  Duration abandon_after = std::chrono::seconds(12);
+  Duration abandon_after = std::chrono::milliseconds(2500);
   /// A member counts as present where it was heard this recently: three heartbeats, and less than
   /// a machine takes to come back with an empty disk.
   Duration presence_window = std::chrono::milliseconds(90);
@@ -193,7 +193,7 @@
   /// True where a voter of the same name stands for an older folder of the same place.
   bool takes_a_place(const consensus::Member& member) const;
   bool is_present(TimePoint now, common::ReplicaId id, Duration window) const;
-  void maintain_roster(TimePoint now);
+  void mark_doubt(TimePoint now);
   void plan_ranges(TimePoint now);
   void register_backends(TimePoint now);
   void mark_leaving(TimePoint now);
@@ -219,11 +219,11 @@
   std::map<common::LogIndex, PendingRequest> pending_;
   std::set<std::pair<common::MachineName, common::Incarnation>> registering_;
   std::set<common::BackendId> marking_;
-  std::map<common::RouterName, bool> listing_;  ///< roster changes under way
   std::set<std::string> allowed_names_;
   std::set<common::ReplicaId> replaced_;  ///< members whose place has a new folder
   common::LogIndex plan_index_;           ///< the last plan proposed; wait for it before the next
   common::LogIndex range_plan_index_;     ///< the same for plans of key ranges
+  common::LogIndex doubt_index_;          ///< the same for marks of orders in doubt
   common::LogIndex planned_state_;        ///< state that the last plan was made from
   TimePoint next_balance_;
   TimePoint next_join_;
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -92,8 +92,7 @@
   return gone;
 }
 
-ownership::ApplyRangePlan RangeController::plan(TimePoint now, const CellState& state,
-                                                const ownership::InForce& in_force) {
+ownership::ApplyRangePlan RangeController::plan(TimePoint now, const CellState& state) {
   const bool balance = now >= next_balance_;
   const bool changed = state.applied() != planned_state_;
   if (!balance && !changed && now < next_plan_) {
@@ -111,7 +110,7 @@
     if (!is_settled(now, state, found->second)) {
       return ownership::GrantManager::Verdict();
     }
-    return grants_.may_assign(now, state, service, record, in_force);
+    return grants_.may_assign(now, state, service, record);
   };
   ownership::ApplyRangePlan plan = planner_.plan(input);
   for (ownership::RangeMove& move : grants_.withdrawals(now, state)) {
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -52,8 +52,7 @@
     grants_.collect(now, state, grants, releases);
   }
   /// Makes the next plan where one is due; it may be empty.
-  ownership::ApplyRangePlan plan(TimePoint now, const ownership::CellState& state,
-                                 const ownership::InForce& in_force);
+  ownership::ApplyRangePlan plan(TimePoint now, const ownership::CellState& state);
   /// When there is something to do, if nothing happens before.
   TimePoint next_due() const;
   const ownership::GrantManager& grants() const { return grants_; }
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -42,9 +42,6 @@
   std::uint32_t rank = 0;
   for (auto& [name, subscriber] : subscribers_) {
     const std::uint32_t own_rank = rank++;
-    if (!state.routers().contains(name)) {
-      continue;  // a leader after this one could not know that it has a table
-    }
     const common::LogIndex have = subscriber.view.table_index;
     const bool waiting = is_waiting(now, subscriber);
     const bool has_news = have < newest && !waiting;
@@ -111,45 +108,15 @@
   return now - subscriber.view.heard <= options_.table_lease + options_.margin;
 }
 
-std::vector<common::RouterName> TableDistributor::unlisted(
-    const ownership::CellState& state) const {
-  std::vector<common::RouterName> names;
-  for (const auto& [name, subscriber] : subscribers_) {
-    if (!state.routers().contains(name)) {
-      names.push_back(name);
-    }
-  }
-  return names;
-}
-
-std::vector<common::RouterName> TableDistributor::silent(common::TimePoint now,
-                                                         const ownership::CellState& state) const {
-  std::vector<common::RouterName> names;
-  if (now - term_began_ <= options_.table_lease + options_.forget_after) {
-    return names;
-  }
-  for (const common::RouterName& name : state.routers()) {
-    if (!subscribers_.contains(name)) {
-      names.push_back(name);
-    }
-  }
-  return names;
-}
-
 std::optional<common::LogIndex> TableDistributor::in_force(
     common::TimePoint now, const ownership::CellState& state) const {
-  const bool older_tables = now - term_began_ <= options_.table_lease + options_.margin;
+  if (now - term_began_ <= options_.table_lease + options_.margin) {
+    return std::nullopt;
+  }
   common::LogIndex least = state.applied();
-  for (const common::RouterName& name : state.routers()) {
-    const auto found = subscribers_.find(name);
-    if (found == subscribers_.end()) {
-      if (older_tables) {
-        return std::nullopt;
-      }
-      continue;
-    }
-    if (may_serve(now, found->second)) {
-      least = std::min(least, found->second.view.table_index);
+  for (const auto& [name, subscriber] : subscribers_) {
+    if (may_serve(now, subscriber)) {
+      least = std::min(least, subscriber.view.table_index);
     }
   }
   return least;
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -32,8 +32,6 @@
   std::size_t retained_deltas = 4096;
   /// More deltas than this are replaced by a snapshot.
   std::size_t maximum_deltas = 512;
-  /// A router that has stopped serving for this long leaves the roster.
-  common::Duration forget_after = std::chrono::seconds(30);
 };
 
 struct OutgoingTable {
@@ -65,13 +63,8 @@
   /// Makes the updates that are due. Call only while the leader lease holds.
   std::vector<OutgoingTable> collect(common::TimePoint now, const ownership::CellState& state);
 
-  /// Routers that were heard but are not in the roster of the state yet.
-  std::vector<common::RouterName> unlisted(const ownership::CellState& state) const;
-  /// Routers of the roster that have been silent for so long that they serve no more.
-  std::vector<common::RouterName> silent(common::TimePoint now,
-                                         const ownership::CellState& state) const;
-  /// The index that every router of the roster that may be serving has acknowledged; nothing while
-  /// one that this leader has not heard may serve from an older leader's table.
+  /// The index that every router that may be serving has acknowledged; nothing while a new leader
+  /// cannot know.
   std::optional<common::LogIndex> in_force(common::TimePoint now,
                                            const ownership::CellState& state) const;
   /// Routers heard within the table lease.
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -26,9 +26,10 @@
   std::map<std::uint64_t, std::uint64_t> taken_changes;
   std::vector<RoutedServiceRecord> routed_services;
   std::vector<common::Incarnation> departed;
-  std::vector<common::RouterName> routers;
+  bool orders_in_doubt = false;
   MSGPACK_DEFINE_MAP(applied, templates, tenants, answers, backends, drained, services,
-                     next_service, routes, taken_changes, routed_services, departed, routers)
+                     next_service, routes, taken_changes, routed_services, departed,
+                     orders_in_doubt)
 };
 
 std::string digest_of(const std::vector<Grant>& grants) {
@@ -128,13 +129,9 @@
   result.delta.backends.push_back(backend_route(backend));
 }
 
-void CellState::apply_command(LogIndex /*index*/, const RouterPresence& command,
+void CellState::apply_command(LogIndex /*index*/, const MarkOrdersInDoubt& command,
                               ApplyResult& /*result*/) {
-  if (command.present) {
-    routers_.insert(command.router);
-  } else {
-    routers_.erase(command.router);
-  }
+  orders_in_doubt_ = command.in_doubt;
 }
 
 void CellState::apply_command(LogIndex index, const ApplyPlan& plan, ApplyResult& result) {
@@ -333,7 +330,7 @@
     form.routed_services.push_back(service);
   }
   form.departed.assign(departed_.begin(), departed_.end());
-  form.routers.assign(routers_.begin(), routers_.end());
+  form.orders_in_doubt = orders_in_doubt_;
   return common::encode(form);
 }
 
@@ -367,7 +364,7 @@
     state.services_[service.id] = std::move(service);
   }
   state.next_service_ = form->next_service;
-  state.routers_ = {form->routers.begin(), form->routers.end()};
+  state.orders_in_doubt_ = form->orders_in_doubt;
   state.routes_ = std::move(form->routes);
   state.taken_changes_ = std::move(form->taken_changes);
   for (RoutedServiceRecord& service : form->routed_services) {
--- a/src/ownership/cell_state.hpp
+++ b/src/ownership/cell_state.hpp
@@ -125,8 +125,7 @@
   /// @return the shard, or nullptr.
   const ShardRecord* find_shard(const common::ShardRef& ref) const;
   const std::set<common::MachineName>& drained_machines() const { return drained_; }
-  /// Routers that may serve from a table of this cell.
-  const std::set<common::RouterName>& routers() const { return routers_; }
+  bool orders_in_doubt() const { return orders_in_doubt_; }
   const config::RouteConfiguration& routes() const { return routes_; }
   const std::map<ServiceId, RoutedServiceRecord>& routed_services() const {
     return routed_services_;
@@ -151,7 +150,7 @@
   void apply_command(LogIndex index, const ApplyPlan& plan, ApplyResult& result);
   void apply_command(LogIndex index, const ChangeRoutes& command, ApplyResult& result);
   void apply_command(LogIndex index, const ApplyRangePlan& plan, ApplyResult& result);
-  void apply_command(LogIndex index, const RouterPresence& command, ApplyResult& result);
+  void apply_command(LogIndex index, const MarkOrdersInDoubt& command, ApplyResult& result);
 
   ChangeAnswer judge(LogIndex index, const ChangeDeclaration& change) const;
   common::Result<void> validate(const ChangeDeclaration& change) const;
@@ -195,7 +194,7 @@
   std::set<common::ShardRef> moving_;  ///< derived from the services
   std::uint64_t next_service_ = 1;
 
-  std::set<common::RouterName> routers_;
+  bool orders_in_doubt_ = false;
   config::RouteConfiguration routes_;
   /// Digest of every change that was taken, by its version: kept for good, so that any resend is
   /// acknowledged again.
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -140,17 +140,16 @@
   bool empty() const { return removed.empty() && moves.empty() && assignments.empty(); }
 };
 
-/// A router was seen for the first time, or has stopped serving for certain. Only routers of this
-/// roster get the table, so that a new leader knows whom it has to wait for.
-struct RouterPresence {
-  common::RouterName router;
-  bool present = true;
-  MSGPACK_DEFINE_ARRAY(router, present)
+/// Whether orders of fenced grants may be under way that a back end takes late. A new leader that
+/// finds the mark waits such orders out.
+struct MarkOrdersInDoubt {
+  bool in_doubt = false;
+  MSGPACK_DEFINE_ARRAY(in_doubt)
 };
 
 using Command =
     common::EncodedVariant<ChangeDeclaration, RegisterBackend, DrainMachine, MarkLeaving, ApplyPlan,
-                           ChangeRoutes, ApplyRangePlan, RouterPresence>;
+                           ChangeRoutes, ApplyRangePlan, MarkOrdersInDoubt>;
 
 enum class ChangeStatus : std::uint8_t { kAccepted = 0, kConflict = 1, kInvalid = 2 };
 
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -19,6 +19,24 @@
 
 }  // namespace
 
+std::string_view to_string(OrderEnd end) {
+  switch (end) {
+    case OrderEnd::kAccepted:
+      return "accepted";
+    case OrderEnd::kFenced:
+      return "fenced";
+    case OrderEnd::kGone:
+      return "gone";
+    case OrderEnd::kRefused:
+      return "refused";
+    case OrderEnd::kNotSent:
+      return "not-sent";
+    case OrderEnd::kUnanswered:
+      return "unanswered";
+  }
+  return "unanswered";
+}
+
 Duration GrantManager::longest_hold() const {
   const double holder_time = static_cast<double>(options_.hold_time.count());
   const auto true_time = static_cast<Duration::rep>(holder_time / (1.0 - options_.clock_error));
@@ -41,7 +59,9 @@
       holding.next_order = now;
       if (options_.wait_after_election) {
         holding.held_until = now + longest_hold();
-        holding.doubtful_until = now + options_.late_delivery + longest_hold();
+        if (state.orders_in_doubt()) {
+          holding.doubtful_until = now + options_.late_delivery + longest_hold();
+        }
       }
       holdings_[{id, record.keys, record.fence}] = holding;
     }
@@ -118,10 +138,11 @@
     if (holding.released || holding.gone) {
       continue;
     }
-    if (holding.under_way == UnderWay::kNothing && now >= holding.next_order) {
+    const bool may_send = holding.under_way != UnderWay::kGrant;
+    if (may_send && now >= holding.next_order) {
       send_order(now, state, key, holding, grants, releases);
     }
-    if (holding.under_way == UnderWay::kNothing) {
+    if (may_send) {
       next_due_ = std::min(next_due_, holding.next_order);
     }
     const TimePoint turn =
@@ -146,7 +167,8 @@
   const OrderId id = next_order_++;
   orders_[id] = {key, holding.owner, now, record->moving};
   holding.under_way = record->moving ? UnderWay::kRelease : UnderWay::kGrant;
-  holding.next_order = now + options_.renewal_interval;
+  holding.next_order =
+      now + (record->moving ? options_.release_interval : options_.renewal_interval);
   if (record->moving) {
     const Epoch fence =
         options_.release_with_new_fence ? Epoch(record->moving_since.value) : record->fence;
@@ -238,8 +260,7 @@
 }
 
 GrantManager::Verdict GrantManager::may_assign(TimePoint now, const CellState& state,
-                                               ServiceId service, const RangeRecord& record,
-                                               const InForce& in_force) const {
+                                               ServiceId service, const RangeRecord& record) const {
   if (record.owner.value == 0) {
     return {true, ""};
   }
@@ -257,9 +278,16 @@
   }
   const bool answered_ended = now >= holding.held_until || !options_.wait_for_answered;
   const bool none_in_doubt = now >= holding.doubtful_until && holding.under_way != UnderWay::kGrant;
-  const bool unanswered_ended = none_in_doubt || !options_.wait_for_unanswered ||
-                                (in_force.has_value() && *in_force >= record.moving_since);
-  return {answered_ended && unanswered_ended, ""};
+  return {answered_ended && (none_in_doubt || !options_.wait_for_unanswered), ""};
+}
+
+bool GrantManager::has_orders_in_doubt(TimePoint now) const {
+  const bool one_is_late = std::any_of(orders_.begin(), orders_.end(), [&](const auto& item) {
+    return !item.second.is_release && now - item.second.sent >= options_.doubt_after;
+  });
+  return one_is_late || std::any_of(holdings_.begin(), holdings_.end(), [&](const auto& item) {
+           return item.second.doubtful_until > now && !item.second.released && !item.second.gone;
+         });
 }
 
 }  // namespace planktray::ownership
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -6,16 +6,20 @@
 ///  - X answered a release under a fence above its grant's: it runs nothing on them, and refuses
 ///    every older order that is still under way;
 ///  - X's process has ended for certain: another incarnation answers at its address;
-///  - both barriers: every answered order to X has run out on a clock that is slow by
-///    `clock_error`, and no order without an answer can matter: none can still be taken, or every
-///    router has stopped sending these keys to X.
+///  - every order that X may have taken has run out, on a clock that is slow by `clock_error`: an
+///    answered one counts from its answer, one without an answer from the latest moment at which it
+///    may still be taken.
+/// Every order goes on a connection of its own, so that one to a machine that is gone or cut off is
+/// known not to have been sent: the connection never comes up.
 /// A new leader does not know the orders of the one before: it takes all that may have been sent
-/// until its election as answered then, and one more as without an answer.
+/// until its election as answered then; and where the state marks orders in doubt, one more of
+/// each as without an answer.
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/time.hpp"
@@ -42,9 +46,13 @@
   Duration withdraw_before_end = std::chrono::milliseconds(100);
   /// Routers get this long to stop sending before a release goes out.
   Duration release_delay = std::chrono::milliseconds(15);
+  /// A release without an answer is sent again beside the first after this time.
+  Duration release_interval = std::chrono::milliseconds(400);
+  /// An order that is under way for this long counts as in doubt.
+  Duration doubt_after = std::chrono::milliseconds(150);
   /// Safeguards; off only in mutants.
   bool wait_for_answered = true;    ///< wait until answered orders have run out
-  bool wait_for_unanswered = true;  ///< wait for routers, or for orders without an answer
+  bool wait_for_unanswered = true;  ///< wait until orders without an answer have run out
   bool wait_after_election = true;  ///< count the orders of earlier leaders
   bool release_with_new_fence = true;
 };
@@ -82,14 +90,13 @@
   kUnanswered,  ///< it may have been taken, or may still be
 };
 
+std::string_view to_string(OrderEnd end);
+
 struct OrderReply {
   OrderEnd end = OrderEnd::kUnanswered;
   std::string handover;  ///< of an accepted release
 };
 
-/// Tells whether every router that may serve has acknowledged the table of this index.
-using InForce = std::optional<LogIndex>;
-
 class GrantManager {
  public:
   explicit GrantManager(GrantOptions options) : options_(options) {}
@@ -114,7 +121,9 @@
     std::string handover;
   };
   Verdict may_assign(TimePoint now, const CellState& state, ServiceId service,
-                     const RangeRecord& record, const InForce& in_force) const;
+                     const RangeRecord& record) const;
+  /// True where an order without an answer may still be taken.
+  bool has_orders_in_doubt(TimePoint now) const;
   /// When collect() or withdrawals() next has something to do.
   TimePoint next_due() const { return next_due_; }
   std::size_t holdings() const { return holdings_.size(); }
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -74,9 +74,9 @@
   const std::uint32_t allowed = route->timeout_ms > 0 ? route->timeout_ms : stated;
   request.deadline = now + std::chrono::milliseconds(std::min(stated, allowed));
   const Duration objective = std::chrono::milliseconds(route->objective_ms);
-  const Duration patience = route->objective_ms > 0
-                                ? std::chrono::duration_cast<Duration>(objective * options_.patience)
-                                : options_.default_patience;
+  const Duration patience =
+      route->objective_ms > 0 ? std::chrono::duration_cast<Duration>(objective * options_.patience)
+                              : options_.default_patience;
   request.patience_until = std::min(now + patience, request.deadline);
   routed_service(request.service).retries.on_request(now);
   if (request.keyed) {
@@ -114,9 +114,6 @@
   if (service == nullptr) {
     return answer_not_run(request, NotRunReason::kNoTarget, kRetryAfterUnavailable);
   }
-  if (request.keyed && !is_serving(now)) {
-    return answer_not_run(request, NotRunReason::kNotServing, options_.short_retry_after);
-  }
   const auto target = choose_target(now, request, *service);
   if (!target.has_value()) {
     const bool ownerless =
@@ -205,8 +202,8 @@
   routing::TargetBook& book = routed_service(request.service).targets;
   if (result.end == AttemptEnd::kAnswered) {
     book.on_answered(now, attempt.backend, attempt.sent, result.load);
-    const bool again = result.is_failure && request.repeatable &&
-                       request.attempts < request.maximum_attempts;
+    const bool again =
+        result.is_failure && request.repeatable && request.attempts < request.maximum_attempts;
     if (again && routed_service(request.service).retries.take(now, router_count_)) {
       request.may_have_run = true;
       request.refused_by.insert(attempt.backend);
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <optional>
 
 #include "common/codec.hpp"
@@ -79,6 +80,7 @@
     return tl::unexpected(opened.error());
   }
   generation_ = 0;
+  good_bytes_ = 0;
   for (const std::string& name : disk_.list()) {
     generation_ = std::max(generation_, generation_of(name).value_or(0));
   }
@@ -105,6 +107,7 @@
       apply_record(std::move(record), state);
     }
   }
+  good_bytes_ = scanned->valid_bytes;
   if (scanned->valid_bytes < bytes->size()) {
     if (auto cut = disk_.truncate(name, scanned->valid_bytes); !cut) {
       return tl::unexpected(cut.error());
@@ -153,29 +156,37 @@
 }
 
 common::Result<std::size_t> LogStore::write(const std::vector<PersistRequest>& requests) {
-  // One framed record a call: a torn write then damages nothing but the tail of the file.
-  std::vector<LogRecord> pending;
-  for (const PersistRequest& request : requests) {
-    if (request.snapshot.has_value()) {
-      pending.clear();  // the snapshot request repeats all that still counts
-      if (auto started = start_generation(request); !started) {
-        return tl::unexpected(started.error());
-      }
-      continue;
+  // The last snapshot request repeats all that still counts of what came before it.
+  const auto last = std::find_if(requests.rbegin(), requests.rend(),
+                                 [](const auto& request) { return request.snapshot.has_value(); });
+  auto next = requests.begin();
+  if (last != requests.rend()) {
+    if (auto started = start_generation(*last); !started) {
+      return tl::unexpected(started.error());
     }
-    pending.push_back(to_record(request));
+    next = last.base();
   }
+  // One framed record a call: a torn write then damages nothing but the tail of the file.
+  std::vector<LogRecord> pending;
+  std::transform(next, requests.end(), std::back_inserter(pending), to_record);
   if (pending.empty()) {
     return 0;
   }
   const std::string framed = frame_record(common::encode(pending));
   if (auto appended = disk_.append(file_name(generation_), framed); !appended) {
+    // A part may have been taken; whole records behind it would look like damage.
+    broken_ = !disk_.truncate(file_name(generation_), good_bytes_).has_value();
     return tl::unexpected(appended.error());
   }
+  good_bytes_ += framed.size();
   return framed.size();
 }
 
-common::Result<void> LogStore::sync() { return disk_.sync(file_name(generation_)); }
+common::Result<void> LogStore::sync() {
+  auto synced = disk_.sync(file_name(generation_));
+  broken_ = broken_ || !synced.has_value();
+  return synced;
+}
 
 common::Result<void> LogStore::start_generation(const PersistRequest& request) {
   const std::string old_name = file_name(generation_);
@@ -183,8 +194,10 @@
   const std::vector<LogRecord> records = {to_record(request)};
   const std::string record = frame_record(common::encode(records));
   if (auto replaced = disk_.replace(file_name(generation_), record); !replaced) {
+    --generation_;
     return replaced;
   }
+  good_bytes_ = record.size();
   return disk_.remove(old_name);
 }
 
--- a/src/storage/log_store.hpp
+++ b/src/storage/log_store.hpp
@@ -42,11 +42,14 @@
                                                const std::optional<Identity>& founder = {});
   const Identity& identity() const { return identity_; }
 
-  /// Writes a group of requests with one sync. @return the bytes written.
+  /// Writes a group of requests with one sync. @return the bytes written. A group that the disk
+  /// refuses to take leaves no trace and may be tried again; after a failed sync nothing is known
+  /// of the file any more, and is_broken() says so.
   common::Result<std::size_t> persist(const std::vector<consensus::PersistRequest>& requests);
   /// Two halves of persist(), for a virtual disk whose sync takes time.
   common::Result<std::size_t> write(const std::vector<consensus::PersistRequest>& requests);
   common::Result<void> sync();
+  bool is_broken() const { return broken_; }
 
  private:
   common::Result<void> open_identity(const common::CellName& cell, common::RandomEngine& random,
@@ -57,6 +60,8 @@
   Disk& disk_;
   Identity identity_;
   std::uint64_t generation_ = 0;
+  std::size_t good_bytes_ = 0;  ///< of the present file: whole records
+  bool broken_ = false;
 };
 
 }  // namespace planktray::storage
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <utility>
 
@@ -30,6 +32,11 @@
       std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
 }
 
+void end_process(int exit_code) {
+  std::fflush(nullptr);
+  std::_Exit(exit_code);
+}
+
 EventLoop::EventLoop() : loop_(g_main_loop_new(nullptr, FALSE)) {}
 
 EventLoop::~EventLoop() {
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -15,6 +15,10 @@
 /// CLOCK_BOOTTIME: runs on while the process or the machine is stopped.
 common::TimePoint boot_time_now();
 
+/// Ends the process at once. The data folder is safe at every moment, and the libraries' static
+/// destructors join threads of their own, which may hold a stopping process up for seconds.
+[[noreturn]] void end_process(int exit_code);
+
 class EventLoop {
  public:
   EventLoop();
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -104,9 +104,13 @@
 
   void close() {
     const auto keep = shared_from_this();
-    call_ = 0;
+    const bool abandons_call = std::exchange(call_, 0) != 0;
     stop_connect_timer();
-    stream_->close();
+    if (abandons_call) {
+      stream_->abort();  // what was sent of it should not arrive later
+    } else {
+      stream_->close();
+    }
     if (!std::exchange(forgotten_, true)) {
       client_.forget(address_, this);
     }
@@ -190,6 +194,7 @@
   }
 
   void fail(common::Error error) {
+    stream_->abort();
     HttpResponse response;
     response.error = std::move(error);
     complete(std::move(response), false);
--- a/src/transport/logging.cpp
+++ b/src/transport/logging.cpp
@@ -44,7 +44,7 @@
 void start_logging(const std::string& program, const std::string& instance) {
   static const log4cplus::Initializer kInitializer;
   common_fields() = " program=" + program + " instance=" + instance;
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       LOG4CPLUS_TEXT("time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n")));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
--- a/src/transport/logging.hpp
+++ b/src/transport/logging.hpp
@@ -1,5 +1,5 @@
 #pragma once
-/// Structured logs by log4cplus: one key=value line for each change of state, to standard error.
+/// Structured logs by log4cplus: one key=value line for each change of state, to standard output.
 /// What happens often is counted in metrics instead.
 
 #include <initializer_list>
--- a/src/transport/storage_worker.cpp
+++ b/src/transport/storage_worker.cpp
@@ -6,8 +6,19 @@
 
 namespace planktray::transport {
 
-StorageWorker::StorageWorker(storage::LogStore& store, Callback callback)
-    : store_(store), callback_(std::move(callback)), thread_([this] { work(); }) {}
+namespace {
+
+/// A disk that refuses is asked again after this time.
+constexpr std::chrono::milliseconds kRetryInterval(200);
+
+}  // namespace
+
+StorageWorker::StorageWorker(storage::LogStore& store, Callback callback,
+                             RefusalCallback on_refusal)
+    : store_(store),
+      callback_(std::move(callback)),
+      on_refusal_(std::move(on_refusal)),
+      thread_([this] { work(); }) {}
 
 StorageWorker::~StorageWorker() {
   {
@@ -35,14 +46,31 @@
     }
     const std::vector<consensus::PersistRequest> batch = std::exchange(waiting_, {});
     lock.unlock();
-    const auto written = store_.persist(batch);
-    common::Result<std::uint64_t> result = batch.back().sequence;
-    if (!written.has_value()) {
-      result = tl::unexpected(written.error());
-    }
+    const auto result = persist(batch);
     EventLoop::post([callback = callback_, result] { callback(result); });
     lock.lock();
   }
 }
 
+common::Result<std::uint64_t> StorageWorker::persist(
+    const std::vector<consensus::PersistRequest>& batch) {
+  for (bool is_first = true;; is_first = false) {
+    const auto written = store_.persist(batch);
+    if (written.has_value()) {
+      return batch.back().sequence;
+    }
+    if (store_.is_broken() || rest_or_stop()) {
+      return tl::unexpected(written.error());
+    }
+    if (is_first) {
+      EventLoop::post([callback = on_refusal_, error = written.error()] { callback(error); });
+    }
+  }
+}
+
+bool StorageWorker::rest_or_stop() {
+  std::unique_lock lock(mutex_);
+  return wake_.wait_for(lock, kRetryInterval, [this] { return stopping_; });
+}
+
 }  // namespace planktray::transport
--- a/src/transport/storage_worker.hpp
+++ b/src/transport/storage_worker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// Writes log records on a thread of its own, so that a slow sync delays no heartbeat. Everything
-/// that waits when a sync ends goes out with the next one (group commit).
+/// that waits when a sync ends goes out with the next one (group commit). A disk that refuses to
+/// take more bytes is asked again until it does; meanwhile nothing counts as written.
 
 #include <condition_variable>
 #include <cstdint>
@@ -16,11 +17,14 @@
 
 class StorageWorker {
  public:
-  /// Called on the main loop's thread with the highest sequence that lasts, or the failure.
+  /// Called on the main loop's thread with the highest sequence that lasts, or the failure after
+  /// which what the folder holds is not known.
   using Callback = std::function<void(common::Result<std::uint64_t> persisted)>;
+  /// Called on the main loop's thread when the disk begins to refuse.
+  using RefusalCallback = std::function<void(const common::Error& error)>;
 
   /// @param store is used by this worker alone from now on and must outlive it.
-  StorageWorker(storage::LogStore& store, Callback callback);
+  StorageWorker(storage::LogStore& store, Callback callback, RefusalCallback on_refusal);
   StorageWorker(const StorageWorker&) = delete;
   StorageWorker& operator=(const StorageWorker&) = delete;
   ~StorageWorker();
@@ -29,9 +33,13 @@
 
  private:
   void work();
+  /// Persists a batch, again and again while the disk refuses it.
+  common::Result<std::uint64_t> persist(const std::vector<consensus::PersistRequest>& batch);
+  bool rest_or_stop();
 
   storage::LogStore& store_;
   Callback callback_;
+  RefusalCallback on_refusal_;
   std::mutex mutex_;
   std::condition_variable wake_;
   std::vector<consensus::PersistRequest> waiting_;
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -3,6 +3,7 @@
 #include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <charconv>
@@ -214,6 +215,14 @@
   }
 }
 
+void TcpStream::abort() {
+  if (socket_ != nullptr) {
+    constexpr linger kReset{1, 0};
+    setsockopt(g_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &kReset, sizeof(kReset));
+  }
+  close();
+}
+
 void TcpStream::close() {
   if (socket_ == nullptr) {
     return;
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -51,8 +51,10 @@
   /// Sets the callbacks and begins to read.
   void start(Handlers handlers);
   void write(std::string_view bytes);
-  /// Closes at once; unsent bytes are dropped.
+  /// Closes at once; bytes that the peer has not acknowledged may still reach it.
   void close();
+  /// Ends the connection by a reset: bytes that are still under way reach nobody.
+  void abort();
   /// Sends what is left, then ends the sending side; reading goes on until the peer closes.
   void finish_writing();
 
--- /dev/null
+++ b/test/ownership/grant_manager_test.cpp
@@ -0,0 +1,245 @@
+#include "ownership/grant_manager.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace planktray::ownership {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(std::int64_t value) { return common::from_microseconds(value * 1000); }
+
+constexpr KeyRange kAll;
+
+/// One keyed service with two back ends; the first owns all keys.
+struct Fixture {
+  CellState state;
+  GrantOptions options;
+  GrantManager manager{options};
+  std::uint64_t index = 0;
+  ServiceId service;
+  BackendId x;
+  BackendId y;
+  std::vector<GrantOrder> grants;
+  std::vector<ReleaseOrder> releases;
+
+  explicit Fixture(GrantOptions wanted = GrantOptions()) : options(wanted), manager(wanted) {
+    config::RouteChange change;
+    change.version = 1;
+    change.replaces_all = true;
+    config::RoutedService keyed;
+    keyed.name = common::ServiceName("ledger");
+    keyed.keyed = true;
+    change.services.push_back(keyed);
+    apply(ChangeRoutes{change});
+    service = state.routed_services().begin()->first;
+    x = add_backend("x");
+    y = add_backend("y");
+    assign(kAll, x);
+    manager.begin_term(at(0), state);
+  }
+
+  void apply(const Command& command) { state.apply(LogIndex(++index), command); }
+  BackendId add_backend(const std::string& name, const std::string& address = "") {
+    RegisterBackend registration;
+    registration.machine = common::MachineName(name);
+    registration.address = address.empty() ? name + ":1" : address;
+    registration.pool = common::PoolName("ledger");
+    registration.incarnation = common::Incarnation(name);
+    registration.contract = static_cast<std::uint8_t>(OwnershipContract::kFencedGrant);
+    apply(registration);
+    return BackendId(index);
+  }
+  const RangeRecord& record(std::uint32_t key = 0) const {
+    return state.routed_services().at(service).ranges.record_of(key);
+  }
+  void assign(const KeyRange& keys, BackendId owner) {
+    ApplyRangePlan plan;
+    plan.assignments.push_back({service, keys, record(keys.first).fence, owner, ""});
+    apply(plan);
+  }
+  void begin_move(const KeyRange& keys) {
+    ApplyRangePlan plan;
+    plan.moves.push_back({service, keys, record(keys.first).fence, y});
+    apply(plan);
+  }
+  void collect(std::int64_t time) {
+    grants.clear();
+    releases.clear();
+    manager.collect(at(time), state, grants, releases);
+  }
+  /// Sends the orders that are due and answers all of them so.
+  void run(std::int64_t time, OrderEnd end) {
+    collect(time);
+    for (const GrantOrder& order : grants) {
+      manager.on_reply(at(time + 1), order.id, {end, ""});
+    }
+  }
+  bool may_assign(std::int64_t time, std::uint32_t key = 0) const {
+    return manager.may_assign(at(time), state, service, record(key)).free;
+  }
+  /// The longest that an order answered at `time` may hold, on the leader's clock.
+  std::int64_t end_of_hold(std::int64_t time) const {
+    const double hold = static_cast<double>(options.hold_time.count()) / (1 - options.clock_error);
+    return time + static_cast<std::int64_t>(hold / 1000) + 31;
+  }
+};
+
+TEST_CASE("keys that are held may not be given away") {
+  Fixture fixture;
+  fixture.run(0, OrderEnd::kAccepted);
+  CHECK_FALSE(fixture.may_assign(100));
+  fixture.begin_move(kAll);
+  CHECK_FALSE(fixture.may_assign(100));
+}
+
+TEST_CASE("a release under a higher fence frees keys at once and brings the handover") {
+  Fixture fixture;
+  fixture.run(0, OrderEnd::kAccepted);
+  const Epoch granted = fixture.record().fence;
+  fixture.begin_move(kAll);
+  fixture.collect(100);
+  fixture.collect(120);
+  REQUIRE(fixture.releases.size() == 1);
+  CHECK(fixture.releases[0].fence > granted);
+  fixture.manager.on_reply(at(130), fixture.releases[0].id, {OrderEnd::kAccepted, "token"});
+  const auto verdict =
+      fixture.manager.may_assign(at(131), fixture.state, fixture.service, fixture.record());
+  CHECK(verdict.free);
+  CHECK(verdict.handover == "token");
+}
+
+TEST_CASE("without a release the answered grants run out first, on a slow clock") {
+  Fixture fixture;
+  fixture.run(5000, OrderEnd::kAccepted);
+  fixture.begin_move(kAll);
+  const std::int64_t end = fixture.end_of_hold(5001);
+  CHECK_FALSE(fixture.may_assign(end - 2));
+  CHECK(fixture.may_assign(end + 1));
+}
+
+TEST_CASE("a grant without an answer may be taken late: its time is waited out too") {
+  Fixture fixture;
+  fixture.run(5000, OrderEnd::kAccepted);
+  fixture.run(5600, OrderEnd::kUnanswered);
+  fixture.begin_move(kAll);
+  const std::int64_t end = fixture.end_of_hold(5600 + fixture.options.late_delivery.count() / 1000);
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(5601) + 1000));
+  CHECK_FALSE(fixture.may_assign(end - 2));
+  CHECK(fixture.may_assign(end + 1));
+}
+
+TEST_CASE("a grant that was never sent leaves no doubt") {
+  Fixture fixture;
+  fixture.run(5000, OrderEnd::kAccepted);
+  fixture.run(5600, OrderEnd::kNotSent);
+  fixture.begin_move(kAll);
+  CHECK(fixture.may_assign(fixture.end_of_hold(5001) + 1));
+}
+
+TEST_CASE("an answered release ends the doubt of an older grant") {
+  Fixture fixture;
+  fixture.run(5000, OrderEnd::kAccepted);
+  fixture.run(5600, OrderEnd::kUnanswered);
+  fixture.begin_move(kAll);
+  fixture.collect(5700);
+  fixture.collect(5720);
+  REQUIRE_FALSE(fixture.releases.empty());
+  fixture.manager.on_reply(at(5730), fixture.releases[0].id, {OrderEnd::kAccepted, ""});
+  CHECK(fixture.may_assign(5731));
+  CHECK_FALSE(fixture.manager.has_orders_in_doubt(at(5731)));
+}
+
+TEST_CASE("a grant that is still under way is in doubt") {
+  Fixture fixture;
+  fixture.run(5000, OrderEnd::kAccepted);
+  fixture.collect(5700);
+  REQUIRE(fixture.grants.size() == 1);
+  CHECK_FALSE(fixture.manager.has_orders_in_doubt(at(5701)));
+  CHECK(fixture.manager.has_orders_in_doubt(at(5900)));
+  fixture.begin_move(kAll);
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(5001) + 1));
+}
+
+TEST_CASE("a release is asked for again while the first has no answer") {
+  Fixture fixture;
+  fixture.run(0, OrderEnd::kAccepted);
+  fixture.begin_move(kAll);
+  fixture.collect(100);
+  fixture.collect(120);
+  CHECK(fixture.releases.size() == 1);
+  fixture.collect(600);
+  CHECK(fixture.releases.size() == 1);
+}
+
+TEST_CASE("another incarnation at the address proves that the owner has ended") {
+  Fixture fixture;
+  fixture.run(0, OrderEnd::kAccepted);
+  SUBCASE("it answers an order") {
+    fixture.run(700, OrderEnd::kGone);
+    fixture.begin_move(kAll);
+    CHECK(fixture.may_assign(701));
+  }
+  SUBCASE("it registers") {
+    fixture.add_backend("z", "x:1");
+    fixture.begin_move(kAll);
+    CHECK(fixture.may_assign(701));
+  }
+}
+
+TEST_CASE("a new leader counts what the one before may have granted") {
+  Fixture fixture;
+  fixture.run(0, OrderEnd::kAccepted);
+  fixture.begin_move(kAll);
+  GrantManager next(fixture.options);
+  SUBCASE("answered orders until its election") {
+    next.begin_term(at(9000), fixture.state);
+    fixture.manager = next;
+    fixture.collect(9000);
+    CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(9000) - 2));
+    CHECK(fixture.may_assign(fixture.end_of_hold(9000) + 1));
+  }
+  SUBCASE("and orders in doubt where the state marks them") {
+    fixture.apply(MarkOrdersInDoubt{true});
+    next.begin_term(at(9000), fixture.state);
+    fixture.manager = next;
+    fixture.collect(9000);
+    CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(9000) + 1000));
+    CHECK(fixture.may_assign(
+        fixture.end_of_hold(9000 + fixture.options.late_delivery.count() / 1000) + 1));
+  }
+}
+
+TEST_CASE("the parts of a range are held as the whole was") {
+  Fixture fixture;
+  fixture.run(5000, OrderEnd::kAccepted);
+  const KeyRange part{100, 199};
+  fixture.begin_move(part);
+  fixture.collect(5002);
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(5001) - 2, 100));
+  CHECK(fixture.may_assign(fixture.end_of_hold(5001) + 1, 100));
+  // The rest goes on being renewed, as two ranges.
+  fixture.collect(5700);
+  CHECK(fixture.grants.size() == 2);
+}
+
+TEST_CASE("keys whose holder cannot be renewed are withdrawn before the grant ends") {
+  Fixture fixture;
+  fixture.run(5000, OrderEnd::kAccepted);
+  for (std::int64_t time = 5600; time < 7000; time += 200) {
+    fixture.run(time, OrderEnd::kNotSent);
+  }
+  CHECK(fixture.manager.withdrawals(at(7000), fixture.state).empty());
+  CHECK(fixture.manager.withdrawals(at(fixture.end_of_hold(5001) - 90), fixture.state).size() == 1);
+}
+
+TEST_CASE("an owner that has seen a higher fence gets its keys under a new one") {
+  Fixture fixture;
+  fixture.run(0, OrderEnd::kFenced);
+  CHECK(fixture.manager.withdrawals(at(2), fixture.state).size() == 1);
+}
+
+}  // namespace
+}  // namespace planktray::ownership
--- a/test/storage/log_store_test.cpp
+++ b/test/storage/log_store_test.cpp
@@ -135,5 +135,44 @@
   });
 }
 
+/// A disk that takes no more bytes while it is full; of the first it takes a part.
+class FullDisk final : public sim::VirtualDisk {
+ public:
+  common::Result<void> append(const std::string& name, const std::string& bytes) override {
+    if (!full) {
+      return VirtualDisk::append(name, bytes);
+    }
+    (void)VirtualDisk::append(name, bytes.substr(0, bytes.size() / 2));
+    return common::fail(common::ErrorCode::kIo, "write", name, "no space is left");
+  }
+  common::Result<void> replace(const std::string& name, const std::string& bytes) override {
+    return full ? common::fail(common::ErrorCode::kIo, "write", name, "no space is left")
+                : VirtualDisk::replace(name, bytes);
+  }
+
+  bool full = false;
+};
+
+TEST_CASE("what a full disk refuses may be written again, and nothing is damaged") {
+  FullDisk disk;
+  common::RandomEngine random(1);
+  LogStore store(disk);
+  REQUIRE(store.open(kCell, random).has_value());
+  REQUIRE(store.persist({entry_request(1)}).has_value());
+  disk.full = true;
+  CHECK_FALSE(store.persist({entry_request(2)}).has_value());
+  PersistRequest compaction;
+  compaction.snapshot = consensus::Snapshot{LogIndex(1), Term(1), {}, "state"};
+  CHECK_FALSE(store.persist({compaction}).has_value());
+  CHECK_FALSE(store.is_broken());
+  disk.full = false;
+  REQUIRE(store.persist({entry_request(2)}).has_value());
+  REQUIRE(store.persist({entry_request(3)}).has_value());
+  LogStore again(disk);
+  const auto state = again.open(kCell, random);
+  REQUIRE(state.has_value());
+  CHECK(state->entries.size() == 3);
+}
+
 }  // namespace
 }  // namespace planktray::storage
