Keys follow speed; a dominant key gets the fastest target; own zone first

(2) Targets differ by 2.3 in speed and got equal parts. Change: routers report work times by target; the planner evens utilisation, isolates a dominant key on the fastest target, gives starved targets keys; targets of other zones count 2.5 times as slow.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -56,7 +56,7 @@
   }
   distributor_.on_hello(now, hello);
   loads_.add(hello.loads);
-  ranges_.note_loads(hello.key_loads);
+  ranges_.note_loads(hello);
   sweep_needed_ = true;
   step(now);
 }
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -37,6 +37,7 @@
   heartbeats_.begin_term(now);
   grants_.begin_term(now, state);
   loads_.clear();
+  times_.clear();
   planned_state_ = common::LogIndex();
   next_plan_ = now;
   next_balance_ = now + options_.balance_interval;
@@ -103,8 +104,9 @@
     loads_.fold(now);
   }
   planned_state_ = state.applied();
-  ownership::RangePlannerInput input{state, loads_, {}, {}, balance};
+  ownership::RangePlannerInput input{state, loads_, {}, {}, {}, balance};
   input.is_eligible = [&](const BackendRecord& backend) { return is_eligible(now, backend); };
+  input.capacity = [&](const BackendRecord& backend) { return times_.capacity(state, backend); };
   input.may_assign = [&](common::ServiceId service, const ownership::RangeRecord& record) {
     const auto found = state.routed_services().find(service);
     if (!is_settled(now, state, found->second)) {
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -12,6 +12,7 @@
 #include "ownership/grant_manager.hpp"
 #include "ownership/key_loads.hpp"
 #include "ownership/range_planner.hpp"
+#include "ownership/target_times.hpp"
 
 namespace planktray::controller {
 
@@ -36,7 +37,10 @@
   void begin_term(TimePoint now, const ownership::CellState& state);
   void end_term() { grants_.end_term(); }
 
-  void note_loads(const std::vector<routing::KeyLoad>& loads) { loads_.add(loads); }
+  void note_loads(const routing::RouterHello& hello) {
+    loads_.add(hello.key_loads);
+    times_.add(hello.target_times);
+  }
   /// @return false for a late heartbeat that says nothing about now.
   bool note_heartbeat(TimePoint now, const common::Incarnation& incarnation,
                       std::uint64_t sequence) {
@@ -68,6 +72,7 @@
   ownership::GrantManager grants_;
   ownership::RangePlanner planner_;
   ownership::KeyLoads loads_;
+  ownership::TargetTimes times_;
   common::LogIndex planned_state_;
   TimePoint next_plan_;
   TimePoint next_balance_;
--- a/src/ownership/key_loads.cpp
+++ b/src/ownership/key_loads.cpp
@@ -7,6 +7,8 @@
 
 /// A smaller rate is as good as none; it bounds the memory to keys in use.
 constexpr float kSmallestRate = 0.01F;
+/// So many requests for one key between two folds are no chance.
+constexpr float kTellingCount = 6;
 
 }  // namespace
 
@@ -28,6 +30,12 @@
   const auto kept = static_cast<float>(std::exp2(-half_lives));
   const auto taken = static_cast<float>((1.0 - kept) / seconds);
   for (auto& [id, service] : services_) {
+    service.burst = {};
+    for (const auto& [key, count] : service.counted) {
+      if (count >= kTellingCount && count / seconds > service.burst.rate) {
+        service.burst = {key, count / seconds};
+      }
+    }
     for (auto& [key, rate] : service.rates) {
       rate *= kept;
     }
@@ -41,6 +49,20 @@
 
 void KeyLoads::clear() { services_.clear(); }
 
+KeyRate KeyLoads::hottest(common::ServiceId service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return {};
+  }
+  KeyRate hottest = found->second.burst;
+  for (const auto& [key, rate] : found->second.rates) {
+    if (rate > hottest.rate) {
+      hottest = {key, rate};
+    }
+  }
+  return hottest;
+}
+
 double KeyLoads::rate(common::ServiceId service, std::uint32_t key) const {
   return rate(service, KeyRange{key, key});
 }
--- a/src/ownership/key_loads.hpp
+++ b/src/ownership/key_loads.hpp
@@ -29,6 +29,9 @@
   double rate(common::ServiceId service, std::uint32_t key) const;
   /// Requests a second for a range of keys.
   double rate(common::ServiceId service, const KeyRange& keys) const;
+  /// The busiest key, by what was seen since the last fold where that is enough to tell, by its
+  /// smoothed rate otherwise; rate 0 where there is none.
+  KeyRate hottest(common::ServiceId service) const;
   /// The keys of a range that had requests lately, in their order.
   std::vector<KeyRate> busy_keys(common::ServiceId service, const KeyRange& keys) const;
 
@@ -36,6 +39,7 @@
   struct ServiceLoads {
     std::map<std::uint32_t, float> counted;  ///< since the last fold
     std::map<std::uint32_t, float> rates;    ///< keys with a rate worth keeping
+    KeyRate burst;                           ///< the busiest key between the last two folds
   };
 
   common::Duration half_life_;
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -1,12 +1,10 @@
 #pragma once
-/// Decides who should own which keys: free keys get owners, leaving owners are emptied, and load
-/// is evened out by moving few keys of much load.
+/// Decides who should own which keys: free keys get owners, leaving owners are emptied, load is
+/// evened out over targets of different speed, and a key that is busier than a target's whole share
+/// gets the fastest target for itself.
 
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <optional>
-#include <utility>
 #include <vector>
 
 #include "ownership/cell_state.hpp"
@@ -16,14 +14,22 @@
 namespace planktray::ownership {
 
 struct RangePlannerOptions {
-  /// A target may carry this many times the mean before keys are moved off it.
-  double max_imbalance = 1.35;
-  /// Requests a second above the mean that are borne in any case.
-  double tolerated_excess = 4.0;
-  /// Moves that may be under way at once in one service for balancing.
-  std::uint32_t concurrent_moves = 6;
-  /// Keys that balancing may move in one interval, as a share of all keys.
-  double moved_share = 0.01;
+  /// A target may carry this many times its share before keys are moved off it.
+  double max_imbalance = 1.4;
+  /// A target below this part of its share is given keys even while none is above the limit.
+  double starved_share = 0.5;
+  /// So many standard deviations of a target's measured load are borne in any case.
+  double noise_factor = 3.0;
+  /// Variance of a smoothed load per load, in 1/s: ln 2 / (2 half-lives).
+  double noise_rate = 0.43;
+  /// A move must shift at least this part of a target's share.
+  double smallest_gain = 0.15;
+  /// A key with this many times a target's share is dominant: it gets a target for itself.
+  double dominant_share = 1.6;
+  /// A dominant key moves to a target that is faster by this factor.
+  double faster_by = 1.2;
+  /// Ranges that may be moving at once in one service for balance to move more.
+  std::uint32_t concurrent_moves = 16;
 };
 
 struct RangePlannerInput {
@@ -31,6 +37,8 @@
   const KeyLoads& loads;
   /// True where the back end may get keys.
   std::function<bool(const BackendRecord&)> is_eligible;
+  /// Requests that it can answer, relative to a typical one of its service; above 0.
+  std::function<double(const BackendRecord&)> capacity;
   /// Whether a moving or unowned range may be given to another owner.
   std::function<GrantManager::Verdict(ServiceId, const RangeRecord&)> may_assign;
   bool balance = false;  ///< whether keys may be moved for balance in this call
@@ -43,14 +51,15 @@
   ApplyRangePlan plan(const RangePlannerInput& input) const;
 
  private:
-  struct Workspace;
+  class Workspace;
 
   void assign_free(Workspace& work, ApplyRangePlan& plan) const;
   void empty_leaving(Workspace& work, ApplyRangePlan& plan) const;
+  /// Gives a dominant key the fastest target for itself.
+  void isolate_dominant(Workspace& work, ApplyRangePlan& plan) const;
+  /// Moves all keys but `key` off the target that hosts it.
+  void empty_host(Workspace& work, ApplyRangePlan& plan, BackendId host, const KeyRange& key) const;
   void balance(Workspace& work, ApplyRangePlan& plan) const;
-  /// The piece of one owner's keys with about `wanted` load in the fewest keys.
-  std::optional<RangeMove> densest_piece(const Workspace& work, BackendId owner, double wanted,
-                                         std::uint32_t most_keys, const ApplyRangePlan& plan) const;
 
   RangePlannerOptions options_;
 };
--- /dev/null
+++ b/src/ownership/range_workspace.cpp
@@ -0,0 +1,163 @@
+#include "ownership/range_workspace.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace planktray::ownership {
+namespace {
+
+/// Load that a key counts beside what was seen of it, as a share of the mean: where nothing is
+/// known, keys count alike.
+constexpr double kIdleShare = 0.15;
+constexpr double kSmallestTotal = 1.0;
+/// A part may exceed the load that is wanted by this factor.
+constexpr double kTolerance = 1.25;
+/// A cluster is cut out of the middle of a range only if it is this many times denser.
+constexpr double kDenseFactor = 5.0;
+/// A part carries at least this much of what is wanted.
+constexpr double kSmallestPart = 0.3;
+
+}  // namespace
+
+RangePlanner::Workspace::Workspace(const RangePlannerInput& input,
+                                   const RoutedServiceRecord& service)
+    : input_(input), service_(service) {
+  const double seen = input.loads.rate(service.id, KeyRange());
+  idle_rate_ = kIdleShare * std::max(seen, kSmallestTotal) / config::kKeyCount;
+  total_ = seen + idle_rate_ * config::kKeyCount;
+  for (const auto& [id, backend] : input.state.backends()) {
+    if (backend.pool.value == service.config.name.value && input.is_eligible(backend)) {
+      targets_[id].capacity = input.capacity(backend);
+      total_capacity_ += targets_[id].capacity;
+    }
+  }
+  for (const auto& [first, range] : service.ranges.records()) {
+    carry(range.moving ? range.move_to : range.owner, load(range.keys));
+    moving_ += range.moving ? 1 : 0;
+    if (!range.moving && range.owner.value != 0) {
+      segments_.push_back({range.keys, range.owner, range.fence});
+    }
+  }
+}
+
+double RangePlanner::Workspace::load(const KeyRange& keys) const {
+  return input_.loads.rate(service_.id, keys) + idle_rate_ * keys.size();
+}
+
+RangePlanner::Workspace::Targets::iterator RangePlanner::Workspace::lightest() {
+  return std::min_element(targets_.begin(), targets_.end(), [](const auto& a, const auto& b) {
+    return a.second.utilization() < b.second.utilization();
+  });
+}
+
+RangePlanner::Workspace::Targets::iterator RangePlanner::Workspace::heaviest() {
+  return std::max_element(targets_.begin(), targets_.end(), [](const auto& a, const auto& b) {
+    return a.second.utilization() < b.second.utilization();
+  });
+}
+
+void RangePlanner::Workspace::reserve(BackendId id, const KeyRange& keys) {
+  const auto found = targets_.find(id);
+  total_ = std::max(total_ - load(keys), idle_rate_ * config::kKeyCount);
+  total_capacity_ -= found->second.capacity;
+  targets_.erase(found);
+}
+
+void RangePlanner::Workspace::carry(BackendId id, double load) {
+  const auto found = targets_.find(id);
+  if (found != targets_.end()) {
+    found->second.load += load;
+  }
+}
+
+void RangePlanner::Workspace::move(ApplyRangePlan& plan, const KeyRange& keys, Epoch fence,
+                                   BackendId from, BackendId to) {
+  const double moved = load(keys);
+  carry(from, -moved);
+  carry(to, moved);
+  ++moving_;
+  cut_out(keys);
+  plan.moves.push_back({service_.id, keys, fence, to});
+}
+
+void RangePlanner::Workspace::cut_out(const KeyRange& keys) {
+  const auto found = std::find_if(segments_.begin(), segments_.end(), [&](const Segment& segment) {
+    return segment.keys.contains(keys);
+  });
+  if (found == segments_.end()) {
+    return;
+  }
+  const Segment whole = *found;
+  segments_.erase(found);
+  if (whole.keys.first < keys.first) {
+    segments_.push_back({{whole.keys.first, keys.first - 1}, whole.owner, whole.fence});
+  }
+  if (keys.last < whole.keys.last) {
+    segments_.push_back({{keys.last + 1, whole.keys.last}, whole.owner, whole.fence});
+  }
+}
+
+KeyRange RangePlanner::Workspace::beginning(const KeyRange& keys, double room) const {
+  std::uint32_t low = keys.first;
+  std::uint32_t high = keys.last;
+  while (low < high) {
+    const std::uint32_t middle = low + (high - low + 1) / 2;
+    if (load({keys.first, middle}) <= room) {
+      low = middle;
+    } else {
+      high = middle - 1;
+    }
+  }
+  return {keys.first, low};
+}
+
+std::optional<KeyRange> RangePlanner::Workspace::cluster(const KeyRange& keys,
+                                                         double wanted) const {
+  const std::vector<KeyRate> busy = input_.loads.busy_keys(service_.id, keys);
+  std::optional<KeyRange> best;
+  double best_sum = 0;
+  double sum = 0;
+  std::size_t left = 0;
+  for (std::size_t right = 0; right < busy.size(); ++right) {
+    sum += busy[right].rate;
+    while (left <= right && sum > kTolerance * wanted) {
+      sum -= busy[left++].rate;
+    }
+    if (left > right) {
+      continue;
+    }
+    const KeyRange run{busy[left].key, busy[right].key};
+    const double worth = std::min(sum, wanted);
+    const bool is_denser =
+        !best.has_value() || worth * best->size() > best_sum * run.size() * kTolerance;
+    if (sum >= kSmallestPart * wanted && is_denser) {
+      best = run;
+      best_sum = worth;
+    }
+  }
+  return best;
+}
+
+std::optional<Segment> RangePlanner::Workspace::part_of(BackendId owner, double wanted) const {
+  std::optional<Segment> best;
+  double best_load = 0;
+  for (const Segment& segment : segments_) {
+    if (segment.owner != owner) {
+      continue;
+    }
+    KeyRange part = beginning(segment.keys, wanted);
+    const auto dense = cluster(segment.keys, wanted);
+    const bool is_dense =
+        dense.has_value() && load(*dense) * part.size() > kDenseFactor * load(part) * dense->size();
+    part = is_dense ? *dense : part;
+    const double part_load = load(part);
+    const bool fits = part_load <= kTolerance * wanted && part_load >= kSmallestPart * wanted;
+    if (fits && part_load > best_load) {
+      best_load = part_load;
+      best = Segment{part, owner, segment.fence};
+    }
+  }
+  return best;
+}
+
+}  // namespace planktray::ownership
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -133,6 +133,7 @@
                              table_.index(),
                              is_serving(now),
                              {},
+                             {},
                              {}};
   if (now >= next_load_) {
     next_load_ = now + options_.load_interval;
@@ -157,20 +158,33 @@
     hello.key_loads.push_back({place.first, place.second, count});
   }
   key_loads_.clear();
+  report_target_times(hello);
   if (hello.key_loads.size() <= options_.maximum_reported_keys) {
     return;
   }
   // Every n-th of the lightest would be lost; a random part with its weight raised keeps the sum.
   const double kept_share = static_cast<double>(options_.maximum_reported_keys) /
                             static_cast<double>(hello.key_loads.size());
-  std::erase_if(hello.key_loads, [&](const auto& /*load*/) {
-    return !common::chance(random_, kept_share);
-  });
+  std::erase_if(hello.key_loads,
+                [&](const auto& /*load*/) { return !common::chance(random_, kept_share); });
   for (routing::KeyLoad& load : hello.key_loads) {
     load.requests = static_cast<std::uint32_t>(std::lround(load.requests / kept_share));
   }
 }
 
+void RouterCore::report_target_times(routing::RouterHello& hello) {
+  for (auto& [id, service] : routed_) {
+    const auto* route = table_.routes().find_service(id);
+    if (route == nullptr || !route->route.config.keyed) {
+      continue;  // only owners of keys are chosen by the leader
+    }
+    service.targets.take_samples([&](BackendId backend, const routing::WorkSamples& samples) {
+      hello.target_times.push_back(
+          {backend, static_cast<std::uint32_t>(samples.sum_us / samples.count), samples.count});
+    });
+  }
+}
+
 // ---------------------------------------------------------------- requests
 
 void RouterCore::on_request(TimePoint now, const CallerRequest& caller) {
@@ -565,8 +579,7 @@
   const auto attempt = attempts_.find(request.attempt);
   output_.cancels.push_back(request.attempt);
   if (request.routed) {
-    routed_service(request.service)
-        .targets.on_ended(attempt->second.backend, attempt->second.sent);
+    routed_service(request.service).targets.on_ended(attempt->second.backend, attempt->second.sent);
   } else {
     release_target(attempt->second.backend);
   }
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -91,7 +91,7 @@
   common::ServiceKey service;
   std::string key;  ///< empty: none given
   std::string method;
-  std::uint32_t timeout_ms = 0;  ///< 0: the service's or the route's default
+  std::uint32_t timeout_ms = 0;                   ///< 0: the service's or the route's default
   std::optional<RouteCall> route = std::nullopt;  ///< set: the service follows from it
 };
 
@@ -263,6 +263,7 @@
   void dispatch_waiting(TimePoint now);
   void drop_attempt(Request& request);
   void report_key_loads(routing::RouterHello& hello);
+  void report_target_times(routing::RouterHello& hello);
 
   void answer_not_run(const Request& request, routing::NotRunReason reason, Duration retry_after);
   void answer_unknown(const Request& request);
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -25,6 +25,12 @@
       ->check(CLI::Range(1, 10'000));
   add_milliseconds(app, "--hello-interval-ms", options.hello_interval, 10, 10'000,
                    "How often the table is confirmed");
+  add_milliseconds(app, "--load-interval-ms", options.load_interval, 50, 60'000,
+                   "How often the load of shards and keys is reported");
+  app.add_option("--other-zone-cost", options.other_zone_cost,
+                 "A target in another zone counts as slower by this part")
+      ->default_val(options.other_zone_cost)
+      ->check(CLI::Range(0.0, 10.0));
   add_milliseconds(app, "--table-lease-ms", options.table_lease, 100, 600'000,
                    "How long to serve without confirmation; the same in every process");
   add_milliseconds(app, "--warm-up-ms", options.warm_up, 1, 600'000,
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -110,6 +110,14 @@
   MSGPACK_DEFINE_ARRAY(service, key, requests)
 };
 
+/// How long a router's requests took at one back end since its last report, without waiting there.
+struct TargetTime {
+  BackendId backend;
+  std::uint32_t time_us = 0;  ///< mean
+  std::uint32_t samples = 0;
+  MSGPACK_DEFINE_ARRAY(backend, time_us, samples)
+};
+
 /// Requests that a router saw for one shard since its last report.
 struct ShardLoad {
   ServiceId service;
@@ -128,7 +136,9 @@
   bool serving = false;
   std::vector<ShardLoad> loads;
   std::vector<KeyLoad> key_loads;
-  MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads)
+  std::vector<TargetTime> target_times;
+  MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
+                       target_times)
 };
 
 /// Leader to router: confirmation that the table is current, and what changed.
--- a/src/routing/target_book.cpp
+++ b/src/routing/target_book.cpp
@@ -40,6 +40,8 @@
   TargetView& target = targets_[id];
   const double ahead = static_cast<double>(target.outstanding.size()) - 1.0 + target.others;
   const double work = to_us(now - sent) / queue_factor(std::max(0.0, ahead), target.slots);
+  target.samples.sum_us += work;
+  ++target.samples.count;
   const double present = service_time_us(now, target);
   target.time_us = present + options_.weight * (work - present);
   target.learnt_at = now;
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
@@ -37,15 +38,22 @@
   double cold_factor = 2.0;
 };
 
+/// Work times since the last report.
+struct WorkSamples {
+  double sum_us = 0;
+  std::uint32_t count = 0;
+};
+
 struct TargetView {
   std::uint32_t slots = 1;
   std::multiset<TimePoint> outstanding;  ///< when each was sent
-  double time_us = 0;               ///< smoothed time of an answer, 0: none seen
-  double others = 0;                ///< smoothed requests of other routers at the target
-  TimePoint learnt_at;              ///< when time_us last changed
+  double time_us = 0;                    ///< smoothed time of an answer, 0: none seen
+  double others = 0;                     ///< smoothed requests of other routers at the target
+  TimePoint learnt_at;                   ///< when time_us last changed
   TimePoint cold_until;
   TimePoint blocked_until;
   Duration block{0};
+  WorkSamples samples;
 };
 
 class TargetBook {
@@ -76,6 +84,15 @@
   /// Expected time until an answer to a request sent now.
   Duration projected(TimePoint now, BackendId id) const;
   const TargetView* find(BackendId id) const;
+  /// Hands out the work times since the last call, by `take(id, samples)`.
+  template <typename Take>
+  void take_samples(const Take& take) {
+    for (auto& [id, target] : targets_) {
+      if (target.samples.count > 0) {
+        take(id, std::exchange(target.samples, {}));
+      }
+    }
+  }
 
  private:
   double service_time_us(TimePoint now, const TargetView& target) const;
--- /dev/null
+++ b/test/ownership/range_planner_test.cpp
@@ -0,0 +1,217 @@
+#include "ownership/range_planner.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+namespace planktray::ownership {
+namespace {
+
+common::TimePoint at(std::int64_t value) { return common::from_microseconds(value * 1000); }
+
+/// A keyed service with some targets, what routers reported of it, and a planner.
+struct Fixture {
+  CellState state;
+  KeyLoads loads{std::chrono::milliseconds(800)};
+  RangePlanner planner{RangePlannerOptions()};
+  std::map<BackendId, double> capacities;
+  std::set<BackendId> ineligible;
+  std::vector<BackendId> targets;
+  std::uint64_t index = 0;
+  ServiceId service;
+  std::int64_t time = 0;
+
+  explicit Fixture(int count) {
+    config::RouteChange change;
+    change.version = 1;
+    change.replaces_all = true;
+    config::RoutedService keyed;
+    keyed.name = common::ServiceName("ledger");
+    keyed.keyed = true;
+    change.services.push_back(keyed);
+    apply(ChangeRoutes{change});
+    service = state.routed_services().begin()->first;
+    for (int i = 0; i < count; ++i) {
+      add_target(1.0);
+    }
+  }
+
+  void apply(const Command& command) { state.apply(LogIndex(++index), command); }
+  BackendId add_target(double capacity) {
+    const std::string name = "t" + std::to_string(index);
+    RegisterBackend registration;
+    registration.machine = common::MachineName(name);
+    registration.address = name + ":1";
+    registration.pool = common::PoolName("ledger");
+    registration.incarnation = common::Incarnation(name);
+    registration.contract = static_cast<std::uint8_t>(OwnershipContract::kFencedGrant);
+    apply(registration);
+    targets.emplace_back(index);
+    capacities[targets.back()] = capacity;
+    return targets.back();
+  }
+  ApplyRangePlan plan(bool balance) const {
+    RangePlannerInput input{state, loads, {}, {}, {}, balance};
+    input.is_eligible = [&](const BackendRecord& backend) {
+      return !backend.leaving && !ineligible.contains(backend.id);
+    };
+    input.capacity = [&](const BackendRecord& backend) { return capacities.at(backend.id); };
+    input.may_assign = [&](ServiceId, const RangeRecord&) {
+      return GrantManager::Verdict{true, ""};
+    };
+    return planner.plan(input);
+  }
+  /// Plans and applies, as if every release were answered at once, until nothing changes.
+  void settle(bool balance, int rounds = 20) {
+    for (int i = 0; i < rounds; ++i) {
+      const ApplyRangePlan next = plan(balance);
+      if (next.empty()) {
+        return;
+      }
+      apply(next);
+    }
+  }
+  /// `rate` requests a second for each of these keys, seen for as long as is needed to settle.
+  void report(std::uint32_t first, std::uint32_t last, std::uint32_t rate) {
+    for (std::uint32_t key = first; key <= last; ++key) {
+      loads.add({{service, key, rate}});
+    }
+  }
+  void fold() {
+    time += 1000;
+    loads.fold(at(time));
+  }
+  double load_of(BackendId target) const {
+    double sum = 0;
+    for (const auto& [first, range] : ranges()) {
+      sum += range.owner == target ? loads.rate(service, range.keys) : 0;
+    }
+    return sum;
+  }
+  std::uint64_t keys_of(BackendId target) const {
+    std::uint64_t sum = 0;
+    for (const auto& [first, range] : ranges()) {
+      sum += range.owner == target ? range.keys.size() : 0;
+    }
+    return sum;
+  }
+  const std::map<std::uint32_t, RangeRecord>& ranges() const {
+    return state.routed_services().at(service).ranges.records();
+  }
+};
+
+TEST_CASE("the first owners get even parts, one range each") {
+  Fixture fixture(14);
+  fixture.settle(false);
+  CHECK(fixture.ranges().size() == 14);
+  for (const BackendId target : fixture.targets) {
+    CHECK(fixture.keys_of(target) >= config::kKeyCount / 15);
+  }
+}
+
+TEST_CASE("faster targets get more keys") {
+  Fixture fixture(2);
+  const BackendId fast = fixture.add_target(2.0);
+  fixture.settle(false);
+  CHECK(fixture.keys_of(fast) > 1.8 * static_cast<double>(fixture.keys_of(fixture.targets[0])));
+}
+
+TEST_CASE("a leaving owner is emptied, and nothing else moves") {
+  Fixture fixture(5);
+  fixture.settle(false);
+  fixture.apply(MarkLeaving{fixture.targets[2], true, false});
+  const ApplyRangePlan plan = fixture.plan(false);
+  REQUIRE_FALSE(plan.moves.empty());
+  std::uint64_t moved = 0;
+  for (const RangeMove& move : plan.moves) {
+    CHECK(fixture.ranges().at(plan.moves.front().keys.first).owner == fixture.targets[2]);
+    CHECK(move.to != fixture.targets[2]);
+    moved += move.keys.size();
+  }
+  CHECK(moved == fixture.keys_of(fixture.targets[2]));
+}
+
+TEST_CASE("even load moves nothing") {
+  Fixture fixture(4);
+  fixture.settle(false);
+  for (std::uint32_t key = 0; key < config::kKeyCount; key += 64) {
+    fixture.report(key, key, 1);
+  }
+  fixture.fold();
+  CHECK(fixture.plan(true).empty());
+}
+
+TEST_CASE("a dense cluster of busy keys is spread, and few keys move") {
+  Fixture fixture(10);
+  fixture.settle(false);
+  for (int i = 0; i < 5; ++i) {
+    fixture.report(1000, 1199, 2);
+    fixture.fold();
+  }
+  std::uint64_t moved = 0;
+  for (int i = 0; i < 10; ++i) {
+    const ApplyRangePlan plan = fixture.plan(true);
+    for (const RangeMove& move : plan.moves) {
+      moved += move.keys.size();
+    }
+    fixture.apply(plan);
+    fixture.settle(false);
+  }
+  const double mean = fixture.loads.rate(fixture.service, KeyRange()) / 10;
+  for (const BackendId target : fixture.targets) {
+    CHECK(fixture.load_of(target) < 1.7 * mean);
+  }
+  CHECK(moved < config::kKeyCount / 20);
+}
+
+TEST_CASE("a key busier than a target's share gets the fastest target for itself") {
+  Fixture fixture(6);
+  const BackendId fast = fixture.add_target(2.0);
+  fixture.settle(false);
+  for (int i = 0; i < 4; ++i) {
+    fixture.report(30'000, 30'000, 60);
+    for (std::uint32_t key = 0; key < config::kKeyCount; key += 1000) {
+      fixture.report(key, key, 1);
+    }
+    fixture.fold();
+  }
+  fixture.apply(fixture.plan(true));
+  fixture.settle(false);
+  CHECK(fixture.state.routed_services().at(fixture.service).ranges.record_of(30'000).owner == fast);
+  CHECK(fixture.keys_of(fast) == 1);
+}
+
+TEST_CASE("a burst that exceeds all smoothed load makes no plan of single keys") {
+  Fixture fixture(14);
+  fixture.settle(false);
+  fixture.report(5, 5, 400);
+  fixture.time += 50;
+  fixture.loads.fold(at(fixture.time + 50));
+  const ApplyRangePlan plan = fixture.plan(true);
+  CHECK(plan.moves.size() < 60);
+}
+
+TEST_CASE("a target that has lost everything is given keys again") {
+  Fixture fixture(4);
+  fixture.settle(false);
+  const BackendId empty = fixture.add_target(1.0);
+  for (int i = 0; i < 5; ++i) {
+    for (std::uint32_t key = 0; key < config::kKeyCount; key += 32) {
+      fixture.report(key, key, 1);
+    }
+    fixture.fold();
+  }
+  fixture.apply(fixture.plan(true));
+  fixture.settle(false);
+  CHECK(fixture.keys_of(empty) > config::kKeyCount / 12);
+}
+
+TEST_CASE("without an eligible target nothing is planned") {
+  Fixture fixture(2);
+  fixture.ineligible = {fixture.targets[0], fixture.targets[1]};
+  CHECK(fixture.plan(true).empty());
+}
+
+}  // namespace
+}  // namespace planktray::ownership
