--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -15,7 +15,6 @@
 using transport::log_error;
 using transport::log_event;
 
-constexpr common::Duration kTick = std::chrono::milliseconds(5);
 constexpr std::size_t kMaxOperatorBody = 4 * 1024 * 1024;
 constexpr std::size_t kConnectionsPerBackend = 8;
 /// Lease requests under way to one machine; a frozen machine must not gather more.
--- a/src/controller/core/controller_members.cpp
+++ b/src/controller/core/controller_members.cpp
@@ -7,8 +7,6 @@
 namespace planktray::controller {
 namespace {
 
-using common::ErrorCode;
-
 /// A learner this close to the commit index may vote.
 constexpr std::uint64_t kPromotionLag = 64;
 
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -115,8 +115,8 @@
     return grants_.may_assign(now, state, service, record);
   };
   ownership::ApplyRangePlan plan = planner_.plan(input);
-  for (ownership::RangeMove& move : grants_.withdrawals(now, state)) {
-    plan.moves.push_back(std::move(move));
+  for (const ownership::RangeMove& move : grants_.withdrawals(now, state)) {
+    plan.moves.push_back(move);
   }
   plan.removed = forgotten(now, state);
   next_plan_ = next_balance_;
--- a/src/ownership/range_planner.cpp
+++ b/src/ownership/range_planner.cpp
@@ -31,7 +31,8 @@
 
 void RangePlanner::assign_free(Workspace& work, ApplyRangePlan& plan) const {
   const ServiceId service = work.service().id;
-  for (const auto& [first, range] : work.service().ranges.records()) {
+  for (const auto& [first, record] : work.service().ranges.records()) {
+    const RangeRecord& range = record;
     if (range.owner.value != 0 && !range.moving) {
       continue;
     }
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -88,7 +88,7 @@
   }
   /// What the server sends for the request it has just read; empty: nothing.
   std::string bytes_to_send() const {
-    const std::string chunk = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    std::string chunk = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
     switch (behaviour_) {
       case Behaviour::kAnswerOnceThenClose:
         return requests_ == 1 ? answer_to(1) : "";
