--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -77,6 +77,12 @@
   api_->on_metrics = [this] { update_metrics(); };
   if (settings_.make_control) {
     control_ = settings_.make_control(*core_, [this] { flush(); });
+    orders_ = std::make_unique<OrderSender>(
+        settings_.orders, *control_,
+        [this](ownership::OrderId id, const ownership::OrderReply& reply) {
+          core_->on_order_reply(boot_time_now(), id, reply);
+          flush();
+        });
     auto control = transport::HttpServer::listen(
         settings_.control_address, transport::options_with_body_limit(kMaxOperatorBody),
         [this](const transport::ExchangePointer& exchange) { control_->handle(exchange); });
@@ -180,11 +186,13 @@
   for (const ownership::OutgoingRelease& release : output.releases) {
     send_release(release);
   }
-  for (const ownership::GrantOrder& order : output.grants) {
-    send_order(order, settings_.order_timeout);
-  }
-  for (const ownership::ReleaseOrder& order : output.key_releases) {
-    send_order(order, settings_.release_timeout);
+  if (orders_ != nullptr) {
+    for (const ownership::GrantOrder& order : output.grants) {
+      orders_->send(order);
+    }
+    for (const ownership::ReleaseOrder& order : output.key_releases) {
+      orders_->send(order);
+    }
   }
   for (const OutgoingTable& table : output.tables) {
     send_table(table);
@@ -197,41 +205,6 @@
   }
 }
 
-template <typename Order>
-void ControllerProcess::send_order(const Order& order, common::Duration timeout) {
-  if (control_ == nullptr) {
-    return;
-  }
-  transport::HttpRequest request = control_->to_request(order);
-  request.address = order.address;
-  request.timeout = timeout;
-  // A connection of its own: where it never comes up, the order cannot have been taken.
-  request.fresh_connection = true;
-  http_client_->send(std::move(request), [this, order](const transport::HttpResponse& response) {
-    const ownership::OrderReply reply = control_->read_reply(response);
-    log_order(order, reply, response.error);
-    core_->on_order_reply(boot_time_now(), order.id, reply);
-    flush();
-  });
-}
-
-template <typename Order>
-void ControllerProcess::log_order(const Order& order, const ownership::OrderReply& reply,
-                                  const common::Error& error) const {
-  constexpr bool kIsRelease = std::is_same_v<Order, ownership::ReleaseOrder>;
-  if (!kIsRelease && reply.end == ownership::OrderEnd::kAccepted) {
-    return;  // renewals go on all the time
-  }
-  log_event(kIsRelease ? "release" : "grant",
-            {{"outcome", std::string(ownership::to_string(reply.end))},
-             {"order", std::to_string(order.id)},
-             {"backend", order.incarnation.value},
-             {"peer", order.address},
-             {"keys", std::to_string(order.keys.first) + "-" + std::to_string(order.keys.last)},
-             {"fence", std::to_string(order.fence.value)},
-             {"error", error.message}});
-}
-
 transport::ZmqSocket* ControllerProcess::dealer(const std::string& address) {
   const auto found = dealers_.find(address);
   if (found != dealers_.end()) {
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -11,6 +11,7 @@
 #include "controller/core/controller_core.hpp"
 #include "controller/founding.hpp"
 #include "controller/operator_api.hpp"
+#include "controller/order_sender.hpp"
 #include "storage/log_store.hpp"
 #include "transport/event_loop.hpp"
 #include "transport/file_disk.hpp"
@@ -38,10 +39,7 @@
   /// "IP:port" of the deployment's own interface; empty: none.
   std::string control_address;
   ControlInterfaceFactory make_control;
-  /// An order to a back end without an answer is given up after this time.
-  common::Duration order_timeout = std::chrono::milliseconds(500);
-  /// The same for a release, which waits for running work.
-  common::Duration release_timeout = std::chrono::milliseconds(3000);
+  OrderSenderOptions orders;
 
   std::string settings_path;  ///< file whose change is a reason to read the settings anew
   /// Reads the settings anew; none: they never change.
@@ -68,11 +66,6 @@
   void tick();
   void flush();
   void carry_out(ControllerOutput& output);
-  template <typename Order>
-  void send_order(const Order& order, common::Duration timeout);
-  template <typename Order>
-  void log_order(const Order& order, const ownership::OrderReply& reply,
-                 const common::Error& error) const;
   void send_peer(const consensus::RaftMessage& message);
   void send_lease(const ownership::OutgoingLease& lease);
   void send_release(const ownership::OutgoingRelease& release);
@@ -96,6 +89,7 @@
   transport::Metrics metrics_;
   std::unique_ptr<OperatorApi> api_;
   std::unique_ptr<ControlInterface> control_;
+  std::unique_ptr<OrderSender> orders_;
   std::unique_ptr<transport::HttpServer> http_server_;
   std::unique_ptr<transport::HttpServer> control_server_;
   std::unique_ptr<transport::HttpClient> http_client_;
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -16,7 +16,7 @@
 constexpr Duration kSweepInterval = std::chrono::milliseconds(5);
 /// A controller looks around at least this often, and at most, where nothing comes in.
 constexpr Duration kLongestRest = std::chrono::milliseconds(250);
-constexpr Duration kShortestRest = std::chrono::milliseconds(2);
+constexpr Duration kShortestRest = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -57,7 +57,9 @@
   distributor_.on_hello(now, hello);
   loads_.add(hello.loads);
   ranges_.note_loads(hello);
-  sweep_needed_ = true;
+  if (auto table = distributor_.answer(now, state_, hello.router)) {
+    output_.tables.push_back(std::move(*table));
+  }
   step(now);
 }
 
@@ -77,7 +79,6 @@
 void ControllerCore::on_order_reply(TimePoint now, ownership::OrderId id,
                                     const ownership::OrderReply& reply) {
   ranges_.on_order_reply(now, state_, id, reply);
-  sweep_needed_ = true;
   step(now);
 }
 
@@ -100,10 +101,10 @@
   if (!raft_.is_leader()) {
     return due;
   }
-  if (leases_.sessions() > 0 || !machines_.machines.empty()) {
-    due = std::min(due, now + kSweepInterval);
+  if (sweep_needed_ || uses_leases()) {
+    due = std::min(due, next_sweep_);
   }
-  return std::min(due, std::max(ranges_.next_due(), now + kShortestRest));
+  return std::max(std::min(due, ranges_.next_due()), now + kShortestRest);
 }
 
 bool ControllerOutput::empty() const {
@@ -126,23 +127,35 @@
           {raft_.self(), options_.name, options_.peer_address, options_.operator_address, false}};
     }
   }
-  if (!is_serving(now) || (now < next_sweep_ && !sweep_needed_)) {
+  if (!is_serving(now)) {
     return;
   }
+  if (now >= next_sweep_) {
+    sweep(now);
+  }
+  plan_ranges(now);
+  ranges_.collect_orders(now, state_, output_.grants, output_.key_releases);
+  absorb_raft(now);
+}
+
+void ControllerCore::sweep(TimePoint now) {
   sweep_needed_ = false;
   next_sweep_ = now + kSweepInterval;
-  register_backends(now);
-  mark_leaving(now);
-  plan(now);
+  if (uses_leases()) {
+    register_backends(now);
+    mark_leaving(now);
+    plan(now);
+    leases_.collect(now, state_, machines_, output_.leases, output_.releases);
+  }
   maintain_members(now);
-  mark_doubt(now);
-  plan_ranges(now);
-  leases_.collect(now, state_, machines_, output_.leases, output_.releases);
-  ranges_.collect_orders(now, state_, output_.grants, output_.key_releases);
+  commit_grant_terms(now);
   for (OutgoingTable& table : distributor_.collect(now, state_)) {
     output_.tables.push_back(std::move(table));
   }
-  absorb_raft(now);
+}
+
+bool ControllerCore::uses_leases() const {
+  return leases_.sessions() > 0 || !machines_.machines.empty() || !state_.services().empty();
 }
 
 void ControllerCore::absorb_raft(TimePoint now) {
@@ -196,7 +209,7 @@
     replaced_.clear();
     plan_index_ = common::LogIndex();
     range_plan_index_ = common::LogIndex();
-    doubt_index_ = common::LogIndex();
+    terms_index_ = common::LogIndex();
     planned_state_ = common::LogIndex();
   }
 }
@@ -526,11 +539,11 @@
   }
 }
 
-void ControllerCore::mark_doubt(TimePoint now) {
-  const bool in_doubt = ranges_.grants().has_orders_in_doubt(now);
-  if (in_doubt != state_.orders_in_doubt() && doubt_index_ <= state_.applied()) {
-    const auto index = propose(now, Command(ownership::MarkOrdersInDoubt{in_doubt}));
-    doubt_index_ = index.value_or(common::LogIndex());
+void ControllerCore::commit_grant_terms(TimePoint now) {
+  const ownership::GrantTerms wanted = ranges_.wanted_terms(now, state_);
+  if (wanted != state_.grant_terms() && terms_index_ <= state_.applied()) {
+    const auto index = propose(now, Command(ownership::SetGrantTerms{wanted}));
+    terms_index_ = index.value_or(common::LogIndex());
   }
 }
 
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -178,6 +178,10 @@
   };
 
   void step(TimePoint now);
+  /// Looks through everything that may have changed; not more often than every few milliseconds.
+  void sweep(TimePoint now);
+  /// True where anything of the holder-clock lease contract is there to look after.
+  bool uses_leases() const;
   void absorb_raft(TimePoint now);
   void note_role(TimePoint now);
   void apply_entry(const consensus::Entry& entry);
@@ -193,7 +197,7 @@
   /// True where a voter of the same name stands for an older folder of the same place.
   bool takes_a_place(const consensus::Member& member) const;
   bool is_present(TimePoint now, common::ReplicaId id, Duration window) const;
-  void mark_doubt(TimePoint now);
+  void commit_grant_terms(TimePoint now);
   void plan_ranges(TimePoint now);
   void register_backends(TimePoint now);
   void mark_leaving(TimePoint now);
@@ -223,7 +227,7 @@
   std::set<common::ReplicaId> replaced_;  ///< members whose place has a new folder
   common::LogIndex plan_index_;           ///< the last plan proposed; wait for it before the next
   common::LogIndex range_plan_index_;     ///< the same for plans of key ranges
-  common::LogIndex doubt_index_;          ///< the same for marks of orders in doubt
+  common::LogIndex terms_index_;          ///< the same for terms of grants
   common::LogIndex planned_state_;        ///< state that the last plan was made from
   TimePoint next_balance_;
   TimePoint next_join_;
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -10,19 +10,8 @@
 using ownership::CellState;
 using ownership::OwnershipContract;
 
-/// A range that waits for its holder's end is looked at this often.
-constexpr Duration kMovingInterval = std::chrono::milliseconds(20);
-
-bool has_moving(const CellState& state) {
-  for (const auto& [id, service] : state.routed_services()) {
-    for (const auto& [first, range] : service.ranges.records()) {
-      if (range.moving) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
+/// Plans are at least this far apart where nothing has changed.
+constexpr Duration kShortestRest = std::chrono::milliseconds(10);
 
 }  // namespace
 
@@ -41,6 +30,7 @@
   planned_state_ = common::LogIndex();
   next_plan_ = now;
   next_balance_ = now + options_.balance_interval;
+  next_join_ = now + options_.join_interval;
   joined_.clear();
 }
 
@@ -48,10 +38,14 @@
                                      const ownership::OrderReply& reply) {
   const auto backend = grants_.on_reply(now, id, reply);
   const BackendRecord* record = backend.has_value() ? state.find_backend(*backend) : nullptr;
-  if (record != nullptr && reply.end == ownership::OrderEnd::kAccepted) {
+  const bool accepted = reply.end == ownership::OrderEnd::kAccepted;
+  if (record != nullptr && accepted) {
     heartbeats_.note_answer(now, record->incarnation);
   }
-  next_plan_ = now;
+  const bool is_renewal = accepted && reply.handover.empty();
+  if (!is_renewal) {
+    next_plan_ = now;  // keys may have become free, or must be taken away
+  }
 }
 
 bool RangeController::is_eligible(TimePoint now, const BackendRecord& backend) const {
@@ -104,9 +98,11 @@
     loads_.fold(now);
   }
   planned_state_ = state.applied();
-  ownership::RangePlannerInput input{state, loads_, {}, {}, {}, balance};
+  ownership::RangePlannerInput input{
+      state, loads_, {}, {}, {}, balance, balance && now >= next_join_};
   input.is_eligible = [&](const BackendRecord& backend) { return is_eligible(now, backend); };
-  input.capacity = [&](const BackendRecord& backend) { return times_.capacity(state, backend); };
+  const ownership::Capacities capacities = times_.capacities(state);
+  input.capacity = [&](const BackendRecord& backend) { return capacities.of(backend.id); };
   input.may_assign = [&](common::ServiceId service, const ownership::RangeRecord& record) {
     const auto found = state.routed_services().find(service);
     if (!is_settled(now, state, found->second)) {
@@ -114,19 +110,25 @@
     }
     return grants_.may_assign(now, state, service, record);
   };
+  if (input.join) {
+    next_join_ = now + options_.join_interval;
+  }
   ownership::ApplyRangePlan plan = planner_.plan(input);
   for (const ownership::RangeMove& move : grants_.withdrawals(now, state)) {
     plan.moves.push_back(move);
   }
   plan.removed = forgotten(now, state);
-  next_plan_ = next_balance_;
-  if (has_moving(state)) {
-    next_plan_ = now + kMovingInterval;
-  }
-  next_plan_ = std::min(next_plan_, std::max(grants_.next_due(), now + kMovingInterval));
+  next_plan_ = std::min(next_balance_, std::max(grants_.next_due(), now + kShortestRest));
   return plan;
 }
 
+ownership::GrantTerms RangeController::wanted_terms(TimePoint now, const CellState& state) const {
+  const Duration hold = grants_.wanted_hold(state);
+  const bool is_default = hold == options_.grant.hold_time;
+  const auto hold_ms = std::chrono::duration_cast<std::chrono::milliseconds>(hold).count();
+  return {grants_.has_orders_in_doubt(now), is_default ? 0U : static_cast<std::uint32_t>(hold_ms)};
+}
+
 TimePoint RangeController::next_due() const {
   return std::min({next_plan_, next_balance_, grants_.next_due()});
 }
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -26,6 +26,8 @@
   Duration load_half_life = std::chrono::milliseconds(800);
   /// How often loads are folded and keys may be moved for balance.
   Duration balance_interval = std::chrono::milliseconds(300);
+  /// Neighbouring ranges of one owner become one this often.
+  Duration join_interval = std::chrono::milliseconds(2500);
   /// The first owners of a service are chosen when no back end has joined it for this long.
   Duration settle_time = std::chrono::milliseconds(1600);
 };
@@ -57,6 +59,8 @@
   }
   /// Makes the next plan where one is due; it may be empty.
   ownership::ApplyRangePlan plan(TimePoint now, const ownership::CellState& state);
+  /// What the state should tell the next leader.
+  ownership::GrantTerms wanted_terms(TimePoint now, const ownership::CellState& state) const;
   /// When there is something to do, if nothing happens before.
   TimePoint next_due() const;
   const ownership::GrantManager& grants() const { return grants_; }
@@ -76,6 +80,7 @@
   common::LogIndex planned_state_;
   TimePoint next_plan_;
   TimePoint next_balance_;
+  TimePoint next_join_;
   struct Joined {
     std::size_t targets = 0;
     TimePoint changed;
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -1,9 +1,15 @@
 #include "controller/core/table_distributor.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace planktray::controller {
+namespace {
+
+constexpr double kMillisecondsPerSecond = 1000;
+
+}  // namespace
 
 void TableDistributor::begin_term(common::TimePoint now, common::Term term) {
   term_ = term;
@@ -35,48 +41,66 @@
 
 std::vector<OutgoingTable> TableDistributor::collect(common::TimePoint now,
                                                      const ownership::CellState& state) {
-  std::vector<OutgoingTable> outgoing;
-  const common::LogIndex newest = deltas_.empty() ? common::LogIndex() : deltas_.back().to;
   std::erase_if(subscribers_, [&](const auto& item) { return !may_serve(now, item.second); });
-  std::optional<std::size_t> snapshots;  // counted only where a router needs one
+  std::vector<OutgoingTable> outgoing;
   std::uint32_t rank = 0;
   for (auto& [name, subscriber] : subscribers_) {
-    const std::uint32_t own_rank = rank++;
-    const common::LogIndex have = subscriber.view.table_index;
-    const bool waiting = is_waiting(now, subscriber);
-    const bool has_news = have < newest && !waiting;
-    if (!subscriber.hello_pending && !has_news) {
-      continue;
+    if (auto table = make_update(now, state, name, subscriber, rank++)) {
+      outgoing.push_back(std::move(*table));
     }
-    routing::TableUpdate update;
-    update.cell = cell_;
-    update.term = term_;
-    update.echo_clock_us = subscriber.clock_us;
-    update.current_index = state.applied();
-    update.router_rank = own_rank;
-    update.router_count = static_cast<std::uint32_t>(subscribers_.size());
-    if (deltas_reach(have, state)) {
-      update.base_index = have;
-      update.deltas.assign(first_after(have), deltas_.cend());
-      subscriber.snapshot_under_way = false;
-    } else {
-      if (!snapshots.has_value()) {
-        snapshots = snapshots_under_way(now);
-      }
-      if (waiting || *snapshots >= options_.concurrent_snapshots) {
-        continue;
-      }
-      ++*snapshots;
-      update.deltas.push_back(state.table_snapshot());
-      subscriber.snapshot_under_way = true;
-    }
-    subscriber.hello_pending = false;
-    subscriber.sent_at = update.deltas.empty() ? std::nullopt : std::optional(now);
-    outgoing.push_back({name, std::move(update)});
   }
   return outgoing;
 }
 
+std::optional<OutgoingTable> TableDistributor::answer(common::TimePoint now,
+                                                      const ownership::CellState& state,
+                                                      const common::RouterName& router) {
+  const auto found = subscribers_.find(router);
+  if (found == subscribers_.end()) {
+    return std::nullopt;
+  }
+  const auto rank = std::distance(subscribers_.begin(), found);
+  return make_update(now, state, router, found->second, static_cast<std::uint32_t>(rank));
+}
+
+std::optional<OutgoingTable> TableDistributor::make_update(common::TimePoint now,
+                                                           const ownership::CellState& state,
+                                                           const common::RouterName& name,
+                                                           Subscriber& subscriber,
+                                                           std::uint32_t rank) {
+  const common::LogIndex newest = deltas_.empty() ? common::LogIndex() : deltas_.back().to;
+  const common::LogIndex have = subscriber.view.table_index;
+  const bool waiting = is_waiting(now, subscriber);
+  const bool has_news = have < newest && !waiting;
+  if (!subscriber.hello_pending && !has_news) {
+    return std::nullopt;
+  }
+  routing::TableUpdate update;
+  update.cell = cell_;
+  update.term = term_;
+  update.echo_clock_us = subscriber.clock_us;
+  update.current_index = state.applied();
+  update.router_rank = rank;
+  update.router_count = static_cast<std::uint32_t>(subscribers_.size());
+  update.hello_interval_ms = static_cast<std::uint32_t>(
+      static_cast<double>(subscribers_.size()) * kMillisecondsPerSecond /
+      options_.hellos_per_second);
+  if (deltas_reach(have, state)) {
+    update.base_index = have;
+    update.deltas.assign(first_after(have), deltas_.cend());
+    subscriber.snapshot_under_way = false;
+  } else {
+    if (waiting || snapshots_under_way(now) >= options_.concurrent_snapshots) {
+      return std::nullopt;
+    }
+    update.deltas.push_back(state.table_snapshot());
+    subscriber.snapshot_under_way = true;
+  }
+  subscriber.hello_pending = false;
+  subscriber.sent_at = update.deltas.empty() ? std::nullopt : std::optional(now);
+  return OutgoingTable{name, std::move(update)};
+}
+
 bool TableDistributor::is_waiting(common::TimePoint now, const Subscriber& subscriber) const {
   const common::Duration patience =
       subscriber.snapshot_under_way ? options_.resend_snapshot : options_.resend;
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -30,6 +30,8 @@
   /// Snapshots under way at once; the other routers wait without a table.
   std::size_t concurrent_snapshots = 32;
   std::size_t retained_deltas = 4096;
+  /// Hellos that all routers together send in a second at most.
+  double hellos_per_second = 125;
   /// More deltas than this are replaced by a snapshot.
   std::size_t maximum_deltas = 512;
 };
@@ -62,6 +64,9 @@
 
   /// Makes the updates that are due. Call only while the leader lease holds.
   std::vector<OutgoingTable> collect(common::TimePoint now, const ownership::CellState& state);
+  /// Makes the answer to one router's hello, with what it lacks.
+  std::optional<OutgoingTable> answer(common::TimePoint now, const ownership::CellState& state,
+                                      const common::RouterName& router);
 
   /// The index that every router that may be serving has acknowledged; nothing while a new leader
   /// cannot know.
@@ -79,6 +84,9 @@
     bool snapshot_under_way = false;
   };
 
+  std::optional<OutgoingTable> make_update(common::TimePoint now, const ownership::CellState& state,
+                                           const common::RouterName& name, Subscriber& subscriber,
+                                           std::uint32_t rank);
   /// True where deltas lead from `have` to the present table.
   bool deltas_reach(common::LogIndex have, const ownership::CellState& state) const;
   std::deque<routing::TableDelta>::const_iterator first_after(common::LogIndex have) const;
--- /dev/null
+++ b/src/controller/order_sender.cpp
@@ -0,0 +1,116 @@
+#include "controller/order_sender.hpp"
+
+#include <string>
+#include <utility>
+
+#include "transport/logging.hpp"
+
+namespace planktray::controller {
+namespace {
+
+using ownership::GrantOrder;
+using ownership::OrderEnd;
+using ownership::OrderReply;
+using ownership::ReleaseOrder;
+
+/// The orders of one round follow each other within this time; a connection that has rested for
+/// longer may be one to a machine that is gone.
+constexpr common::Duration kLongestRest = std::chrono::milliseconds(50);
+
+transport::HttpClientOptions client_options(const OrderSenderOptions& options) {
+  transport::HttpClientOptions client;
+  client.connections_per_server = options.connections_per_backend;
+  client.connect_timeout = options.connect_timeout;
+  client.idle_timeout = std::chrono::milliseconds(200);
+  return client;
+}
+
+std::string keys_text(const ownership::KeyRange& keys) {
+  return std::to_string(keys.first) + "-" + std::to_string(keys.last);
+}
+
+}  // namespace
+
+OrderSender::OrderSender(OrderSenderOptions options, const ControlInterface& interface,
+                         ReplyHandler on_reply)
+    : options_(options),
+      interface_(interface),
+      on_reply_(std::move(on_reply)),
+      client_(client_options(options)) {}
+
+void OrderSender::send(const GrantOrder& order) {
+  auto& queue = waiting_[order.backend];
+  queue.push_back(order);
+  if (queue.size() == 1) {
+    send_next(order.backend);
+  }
+}
+
+void OrderSender::send_next(common::BackendId backend) {
+  const GrantOrder& order = waiting_.at(backend).front();
+  transport::HttpRequest request = interface_.to_request(order);
+  request.address = order.address;
+  request.timeout = options_.grant_timeout;
+  request.longest_rest = kLongestRest;
+  client_.send(std::move(request), [this, order](const transport::HttpResponse& response) {
+    on_grant_response(order, response);
+  });
+}
+
+void OrderSender::on_grant_response(const GrantOrder& order,
+                                    const transport::HttpResponse& response) {
+  const OrderReply reply = interface_.read_reply(response);
+  log_grant(order, reply, response.error);
+  auto& queue = waiting_.at(order.backend);
+  queue.pop_front();
+  const bool failed = reply.end == OrderEnd::kNotSent || reply.end == OrderEnd::kUnanswered;
+  const auto given_up = failed ? std::exchange(queue, {}) : std::deque<GrantOrder>();
+  if (queue.empty()) {
+    waiting_.erase(order.backend);
+  } else {
+    send_next(order.backend);
+  }
+  on_reply_(order.id, reply);
+  for (const GrantOrder& never_sent : given_up) {
+    on_reply_(never_sent.id, {OrderEnd::kNotSent, ""});
+  }
+}
+
+void OrderSender::send(const ReleaseOrder& order) {
+  transport::HttpRequest request = interface_.to_request(order);
+  request.address = order.address;
+  request.timeout = options_.release_timeout;
+  request.fresh_connection = true;
+  client_.send(std::move(request), [this, order](const transport::HttpResponse& response) {
+    const OrderReply reply = interface_.read_reply(response);
+    log_release(order, reply, response.error);
+    on_reply_(order.id, reply);
+  });
+}
+
+void OrderSender::log_grant(const GrantOrder& order, const OrderReply& reply,
+                            const common::Error& error) const {
+  if (reply.end == OrderEnd::kAccepted) {
+    return;  // renewals go on all the time
+  }
+  transport::log_event("grant_failed", {{"outcome", std::string(to_string(reply.end))},
+                                        {"order", std::to_string(order.id)},
+                                        {"backend", order.incarnation.value},
+                                        {"peer", order.address},
+                                        {"keys", keys_text(order.keys)},
+                                        {"fence", std::to_string(order.fence.value)},
+                                        {"error", error.message}});
+}
+
+void OrderSender::log_release(const ReleaseOrder& order, const OrderReply& reply,
+                              const common::Error& error) const {
+  transport::log_event("release", {{"outcome", std::string(to_string(reply.end))},
+                                   {"order", std::to_string(order.id)},
+                                   {"backend", order.incarnation.value},
+                                   {"peer", order.address},
+                                   {"keys", keys_text(order.keys)},
+                                   {"fence", std::to_string(order.fence.value)},
+                                   {"error", error.message}});
+}
+
+}  // namespace planktray::controller
--- /dev/null
+++ b/src/controller/order_sender.hpp
@@ -0,0 +1,53 @@
+#pragma once
+/// Carries orders about keys to back ends.
+///
+/// Invariants:
+///  - Grants of one back end go one after the other, on a connection that was opened for them: one
+///    to a machine that is gone never comes up, so its orders are known not to have been sent.
+///  - Releases wait for running work and hold nothing else up.
+
+#include <deque>
+#include <functional>
+#include <map>
+
+#include "controller/control_interface.hpp"
+#include "transport/http_client.hpp"
+
+namespace planktray::controller {
+
+struct OrderSenderOptions {
+  /// An order without an answer is given up after this time.
+  common::Duration grant_timeout = std::chrono::milliseconds(500);
+  common::Duration release_timeout = std::chrono::milliseconds(3000);
+  common::Duration connect_timeout = std::chrono::milliseconds(400);
+  std::size_t connections_per_backend = 16;
+};
+
+class OrderSender {
+ public:
+  using ReplyHandler =
+      std::function<void(ownership::OrderId id, const ownership::OrderReply& reply)>;
+
+  /// @param interface says how orders look, and must outlive the sender.
+  OrderSender(OrderSenderOptions options, const ControlInterface& interface, ReplyHandler on_reply);
+
+  void send(const ownership::GrantOrder& order);
+  void send(const ownership::ReleaseOrder& order);
+
+ private:
+  void send_next(common::BackendId backend);
+  void on_grant_response(const ownership::GrantOrder& order,
+                         const transport::HttpResponse& response);
+  void log_grant(const ownership::GrantOrder& order, const ownership::OrderReply& reply,
+                 const common::Error& error) const;
+  void log_release(const ownership::ReleaseOrder& order, const ownership::OrderReply& reply,
+                   const common::Error& error) const;
+
+  OrderSenderOptions options_;
+  const ControlInterface& interface_;
+  ReplyHandler on_reply_;
+  transport::HttpClient client_;
+  std::map<common::BackendId, std::deque<ownership::GrantOrder>> waiting_;  ///< first: under way
+};
+
+}  // namespace planktray::controller
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -26,10 +26,9 @@
   std::map<std::uint64_t, std::uint64_t> taken_changes;
   std::vector<RoutedServiceRecord> routed_services;
   std::vector<common::Incarnation> departed;
-  bool orders_in_doubt = false;
+  GrantTerms grant_terms;
   MSGPACK_DEFINE_MAP(applied, templates, tenants, answers, backends, drained, services,
-                     next_service, routes, taken_changes, routed_services, departed,
-                     orders_in_doubt)
+                     next_service, routes, taken_changes, routed_services, departed, grant_terms)
 };
 
 std::string digest_of(const std::vector<Grant>& grants) {
@@ -74,10 +73,9 @@
 }
 
 void CellState::apply_command(LogIndex index, const RegisterBackend& command, ApplyResult& result) {
-  for (const auto& [id, backend] : backends_) {
-    if (backend.machine == command.machine && backend.incarnation == command.incarnation) {
-      return;
-    }
+  const BackendRecord* known = find_incarnation(command.incarnation);
+  if (known != nullptr && known->machine == command.machine) {
+    return;
   }
   if (has_departed(command.incarnation)) {
     return;
@@ -98,6 +96,7 @@
   if (record.has_contract(OwnershipContract::kFencedGrant)) {
     end_others_at(record, result);
   }
+  incarnations_[record.incarnation] = record.id;
   backends_[record.id] = std::move(record);
 }
 
@@ -129,9 +128,9 @@
   result.delta.backends.push_back(backend_route(backend));
 }
 
-void CellState::apply_command(LogIndex /*index*/, const MarkOrdersInDoubt& command,
+void CellState::apply_command(LogIndex /*index*/, const SetGrantTerms& command,
                               ApplyResult& /*result*/) {
-  orders_in_doubt_ = command.in_doubt;
+  grant_terms_ = command.terms;
 }
 
 void CellState::apply_command(LogIndex index, const ApplyPlan& plan, ApplyResult& result) {
@@ -178,7 +177,7 @@
       result.delta.services.push_back(service_route(service));
     }
   }
-  backends_.erase(id);
+  erase_backend(id);
   result.delta.removed_backends.push_back(id);
   for (const ServiceId service : retired) {
     erase_if_released(service);
@@ -330,7 +329,7 @@
     form.routed_services.push_back(service);
   }
   form.departed.assign(departed_.begin(), departed_.end());
-  form.orders_in_doubt = orders_in_doubt_;
+  form.grant_terms = grant_terms_;
   return common::encode(form);
 }
 
@@ -347,6 +346,7 @@
     state.remember_answer(id, answer);
   }
   for (BackendRecord& backend : form->backends) {
+    state.incarnations_[backend.incarnation] = backend.id;
     state.backends_[backend.id] = std::move(backend);
   }
   state.drained_ = {form->drained.begin(), form->drained.end()};
@@ -364,7 +364,7 @@
     state.services_[service.id] = std::move(service);
   }
   state.next_service_ = form->next_service;
-  state.orders_in_doubt_ = form->orders_in_doubt;
+  state.grant_terms_ = form->grant_terms;
   state.routes_ = std::move(form->routes);
   state.taken_changes_ = std::move(form->taken_changes);
   for (RoutedServiceRecord& service : form->routed_services) {
--- a/src/ownership/cell_state.hpp
+++ b/src/ownership/cell_state.hpp
@@ -125,14 +125,14 @@
   /// @return the shard, or nullptr.
   const ShardRecord* find_shard(const common::ShardRef& ref) const;
   const std::set<common::MachineName>& drained_machines() const { return drained_; }
-  bool orders_in_doubt() const { return orders_in_doubt_; }
+  const GrantTerms& grant_terms() const { return grant_terms_; }
   const config::RouteConfiguration& routes() const { return routes_; }
   const std::map<ServiceId, RoutedServiceRecord>& routed_services() const {
     return routed_services_;
   }
   /// @return the service of the route configuration, or nullptr.
   const RoutedServiceRecord* find_routed_service(const std::string& name) const;
-  /// @return the back end that registered itself as this incarnation, or nullptr.
+  /// @return the back end that was registered last as this incarnation, or nullptr.
   const BackendRecord* find_incarnation(const common::Incarnation& incarnation) const;
   /// True where it is the owner of any key, moving or not.
   bool owns_keys(BackendId id) const;
@@ -150,7 +150,7 @@
   void apply_command(LogIndex index, const ApplyPlan& plan, ApplyResult& result);
   void apply_command(LogIndex index, const ChangeRoutes& command, ApplyResult& result);
   void apply_command(LogIndex index, const ApplyRangePlan& plan, ApplyResult& result);
-  void apply_command(LogIndex index, const MarkOrdersInDoubt& command, ApplyResult& result);
+  void apply_command(LogIndex index, const SetGrantTerms& command, ApplyResult& result);
 
   ChangeAnswer judge(LogIndex index, const ChangeDeclaration& change) const;
   common::Result<void> validate(const ChangeDeclaration& change) const;
@@ -173,6 +173,7 @@
   void adopt_routes(LogIndex index, config::RouteConfiguration next, ApplyResult& result);
   void put_routed_service(LogIndex index, const config::RoutedService& service,
                           ApplyResult& result);
+  bool erase_backend(BackendId id);
   void end_others_at(const BackendRecord& newcomer, ApplyResult& result);
   void remember_departure(const common::Incarnation& incarnation);
   void add_routes_snapshot(routing::TableDelta& table) const;
@@ -188,13 +189,14 @@
   std::map<common::ChangeId, ChangeAnswer> answers_;
   std::deque<common::ChangeId> answer_order_;
   std::map<BackendId, BackendRecord> backends_;
+  std::map<common::Incarnation, BackendId> incarnations_;  ///< derived from the back ends
   std::set<common::MachineName> drained_;
   std::map<ServiceId, ServiceRecord> services_;
   std::map<common::ServiceKey, ServiceId> service_ids_;
   std::set<common::ShardRef> moving_;  ///< derived from the services
   std::uint64_t next_service_ = 1;
 
-  bool orders_in_doubt_ = false;
+  GrantTerms grant_terms_;
   config::RouteConfiguration routes_;
   /// Digest of every change that was taken, by its version: kept for good, so that any resend is
   /// acknowledged again.
--- a/src/ownership/cell_state_routes.cpp
+++ b/src/ownership/cell_state_routes.cpp
@@ -40,13 +40,21 @@
 }
 
 const BackendRecord* CellState::find_incarnation(const common::Incarnation& incarnation) const {
-  for (const auto& [id, backend] : backends_) {
-    if (backend.has_contract(OwnershipContract::kFencedGrant) &&
-        backend.incarnation == incarnation) {
-      return &backend;
-    }
+  const auto found = incarnations_.find(incarnation);
+  return found == incarnations_.end() ? nullptr : find_backend(found->second);
+}
+
+bool CellState::erase_backend(BackendId id) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) {
+    return false;
   }
-  return nullptr;
+  const auto incarnation = incarnations_.find(found->second.incarnation);
+  if (incarnation != incarnations_.end() && incarnation->second == id) {
+    incarnations_.erase(incarnation);
+  }
+  backends_.erase(found);
+  return true;
 }
 
 bool CellState::has_departed(const common::Incarnation& incarnation) const {
@@ -177,8 +185,14 @@
           {assignment.service, assignment.keys.first, assignment.keys.last, assignment.owner});
     }
   }
+  for (const RangeJoin& join : plan.joins) {
+    const auto service = routed_services_.find(join.service);
+    if (service != routed_services_.end()) {
+      service->second.ranges.join(index, join.keys, join.owner);  // no change for routers
+    }
+  }
   for (const BackendId id : plan.removed) {
-    if (!owns_keys(id) && backends_.erase(id) > 0) {
+    if (!owns_keys(id) && erase_backend(id)) {
       result.delta.removed_backends.push_back(id);
     }
   }
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// Commands of the replicated log, and the answers they give.
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -130,26 +131,47 @@
   MSGPACK_DEFINE_ARRAY(service, keys, expected_fence, owner, handover)
 };
 
+/// Makes one range of neighbours that one owner holds, under a new fence. Ignored unless they are
+/// whole ranges of that owner and none is moving.
+struct RangeJoin {
+  ServiceId service;
+  KeyRange keys;
+  BackendId owner;
+  MSGPACK_DEFINE_ARRAY(service, keys, owner)
+};
+
 /// The leader's decisions of one moment about back ends that hold fenced grants.
 struct ApplyRangePlan {
   std::vector<BackendId> removed;  ///< gone, and owning nothing any more
   std::vector<RangeMove> moves;
   std::vector<RangeAssignment> assignments;
-  MSGPACK_DEFINE_ARRAY(removed, moves, assignments)
+  std::vector<RangeJoin> joins;
+  MSGPACK_DEFINE_ARRAY(removed, moves, assignments, joins)
+
+  bool empty() const {
+    return removed.empty() && moves.empty() && assignments.empty() && joins.empty();
+  }
+};
+
+/// What a new leader must know of the grants of the one before.
+struct GrantTerms {
+  bool in_doubt = false;      ///< orders may be under way that a back end takes late
+  std::uint32_t hold_ms = 0;  ///< the longest that a grant was given for; 0: the default
+  bool operator==(const GrantTerms&) const = default;
+  MSGPACK_DEFINE_ARRAY(in_doubt, hold_ms)
 
-  bool empty() const { return removed.empty() && moves.empty() && assignments.empty(); }
+  std::chrono::milliseconds hold() const { return std::chrono::milliseconds(hold_ms); }
 };
 
-/// Whether orders of fenced grants may be under way that a back end takes late. A new leader that
-/// finds the mark waits such orders out.
-struct MarkOrdersInDoubt {
-  bool in_doubt = false;
-  MSGPACK_DEFINE_ARRAY(in_doubt)
+/// Commits terms before the leader acts on them.
+struct SetGrantTerms {
+  GrantTerms terms;
+  MSGPACK_DEFINE_ARRAY(terms)
 };
 
 using Command =
     common::EncodedVariant<ChangeDeclaration, RegisterBackend, DrainMachine, MarkLeaving, ApplyPlan,
-                           ChangeRoutes, ApplyRangePlan, MarkOrdersInDoubt>;
+                           ChangeRoutes, ApplyRangePlan, SetGrantTerms>;
 
 enum class ChangeStatus : std::uint8_t { kAccepted = 0, kConflict = 1, kInvalid = 2 };
 
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -1,6 +1,8 @@
 #include "ownership/grant_manager.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace planktray::ownership {
@@ -17,6 +19,12 @@
   return record.keys == keys && record.fence == fence ? &record : nullptr;
 }
 
+/// The back end, unless its process is known to have ended.
+const BackendRecord* running_backend(const CellState& state, BackendId id) {
+  const BackendRecord* backend = state.find_backend(id);
+  return backend == nullptr || backend->ended ? nullptr : backend;
+}
+
 }  // namespace
 
 std::string_view to_string(OrderEnd end) {
@@ -37,18 +45,31 @@
   return "unanswered";
 }
 
-Duration GrantManager::longest_hold() const {
-  const double holder_time = static_cast<double>(options_.hold_time.count());
-  const auto true_time = static_cast<Duration::rep>(holder_time / (1.0 - options_.clock_error));
-  return Duration(true_time) + options_.margin;
+Duration GrantManager::true_time(Duration hold) const {
+  const double holder_time = static_cast<double>(hold.count());
+  const auto longest = static_cast<Duration::rep>(holder_time / (1.0 - options_.clock_error));
+  return Duration(longest) + options_.margin;
+}
+
+Duration GrantManager::wanted_hold(const CellState& state) const {
+  std::set<BackendId> owners;
+  for (const auto& [key, holding] : holdings_) {
+    owners.insert(holding.owner);
+  }
+  const Duration wanted = options_.hold_per_owner * static_cast<std::int64_t>(owners.size());
+  // A hold that was used once may still be running somewhere: it never shrinks.
+  return std::clamp(wanted, std::max<Duration>(options_.hold_time, state.grant_terms().hold()),
+                    options_.longest_hold_time);
 }
 
 void GrantManager::begin_term(TimePoint now, const CellState& state) {
   active_ = true;
   holdings_.clear();
   orders_.clear();
+  rounds_.clear();
   synced_ = LogIndex();
   next_due_ = now;
+  hold_ = std::max<Duration>(options_.hold_time, state.grant_terms().hold());
   for (const auto& [id, service] : state.routed_services()) {
     for (const auto& [first, record] : service.ranges.records()) {
       if (record.owner.value == 0) {
@@ -58,9 +79,9 @@
       holding.owner = record.owner;
       holding.next_order = now;
       if (options_.wait_after_election) {
-        holding.held_until = now + longest_hold();
-        if (state.orders_in_doubt()) {
-          holding.doubtful_until = now + options_.late_delivery + longest_hold();
+        holding.held_until = now + true_time(hold_);
+        if (state.grant_terms().in_doubt) {
+          holding.doubtful_until = now + options_.late_delivery + true_time(hold_);
         }
       }
       holdings_[{id, record.keys, record.fence}] = holding;
@@ -74,7 +95,8 @@
   }
   synced_ = state.applied();
   next_due_ = now;
-  const std::map<HoldingKey, Holding> before = std::exchange(holdings_, {});
+  hold_ = std::max<Duration>(options_.hold_time, state.grant_terms().hold());
+  const Holdings before = std::exchange(holdings_, {});
   for (const auto& [id, service] : state.routed_services()) {
     for (const auto& [first, record] : service.ranges.records()) {
       if (record.owner.value == 0) {
@@ -89,11 +111,13 @@
       holdings_[key] = holding;
     }
   }
+  std::erase_if(rounds_,
+                [&](const auto& item) { return state.find_backend(item.first) == nullptr; });
 }
 
-GrantManager::Holding GrantManager::derive_holding(
-    TimePoint now, const CellState& state, const HoldingKey& key, const RangeRecord& record,
-    const std::map<HoldingKey, Holding>& before) const {
+GrantManager::Holding GrantManager::derive_holding(TimePoint now, const CellState& state,
+                                                   const HoldingKey& key, const RangeRecord& record,
+                                                   const Holdings& before) const {
   const auto same = before.find(key);
   if (same != before.end()) {
     return same->second;
@@ -101,22 +125,27 @@
   Holding holding;
   holding.owner = record.owner;
   holding.next_order = now;
-  holding.held_until = now + longest_hold();
+  holding.held_until = now + true_time(hold_);
   bool is_new = true;
   // A part of a range is held as the whole was; joined ranges as the longest-held of them.
-  for (const auto& [other, held] : before) {
-    const bool is_part = other.service == key.service && other.fence == key.fence &&
-                         other.keys.overlaps(key.keys) && held.owner == record.owner;
+  for (auto other = before.lower_bound({key.service, {0, 0}, Epoch()});
+       other != before.end() && other->first.service == key.service &&
+       other->first.keys.first <= key.keys.last;
+       ++other) {
+    const Holding& held = other->second;
+    const bool is_part = other->first.fence <= key.fence && held.owner == record.owner &&
+                         other->first.keys.overlaps(key.keys);
     if (!is_part) {
       continue;
     }
     holding.held_until = is_new ? held.held_until : std::max(holding.held_until, held.held_until);
     holding.doubtful_until = std::max(holding.doubtful_until, held.doubtful_until);
-    if (held.under_way == UnderWay::kGrant) {
+    if (held.grants_under_way > 0) {
       holding.doubtful_until =
-          std::max(holding.doubtful_until, now + options_.late_delivery + longest_hold());
+          std::max(holding.doubtful_until, now + options_.late_delivery + true_time(hold_));
     }
-    holding.next_order = held.next_order;
+    // Under another fence it is another grant, which is asked for at once.
+    holding.established = other->first.fence == key.fence && held.established;
     holding.gone = holding.gone || held.gone;
     is_new = false;
   }
@@ -124,6 +153,8 @@
   return holding;
 }
 
+// ---------------------------------------------------------------- sending
+
 void GrantManager::collect(TimePoint now, const CellState& state, std::vector<GrantOrder>& grants,
                            std::vector<ReleaseOrder>& releases) {
   if (!active_) {
@@ -133,52 +164,147 @@
   if (now < next_due_) {
     return;
   }
-  next_due_ = TimePoint::max();
+  Outgoing outgoing{grants, releases};
+  send_releases(now, state, outgoing);
+  send_first_grants(now, state, outgoing);
+  send_rounds(now, state, outgoing);
+  find_next_due(now);
+}
+
+template <typename Joins>
+GrantManager::Holdings::iterator GrantManager::end_of_run(Holdings::iterator first,
+                                                          const Joins& joins) {
+  auto last = first;
+  for (auto next = std::next(first); next != holdings_.end(); ++next) {
+    const bool is_next = next->first.service == first->first.service &&
+                         next->first.keys.first == last->first.keys.last + 1 &&
+                         next->second.owner == first->second.owner && joins(*next);
+    if (!is_next) {
+      return next;
+    }
+    last = next;
+  }
+  return holdings_.end();
+}
+
+void GrantManager::send_grant(TimePoint now, const BackendRecord& backend, Order order,
+                              const std::string& handover, Outgoing& outgoing) {
+  const OrderId id = next_order_++;
+  order.backend = backend.id;
+  order.sent = now;
+  order.hold = hold_;
+  orders_[id] = order;
+  outgoing.grants.push_back({id, backend.id, backend.address, backend.incarnation, order.keys,
+                             order.fence, hold_, handover});
+}
+
+void GrantManager::send_first_grants(TimePoint now, const CellState& state, Outgoing& outgoing) {
   for (auto& [key, holding] : holdings_) {
-    if (holding.released || holding.gone) {
+    const bool is_due = !holding.established && !holding.moving && !holding.gone &&
+                        holding.grants_under_way == 0 && now >= holding.next_order;
+    if (!is_due || holding.refused) {
       continue;
     }
-    const bool may_send = holding.under_way != UnderWay::kGrant;
-    if (may_send && now >= holding.next_order) {
-      send_order(now, state, key, holding, grants, releases);
-    }
-    if (may_send) {
-      next_due_ = std::min(next_due_, holding.next_order);
+    const BackendRecord* backend = running_backend(state, holding.owner);
+    const RangeRecord* record = record_of(state, key.service, key.keys, key.fence);
+    if (backend == nullptr || record == nullptr) {
+      holding.gone = true;
+      continue;
     }
-    const TimePoint turn =
-        holding.moving ? holding.held_until : holding.held_until - options_.withdraw_before_end;
-    next_due_ = turn > now ? std::min(next_due_, turn) : next_due_;
+    ++holding.grants_under_way;
+    send_grant(now, *backend, {key.service, key.keys, key.fence, {}, {}, {}, false, false},
+               record->handover, outgoing);
   }
 }
 
-void GrantManager::send_order(TimePoint now, const CellState& state, const HoldingKey& key,
-                              Holding& holding, std::vector<GrantOrder>& grants,
-                              std::vector<ReleaseOrder>& releases) {
-  const RangeRecord* record = record_of(state, key.service, key.keys, key.fence);
-  const BackendRecord* backend = state.find_backend(holding.owner);
-  if (record == nullptr || backend == nullptr || backend->ended) {
-    holding.gone = true;
-    return;
-  }
-  if (holding.refused && !record->moving) {
-    holding.next_order = now + options_.retry_interval;  // a withdrawal is on its way
-    return;
+void GrantManager::send_rounds(TimePoint now, const CellState& state, Outgoing& outgoing) {
+  std::set<BackendId> due;
+  for (auto& [key, holding] : holdings_) {
+    if (!holding.is_renewed()) {
+      continue;
+    }
+    const BackendRecord* backend = running_backend(state, holding.owner);
+    if (backend == nullptr) {
+      holding.gone = true;
+      continue;
+    }
+    Round& round = rounds_[holding.owner];
+    if (round.under_way == 0 && now >= round.next) {
+      due.insert(holding.owner);
+    }
+    if (!due.contains(holding.owner)) {
+      continue;
+    }
+    round.next = now + renewal_interval();
+    ++round.under_way;
+    ++holding.grants_under_way;
+    send_grant(now, *backend, {key.service, key.keys, key.fence, {}, {}, {}, false, true}, "",
+               outgoing);
   }
-  const OrderId id = next_order_++;
-  orders_[id] = {key, holding.owner, now, record->moving};
-  holding.under_way = record->moving ? UnderWay::kRelease : UnderWay::kGrant;
-  holding.next_order =
-      now + (record->moving ? options_.release_interval : options_.renewal_interval);
-  if (record->moving) {
+}
+
+void GrantManager::send_releases(TimePoint now, const CellState& state, Outgoing& outgoing) {
+  for (auto first = holdings_.begin(); first != holdings_.end();) {
+    const auto may_release = [&](const auto& item) {
+      return item.second.moving && !item.second.released && !item.second.gone &&
+             now >= item.second.next_order;
+    };
+    if (!may_release(*first)) {
+      ++first;
+      continue;
+    }
+    const HoldingKey& key = first->first;
+    const BackendRecord* backend = running_backend(state, first->second.owner);
+    const RangeRecord* record = record_of(state, key.service, key.keys, key.fence);
+    if (backend == nullptr || record == nullptr) {
+      first->second.gone = true;
+      ++first;
+      continue;
+    }
+    const auto end = end_of_run(first, [&](const auto& item) {
+      const RangeRecord* next =
+          record_of(state, item.first.service, item.first.keys, item.first.fence);
+      return may_release(item) && next != nullptr && next->moving_since == record->moving_since;
+    });
     const Epoch fence =
         options_.release_with_new_fence ? Epoch(record->moving_since.value) : record->fence;
-    releases.push_back({id, backend->id, backend->address, backend->incarnation, key.keys, fence});
-    return;
+    const OrderId id = next_order_++;
+    Order order{key.service, key.keys, fence, backend->id, now, Duration(0), true, false};
+    for (auto item = first; item != end; ++item) {
+      order.keys.last = item->first.keys.last;
+      item->second.next_order = now + options_.release_interval;
+    }
+    orders_[id] = order;
+    outgoing.releases.push_back(
+        {id, backend->id, backend->address, backend->incarnation, order.keys, fence});
+    first = end;
+  }
+}
+
+void GrantManager::find_next_due(TimePoint now) {
+  next_due_ = TimePoint::max();
+  for (const auto& [key, holding] : holdings_) {
+    if (holding.released || holding.gone) {
+      continue;
+    }
+    const bool waits_for_order =
+        holding.moving || (!holding.established && holding.grants_under_way == 0);
+    if (waits_for_order && !holding.refused) {
+      next_due_ = std::min(next_due_, holding.next_order);
+    }
+    const TimePoint turn =
+        holding.moving ? holding.held_until : holding.held_until - options_.withdraw_before_end;
+    next_due_ = turn > now ? std::min(next_due_, turn) : next_due_;
+  }
+  for (const auto& [backend, round] : rounds_) {
+    if (round.under_way == 0) {
+      next_due_ = std::min(next_due_, round.next);
+    }
   }
-  grants.push_back({id, backend->id, backend->address, backend->incarnation, key.keys, key.fence,
-                    options_.hold_time, record->handover});
 }
 
+// ---------------------------------------------------------------- replies
+
 std::optional<BackendId> GrantManager::on_reply(TimePoint now, OrderId id,
                                                 const OrderReply& reply) {
   const auto found = orders_.find(id);
@@ -188,36 +314,44 @@
   const Order order = found->second;
   orders_.erase(found);
   for (auto& [key, holding] : holdings_) {
-    const bool concerned = key.service == order.holding.service &&
-                           key.fence == order.holding.fence &&
-                           key.keys.overlaps(order.holding.keys) && holding.owner == order.backend;
+    const bool concerned = key.service == order.service && key.fence <= order.fence &&
+                           key.keys.overlaps(order.keys) && holding.owner == order.backend;
     if (!concerned) {
       continue;
     }
-    if (key == order.holding) {
-      holding.under_way = UnderWay::kNothing;
-    }
     holding.gone = holding.gone || reply.end == OrderEnd::kGone;
     if (!order.is_release) {
-      take_grant_reply(now, order, reply, holding);
-    } else if (order.holding.keys.contains(key.keys)) {
+      holding.grants_under_way -= holding.grants_under_way > 0 ? 1 : 0;
+      take_grant_reply(now, order, reply, key, holding);
+    } else if (order.keys.contains(key.keys)) {
       take_release_reply(now, reply, holding);
     }
-    next_due_ = std::min(next_due_, holding.next_order);
   }
+  const auto round = rounds_.try_emplace(order.backend, Round{now + renewal_interval(), 0}).first;
+  if (order.is_round) {
+    round->second.under_way -= round->second.under_way > 0 ? 1 : 0;
+    if (reply.end == OrderEnd::kUnanswered || reply.end == OrderEnd::kNotSent) {
+      round->second.next =
+          std::min(round->second.next, std::max(now, order.sent + options_.retry_interval));
+    }
+  }
+  next_due_ = now;
   return order.backend;
 }
 
 void GrantManager::take_grant_reply(TimePoint now, const Order& order, const OrderReply& reply,
-                                    Holding& holding) const {
+                                    const HoldingKey& key, Holding& holding) const {
   switch (reply.end) {
     case OrderEnd::kAccepted:
-      holding.held_until = std::max(holding.held_until, now + longest_hold());
-      holding.refused = false;
+      holding.held_until = std::max(holding.held_until, now + true_time(order.hold));
+      if (key.fence == order.fence) {
+        holding.refused = false;
+        holding.established = holding.established || order.keys.contains(key.keys);
+      }
       break;
     case OrderEnd::kUnanswered:
-      holding.doubtful_until =
-          std::max(holding.doubtful_until, order.sent + options_.late_delivery + longest_hold());
+      holding.doubtful_until = std::max(
+          holding.doubtful_until, order.sent + options_.late_delivery + true_time(order.hold));
       holding.next_order = std::max(now, order.sent + options_.retry_interval);
       break;
     case OrderEnd::kFenced:
@@ -238,7 +372,7 @@
     holding.released = true;
     holding.handover = reply.handover;
   } else {
-    holding.next_order = now + options_.retry_interval;
+    holding.next_order = std::min(holding.next_order, now + options_.retry_interval);
   }
 }
 
@@ -277,7 +411,7 @@
     return {true, ""};
   }
   const bool answered_ended = now >= holding.held_until || !options_.wait_for_answered;
-  const bool none_in_doubt = now >= holding.doubtful_until && holding.under_way != UnderWay::kGrant;
+  const bool none_in_doubt = now >= holding.doubtful_until && holding.grants_under_way == 0;
   return {answered_ended && (none_in_doubt || !options_.wait_for_unanswered), ""};
 }
 
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -31,9 +31,14 @@
 using common::TimePoint;
 
 struct GrantOptions {
-  /// How long a grant holds from its arrival.
+  /// How long a grant holds from its arrival, where back ends are few.
   Duration hold_time = std::chrono::milliseconds(2500);
-  Duration renewal_interval = std::chrono::milliseconds(600);
+  /// Beyond a certain number of owners, grants hold longer by this much for each, so that the
+  /// renewals a second stay bounded; never longer than `longest_hold_time`.
+  Duration hold_per_owner = std::chrono::milliseconds(48);
+  Duration longest_hold_time = std::chrono::milliseconds(9000);
+  /// A grant is renewed so many times within its hold.
+  std::int64_t renewals_per_hold = 4;
   /// An order without an answer is repeated after this time.
   Duration retry_interval = std::chrono::milliseconds(200);
   /// A holder's clock may run slow by this fraction.
@@ -51,10 +56,10 @@
   /// An order that is under way for this long counts as in doubt.
   Duration doubt_after = std::chrono::milliseconds(150);
   /// Safeguards; off only in mutants.
-  bool wait_for_answered = true;    ///< wait until answered orders have run out
-  bool wait_for_unanswered = true;  ///< wait until orders without an answer have run out
-  bool wait_after_election = true;  ///< count the orders of earlier leaders
-  bool release_with_new_fence = true;
+  bool wait_for_answered = true;       ///< wait until answered orders have run out
+  bool wait_for_unanswered = true;     ///< wait until orders without an answer have run out
+  bool wait_after_election = true;     ///< count the orders of earlier leaders
+  bool release_with_new_fence = true;  ///< a release refuses older orders
 };
 
 using OrderId = std::uint64_t;
@@ -124,6 +129,8 @@
                      const RangeRecord& record) const;
   /// True where an order without an answer may still be taken.
   bool has_orders_in_doubt(TimePoint now) const;
+  /// How long grants should hold for the owners there are; they hold as the state says.
+  Duration wanted_hold(const CellState& state) const;
   /// When collect() or withdrawals() next has something to do.
   TimePoint next_due() const { return next_due_; }
   std::size_t holdings() const { return holdings_.size(); }
@@ -136,42 +143,70 @@
     Epoch fence;
     auto operator<=>(const HoldingKey&) const = default;
   };
-  enum class UnderWay : std::uint8_t { kNothing, kGrant, kRelease };
   struct Holding {
     BackendId owner;
     TimePoint held_until;      ///< answered orders have run out then
     TimePoint doubtful_until;  ///< orders without an answer have run out then
-    TimePoint next_order;
-    UnderWay under_way = UnderWay::kNothing;
-    bool moving = false;    ///< its release has begun
-    bool refused = false;   ///< the owner refuses the grant
-    bool released = false;  ///< the owner has released them under a higher fence
-    bool gone = false;      ///< the owner's process has ended
+    TimePoint next_order;      ///< a first grant or a release is due then; renewals go by rounds
+    std::size_t grants_under_way = 0;
+    bool established = false;  ///< the owner has accepted it in this term: it is renewed in rounds
+    bool moving = false;       ///< its release has begun
+    bool refused = false;      ///< the owner refuses the grant
+    bool released = false;     ///< the owner has released it under a higher fence
+    bool gone = false;         ///< the owner's process has ended
     std::string handover;
+
+    bool is_renewed() const { return established && !moving && !refused && !gone; }
   };
+  using Holdings = std::map<HoldingKey, Holding>;
   struct Order {
-    HoldingKey holding;
+    ServiceId service;
+    KeyRange keys;
+    Epoch fence;
     BackendId backend;
     TimePoint sent;
+    Duration hold{0};
     bool is_release = false;
+    bool is_round = false;  ///< a renewal
+  };
+  /// Renewals of one back end: of all that it holds at once, so that one connection carries them.
+  struct Round {
+    TimePoint next;
+    std::size_t under_way = 0;
+  };
+  /// The orders of one call of collect().
+  struct Outgoing {
+    std::vector<GrantOrder>& grants;
+    std::vector<ReleaseOrder>& releases;
   };
 
-  Duration longest_hold() const;
+  /// The longest that an order with this hold may last, on this clock.
+  Duration true_time(Duration hold) const;
+  Duration renewal_interval() const { return hold_ / options_.renewals_per_hold; }
   void sync(TimePoint now, const CellState& state);
   Holding derive_holding(TimePoint now, const CellState& state, const HoldingKey& key,
-                         const RangeRecord& record,
-                         const std::map<HoldingKey, Holding>& before) const;
-  void send_order(TimePoint now, const CellState& state, const HoldingKey& key, Holding& holding,
-                  std::vector<GrantOrder>& grants, std::vector<ReleaseOrder>& releases);
+                         const RangeRecord& record, const Holdings& before) const;
+  void send_first_grants(TimePoint now, const CellState& state, Outgoing& outgoing);
+  void send_rounds(TimePoint now, const CellState& state, Outgoing& outgoing);
+  void send_releases(TimePoint now, const CellState& state, Outgoing& outgoing);
+  /// The end of the run of keys that begins with `first`: neighbours of one owner for which
+  /// `joins` holds.
+  template <typename Joins>
+  Holdings::iterator end_of_run(Holdings::iterator first, const Joins& joins);
+  void send_grant(TimePoint now, const BackendRecord& backend, Order order,
+                  const std::string& handover, Outgoing& outgoing);
+  void find_next_due(TimePoint now);
   void take_grant_reply(TimePoint now, const Order& order, const OrderReply& reply,
-                        Holding& holding) const;
+                        const HoldingKey& key, Holding& holding) const;
   void take_release_reply(TimePoint now, const OrderReply& reply, Holding& holding) const;
 
   GrantOptions options_;
   bool active_ = false;
   LogIndex synced_;
+  Duration hold_{0};  ///< of the orders that are sent now
   TimePoint next_due_;
-  std::map<HoldingKey, Holding> holdings_;
+  Holdings holdings_;
+  std::map<BackendId, Round> rounds_;
   std::map<OrderId, Order> orders_;
   OrderId next_order_ = 1;
 };
--- a/src/ownership/key_ranges.cpp
+++ b/src/ownership/key_ranges.cpp
@@ -59,6 +59,30 @@
   return true;
 }
 
+bool KeyRangeMap::join(LogIndex index, const KeyRange& keys, BackendId owner) {
+  const auto first = records_.find(keys.first);
+  auto end = first;
+  std::uint32_t next = keys.first;
+  while (end != records_.end() && next <= keys.last) {
+    const RangeRecord& record = end->second;
+    if (record.owner != owner || record.moving || record.keys.last > keys.last) {
+      return false;
+    }
+    next = record.keys.last + 1;
+    ++end;
+  }
+  if (first == records_.end() || next != keys.last + 1) {
+    return false;
+  }
+  RangeRecord joined;
+  joined.keys = keys;
+  joined.owner = owner;
+  joined.fence = Epoch(index.value);
+  records_.erase(first, end);
+  records_[keys.first] = joined;
+  return true;
+}
+
 void KeyRangeMap::put(RangeRecord record) {
   const auto found = std::prev(records_.upper_bound(record.keys.first));
   const RangeRecord whole = found->second;
--- a/src/ownership/key_ranges.hpp
+++ b/src/ownership/key_ranges.hpp
@@ -66,6 +66,10 @@
   bool assign(LogIndex index, const KeyRange& keys, Epoch expected_fence, BackendId owner,
               std::string handover);
 
+  /// Makes one range of the ranges that fill `keys`, all of one owner and none moving.
+  /// @return false, and nothing changes, unless they are so.
+  bool join(LogIndex index, const KeyRange& keys, BackendId owner);
+
   MSGPACK_DEFINE_ARRAY(records_)
 
  private:
--- a/src/ownership/range_planner.cpp
+++ b/src/ownership/range_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "ownership/range_workspace.hpp"
 
@@ -25,6 +26,9 @@
     if (input.balance) {
       balance(work, plan);
     }
+    if (input.join) {
+      join_neighbours(work, plan);
+    }
   }
   return plan;
 }
@@ -118,6 +122,33 @@
   std::erase_if(work.segments(), [host](const Segment& segment) { return segment.owner == host; });
 }
 
+void RangePlanner::join_neighbours(const Workspace& work, ApplyRangePlan& plan) const {
+  const auto& records = work.service().ranges.records();
+  const auto may_join = [&](const RangeRecord& record) {
+    return !record.moving && record.owner.value != 0 &&
+           std::none_of(plan.moves.begin(), plan.moves.end(), [&](const RangeMove& move) {
+             return move.service == work.service().id && move.keys.overlaps(record.keys);
+           });
+  };
+  for (auto first = records.begin(); first != records.end();) {
+    auto next = std::next(first);
+    if (!may_join(first->second)) {
+      first = next;
+      continue;
+    }
+    KeyRange keys = first->second.keys;
+    const BackendId owner = first->second.owner;
+    while (next != records.end() && next->second.owner == owner && may_join(next->second)) {
+      keys.last = next->second.keys.last;
+      ++next;
+    }
+    if (keys != first->second.keys) {
+      plan.joins.push_back({work.service().id, keys, owner});
+    }
+    first = next;
+  }
+}
+
 void RangePlanner::balance(Workspace& work, ApplyRangePlan& plan) const {
   const double level = work.level();
   const double noise = options_.noise_factor * std::sqrt(level * options_.noise_rate);
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -42,6 +42,7 @@
   /// Whether a moving or unowned range may be given to another owner.
   std::function<GrantManager::Verdict(ServiceId, const RangeRecord&)> may_assign;
   bool balance = false;  ///< whether keys may be moved for balance in this call
+  bool join = false;     ///< whether neighbours of one owner become one range in this call
 };
 
 class RangePlanner {
@@ -60,6 +61,8 @@
   /// Moves all keys but `key` off the target that hosts it.
   void empty_host(Workspace& work, ApplyRangePlan& plan, BackendId host, const KeyRange& key) const;
   void balance(Workspace& work, ApplyRangePlan& plan) const;
+  /// Fewer ranges cost fewer renewals.
+  void join_neighbours(const Workspace& work, ApplyRangePlan& plan) const;
 
   RangePlannerOptions options_;
 };
--- a/src/ownership/range_workspace.cpp
+++ b/src/ownership/range_workspace.cpp
@@ -22,7 +22,12 @@
 RangePlanner::Workspace::Workspace(const RangePlannerInput& input,
                                    const RoutedServiceRecord& service)
     : input_(input), service_(service) {
-  const double seen = input.loads.rate(service.id, KeyRange());
+  busy_ = input.loads.busy_keys(service.id, KeyRange());
+  sums_.push_back(0);
+  for (const KeyRate& busy : busy_) {
+    sums_.push_back(sums_.back() + busy.rate);
+  }
+  const double seen = sums_.back();
   idle_rate_ = kIdleShare * std::max(seen, kSmallestTotal) / config::kKeyCount;
   total_ = seen + idle_rate_ * config::kKeyCount;
   for (const auto& [id, backend] : input.state.backends()) {
@@ -41,7 +46,15 @@
 }
 
 double RangePlanner::Workspace::load(const KeyRange& keys) const {
-  return input_.loads.rate(service_.id, keys) + idle_rate_ * keys.size();
+  const double seen = sums_[first_busy(keys.last + 1)] - sums_[first_busy(keys.first)];
+  return seen + idle_rate_ * keys.size();
+}
+
+std::size_t RangePlanner::Workspace::first_busy(std::uint32_t key) const {
+  const auto found =
+      std::lower_bound(busy_.begin(), busy_.end(), key,
+                       [](const KeyRate& busy, std::uint32_t wanted) { return busy.key < wanted; });
+  return static_cast<std::size_t>(found - busy_.begin());
 }
 
 RangePlanner::Workspace::Targets::iterator RangePlanner::Workspace::lightest() {
@@ -113,20 +126,20 @@
 
 std::optional<KeyRange> RangePlanner::Workspace::cluster(const KeyRange& keys,
                                                          double wanted) const {
-  const std::vector<KeyRate> busy = input_.loads.busy_keys(service_.id, keys);
   std::optional<KeyRange> best;
   double best_sum = 0;
   double sum = 0;
-  std::size_t left = 0;
-  for (std::size_t right = 0; right < busy.size(); ++right) {
-    sum += busy[right].rate;
+  std::size_t left = first_busy(keys.first);
+  const std::size_t end = first_busy(keys.last + 1);
+  for (std::size_t right = left; right < end; ++right) {
+    sum += busy_[right].rate;
     while (left <= right && sum > kTolerance * wanted) {
-      sum -= busy[left++].rate;
+      sum -= busy_[left++].rate;
     }
     if (left > right) {
       continue;
     }
-    const KeyRange run{busy[left].key, busy[right].key};
+    const KeyRange run{busy_[left].key, busy_[right].key};
     const double worth = std::min(sum, wanted);
     const bool is_denser =
         !best.has_value() || worth * best->size() > best_sum * run.size() * kTolerance;
--- a/src/ownership/range_workspace.hpp
+++ b/src/ownership/range_workspace.hpp
@@ -79,9 +79,14 @@
   /// The narrowest run of busy keys that carries most of `wanted` without much exceeding it.
   std::optional<KeyRange> cluster(const KeyRange& keys, double wanted) const;
   void cut_out(const KeyRange& keys);
+  /// Position of the first busy key that is not below `key`.
+  std::size_t first_busy(std::uint32_t key) const;
 
   const RangePlannerInput& input_;
   const RoutedServiceRecord& service_;
+  /// Busy keys in order, and the sum of the rates of all before each.
+  std::vector<KeyRate> busy_;
+  std::vector<double> sums_;
   std::vector<Segment> segments_;
   Targets targets_;
   double idle_rate_ = 0;  ///< of one key, beside what was seen
--- a/src/ownership/target_times.cpp
+++ b/src/ownership/target_times.cpp
@@ -22,22 +22,30 @@
   }
 }
 
-double TargetTimes::capacity(const CellState& state, const BackendRecord& backend) const {
-  const auto own = times_.find(backend.id);
-  if (own == times_.end() || own->second <= 0) {
-    return 1.0;
+Capacities TargetTimes::capacities(const CellState& state) const {
+  struct Sum {
+    double logarithms = 0;
+    double count = 0;
+  };
+  std::map<common::PoolName, Sum> by_pool;
+  for (const auto& [id, time] : times_) {
+    const BackendRecord* backend = state.find_backend(id);
+    if (backend != nullptr && time > 0) {
+      Sum& sum = by_pool[backend->pool];
+      sum.logarithms += std::log(time);
+      sum.count += 1;
+    }
   }
-  double sum = 0;
-  double count = 0;
+  Capacities capacities;
   for (const auto& [id, time] : times_) {
-    const BackendRecord* other = state.find_backend(id);
-    if (other != nullptr && other->pool == backend.pool && time > 0) {
-      sum += std::log(time);
-      count += 1;
+    const BackendRecord* backend = state.find_backend(id);
+    if (backend != nullptr && time > 0) {
+      const Sum& sum = by_pool.at(backend->pool);
+      const double typical = std::exp(sum.logarithms / sum.count);
+      capacities.set(id, std::clamp(typical / time, 1.0 / kMostSpread, kMostSpread));
     }
   }
-  const double typical = std::exp(sum / count);
-  return std::clamp(typical / own->second, 1.0 / kMostSpread, kMostSpread);
+  return capacities;
 }
 
 }  // namespace planktray::ownership
--- a/src/ownership/target_times.hpp
+++ b/src/ownership/target_times.hpp
@@ -9,13 +9,26 @@
 
 namespace planktray::ownership {
 
+/// Requests that back ends can answer, relative to a typical one of their service.
+class Capacities {
+ public:
+  void set(common::BackendId id, double capacity) { capacities_[id] = capacity; }
+  /// 1 where nothing is known of it.
+  double of(common::BackendId id) const {
+    const auto found = capacities_.find(id);
+    return found == capacities_.end() ? 1.0 : found->second;
+  }
+
+ private:
+  std::map<common::BackendId, double> capacities_;
+};
+
 class TargetTimes {
  public:
   void add(const std::vector<routing::TargetTime>& times);
   void clear() { times_.clear(); }
-  /// Requests that it can answer, relative to a typical one of its service, within
-  /// [1 / kMostSpread, kMostSpread]; 1 where nothing is known of it.
-  double capacity(const CellState& state, const BackendRecord& backend) const;
+  /// Within [1 / kMostSpread, kMostSpread].
+  Capacities capacities(const CellState& state) const;
 
  private:
   static constexpr double kMostSpread = 4.0;
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -13,6 +13,8 @@
 
 /// Told to callers whose request cannot run before a table or an owner is there.
 constexpr Duration kRetryAfterUnavailable = std::chrono::milliseconds(1000);
+/// After so many hellos without an answer, every controller is asked.
+constexpr int kHellosWithoutAnswer = 3;
 /// Weight of a new observation in the smoothed latency of a target.
 constexpr int kLatencyDivisor = 8;
 /// Share that a target starts with.
@@ -26,6 +28,7 @@
       budget_(options_.retry_budget),
       confirmed_until_(now),
       next_hello_(now),
+      hello_interval_(options_.hello_interval),
       next_load_(now) {}
 
 bool RouterCore::is_serving(TimePoint now) const {
@@ -75,6 +78,9 @@
   if (update.cell != options_.cell) {
     return;
   }
+  leader_heard_ = now;
+  hello_interval_ = std::max<Duration>(options_.hello_interval,
+                                       std::chrono::milliseconds(update.hello_interval_ms));
   const bool ring_changed =
       update.router_rank != router_rank_ || update.router_count != router_count_;
   router_rank_ = update.router_rank;
@@ -125,7 +131,10 @@
 }
 
 void RouterCore::make_hello(TimePoint now) {
-  next_hello_ = now + options_.hello_interval;
+  next_hello_ = now + hello_interval_;
+  const bool leader_is_known =
+      leader_heard_.has_value() && now - *leader_heard_ < kHellosWithoutAnswer * hello_interval_;
+  output_.hello_to_all = !leader_is_known;
   routing::RouterHello hello{options_.cell,
                              options_.name,
                              options_.address,
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -130,7 +130,8 @@
   std::vector<Forward> forwards;
   std::vector<AttemptId> cancels;
   std::vector<Answer> answers;
-  std::optional<routing::RouterHello> hello;  ///< to every controller
+  std::optional<routing::RouterHello> hello;
+  bool hello_to_all = false;  ///< to every controller; else to the one whose update came last
 
   /// True where there is nothing to carry out.
   bool empty() const {
@@ -307,6 +308,8 @@
   std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
   std::set<RequestHandle> routed_waiting_;
   TimePoint next_hello_;
+  std::optional<TimePoint> leader_heard_;  ///< when the last update came
+  Duration hello_interval_;
   TimePoint next_load_;
   AttemptId next_attempt_ = 1;
   std::uint64_t turn_ = 0;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -87,8 +87,9 @@
   }
   auto socket = transport::ZmqSocket::connect(
       context_, address, "router/" + settings_.options.name.value,
-      [this](const std::string& /*identity*/, const auto& message) {
+      [this, address](const std::string& /*identity*/, const auto& message) {
         if (const auto* update = std::get_if<routing::TableUpdate>(&message.value)) {
+          leader_ = address;
           core_.on_table_update(boot_time_now(), *update);
           flush();
         }
@@ -233,7 +234,9 @@
 void RouterProcess::carry_out(const RouterOutput& output) {
   if (output.hello.has_value()) {
     for (const auto& [address, controller] : controllers_) {
-      controller->send(transport::WireMessage(*output.hello));
+      if (output.hello_to_all || address == leader_) {
+        controller->send(transport::WireMessage(*output.hello));
+      }
     }
   }
   for (const AttemptId attempt : output.cancels) {
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -151,8 +151,9 @@
   std::uint32_t router_rank = 0;   ///< this router's place among the live ones, from 0
   std::uint32_t router_count = 1;  ///< live routers, for subsets of targets
   std::vector<TableDelta> deltas;
+  std::uint32_t hello_interval_ms = 0;  ///< the leader asks for hellos this far apart; 0: any
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
-                       router_count, deltas)
+                       router_count, deltas, hello_interval_ms)
 };
 
 }  // namespace planktray::routing
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -102,6 +102,7 @@
            now - since_ < std::chrono::duration_cast<Duration>(idle_ * kUsableShareOfIdle);
   }
 
+  TimePoint since() const { return since_; }
   void close() {
     const auto keep = shared_from_this();
     const bool abandons_call = std::exchange(call_, 0) != 0;
@@ -269,7 +270,7 @@
                                     [](gpointer timer) { delete static_cast<Timer*>(timer); });
   }
   if (!call.request.fresh_connection) {
-    call.connection = take_idle(call.request.address);
+    call.connection = take_idle(call.request);
   }
   if (call.connection == nullptr) {
     Server& server = servers_[call.request.address];
@@ -295,8 +296,8 @@
   return id;
 }
 
-std::shared_ptr<ClientConnection> HttpClient::take_idle(const std::string& address) {
-  const auto found = servers_.find(address);
+std::shared_ptr<ClientConnection> HttpClient::take_idle(const HttpRequest& request) {
+  const auto found = servers_.find(request.address);
   if (found == servers_.end()) {
     return nullptr;
   }
@@ -304,7 +305,9 @@
   while (!found->second.idle.empty()) {
     auto connection = std::move(found->second.idle.back());
     found->second.idle.pop_back();
-    if (connection->is_usable(now)) {
+    const bool is_rested =
+        request.longest_rest.count() > 0 && now - connection->since() > request.longest_rest;
+    if (connection->is_usable(now) && !is_rested) {
       return connection;
     }
     connection->close();
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -36,6 +36,8 @@
   common::Duration timeout{0};  ///< 0: until cancelled
   /// Opens a connection for this request alone, and closes it afterwards.
   bool fresh_connection = false;
+  /// A connection that has rested for longer is not used for this request; 0: any that is usable.
+  common::Duration longest_rest{0};
   /// The answer carries this header with this value; answers with another one are not to this
   /// request. Empty: the next answer is the one.
   std::string answer_header;
@@ -110,7 +112,7 @@
   static gboolean on_sweep(gpointer self);
   void expire(std::uint64_t id);
   void sweep();
-  std::shared_ptr<ClientConnection> take_idle(const std::string& address);
+  std::shared_ptr<ClientConnection> take_idle(const HttpRequest& request);
   void fail_later(std::uint64_t id, common::Error error);
   void finish(std::uint64_t id, HttpResponse response);
   void rest(const std::string& address, const std::shared_ptr<ClientConnection>& connection);
--- a/test/controller/table_distributor_test.cpp
+++ b/test/controller/table_distributor_test.cpp
@@ -73,5 +73,30 @@
   CHECK(*fixture.distributor.in_force(at(7351), fixture.state) == common::LogIndex(5));
 }
 
+TEST_CASE("a hello is answered at once, and once") {
+  Fixture fixture;
+  fixture.hello(1, 1, 5);
+  const common::RouterName router("r1");
+  const auto answer = fixture.distributor.answer(at(1), fixture.state, router);
+  REQUIRE(answer.has_value());
+  CHECK(answer->router == router);
+  CHECK(answer->update.echo_clock_us == 1000);
+  CHECK_FALSE(fixture.distributor.answer(at(2), fixture.state, router).has_value());
+  CHECK(fixture.distributor.collect(at(2), fixture.state).empty());
+  CHECK_FALSE(
+      fixture.distributor.answer(at(2), fixture.state, common::RouterName("no one")).has_value());
+}
+
+TEST_CASE("the more routers there are, the less often each is asked to say hello") {
+  Fixture fixture;
+  constexpr int kRouters = 100;
+  for (int i = 0; i < kRouters; ++i) {
+    fixture.hello(1, i, 5);
+  }
+  const auto tables = fixture.distributor.collect(at(2), fixture.state);
+  REQUIRE(tables.size() == kRouters);
+  CHECK(tables[0].update.hello_interval_ms == 800);  // 100 routers, 125 hellos a second
+}
+
 }  // namespace
 }  // namespace planktray::controller
--- a/test/ownership/grant_manager_test.cpp
+++ b/test/ownership/grant_manager_test.cpp
@@ -123,10 +123,10 @@
 TEST_CASE("a grant without an answer may be taken late: its time is waited out too") {
   Fixture fixture;
   fixture.run(5000, OrderEnd::kAccepted);
-  fixture.run(5600, OrderEnd::kUnanswered);
+  fixture.run(5700, OrderEnd::kUnanswered);
   fixture.begin_move(kAll);
-  const std::int64_t end = fixture.end_of_hold(5600 + fixture.options.late_delivery.count() / 1000);
-  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(5601) + 1000));
+  const std::int64_t end = fixture.end_of_hold(5700 + fixture.options.late_delivery.count() / 1000);
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(5701) + 1000));
   CHECK_FALSE(fixture.may_assign(end - 2));
   CHECK(fixture.may_assign(end + 1));
 }
@@ -134,7 +134,7 @@
 TEST_CASE("a grant that was never sent leaves no doubt") {
   Fixture fixture;
   fixture.run(5000, OrderEnd::kAccepted);
-  fixture.run(5600, OrderEnd::kNotSent);
+  fixture.run(5700, OrderEnd::kNotSent);
   fixture.begin_move(kAll);
   CHECK(fixture.may_assign(fixture.end_of_hold(5001) + 1));
 }
@@ -142,14 +142,14 @@
 TEST_CASE("an answered release ends the doubt of an older grant") {
   Fixture fixture;
   fixture.run(5000, OrderEnd::kAccepted);
-  fixture.run(5600, OrderEnd::kUnanswered);
+  fixture.run(5700, OrderEnd::kUnanswered);
   fixture.begin_move(kAll);
-  fixture.collect(5700);
-  fixture.collect(5720);
+  fixture.collect(5800);
+  fixture.collect(5820);
   REQUIRE_FALSE(fixture.releases.empty());
-  fixture.manager.on_reply(at(5730), fixture.releases[0].id, {OrderEnd::kAccepted, ""});
-  CHECK(fixture.may_assign(5731));
-  CHECK_FALSE(fixture.manager.has_orders_in_doubt(at(5731)));
+  fixture.manager.on_reply(at(5830), fixture.releases[0].id, {OrderEnd::kAccepted, ""});
+  CHECK(fixture.may_assign(5831));
+  CHECK_FALSE(fixture.manager.has_orders_in_doubt(at(5831)));
 }
 
 TEST_CASE("a grant that is still under way is in doubt") {
@@ -202,7 +202,7 @@
     CHECK(fixture.may_assign(fixture.end_of_hold(9000) + 1));
   }
   SUBCASE("and orders in doubt where the state marks them") {
-    fixture.apply(MarkOrdersInDoubt{true});
+    fixture.apply(SetGrantTerms{{true, 0}});
     next.begin_term(at(9000), fixture.state);
     fixture.manager = next;
     fixture.collect(9000);
@@ -228,7 +228,7 @@
 TEST_CASE("keys whose holder cannot be renewed are withdrawn before the grant ends") {
   Fixture fixture;
   fixture.run(5000, OrderEnd::kAccepted);
-  for (std::int64_t time = 5600; time < 7000; time += 200) {
+  for (std::int64_t time = 5700; time < 7000; time += 200) {
     fixture.run(time, OrderEnd::kNotSent);
   }
   CHECK(fixture.manager.withdrawals(at(7000), fixture.state).empty());
@@ -241,5 +241,97 @@
   CHECK(fixture.manager.withdrawals(at(2), fixture.state).size() == 1);
 }
 
+/// A fixture whose first back end owns two neighbouring ranges.
+Fixture fixture_of_two_ranges() {
+  Fixture fixture;
+  fixture.assign({100, config::kKeyCount - 1}, fixture.x);
+  return fixture;
+}
+
+TEST_CASE("all that a back end holds is renewed in one round, and not before it is due") {
+  Fixture fixture = fixture_of_two_ranges();
+  fixture.run(0, OrderEnd::kAccepted);
+  CHECK(fixture.grants.size() == 2);
+  const std::int64_t interval =
+      fixture.options.hold_time.count() / 1000 / fixture.options.renewals_per_hold;
+  fixture.collect(interval - 10);
+  CHECK(fixture.grants.empty());
+  fixture.run(interval + 2, OrderEnd::kAccepted);
+  REQUIRE(fixture.grants.size() == 2);
+  CHECK(fixture.grants[0].handover.empty());
+  fixture.collect(interval + 20);
+  CHECK(fixture.grants.empty());
+}
+
+TEST_CASE("a round without an answer is repeated soon") {
+  Fixture fixture;
+  fixture.run(0, OrderEnd::kAccepted);
+  fixture.run(700, OrderEnd::kNotSent);
+  fixture.collect(800);
+  CHECK(fixture.grants.empty());
+  fixture.collect(901);
+  CHECK(fixture.grants.size() == 1);
+}
+
+TEST_CASE("joined ranges are asked for at once, and held as the longest-held of them") {
+  Fixture fixture = fixture_of_two_ranges();
+  fixture.collect(5000);
+  REQUIRE(fixture.grants.size() == 2);
+  // The first is answered, the second may be taken late.
+  fixture.manager.on_reply(at(5001), fixture.grants[0].id, {OrderEnd::kAccepted, ""});
+  fixture.manager.on_reply(at(5500), fixture.grants[1].id, {OrderEnd::kUnanswered, ""});
+  ApplyRangePlan plan;
+  plan.joins.push_back({fixture.service, kAll, fixture.x});
+  fixture.apply(plan);
+  fixture.run(5510, OrderEnd::kNotSent);
+  REQUIRE(fixture.grants.size() == 1);
+  CHECK(fixture.grants[0].keys == kAll);
+  CHECK(fixture.grants[0].fence == fixture.record().fence);
+  fixture.begin_move(kAll);
+  fixture.collect(5600);
+  const std::int64_t late = 5000 + fixture.options.late_delivery.count() / 1000;
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(late) - 2));
+  CHECK(fixture.may_assign(fixture.end_of_hold(late) + 1));
+}
+
+TEST_CASE("grants under way when ranges are joined are in doubt") {
+  Fixture fixture = fixture_of_two_ranges();
+  fixture.run(5000, OrderEnd::kAccepted);
+  fixture.collect(5700);
+  REQUIRE(fixture.grants.size() == 2);
+  ApplyRangePlan plan;
+  plan.joins.push_back({fixture.service, kAll, fixture.x});
+  fixture.apply(plan);
+  fixture.collect(5710);
+  CHECK(fixture.manager.has_orders_in_doubt(at(5711)));
+}
+
+TEST_CASE("with many owners grants hold longer, once the state says so, and never shorter again") {
+  GrantOptions options;
+  options.hold_per_owner = milliseconds(3000);
+  Fixture fixture(options);
+  fixture.run(0, OrderEnd::kAccepted);
+  CHECK(fixture.grants.at(0).hold_time == options.hold_time);
+  const Duration wanted = fixture.manager.wanted_hold(fixture.state);
+  CHECK(wanted == milliseconds(3000));
+  fixture.apply(SetGrantTerms{{false, 3000}});
+  fixture.run(700, OrderEnd::kAccepted);
+  fixture.collect(1500);
+  REQUIRE(fixture.grants.size() == 1);
+  CHECK(fixture.grants[0].hold_time == milliseconds(3000));
+  fixture.apply(SetGrantTerms{{false, 8000}});
+  CHECK(fixture.manager.wanted_hold(fixture.state) == milliseconds(8000));
+
+  // A new leader waits for the longest that the one before may have given.
+  fixture.begin_move(kAll);
+  GrantManager next(options);
+  next.begin_term(at(9000), fixture.state);
+  fixture.manager = next;
+  fixture.collect(9000);
+  fixture.options.hold_time = milliseconds(8000);
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(9000) - 2));
+  CHECK(fixture.may_assign(fixture.end_of_hold(9000) + 1));
+}
+
 }  // namespace
 }  // namespace planktray::ownership
--- a/test/ownership/key_ranges_test.cpp
+++ b/test/ownership/key_ranges_test.cpp
@@ -73,6 +73,32 @@
   CHECK(ranges.record_of(100).owner == BackendId(0));
 }
 
+TEST_CASE("neighbours of one owner become one range under a new fence") {
+  KeyRangeMap ranges(Epoch(1));
+  REQUIRE(ranges.assign(LogIndex(2), KeyRange{0, 99}, Epoch(1), BackendId(7), "a"));
+  REQUIRE(ranges.assign(LogIndex(3), KeyRange{100, 199}, Epoch(1), BackendId(7), "b"));
+  REQUIRE(ranges.assign(LogIndex(4), KeyRange{200, 299}, Epoch(1), BackendId(8), ""));
+  SUBCASE("as a whole") {
+    CHECK(ranges.join(LogIndex(5), KeyRange{0, 199}, BackendId(7)));
+    CHECK(ranges.record_of(150).keys == KeyRange{0, 199});
+    CHECK(ranges.record_of(150).fence == Epoch(5));
+    CHECK(ranges.record_of(150).handover.empty());
+    CHECK(ranges.record_of(200).fence == Epoch(4));
+  }
+  SUBCASE("but not with another owner's, nor cut anywhere") {
+    CHECK_FALSE(ranges.join(LogIndex(5), KeyRange{0, 299}, BackendId(7)));
+    CHECK_FALSE(ranges.join(LogIndex(5), KeyRange{0, 150}, BackendId(7)));
+    CHECK_FALSE(ranges.join(LogIndex(5), KeyRange{50, 199}, BackendId(7)));
+    CHECK_FALSE(ranges.join(LogIndex(5), KeyRange{0, 199}, BackendId(8)));
+    CHECK(ranges.record_of(150).fence == Epoch(3));
+  }
+  SUBCASE("but not while one of them is moving") {
+    REQUIRE(ranges.begin_move(LogIndex(5), KeyRange{100, 199}, Epoch(3), BackendId(8)));
+    CHECK_FALSE(ranges.join(LogIndex(6), KeyRange{0, 199}, BackendId(7)));
+    CHECK(ranges.record_of(50).fence == Epoch(2));
+  }
+}
+
 TEST_CASE("keys outside the space are refused") {
   KeyRangeMap ranges(Epoch(1));
   CHECK_FALSE(
--- a/test/ownership/range_planner_test.cpp
+++ b/test/ownership/range_planner_test.cpp
@@ -51,8 +51,8 @@
     capacities[targets.back()] = capacity;
     return targets.back();
   }
-  ApplyRangePlan plan(bool balance) const {
-    RangePlannerInput input{state, loads, {}, {}, {}, balance};
+  ApplyRangePlan plan(bool balance, bool join = false) const {
+    RangePlannerInput input{state, loads, {}, {}, {}, balance, join};
     input.is_eligible = [&](const BackendRecord& backend) {
       return !backend.leaving && !ineligible.contains(backend.id);
     };
@@ -213,5 +213,37 @@
   CHECK(fixture.plan(true).empty());
 }
 
+TEST_CASE("neighbours of one owner are joined, those of two owners and moving ones are not") {
+  Fixture fixture(2);
+  const BackendId x = fixture.targets[0];
+  const BackendId y = fixture.targets[1];
+  const auto assign = [&](const KeyRange& keys, BackendId owner) {
+    ApplyRangePlan plan;
+    const Epoch fence =
+        fixture.state.routed_services().at(fixture.service).ranges.record_of(keys.first).fence;
+    plan.assignments.push_back({fixture.service, keys, fence, owner, ""});
+    fixture.apply(plan);
+  };
+  assign({0, 999}, x);
+  assign({1000, 1999}, x);
+  assign({2000, 2999}, y);
+  assign({3000, 3999}, x);
+  assign({4000, config::kKeyCount - 1}, x);
+  CHECK(fixture.plan(false, false).joins.empty());
+  const auto joins = fixture.plan(false, true).joins;
+  REQUIRE(joins.size() == 2);
+  CHECK(joins[0].keys == KeyRange{0, 1999});
+  CHECK(joins[0].owner == x);
+  CHECK(joins[1].keys == KeyRange{3000, config::kKeyCount - 1});
+
+  ApplyRangePlan move;
+  const Epoch fence = fixture.ranges().at(1000).fence;
+  move.moves.push_back({fixture.service, {1000, 1999}, fence, y});
+  fixture.apply(move);
+  for (const RangeJoin& join : fixture.plan(false, true).joins) {
+    CHECK_FALSE(join.keys.overlaps({0, 1999}));
+  }
+}
+
 }  // namespace
 }  // namespace planktray::ownership
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -211,5 +211,37 @@
   CHECK(fixture.core.is_drained());
 }
 
+TEST_CASE("hellos go to the leader alone while it answers, as seldom as it asks") {
+  Fixture fixture;
+  routing::TableUpdate update;
+  update.echo_clock_us = common::to_microseconds(at(10));
+  update.base_index = update.current_index = common::LogIndex(10);
+  update.hello_interval_ms = 400;
+  fixture.core.on_table_update(at(10), update);
+  fixture.tick(at(20));
+  int hellos = 0;
+  std::int64_t first_to_all = 0;
+  for (std::int64_t time = 21; time < 2500; time += 5) {
+    const RouterOutput output = fixture.tick(at(time));
+    hellos += output.hello.has_value() ? 1 : 0;
+    if (output.hello.has_value() && output.hello_to_all && first_to_all == 0) {
+      first_to_all = time;
+    }
+  }
+  CHECK(hellos >= 5);
+  CHECK(hellos <= 7);
+  // Three hellos without an answer: the leader may be another one now.
+  CHECK(first_to_all > 10 + 3 * 400 - 5);
+  CHECK(first_to_all < 10 + 4 * 400 + 5);
+}
+
+TEST_CASE("a router that has heard no leader says hello to all") {
+  RouterCore core(Fixture::options(), common::RandomEngine(1), at(0));
+  core.tick(at(1));
+  const RouterOutput output = core.take_output();
+  REQUIRE(output.hello.has_value());
+  CHECK(output.hello_to_all);
+}
+
 }  // namespace
 }  // namespace planktray::router
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -59,6 +59,7 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   int requests() const { return requests_; }
+  std::size_t connections() const { return open_.size(); }
 
  private:
   static gboolean on_incoming(GSocketService* /*service*/, GSocketConnection* connection,
@@ -185,6 +186,20 @@
   }
 }
 
+TEST_CASE("a connection that has rested for too long is not used") {
+  RawServer server(Behaviour::kSurplusLater);
+  HttpClient client(options_of_four());
+  HttpRequest request = request_for(server, "GET");
+  request.fresh_connection = false;
+  request.longest_rest = milliseconds(2000);
+  CHECK(send_and_wait(client, request).is_whole());
+  CHECK(send_and_wait(client, request).is_whole());  // rested 50 ms
+  CHECK(server.connections() == 1);
+  request.longest_rest = milliseconds(5);
+  CHECK(send_and_wait(client, request).is_whole());
+  CHECK(server.connections() == 2);
+}
+
 TEST_CASE("the same after an answered request left a connection that could be used again") {
   for (const std::string& method : kMethods) {
     CAPTURE(method);
