Simulator: the contract of fenced grants over many seeds, each safeguard taken away is caught

Ruled out: putting grants into the fleet's simulator first (its back ends hold leases by their own clock).

--- /dev/null
+++ b/src/sim/grant_world.cpp
@@ -0,0 +1,385 @@
+#include "sim/grant_world.hpp"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace planktray::sim {
+namespace {
+
+using common::BackendId;
+using common::Duration;
+using common::Epoch;
+using common::LogIndex;
+using common::TimePoint;
+using ownership::GrantOrder;
+using ownership::KeyRange;
+using ownership::OrderEnd;
+using ownership::OrderReply;
+using ownership::RangeRecord;
+using ownership::ReleaseOrder;
+using std::chrono::milliseconds;
+
+/// Keys are followed in blocks: every range of a run begins and ends at their borders.
+constexpr std::size_t kBlocks = 16;
+constexpr std::uint32_t kBlockKeys = config::kKeyCount / kBlocks;
+constexpr Duration kStep = milliseconds(5);
+constexpr double kSlowestClock = 0.98;
+/// The longest that an unanswered order stays under way before it is taken.
+constexpr std::uint64_t kLongestDelayMs = 12'000;
+constexpr Duration kGrantTimeout = milliseconds(500);
+constexpr Duration kReleaseTimeout = milliseconds(3000);
+constexpr Duration kConnectTimeout = milliseconds(400);
+
+/// One process that holds keys, as the platform's page describes it.
+struct Holder {
+  BackendId id;
+  std::string address;
+  bool up = true;
+  double clock_rate = 1.0;
+  TimePoint cut_until;
+  TimePoint late_until;
+  struct Block {
+    Epoch highest;  ///< fence seen
+    TimePoint held_until;
+  };
+  std::array<Block, kBlocks> blocks;
+};
+
+std::size_t first_block(const KeyRange& keys) { return keys.first / kBlockKeys; }
+std::size_t last_block(const KeyRange& keys) { return keys.last / kBlockKeys; }
+
+class GrantWorld {
+ public:
+  explicit GrantWorld(const GrantWorldOptions& options)
+      : options_(options), random_(options.seed), manager_(options.grant) {
+    start_service();
+    for (std::size_t i = 0; i < options_.holders; ++i) {
+      add_holder("10.0.0." + std::to_string(i + 1) + ":80");
+    }
+    lead();
+  }
+
+  GrantWorldResult run() {
+    while (now_ < TimePoint(options_.length)) {
+      now_ += kStep;
+      run_events();
+      make_trouble();
+      if (leads_) {
+        work();
+      }
+    }
+    return result_;
+  }
+
+ private:
+  bool has(GrantFault fault) const {
+    return std::find(options_.faults.begin(), options_.faults.end(), fault) !=
+           options_.faults.end();
+  }
+  /// True at a step about once in `every`.
+  bool strikes(GrantFault fault, Duration every) {
+    const double probability =
+        static_cast<double>(kStep.count()) / static_cast<double>(every.count());
+    return has(fault) && common::chance(random_, probability);
+  }
+  Duration between(std::uint64_t low_ms, std::uint64_t high_ms) {
+    return milliseconds(common::uniform(random_, low_ms, high_ms));
+  }
+  void at(TimePoint when, std::function<void()> event) { events_.emplace(when, std::move(event)); }
+  void run_events() {
+    while (!events_.empty() && events_.begin()->first <= now_) {
+      const auto event = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      event();
+    }
+  }
+
+  // ------------------------------------------------------------ the log
+
+  void apply(const ownership::Command& command) { state_.apply(LogIndex(++index_), command); }
+  /// Commits after a while; what a leader that has ended proposed may be lost.
+  void propose(ownership::Command command) {
+    proposing_ = true;
+    const std::uint64_t term = result_.leaders;
+    at(now_ + between(2, 30), [this, term, command = std::move(command)] {
+      if (term == result_.leaders) {
+        proposing_ = false;
+      }
+      if (term == result_.leaders || common::chance(random_, 0.5)) {
+        apply(command);
+      }
+    });
+  }
+  const ownership::KeyRangeMap& ranges() const {
+    return state_.routed_services().at(service_).ranges;
+  }
+  void start_service() {
+    config::RouteChange change;
+    change.version = 1;
+    change.replaces_all = true;
+    config::RoutedService keyed;
+    keyed.name = common::ServiceName("keyed");
+    keyed.keyed = true;
+    change.services.push_back(keyed);
+    apply(ownership::ChangeRoutes{change});
+    service_ = state_.routed_services().begin()->first;
+  }
+  void add_holder(const std::string& address) {
+    ownership::RegisterBackend registration;
+    const std::string name = "life-" + std::to_string(holders_.size() + 1);
+    registration.machine = common::MachineName(name);
+    registration.address = address;
+    registration.pool = common::PoolName("keyed");
+    registration.incarnation = common::Incarnation(name);
+    registration.contract = static_cast<std::uint8_t>(ownership::OwnershipContract::kFencedGrant);
+    apply(registration);
+    auto holder = std::make_unique<Holder>();
+    holder->id = BackendId(index_);
+    holder->address = address;
+    if (has(GrantFault::kSlowClocks)) {
+      holder->clock_rate = kSlowestClock + (1.0 - kSlowestClock) * common::uniform_real(random_);
+    }
+    holders_.push_back(std::move(holder));
+  }
+
+  // ------------------------------------------------------------ troubles
+
+  void lead() {
+    ++result_.leaders;
+    leads_ = true;
+    proposing_ = false;
+    manager_ = ownership::GrantManager(options_.grant);
+    manager_.begin_term(now_, state_);
+  }
+  void make_trouble() {
+    if (leads_ && strikes(GrantFault::kLeaderChanges, milliseconds(9000))) {
+      leads_ = false;
+      at(now_ + between(300, 1500), [this] { lead(); });
+    }
+    Holder& holder = *holders_[common::uniform(random_, 0, holders_.size() - 1)];
+    if (strikes(GrantFault::kCutHolders, milliseconds(4000))) {
+      holder.cut_until = now_ + between(500, 9000);
+    }
+    if (strikes(GrantFault::kLateOrders, milliseconds(5000))) {
+      holder.late_until = now_ + between(500, 6000);
+    }
+    if (holder.up && strikes(GrantFault::kRestarts, milliseconds(15'000))) {
+      holder.up = false;
+      at(now_ + between(500, 6000), [this, address = holder.address] { add_holder(address); });
+    }
+  }
+
+  // ------------------------------------------------------------ the leader
+
+  void work() {
+    std::vector<GrantOrder> grants;
+    std::vector<ReleaseOrder> releases;
+    manager_.collect(now_, state_, grants, releases);
+    for (const GrantOrder& order : grants) {
+      send(order, kGrantTimeout);
+    }
+    for (const ReleaseOrder& order : releases) {
+      send(order, kReleaseTimeout);
+    }
+    if (proposing_) {
+      return;
+    }
+    const ownership::GrantTerms terms{manager_.has_orders_in_doubt(now_), 0};
+    if (terms != state_.grant_terms()) {
+      return propose(ownership::SetGrantTerms{terms});
+    }
+    ownership::ApplyRangePlan plan = make_plan();
+    if (!plan.empty()) {
+      propose(plan);
+    }
+  }
+  BackendId any_holder() {
+    std::vector<BackendId> live;
+    for (const auto& holder : holders_) {
+      const ownership::BackendRecord* record = state_.find_backend(holder->id);
+      if (record != nullptr && !record->ended) {
+        live.push_back(holder->id);
+      }
+    }
+    return live.empty() ? BackendId() : live[common::uniform(random_, 0, live.size() - 1)];
+  }
+  /// Gives free keys to anybody, and begins to move some now and then.
+  ownership::ApplyRangePlan make_plan() {
+    ownership::ApplyRangePlan plan;
+    plan.moves = manager_.withdrawals(now_, state_);
+    const bool moves_some = plan.moves.empty() && common::chance(random_, 0.02);
+    for (const auto& [first, record] : ranges().records()) {
+      const auto verdict = manager_.may_assign(now_, state_, service_, record);
+      if (verdict.free) {
+        plan.assignments.push_back(
+            {service_, part_of(record.keys), record.fence, any_holder(), verdict.handover});
+      } else if (moves_some && !record.moving && common::chance(random_, 0.3)) {
+        plan.moves.push_back({service_, part_of(record.keys), record.fence, any_holder()});
+      }
+    }
+    if (plan.empty() && common::chance(random_, 0.005)) {
+      plan.joins = joinable();
+    }
+    result_.owners_changed += plan.assignments.size();
+    return plan;
+  }
+  KeyRange part_of(const KeyRange& keys) {
+    const std::size_t first = common::uniform(random_, first_block(keys), last_block(keys));
+    const std::size_t last = common::uniform(random_, first, last_block(keys));
+    return {static_cast<std::uint32_t>(first) * kBlockKeys,
+            static_cast<std::uint32_t>(last + 1) * kBlockKeys - 1};
+  }
+  std::vector<ownership::RangeJoin> joinable() const {
+    const auto& records = ranges().records();
+    for (auto next = records.begin(); next != records.end();) {
+      const RangeRecord& left = (next++)->second;
+      const bool joins = next != records.end() && left.owner.value != 0 && !left.moving &&
+                         !next->second.moving && next->second.owner == left.owner;
+      if (joins) {
+        return {{service_, {left.keys.first, next->second.keys.last}, left.owner}};
+      }
+    }
+    return {};
+  }
+
+  // ------------------------------------------------------------ orders
+
+  Holder* find_holder(BackendId id) {
+    const auto found = std::find_if(holders_.begin(), holders_.end(),
+                                    [id](const auto& holder) { return holder->id == id; });
+    return found == holders_.end() ? nullptr : found->get();
+  }
+  bool has_successor(const Holder& holder) const {
+    return std::any_of(holders_.begin(), holders_.end(), [&](const auto& other) {
+      return other->up && other->address == holder.address && other->id != holder.id;
+    });
+  }
+  void reply(TimePoint when, std::uint64_t id, const OrderReply& answer) {
+    const std::uint64_t term = result_.leaders;
+    at(when, [this, term, id, answer] {
+      if (term == result_.leaders && leads_) {
+        manager_.on_reply(now_, id, answer);
+      }
+    });
+  }
+  template <typename Order>
+  void send(const Order& order, Duration timeout) {
+    const Holder& holder = *find_holder(order.backend);
+    if (now_ < holder.cut_until || (!holder.up && !has_successor(holder))) {
+      return reply(now_ + kConnectTimeout, order.id, {OrderEnd::kNotSent, ""});
+    }
+    if (!holder.up) {
+      return reply(now_ + milliseconds(2), order.id, {OrderEnd::kGone, ""});
+    }
+    const bool is_late = now_ < holder.late_until;
+    const bool is_lost = has(GrantFault::kLostAnswers) && common::chance(random_, 0.02);
+    const Duration delay = is_late ? between(0, kLongestDelayMs) : between(1, 40);
+    const TimePoint sent = now_;
+    at(now_ + delay, [this, order, is_late, is_lost, sent, timeout] {
+      result_.taken_late += is_late ? 1 : 0;
+      const OrderReply answer = take(order);
+      if (!is_late && !is_lost) {
+        reply(now_ + between(1, 5), order.id, answer);
+      }
+    });
+    if (is_late || is_lost) {
+      reply(sent + timeout, order.id, {OrderEnd::kUnanswered, ""});
+    }
+  }
+  OrderReply take(const GrantOrder& order) {
+    Holder& holder = *find_holder(order.backend);
+    if (!holder.up) {
+      return {OrderEnd::kUnanswered, ""};
+    }
+    for (std::size_t i = first_block(order.keys); i <= last_block(order.keys); ++i) {
+      if (holder.blocks[i].highest > order.fence) {
+        return {OrderEnd::kFenced, ""};
+      }
+    }
+    ++result_.grants_taken;
+    const double hold = static_cast<double>(order.hold_time.count()) / holder.clock_rate;
+    for (std::size_t i = first_block(order.keys); i <= last_block(order.keys); ++i) {
+      judge(holder, i, order.fence);
+      holder.blocks[i] = {order.fence, now_ + Duration(static_cast<Duration::rep>(hold))};
+      taken_[i][holder.id] = std::max(taken_[i][holder.id], order.fence);
+    }
+    return {OrderEnd::kAccepted, ""};
+  }
+  OrderReply take(const ReleaseOrder& order) {
+    Holder& holder = *find_holder(order.backend);
+    if (!holder.up) {
+      return {OrderEnd::kUnanswered, ""};
+    }
+    ++result_.releases;
+    for (std::size_t i = first_block(order.keys); i <= last_block(order.keys); ++i) {
+      holder.blocks[i].highest = std::max(holder.blocks[i].highest, order.fence);
+      holder.blocks[i].held_until = now_;
+    }
+    return {OrderEnd::kAccepted, "handover"};
+  }
+
+  // ------------------------------------------------------------ the promises
+
+  void judge(const Holder& taker, std::size_t block, Epoch fence) {
+    const auto describe = [&](const char* what, BackendId other) {
+      result_.violations.push_back(
+          "at " + std::to_string(common::to_microseconds(now_) / 1000) + " ms holder " +
+          std::to_string(taker.id.value) + " takes block " + std::to_string(block) +
+          " under fence " + std::to_string(fence.value) + what + std::to_string(other.value));
+    };
+    for (const auto& other : holders_) {
+      if (other->id != taker.id && other->up && other->blocks[block].held_until > now_) {
+        describe(" while it is held by ", other->id);
+      }
+    }
+    for (const auto& [other, highest] : taken_[block]) {
+      if (other != taker.id && highest >= fence) {
+        describe(", not above that of ", other);
+      }
+    }
+  }
+
+  GrantWorldOptions options_;
+  common::RandomEngine random_;
+  TimePoint now_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  ownership::CellState state_;
+  std::uint64_t index_ = 0;
+  common::ServiceId service_;
+  ownership::GrantManager manager_;
+  bool leads_ = false;
+  bool proposing_ = false;
+  std::vector<std::unique_ptr<Holder>> holders_;
+  std::array<std::map<BackendId, Epoch>, kBlocks> taken_;
+  GrantWorldResult result_;
+};
+
+}  // namespace
+
+GrantWorldResult run_grant_world(const GrantWorldOptions& options) {
+  return GrantWorld(options).run();
+}
+
+const std::vector<GrantMutant>& all_grant_mutants() {
+  static const std::vector<GrantMutant> kMutants = {
+      {"no-wait-for-answered", "answered orders run out before keys pass on",
+       [](ownership::GrantOptions& options) { options.wait_for_answered = false; }},
+      {"no-wait-for-unanswered", "so do orders that may still be taken",
+       [](ownership::GrantOptions& options) { options.wait_for_unanswered = false; }},
+      {"no-grant-wait-after-election", "a new leader counts the orders of the one before",
+       [](ownership::GrantOptions& options) { options.wait_after_election = false; }},
+      {"release-with-old-fence", "a release refuses older orders that are under way",
+       [](ownership::GrantOptions& options) { options.release_with_new_fence = false; }},
+      {"trust-holder-clocks", "a holder's clock may be slow", [](ownership::GrantOptions& options) {
+         options.clock_error = 0;
+         options.margin = Duration(0);
+       }}};
+  return kMutants;
+}
+
+}  // namespace planktray::sim
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "sim/bench.hpp"
+#include "sim/grant_world.hpp"
 #include "sim/mutants.hpp"
 #include "sim/recorded.hpp"
 #include "sim/run.hpp"
@@ -385,6 +386,35 @@
   return violations.empty() ? kExitOk : kExitViolation;
 }
 
+/// Runs the grant contract over many seeds, or with a safeguard taken away until it is caught.
+int run_grants(const Arguments& arguments, const SeedRange& range) {
+  GrantWorldOptions options;
+  for (const GrantMutant& mutant : all_grant_mutants()) {
+    if (arguments.only == mutant.name) {
+      mutant.apply(options.grant);
+    }
+  }
+  std::uint64_t violated = 0;
+  GrantWorldResult sum;
+  for (options.seed = range.first; options.seed <= range.last; ++options.seed) {
+    const GrantWorldResult result = run_grant_world(options);
+    sum.grants_taken += result.grants_taken;
+    sum.taken_late += result.taken_late;
+    sum.releases += result.releases;
+    sum.owners_changed += result.owners_changed;
+    sum.leaders += result.leaders;
+    if (!result.violations.empty()) {
+      ++violated;
+      std::cout << "seed " << options.seed << ": " << result.violations.front() << '\n';
+    }
+  }
+  std::cout << range.last - range.first + 1 << " seeds, " << violated << " with a violation; "
+            << sum.grants_taken << " grants taken, " << sum.taken_late << " orders late, "
+            << sum.releases << " releases, " << sum.owners_changed << " changes of owner, "
+            << sum.leaders << " leaders\n";
+  return violated == 0 ? kExitOk : kExitViolation;
+}
+
 int main_with(int argc, char** argv) {
   CLI::App app{"Runs planktray under virtual time with faults and judges what happened"};
   app.require_subcommand(1);
@@ -424,6 +454,10 @@
   bench_command->add_option("--routers", arguments.routers, "Routers instead of today's");
   bench_command->add_option("--scale", arguments.scale, "Multiplies the targets");
   bench_command->add_flag("--json", arguments.as_json, "The output is always JSON");
+  CLI::App* grants = app.add_subcommand(
+      "grants", "Run the contract of fenced grants over many seeds; exits 1 on a violation");
+  grants->add_option("--seeds", arguments.seeds, "FIRST-LAST");
+  grants->add_option("--mutant", arguments.only, "Name of a safeguard to take away");
   RecordedFiles recorded;
   CLI::App* judge_command =
       app.add_subcommand("judge", "Check what a fleet of real processes recorded");
@@ -455,6 +489,9 @@
     std::cerr << range.error().describe() << '\n';
     return kExitInvalid;
   }
+  if (grants->parsed()) {
+    return run_grants(arguments, *range);
+  }
   return run_seeds(arguments, *options, *range);
 }
 
--- /dev/null
+++ b/test/sim/grant_world_test.cpp
@@ -0,0 +1,47 @@
+/// The grant contract over many seeds, and with each of its safeguards taken away.
+
+#include "sim/grant_world.hpp"
+
+#include <doctest/doctest.h>
+
+namespace planktray::sim {
+namespace {
+
+constexpr std::uint64_t kSeeds = 200;
+
+/// The first seed with a violation, 0 where there is none.
+std::uint64_t first_violation(GrantWorldOptions options, std::uint64_t seeds) {
+  for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+    const GrantWorldResult result = run_grant_world(options);
+    if (!result.violations.empty()) {
+      MESSAGE("seed ", options.seed, ": ", result.violations.front());
+      return options.seed;
+    }
+  }
+  return 0;
+}
+
+TEST_CASE("keys have one holder, whatever befalls orders, holders and leaders") {
+  CHECK(first_violation({}, kSeeds) == 0);
+}
+
+TEST_CASE("the runs hold what they are meant to try") {
+  const GrantWorldResult result = run_grant_world({});
+  CHECK(result.grants_taken > 500);
+  CHECK(result.taken_late > 20);
+  CHECK(result.releases > 20);
+  CHECK(result.owners_changed > 20);
+  CHECK(result.leaders > 3);
+}
+
+TEST_CASE("each safeguard of the grant contract taken away is caught") {
+  for (const GrantMutant& mutant : all_grant_mutants()) {
+    CAPTURE(mutant.name);
+    GrantWorldOptions options;
+    mutant.apply(options.grant);
+    CHECK(first_violation(options, kSeeds) > 0);
+  }
+}
+
+}  // namespace
+}  // namespace planktray::sim
