--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -126,7 +126,7 @@
   const Duration hold = grants_.wanted_hold(state);
   const bool is_default = hold == options_.grant.hold_time;
   const auto hold_ms = std::chrono::duration_cast<std::chrono::milliseconds>(hold).count();
-  return {grants_.has_orders_in_doubt(now), is_default ? 0U : static_cast<std::uint32_t>(hold_ms)};
+  return {grants_.holders_in_doubt(now), is_default ? 0U : static_cast<std::uint32_t>(hold_ms)};
 }
 
 TimePoint RangeController::next_due() const {
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -155,7 +155,8 @@
 
 /// What a new leader must know of the grants of the one before.
 struct GrantTerms {
-  bool in_doubt = false;      ///< orders may be under way that a back end takes late
+  /// Back ends that may take an order late, in the order of their ids.
+  std::vector<BackendId> in_doubt;
   std::uint32_t hold_ms = 0;  ///< the longest that a grant was given for; 0: the default
   bool operator==(const GrantTerms&) const = default;
   MSGPACK_DEFINE_ARRAY(in_doubt, hold_ms)
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -80,7 +80,8 @@
       holding.next_order = now;
       if (options_.wait_after_election) {
         holding.held_until = now + true_time(hold_);
-        if (state.grant_terms().in_doubt) {
+        const auto& in_doubt = state.grant_terms().in_doubt;
+        if (std::binary_search(in_doubt.begin(), in_doubt.end(), record.owner)) {
           holding.doubtful_until = now + options_.late_delivery + true_time(hold_);
         }
       }
@@ -415,13 +416,19 @@
   return {answered_ended && (none_in_doubt || !options_.wait_for_unanswered), ""};
 }
 
-bool GrantManager::has_orders_in_doubt(TimePoint now) const {
-  const bool one_is_late = std::any_of(orders_.begin(), orders_.end(), [&](const auto& item) {
-    return !item.second.is_release && now - item.second.sent >= options_.doubt_after;
-  });
-  return one_is_late || std::any_of(holdings_.begin(), holdings_.end(), [&](const auto& item) {
-           return item.second.doubtful_until > now && !item.second.released && !item.second.gone;
-         });
+std::vector<BackendId> GrantManager::holders_in_doubt(TimePoint now) const {
+  std::set<BackendId> doubtful;
+  for (const auto& [id, order] : orders_) {
+    if (!order.is_release && now - order.sent >= options_.doubt_after) {
+      doubtful.insert(order.backend);
+    }
+  }
+  for (const auto& [key, holding] : holdings_) {
+    if (holding.doubtful_until > now && !holding.released && !holding.gone) {
+      doubtful.insert(holding.owner);
+    }
+  }
+  return {doubtful.begin(), doubtful.end()};
 }
 
 }  // namespace planktray::ownership
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -12,8 +12,8 @@
 /// Every order goes on a connection of its own, so that one to a machine that is gone or cut off is
 /// known not to have been sent: the connection never comes up.
 /// A new leader does not know the orders of the one before: it takes all that may have been sent
-/// until its election as answered then; and where the state marks orders in doubt, one more of
-/// each as without an answer.
+/// until its election as answered then; and one more as without an answer at each back end that
+/// the state marks as in doubt.
 
 #include <cstdint>
 #include <map>
@@ -54,7 +54,7 @@
   /// A release without an answer is sent again beside the first after this time.
   Duration release_interval = std::chrono::milliseconds(400);
   /// An order that is under way for this long counts as in doubt.
-  Duration doubt_after = std::chrono::milliseconds(150);
+  Duration doubt_after = std::chrono::milliseconds(40);
   /// Safeguards; off only in mutants.
   bool wait_for_answered = true;       ///< wait until answered orders have run out
   bool wait_for_unanswered = true;     ///< wait until orders without an answer have run out
@@ -127,8 +127,8 @@
   };
   Verdict may_assign(TimePoint now, const CellState& state, ServiceId service,
                      const RangeRecord& record) const;
-  /// True where an order without an answer may still be taken.
-  bool has_orders_in_doubt(TimePoint now) const;
+  /// Back ends that may still take an order that they have not answered, in the order of their ids.
+  std::vector<BackendId> holders_in_doubt(TimePoint now) const;
   /// How long grants should hold for the owners there are; they hold as the state says.
   Duration wanted_hold(const CellState& state) const;
   /// When collect() or withdrawals() next has something to do.
--- a/src/sim/grant_world.cpp
+++ b/src/sim/grant_world.cpp
@@ -189,7 +189,7 @@
     if (proposing_) {
       return;
     }
-    const ownership::GrantTerms terms{manager_.has_orders_in_doubt(now_), 0};
+    const ownership::GrantTerms terms{manager_.holders_in_doubt(now_), 0};
     if (terms != state_.grant_terms()) {
       return propose(ownership::SetGrantTerms{terms});
     }
--- a/test/ownership/grant_manager_test.cpp
+++ b/test/ownership/grant_manager_test.cpp
@@ -149,7 +149,7 @@
   REQUIRE_FALSE(fixture.releases.empty());
   fixture.manager.on_reply(at(5830), fixture.releases[0].id, {OrderEnd::kAccepted, ""});
   CHECK(fixture.may_assign(5831));
-  CHECK_FALSE(fixture.manager.has_orders_in_doubt(at(5831)));
+  CHECK(fixture.manager.holders_in_doubt(at(5831)).empty());
 }
 
 TEST_CASE("a grant that is still under way is in doubt") {
@@ -157,8 +157,8 @@
   fixture.run(5000, OrderEnd::kAccepted);
   fixture.collect(5700);
   REQUIRE(fixture.grants.size() == 1);
-  CHECK_FALSE(fixture.manager.has_orders_in_doubt(at(5701)));
-  CHECK(fixture.manager.has_orders_in_doubt(at(5900)));
+  CHECK(fixture.manager.holders_in_doubt(at(5701)).empty());
+  CHECK(fixture.manager.holders_in_doubt(at(5900)) == std::vector{fixture.x});
   fixture.begin_move(kAll);
   CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(5001) + 1));
 }
@@ -202,7 +202,7 @@
     CHECK(fixture.may_assign(fixture.end_of_hold(9000) + 1));
   }
   SUBCASE("and orders in doubt where the state marks them") {
-    fixture.apply(SetGrantTerms{{true, 0}});
+    fixture.apply(SetGrantTerms{{{fixture.x}, 0}});
     next.begin_term(at(9000), fixture.state);
     fixture.manager = next;
     fixture.collect(9000);
@@ -303,7 +303,7 @@
   plan.joins.push_back({fixture.service, kAll, fixture.x});
   fixture.apply(plan);
   fixture.collect(5710);
-  CHECK(fixture.manager.has_orders_in_doubt(at(5711)));
+  CHECK(fixture.manager.holders_in_doubt(at(5711)) == std::vector{fixture.x});
 }
 
 TEST_CASE("with many owners grants hold longer, once the state says so, and never shorter again") {
@@ -314,12 +314,12 @@
   CHECK(fixture.grants.at(0).hold_time == options.hold_time);
   const Duration wanted = fixture.manager.wanted_hold(fixture.state);
   CHECK(wanted == milliseconds(3000));
-  fixture.apply(SetGrantTerms{{false, 3000}});
+  fixture.apply(SetGrantTerms{{{}, 3000}});
   fixture.run(700, OrderEnd::kAccepted);
   fixture.collect(1500);
   REQUIRE(fixture.grants.size() == 1);
   CHECK(fixture.grants[0].hold_time == milliseconds(3000));
-  fixture.apply(SetGrantTerms{{false, 8000}});
+  fixture.apply(SetGrantTerms{{{}, 8000}});
   CHECK(fixture.manager.wanted_hold(fixture.state) == milliseconds(8000));
 
   // A new leader waits for the longest that the one before may have given.
