--- /dev/null
+++ b/bench/leader_load.cpp
@@ -0,0 +1,183 @@
+#include "leader_load.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "controller/core/controller_core.hpp"
+
+namespace planktray::bench {
+namespace {
+
+using common::TimePoint;
+using controller::ControllerCore;
+using std::chrono::milliseconds;
+
+constexpr auto kStep = milliseconds(1);
+constexpr std::uint32_t kBusyKeys = 200;
+constexpr std::uint32_t kBusyKeysEvery = 7;  ///< distance between two of them
+constexpr std::uint32_t kHeartbeatMs = 1300;
+constexpr std::uint32_t kBusySeconds = 5;  ///< the busy keys change this often
+
+/// A cell of one replica whose disk and back ends answer at once.
+class LeaderWorld {
+ public:
+  explicit LeaderWorld(const LeaderLoad& load)
+      : load_(load),
+        core_(options(), common::ReplicaId(1), {}, common::RandomEngine(1), now_),
+        random_(2) {
+    consensus::Membership members;
+    members.members.push_back({common::ReplicaId(1), "one", "10.0.0.1:1", "10.0.0.1:2", true});
+    (void)core_.create_cell(now_, members);
+    carry_out();
+  }
+
+  LeaderCost run() {
+    run_for(milliseconds(1000));
+    start_service();
+    run_for(std::chrono::seconds(load_.seconds));
+    orders_ = tables_ = 0;
+    const auto entries = core_.counters().entries_applied;
+    spent_ = {};
+    run_for(std::chrono::seconds(load_.seconds));
+    LeaderCost cost;
+    const double seconds = load_.seconds;
+    cost.core_share = std::chrono::duration<double>(spent_).count() / seconds;
+    cost.orders = static_cast<double>(orders_) / seconds;
+    cost.tables = static_cast<double>(tables_) / seconds;
+    cost.entries = static_cast<double>(core_.counters().entries_applied - entries) / seconds;
+    cost.ranges = core_.ranges().grants().holdings();
+    return cost;
+  }
+
+ private:
+  static controller::ControllerOptions options() {
+    controller::ControllerOptions options;
+    options.admits_anyone = true;
+    options.wanted_voters = 1;
+    return options;
+  }
+  void start_service() {
+    config::RouteChange change;
+    change.version = 1;
+    change.replaces_all = true;
+    for (const bool keyed : {true, false}) {
+      config::RoutedService service;
+      service.name = common::ServiceName(keyed ? "keyed" : "free");
+      service.keyed = keyed;
+      change.services.push_back(service);
+    }
+    core_.change_routes(now_, core_.new_request(), change);
+    carry_out();
+    service_ = core_.state().routed_services().begin()->first;
+  }
+  void run_for(common::Duration length) {
+    const TimePoint end = now_ + length;
+    while (now_ < end) {
+      now_ += kStep;
+      heartbeats();
+      hellos();
+      timed([&] {
+        if (now_ >= due_) {
+          core_.tick(now_);
+        }
+      });
+      carry_out();
+    }
+  }
+  template <typename Work>
+  void timed(const Work& work) {
+    const auto begin = std::chrono::steady_clock::now();
+    work();
+    spent_ += std::chrono::steady_clock::now() - begin;
+  }
+  std::int64_t time_ms() const { return common::to_microseconds(now_) / 1000; }
+  /// True at the millisecond of an interval that is this one's.
+  bool is_turn(std::uint32_t which, std::uint32_t interval_ms) const {
+    return time_ms() % interval_ms == which % interval_ms;
+  }
+  void heartbeats() {
+    for (std::uint32_t i = 0; i < load_.holders + load_.others; ++i) {
+      if (!is_turn(i * 13, kHeartbeatMs)) {
+        continue;
+      }
+      controller::Heartbeat heartbeat;
+      heartbeat.incarnation = common::Incarnation("i-" + std::to_string(i));
+      heartbeat.address = "10.1.0." + std::to_string(i) + ":80";
+      heartbeat.service = i < load_.holders ? "keyed" : "free";
+      heartbeat.slots = 2;
+      heartbeat.sequence = static_cast<std::uint64_t>(time_ms());
+      timed([&] { core_.heartbeat(now_, core_.new_request(), heartbeat); });
+      carry_out();
+    }
+  }
+  std::uint32_t any_key() {
+    if (common::chance(random_, 0.5)) {
+      return static_cast<std::uint32_t>(common::uniform(random_, 0, config::kKeyCount - 1));
+    }
+    const auto offset = static_cast<std::uint32_t>(time_ms() / 1000 / kBusySeconds) * 9'000;
+    const auto busy = static_cast<std::uint32_t>(common::uniform(random_, 0, kBusyKeys - 1));
+    return (offset + busy * kBusyKeysEvery) % config::kKeyCount;
+  }
+  void hellos() {
+    if (!service_.value) {
+      return;
+    }
+    const std::uint32_t interval = std::max(250U, load_.routers * 8);
+    for (std::uint32_t i = 0; i < load_.routers; ++i) {
+      if (!is_turn(i * 7, interval)) {
+        continue;
+      }
+      routing::RouterHello hello;
+      hello.router = common::RouterName("router-" + std::to_string(i));
+      hello.clock_us = common::to_microseconds(now_);
+      hello.table_index = core_.state().applied();
+      hello.serving = true;
+      for (std::uint32_t n = load_.requests * interval / 1000 / load_.routers; n > 0; --n) {
+        hello.key_loads.push_back({service_, any_key(), 1});
+      }
+      timed([&] { core_.on_router_hello(now_, hello); });
+      carry_out();
+    }
+  }
+  void carry_out() {
+    while (true) {
+      controller::ControllerOutput output = core_.take_output();
+      if (output.empty()) {
+        due_ = core_.next_due(now_);
+        return;
+      }
+      orders_ += output.grants.size() + output.key_releases.size();
+      tables_ += output.tables.size();
+      for (const consensus::PersistRequest& request : output.persist) {
+        timed([&] { core_.on_persisted(now_, request.sequence); });
+      }
+      const auto answer = [&](ownership::OrderId id) {
+        timed([&] { core_.on_order_reply(now_, id, {ownership::OrderEnd::kAccepted, ""}); });
+      };
+      for (const ownership::GrantOrder& order : output.grants) {
+        answer(order.id);
+      }
+      for (const ownership::ReleaseOrder& order : output.key_releases) {
+        answer(order.id);
+      }
+    }
+  }
+
+  LeaderLoad load_;
+  TimePoint now_ = common::from_microseconds(1'000'000'000);
+  ControllerCore core_;
+  TimePoint due_;
+  common::RandomEngine random_;
+  common::ServiceId service_;
+  std::chrono::steady_clock::duration spent_{};
+  std::uint64_t orders_ = 0;
+  std::uint64_t tables_ = 0;
+};
+
+}  // namespace
+
+LeaderCost measure_leader(const LeaderLoad& load) { return LeaderWorld(load).run(); }
+
+}  // namespace planktray::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -6,13 +6,28 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "leader_load.hpp"
 #include "slopes.hpp"
 
 int main(int argc, char** argv) {
   CLI::App app("Slopes of state, processor time and bytes against size");
   bool as_json = false;
   app.add_flag("--json", as_json, "Print JSON");
+  CLI::App* leader = app.add_subcommand("leader", "Cost of a leader's decisions about key ranges");
+  planktray::bench::LeaderLoad load;
+  leader->add_option("--holders", load.holders, "Back ends of the service divided by key");
+  leader->add_option("--others", load.others, "Back ends of other services");
+  leader->add_option("--routers", load.routers, "Routers")->check(CLI::PositiveNumber);
+  leader->add_option("--requests", load.requests, "Keyed requests a second");
+  leader->add_option("--seconds", load.seconds, "Simulated seconds measured");
   CLI11_PARSE(app, argc, argv);
+  if (leader->parsed()) {
+    const auto cost = planktray::bench::measure_leader(load);
+    std::printf("core share %.4f, orders/s %.1f, tables/s %.1f, entries/s %.1f, ranges %llu\n",
+                cost.core_share, cost.orders, cost.tables, cost.entries,
+                static_cast<unsigned long long>(cost.ranges));
+    return 0;
+  }
   const auto slopes = planktray::bench::measure_slopes();
   nlohmann::json body = nlohmann::json::array();
   for (const auto& slope : slopes) {
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -162,6 +162,7 @@
   const consensus::RaftNode& raft() const { return raft_; }
   const ownership::CellState& state() const { return state_; }
   const ownership::LeaseManager& leases() const { return leases_; }
+  const RangeController& ranges() const { return ranges_; }
   const TableDistributor& distributor() const { return distributor_; }
   const membership::MachineList& machines() const { return machines_; }
   const ControllerCounters& counters() const { return counters_; }
