Grants go out a few at a time; bookkeeping of grants costs less; balance keeps the number of ranges in bounds

(3) Ranges only became more: clusters are cut out of ranges and rarely join again. Change: at most 24 grants under way, the longest due first; an answer looks at its own ranges only; at most four ranges for each target, idle keys between two ranges of one owner go back to it; hellos go to all after two intervals without an answer. An order without an answer counts its late delivery from when it was given up, as it may have waited.

--- a/bench/leader_load.cpp
+++ b/bench/leader_load.cpp
@@ -70,7 +70,9 @@
     }
     core_.change_routes(now_, core_.new_request(), change);
     carry_out();
-    service_ = core_.state().routed_services().begin()->first;
+    for (const auto& [id, service] : core_.state().routed_services()) {
+      service_ = service.config.keyed ? id : service_;
+    }
   }
   void run_for(common::Duration length) {
     const TimePoint end = now_ + length;
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -75,12 +75,13 @@
                                                           const CellState& state) const {
   std::vector<common::BackendId> gone;
   for (const auto& [id, backend] : state.backends()) {
-    if (!backend.has_contract(OwnershipContract::kFencedGrant) || state.owns_keys(id)) {
+    if (!backend.has_contract(OwnershipContract::kFencedGrant)) {
       continue;
     }
-    const bool silent = heartbeats_.is_silent(now, backend.incarnation);
-    if (backend.ended || (backend.leaving && silent) ||
-        heartbeats_.is_forgotten(now, backend.incarnation)) {
+    const bool is_gone = backend.ended ||
+                         (backend.leaving && heartbeats_.is_silent(now, backend.incarnation)) ||
+                         heartbeats_.is_forgotten(now, backend.incarnation);
+    if (is_gone && !state.owns_keys(id)) {
       gone.push_back(id);
     }
   }
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -52,11 +52,7 @@
 }
 
 Duration GrantManager::wanted_hold(const CellState& state) const {
-  std::set<BackendId> owners;
-  for (const auto& [key, holding] : holdings_) {
-    owners.insert(holding.owner);
-  }
-  const Duration wanted = options_.hold_per_owner * static_cast<std::int64_t>(owners.size());
+  const Duration wanted = options_.hold_per_owner * static_cast<std::int64_t>(owners_);
   // A hold that was used once may still be running somewhere: it never shrinks.
   return std::clamp(wanted, std::max<Duration>(options_.hold_time, state.grant_terms().hold()),
                     options_.longest_hold_time);
@@ -66,6 +62,7 @@
   active_ = true;
   holdings_.clear();
   orders_.clear();
+  grants_under_way_ = 0;
   rounds_.clear();
   synced_ = LogIndex();
   next_due_ = now;
@@ -112,6 +109,11 @@
       holdings_[key] = holding;
     }
   }
+  std::set<BackendId> owners;
+  for (const auto& [key, holding] : holdings_) {
+    owners.insert(holding.owner);
+  }
+  owners_ = owners.size();
   std::erase_if(rounds_,
                 [&](const auto& item) { return state.find_backend(item.first) == nullptr; });
 }
@@ -196,12 +198,16 @@
   order.sent = now;
   order.hold = hold_;
   orders_[id] = order;
+  ++grants_under_way_;
   outgoing.grants.push_back({id, backend.id, backend.address, backend.incarnation, order.keys,
                              order.fence, hold_, handover});
 }
 
 void GrantManager::send_first_grants(TimePoint now, const CellState& state, Outgoing& outgoing) {
   for (auto& [key, holding] : holdings_) {
+    if (!may_send_more()) {
+      return;  // the next answer makes room
+    }
     const bool is_due = !holding.established && !holding.moving && !holding.gone &&
                         holding.grants_under_way == 0 && now >= holding.next_order;
     if (!is_due || holding.refused) {
@@ -219,10 +225,40 @@
   }
 }
 
+std::set<BackendId> GrantManager::due_rounds(TimePoint now) {
+  std::map<BackendId, std::size_t> ranges;
+  for (const auto& [key, holding] : holdings_) {
+    if (holding.is_renewed()) {
+      ++ranges[holding.owner];
+    }
+  }
+  std::vector<std::pair<TimePoint, BackendId>> due;
+  for (const auto& [backend, count] : ranges) {
+    const Round& round = rounds_[backend];
+    if (round.under_way == 0 && now >= round.next) {
+      due.emplace_back(round.next, backend);
+    }
+  }
+  std::sort(due.begin(), due.end());
+  std::set<BackendId> chosen;
+  std::size_t grants = grants_under_way_;
+  for (const auto& [since, backend] : due) {
+    if (grants >= options_.grants_under_way) {
+      break;  // the next answer makes room
+    }
+    chosen.insert(backend);
+    grants += ranges[backend];
+  }
+  return chosen;
+}
+
 void GrantManager::send_rounds(TimePoint now, const CellState& state, Outgoing& outgoing) {
-  std::set<BackendId> due;
+  const std::set<BackendId> due = due_rounds(now);
+  if (due.empty()) {
+    return;
+  }
   for (auto& [key, holding] : holdings_) {
-    if (!holding.is_renewed()) {
+    if (!holding.is_renewed() || !due.contains(holding.owner)) {
       continue;
     }
     const BackendRecord* backend = running_backend(state, holding.owner);
@@ -231,12 +267,6 @@
       continue;
     }
     Round& round = rounds_[holding.owner];
-    if (round.under_way == 0 && now >= round.next) {
-      due.insert(holding.owner);
-    }
-    if (!due.contains(holding.owner)) {
-      continue;
-    }
     round.next = now + renewal_interval();
     ++round.under_way;
     ++holding.grants_under_way;
@@ -289,8 +319,8 @@
     if (holding.released || holding.gone) {
       continue;
     }
-    const bool waits_for_order =
-        holding.moving || (!holding.established && holding.grants_under_way == 0);
+    const bool is_ungranted = !holding.established && holding.grants_under_way == 0;
+    const bool waits_for_order = holding.moving || (is_ungranted && may_send_more());
     if (waits_for_order && !holding.refused) {
       next_due_ = std::min(next_due_, holding.next_order);
     }
@@ -299,7 +329,7 @@
     next_due_ = turn > now ? std::min(next_due_, turn) : next_due_;
   }
   for (const auto& [backend, round] : rounds_) {
-    if (round.under_way == 0) {
+    if (round.under_way == 0 && may_send_more()) {
       next_due_ = std::min(next_due_, round.next);
     }
   }
@@ -314,10 +344,17 @@
     return std::nullopt;
   }
   const Order order = found->second;
+  const bool made_room = !may_send_more();
   orders_.erase(found);
-  for (auto& [key, holding] : holdings_) {
-    const bool concerned = key.service == order.service && key.fence <= order.fence &&
-                           key.keys.overlaps(order.keys) && holding.owner == order.backend;
+  grants_under_way_ -= order.is_release ? 0 : 1;
+  for (auto item = first_holding_at(order);
+       item != holdings_.end() && item->first.service == order.service &&
+       item->first.keys.first <= order.keys.last;
+       ++item) {
+    const HoldingKey& key = item->first;
+    Holding& holding = item->second;
+    const bool concerned =
+        key.fence <= order.fence && key.keys.overlaps(order.keys) && holding.owner == order.backend;
     if (!concerned) {
       continue;
     }
@@ -337,10 +374,21 @@
           std::min(round->second.next, std::max(now, order.sent + options_.retry_interval));
     }
   }
-  next_due_ = now;
+  const bool changes_nothing_else =
+      order.is_round && reply.end == OrderEnd::kAccepted && !made_room;
+  next_due_ = changes_nothing_else ? std::min(next_due_, round->second.next) : now;
   return order.backend;
 }
 
+GrantManager::Holdings::iterator GrantManager::first_holding_at(const Order& order) {
+  // Ranges of one service do not overlap: the one that holds the first key, or the next.
+  auto found = holdings_.lower_bound({order.service, {order.keys.first, 0}, Epoch()});
+  if (found != holdings_.begin() && std::prev(found)->first.service == order.service) {
+    --found;
+  }
+  return found;
+}
+
 void GrantManager::take_grant_reply(TimePoint now, const Order& order, const OrderReply& reply,
                                     const HoldingKey& key, Holding& holding) const {
   switch (reply.end) {
@@ -353,8 +401,9 @@
       }
       break;
     case OrderEnd::kUnanswered:
-      holding.doubtful_until = std::max(
-          holding.doubtful_until, order.sent + options_.late_delivery + true_time(order.hold));
+      // It may have waited for others before it was sent.
+      holding.doubtful_until =
+          std::max(holding.doubtful_until, now + options_.late_delivery + true_time(order.hold));
       holding.next_order = std::max(now, order.sent + options_.retry_interval);
       break;
     case OrderEnd::kFenced:
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,17 +37,20 @@
   Duration hold_time = std::chrono::milliseconds(2500);
   /// Beyond a certain number of owners, grants hold longer by this much for each, so that the
   /// renewals a second stay bounded; never longer than `longest_hold_time`.
-  Duration hold_per_owner = std::chrono::milliseconds(48);
+  Duration hold_per_owner = std::chrono::milliseconds(64);
   Duration longest_hold_time = std::chrono::milliseconds(9000);
   /// A grant is renewed so many times within its hold.
   std::int64_t renewals_per_hold = 4;
+  /// Grants under way at once: a new leader has as many to send as there are ranges, and must not
+  /// let them wait for each other until they time out.
+  std::size_t grants_under_way = 24;
   /// An order without an answer is repeated after this time.
   Duration retry_interval = std::chrono::milliseconds(200);
   /// A holder's clock may run slow by this fraction.
   double clock_error = 0.02;
   /// Added to every wait, for what the fraction does not cover.
   Duration margin = std::chrono::milliseconds(30);
-  /// An order without an answer may be taken this much after it was sent.
+  /// An order without an answer may be taken this much after it was given up.
   Duration late_delivery = std::chrono::milliseconds(12'500);
   /// A holder that cannot be renewed loses its requests this long before its grant ends.
   Duration withdraw_before_end = std::chrono::milliseconds(100);
@@ -190,6 +194,9 @@
                          const RangeRecord& record, const Holdings& before) const;
   void send_first_grants(TimePoint now, const CellState& state, Outgoing& outgoing);
   void send_rounds(TimePoint now, const CellState& state, Outgoing& outgoing);
+  /// Back ends whose renewals are due, as many as may go out now, the longest due first.
+  std::set<BackendId> due_rounds(TimePoint now);
+  bool may_send_more() const { return grants_under_way_ < options_.grants_under_way; }
   void send_releases(TimePoint now, const CellState& state, Outgoing& outgoing);
   /// The end of the run of keys that begins with `first`: neighbours of one owner for which
   /// `joins` holds.
@@ -198,6 +205,8 @@
   void send_grant(TimePoint now, const BackendRecord& backend, Order order,
                   const std::string& handover, Outgoing& outgoing);
   void find_next_due(TimePoint now);
+  /// The first holding that may concern the order.
+  Holdings::iterator first_holding_at(const Order& order);
   void take_grant_reply(TimePoint now, const Order& order, const OrderReply& reply,
                         const HoldingKey& key, Holding& holding) const;
   void take_release_reply(TimePoint now, const OrderReply& reply, Holding& holding) const;
@@ -210,6 +219,8 @@
   Holdings holdings_;
   std::map<BackendId, Round> rounds_;
   std::map<OrderId, Order> orders_;
+  std::size_t grants_under_way_ = 0;  ///< of orders_
+  std::size_t owners_ = 0;            ///< back ends that hold something
   OrderId next_order_ = 1;
 };
 
--- a/src/ownership/range_planner.cpp
+++ b/src/ownership/range_planner.cpp
@@ -27,6 +27,7 @@
       balance(work, plan);
     }
     if (input.join) {
+      close_gaps(work, plan);
       join_neighbours(work, plan);
     }
   }
@@ -122,6 +123,31 @@
   std::erase_if(work.segments(), [host](const Segment& segment) { return segment.owner == host; });
 }
 
+void RangePlanner::close_gaps(Workspace& work, ApplyRangePlan& plan) const {
+  const auto& records = work.service().ranges.records();
+  if (records.size() < 3) {
+    return;
+  }
+  const double idle = options_.smallest_gain * work.level() / 2;
+  for (auto gap = std::next(records.begin()); std::next(gap) != records.end(); ++gap) {
+    const RangeRecord& before = std::prev(gap)->second;
+    const RangeRecord& after = std::next(gap)->second;
+    const RangeRecord& record = gap->second;
+    const bool is_between = before.owner == after.owner && record.owner != before.owner &&
+                            record.owner.value != 0 && work.is_target(before.owner);
+    const bool is_moving = before.moving || after.moving || record.moving;
+    const bool is_planned =
+        std::any_of(plan.moves.begin(), plan.moves.end(), [&](const RangeMove& move) {
+          return move.service == work.service().id &&
+                 move.keys.overlaps({before.keys.first, after.keys.last});
+        });
+    if (is_between && !is_moving && !is_planned && work.load(record.keys) <= idle &&
+        work.moving() < options_.concurrent_moves) {
+      work.move(plan, record.keys, record.fence, record.owner, before.owner);
+    }
+  }
+}
+
 void RangePlanner::join_neighbours(const Workspace& work, ApplyRangePlan& plan) const {
   const auto& records = work.service().ranges.records();
   const auto may_join = [&](const RangeRecord& record) {
@@ -153,7 +179,9 @@
   const double level = work.level();
   const double noise = options_.noise_factor * std::sqrt(level * options_.noise_rate);
   const double limit = level + std::max(level * (options_.max_imbalance - 1.0), noise);
-  while (work.moving() < options_.concurrent_moves && work.targets().size() > 1) {
+  const std::size_t most_ranges = options_.ranges_per_target * work.targets().size();
+  while (work.moving() < options_.concurrent_moves && work.targets().size() > 1 &&
+         work.service().ranges.records().size() + work.moving() < most_ranges) {
     const auto heaviest = work.heaviest();
     const auto lightest = work.lightest();
     const bool is_heavy = heaviest->second.utilization() > limit;
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -30,6 +30,8 @@
   double faster_by = 1.2;
   /// Ranges that may be moving at once in one service for balance to move more.
   std::uint32_t concurrent_moves = 16;
+  /// Ranges for each target beyond which balance splits no more: each costs renewals.
+  std::uint32_t ranges_per_target = 4;
 };
 
 struct RangePlannerInput {
@@ -61,6 +63,8 @@
   /// Moves all keys but `key` off the target that hosts it.
   void empty_host(Workspace& work, ApplyRangePlan& plan, BackendId host, const KeyRange& key) const;
   void balance(Workspace& work, ApplyRangePlan& plan) const;
+  /// Gives idle keys between two ranges of one owner to that owner, so that all become one range.
+  void close_gaps(Workspace& work, ApplyRangePlan& plan) const;
   /// Fewer ranges cost fewer renewals.
   void join_neighbours(const Workspace& work, ApplyRangePlan& plan) const;
 
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -14,7 +14,7 @@
 /// Told to callers whose request cannot run before a table or an owner is there.
 constexpr Duration kRetryAfterUnavailable = std::chrono::milliseconds(1000);
 /// After so many hellos without an answer, every controller is asked.
-constexpr int kHellosWithoutAnswer = 3;
+constexpr int kHellosWithoutAnswer = 2;
 /// Weight of a new observation in the smoothed latency of a target.
 constexpr int kLatencyDivisor = 8;
 /// Share that a target starts with.
--- a/test/ownership/range_planner_test.cpp
+++ b/test/ownership/range_planner_test.cpp
@@ -245,5 +245,49 @@
   }
 }
 
+TEST_CASE("idle keys between two ranges of one owner go back to it, busy ones stay") {
+  Fixture fixture(2);
+  const BackendId x = fixture.targets[0];
+  const BackendId y = fixture.targets[1];
+  const auto assign = [&](const KeyRange& keys, BackendId owner) {
+    ApplyRangePlan plan;
+    const Epoch fence =
+        fixture.state.routed_services().at(fixture.service).ranges.record_of(keys.first).fence;
+    plan.assignments.push_back({fixture.service, keys, fence, owner, ""});
+    fixture.apply(plan);
+  };
+  assign({0, 29'999}, x);
+  assign({30'000, config::kKeyCount - 1}, y);
+  assign({1000, 1009}, y);
+  assign({2000, 2009}, y);
+  for (int i = 0; i < 5; ++i) {
+    fixture.report(2000, 2009, 5);  // busy now
+    fixture.report(10'000, 10'049, 1);
+    fixture.report(40'000, 40'099, 1);
+    fixture.fold();
+  }
+  const ApplyRangePlan plan = fixture.plan(false, true);
+  REQUIRE(plan.moves.size() == 1);
+  CHECK(plan.moves[0].keys == KeyRange{1000, 1009});
+  CHECK(plan.moves[0].to == x);
+  for (const RangeJoin& join : plan.joins) {
+    CHECK_FALSE(join.keys.overlaps({0, 1999}));
+  }
+}
+
+TEST_CASE("balance splits no more ranges than targets can be renewed for") {
+  Fixture fixture(6);
+  fixture.settle(false);
+  for (std::uint32_t turn = 0; turn < 30; ++turn) {
+    const std::uint32_t first = turn * 2000;
+    for (int i = 0; i < 4; ++i) {
+      fixture.report(first, first + 40, 10);
+      fixture.fold();
+    }
+    fixture.settle(true);
+  }
+  CHECK(fixture.ranges().size() <= 6 * 4 + 2);
+}
+
 }  // namespace
 }  // namespace planktray::ownership
