Table updates lead on from the last one sent; no acknowledgement between them

Change: transport keeps the order, so an update leads on from the last one sent; a router that lacks one says so at once, and a hello that still has an older table 250 ms later has it sent again.

--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -29,6 +29,11 @@
 
 void TableDistributor::on_hello(common::TimePoint now, const routing::RouterHello& hello) {
   Subscriber& subscriber = subscribers_[hello.router];
+  const bool is_lost =
+      !subscriber.sent_at.has_value() || now - *subscriber.sent_at >= options_.resend;
+  if (hello.table_index < subscriber.sent && is_lost) {
+    subscriber.sent = hello.table_index;
+  }
   if (hello.table_index.value > 0 && subscriber.snapshot_under_way &&
       hello.table_index > subscriber.view.table_index) {
     subscriber.snapshot_under_way = false;
@@ -70,7 +75,7 @@
                                                            Subscriber& subscriber,
                                                            std::uint32_t rank) {
   const common::LogIndex newest = deltas_.empty() ? common::LogIndex() : deltas_.back().to;
-  const common::LogIndex have = subscriber.view.table_index;
+  const common::LogIndex have = std::max(subscriber.view.table_index, subscriber.sent);
   const bool waiting = is_waiting(now, subscriber);
   const bool has_news = have < newest && !waiting;
   if (!subscriber.hello_pending && !has_news) {
@@ -102,9 +107,12 @@
     update.deltas.push_back(state.table_snapshot());
     subscriber.snapshot_under_way = true;
   }
+  if (!update.deltas.empty()) {
+    subscriber.sent = update.current_index;
+    subscriber.sent_at = now;
+  }
   subscriber.hello_pending = false;
   subscriber.next_news = now + interval_for(options_.updates_per_second);
-  subscriber.sent_at = update.deltas.empty() ? std::nullopt : std::optional(now);
   return OutgoingTable{name, std::move(update)};
 }
 
@@ -115,16 +123,14 @@
 }
 
 bool TableDistributor::is_waiting(common::TimePoint now, const Subscriber& subscriber) const {
-  const common::Duration patience =
-      subscriber.snapshot_under_way ? options_.resend_snapshot : options_.resend;
-  return subscriber.sent_at.has_value() && now - *subscriber.sent_at < patience;
+  return subscriber.snapshot_under_way && subscriber.sent_at.has_value() &&
+         now - *subscriber.sent_at < options_.resend_snapshot;
 }
 
 std::size_t TableDistributor::snapshots_under_way(common::TimePoint now) const {
   return static_cast<std::size_t>(
-      std::count_if(subscribers_.begin(), subscribers_.end(), [&](const auto& item) {
-        return item.second.snapshot_under_way && is_waiting(now, item.second);
-      }));
+      std::count_if(subscribers_.begin(), subscribers_.end(),
+                    [&](const auto& item) { return is_waiting(now, item.second); }));
 }
 
 std::deque<routing::TableDelta>::const_iterator TableDistributor::first_after(
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -23,8 +23,9 @@
   common::Duration table_lease = std::chrono::milliseconds(3000);
   /// Covers clock rate drift over one table lease.
   common::Duration margin = std::chrono::milliseconds(150);
-  /// An update without an acknowledgement for this long counts as lost.
-  common::Duration resend = std::chrono::milliseconds(500);
+  /// Updates arrive in order, so the next one leads on from the last sent; a hello that still has
+  /// an older table this long after it shows that one was lost.
+  common::Duration resend = std::chrono::milliseconds(250);
   /// A snapshot may take this long before it counts as lost: many routers may want one at once.
   common::Duration resend_snapshot = std::chrono::milliseconds(5000);
   /// Snapshots under way at once; the other routers wait without a table.
@@ -87,6 +88,7 @@
     std::int64_t clock_us = 0;
     bool hello_pending = false;  ///< a hello waits for its answer
     std::optional<common::TimePoint> sent_at;
+    common::LogIndex sent;        ///< what was sent leads to this index
     common::TimePoint next_news;  ///< not before this, unless a hello is answered
     bool snapshot_under_way = false;
   };
@@ -97,6 +99,7 @@
   /// True where deltas lead from `have` to the present table.
   bool deltas_reach(common::LogIndex have, const ownership::CellState& state) const;
   std::deque<routing::TableDelta>::const_iterator first_after(common::LogIndex have) const;
+  /// True while a snapshot may still be under way to the router.
   bool is_waiting(common::TimePoint now, const Subscriber& subscriber) const;
   /// Time that all routers together have for `per_second` messages each of them gets one of.
   common::Duration interval_for(double per_second) const;
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -96,8 +96,12 @@
     subsets_.clear();
     note_targets(now);
   }
+  const bool is_behind = table_.index() < update.current_index;
+  const bool is_snapshot = has_changes && update.deltas.front().is_snapshot;
+  if (is_behind || is_snapshot) {
+    next_hello_ = now;  // an update was lost; or the leader waits for this one to arrive
+  }
   if (has_changes) {
-    next_hello_ = now;  // acknowledge at once
     redispatch_all(now);
   }
 }
--- a/test/controller/table_distributor_test.cpp
+++ b/test/controller/table_distributor_test.cpp
@@ -131,5 +131,42 @@
   CHECK(answer->update.deltas.size() == 1);
 }
 
+/// Commits a change that routers see.
+void change(Fixture& fixture, std::uint64_t from) {
+  routing::TableDelta delta;
+  delta.from = common::LogIndex(from);
+  delta.to = common::LogIndex(from + 1);
+  delta.removed_routes = {"r"};
+  fixture.state.apply(common::LogIndex(from + 1),
+                      ownership::DrainMachine{common::MachineName("m"), true});
+  fixture.distributor.on_delta(delta);
+}
+
+TEST_CASE("updates follow each other without acknowledgements; a lost one is sent again") {
+  Fixture fixture;
+  fixture.hello(1, 1, 5);
+  CHECK(fixture.distributor.collect(at(2), fixture.state).size() == 1);
+  change(fixture, 5);
+  const auto first = fixture.distributor.collect(at(10), fixture.state);
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].update.base_index == common::LogIndex(5));
+  change(fixture, 6);
+  const auto second = fixture.distributor.collect(at(20), fixture.state);
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].update.base_index == common::LogIndex(6));
+  CHECK(second[0].update.deltas.size() == 1);
+  CHECK(fixture.distributor.collect(at(30), fixture.state).empty());
+  // A hello that may have crossed them says nothing, a later one does.
+  fixture.hello(40, 1, 5);
+  const auto crossed = fixture.distributor.collect(at(40), fixture.state);
+  REQUIRE(crossed.size() == 1);
+  CHECK(crossed[0].update.deltas.empty());
+  fixture.hello(300, 1, 5);
+  const auto again = fixture.distributor.collect(at(300), fixture.state);
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].update.base_index == common::LogIndex(5));
+  CHECK(again[0].update.deltas.size() == 2);
+}
+
 }  // namespace
 }  // namespace planktray::controller
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -243,5 +243,28 @@
   CHECK(output.hello_to_all);
 }
 
+TEST_CASE("a router that lacks an update says so at once, one that has it waits for its turn") {
+  Fixture fixture;
+  fixture.tick(at(1));
+  routing::TableUpdate update;
+  update.echo_clock_us = common::to_microseconds(at(2));
+  update.hello_interval_ms = 500;
+  update.base_index = common::LogIndex(10);
+  update.current_index = common::LogIndex(11);
+  routing::TableDelta delta;
+  delta.from = common::LogIndex(10);
+  delta.to = common::LogIndex(11);
+  delta.removed_routes = {"r"};
+  update.deltas = {delta};
+  fixture.core.on_table_update(at(3), update);
+  CHECK_FALSE(fixture.tick(at(4)).hello.has_value());
+  update.base_index = common::LogIndex(15);
+  update.current_index = common::LogIndex(16);
+  fixture.core.on_table_update(at(5), update);
+  const RouterOutput output = fixture.tick(at(6));
+  REQUIRE(output.hello.has_value());
+  CHECK(output.hello->table_index == common::LogIndex(11));
+}
+
 }  // namespace
 }  // namespace planktray::router
