--- /dev/null
+++ b/test/platform/request_dialect_test.cpp
@@ -0,0 +1,200 @@
+/// The platform's requests and answers, over real connections where they need one.
+
+#include "platform/request_dialect.hpp"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "platform/control_api.hpp"
+#include "platform/names.hpp"
+#include "transport/event_loop.hpp"
+#include "transport/http_client.hpp"
+
+namespace planktray::platform {
+namespace {
+
+using routing::AttemptEnd;
+using routing::NotRunReason;
+using routing::Outcome;
+using routing::Refusal;
+using transport::HttpResponse;
+
+constexpr const char* kAddress = "127.0.0.1:19874";
+
+HttpResponse response(unsigned status, transport::HeaderList headers) {
+  HttpResponse made;
+  made.status = status;
+  made.headers = std::move(headers);
+  made.was_sent = true;
+  return made;
+}
+
+AttemptEnd end_of(const HttpResponse& given) { return PlatformDialect().judge({}, given).end; }
+
+TEST_CASE("only the words of a target say that it did not run a request") {
+  const transport::HeaderList not_executed = {{kNotExecutedHeader, "1"}};
+  const transport::HeaderList sealed = {{kSealHeader, "seal"}};
+  CHECK(end_of(response(200, sealed)) == AttemptEnd::kAnswered);
+  CHECK(end_of(response(404, sealed)) == AttemptEnd::kAnswered);
+  CHECK(end_of(response(500, sealed)) == AttemptEnd::kAnswered);
+  CHECK(end_of(response(503, not_executed)) == AttemptEnd::kRefused);
+  CHECK(end_of(response(429, not_executed)) == AttemptEnd::kRefused);
+  CHECK(end_of(response(421, {})) == AttemptEnd::kRefused);
+  // Promises that the target has not made, and successes that are not its own.
+  for (const unsigned status : {408U, 429U, 503U}) {
+    CHECK(end_of(response(status, sealed)) == AttemptEnd::kForeign);
+  }
+  CHECK(end_of(response(200, {})) == AttemptEnd::kForeign);
+  CHECK(end_of(response(200, {{kSealHeader, "s"}, {"Content-Encoding", "gzip"}})) ==
+        AttemptEnd::kForeign);
+  HttpResponse broken;
+  broken.was_sent = true;
+  CHECK(end_of(broken) == AttemptEnd::kBroken);
+  broken.was_sent = false;
+  CHECK(end_of(broken) == AttemptEnd::kNotSent);
+}
+
+TEST_CASE("a misdirected request tells an owner that has changed from another instance") {
+  const PlatformDialect dialect;
+  CHECK(dialect.judge({}, response(421, {{kNotExecutedHeader, "1"}})).refusal ==
+        Refusal::kNotOwner);
+  CHECK(dialect.judge({}, response(421, {})).refusal == Refusal::kWrongIncarnation);
+}
+
+TEST_CASE("the load a target tells is read, and nothing else is taken for it") {
+  const PlatformDialect dialect;
+  const auto load = [&](const char* text) {
+    return dialect.judge({}, response(200, {{kSealHeader, "s"}, {kLoadHeader, text}})).load;
+  };
+  REQUIRE(load("3,1,8").has_value());
+  CHECK(load("3,1,8")->running == 3);
+  CHECK(load("3,1,8")->waiting == 1);
+  CHECK(load("3,1,8")->slots == 8);
+  for (const char* text : {"", "3", "3,1", "3,1,8,9", "a,b,c", "3,1,-8"}) {
+    CAPTURE(text);
+    CHECK_FALSE(load(text).has_value());
+  }
+}
+
+/// Sends one request to a server whose handler sees it as the dialect does.
+HttpResponse exchange_one(transport::HttpRequest request,
+                          const std::function<void(const transport::ExchangePointer&)>& handler) {
+  auto server = transport::HttpServer::listen(kAddress, {}, handler);
+  REQUIRE(server.has_value());
+  transport::EventLoop loop;
+  transport::HttpClient client({});
+  request.address = kAddress;
+  HttpResponse got;
+  client.send(std::move(request), [&](const HttpResponse& answer) {
+    got = answer;
+    loop.quit();
+  });
+  loop.run();
+  return got;
+}
+
+TEST_CASE(
+    "a request keeps its method, path and headers, and names the instance and the time left") {
+  const PlatformDialect dialect;
+  transport::HttpRequest request;
+  request.method = "PUT";
+  request.target = "/a/b%zz?q=1";
+  request.headers = {{"Host", "h.example:80"}, {kRequestIdHeader, "id-1"},
+                     {kDeadlineHeader, "800"}, {kExpectedInstanceHeader, "someone"},
+                     {kKeyHeader, "65535"},    {"X-Own", "kept"}};
+  request.body = "body";
+  transport::HttpRequest sent;
+  exchange_one(request, [&](const transport::ExchangePointer& exchange) {
+    const auto read = dialect.read(*exchange);
+    REQUIRE(read.has_value());
+    CHECK(read->request.timeout_ms == 800);
+    CHECK(read->request.route->host == "h.example:80");
+    CHECK(read->request.route->path == "/a/b%zz");
+    CHECK(read->request.route->key == 65'535U);
+    router::Forward forward;
+    forward.incarnation = common::Incarnation("i-1");
+    forward.time_left = std::chrono::milliseconds(640);
+    sent = dialect.to_backend(*exchange, *read, forward);
+    exchange->respond(200, {}, "");
+  });
+  CHECK(sent.method == "PUT");
+  CHECK(sent.target == "/a/b%zz?q=1");
+  CHECK(sent.body == "body");
+  CHECK(transport::find_header(sent.headers, kRequestIdHeader) == "id-1");
+  CHECK(transport::find_header(sent.headers, kDeadlineHeader) == "640");
+  CHECK(transport::find_header(sent.headers, kExpectedInstanceHeader) == "i-1");
+  CHECK(transport::find_header(sent.headers, "X-Own") == "kept");
+  CHECK(sent.answer_value == "id-1");
+}
+
+TEST_CASE("keys and deadlines that cannot be read are refused") {
+  const PlatformDialect dialect;
+  for (const auto& [name, value] :
+       std::vector<std::pair<const char*, const char*>>{{kKeyHeader, "65536"},
+                                                        {kKeyHeader, "a"},
+                                                        {kDeadlineHeader, "soon"},
+                                                        {kDeadlineHeader, "-1"}}) {
+    CAPTURE(value);
+    transport::HttpRequest request;
+    request.headers = {{"Host", "h"}, {name, value}};
+    const HttpResponse got = exchange_one(request, [&](const transport::ExchangePointer& exchange) {
+      const auto read = dialect.read(*exchange);
+      REQUIRE_FALSE(read.has_value());
+      dialect.refuse(*exchange, read.error());
+    });
+    CHECK(got.status == 400);
+  }
+}
+
+TEST_CASE("each outcome has its status: what has not run comes with a time to come back") {
+  const PlatformDialect dialect;
+  const auto answered = [&](const router::Answer& answer) {
+    return exchange_one({}, [&](const transport::ExchangePointer& exchange) {
+      dialect.answer(*exchange, {}, answer);
+    });
+  };
+  router::Answer answer;
+  answer.outcome = Outcome::kNotRun;
+  answer.reason = NotRunReason::kOverload;
+  answer.retry_after = std::chrono::milliseconds(150);
+  const HttpResponse not_run = answered(answer);
+  CHECK(not_run.status == 503);
+  CHECK(not_run.header(kRetryAfterHeader) == "0.150");
+  answer.can_never_run = true;
+  answer.reason = NotRunReason::kUnknownRoute;
+  CHECK(answered(answer).status == 404);
+  answer.reason = NotRunReason::kKeyMissing;
+  CHECK(answered(answer).status == 400);
+  answer.outcome = Outcome::kUnknown;
+  CHECK(answered(answer).status == 504);
+}
+
+TEST_CASE("orders to targets, and what their answers mean") {
+  controller::ControllerCore core({}, common::ReplicaId(1), {}, common::RandomEngine(1),
+                                  common::TimePoint());
+  const ControlApi api(core, [] {});
+  ownership::GrantOrder order;
+  order.keys = {4096, 8191};
+  order.fence = common::Epoch(12);
+  order.hold_time = std::chrono::milliseconds(4000);
+  order.incarnation = common::Incarnation("i-1");
+  const transport::HttpRequest request = api.to_request(order);
+  CHECK(request.target == "/v1/grant");
+  CHECK(request.body == R"({"fence":12,"from":4096,"hold_time":"4000ms","to_version":8191})");
+  CHECK(transport::find_header(request.headers, kExpectedInstanceHeader) == "i-1");
+  using ownership::OrderEnd;
+  CHECK(api.read_reply(response(200, {{kHandoverHeader, "token"}})).handover == "token");
+  CHECK(api.read_reply(response(409, {})).end == OrderEnd::kFenced);
+  CHECK(api.read_reply(response(421, {})).end == OrderEnd::kGone);
+  CHECK(api.read_reply(response(400, {})).end == OrderEnd::kRefused);
+  HttpResponse lost;
+  CHECK(api.read_reply(lost).end == OrderEnd::kNotSent);
+  lost.was_sent = true;
+  CHECK(api.read_reply(lost).end == OrderEnd::kUnanswered);
+}
+
+}  // namespace
+}  // namespace planktray::platform
