No moves for balance while grants wait for room

Change: balance rests while half of the grants that may be under way are; loads are folded all the same, free keys still get owners, leaving owners are still emptied.

--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -89,12 +89,13 @@
 }
 
 ownership::ApplyRangePlan RangeController::plan(TimePoint now, const CellState& state) {
-  const bool balance = now >= next_balance_;
+  const bool fold = now >= next_balance_;
+  const bool balance = fold && !grants_.is_busy();
   const bool changed = state.applied() != planned_state_;
-  if (!balance && !changed && now < next_plan_) {
+  if (!fold && !changed && now < next_plan_) {
     return {};
   }
-  if (balance) {
+  if (fold) {
     next_balance_ = now + options_.balance_interval;
     loads_.fold(now);
   }
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -139,6 +139,8 @@
   /// When collect() or withdrawals() next has something to do.
   TimePoint next_due() const { return next_due_; }
   std::size_t holdings() const { return holdings_.size(); }
+  /// True where grants wait for room: moving keys for balance would only make more of them.
+  bool is_busy() const { return 2 * grants_under_way_ >= options_.grants_under_way; }
 
  private:
   /// What is known of one range at its owner.
--- a/test/ownership/grant_manager_test.cpp
+++ b/test/ownership/grant_manager_test.cpp
@@ -356,6 +356,10 @@
     fixture.assign({i * 100, config::kKeyCount - 1}, i % 2 == 0 ? fixture.x : fixture.y);
   }
   fixture.manager.begin_term(at(0), fixture.state);
+  CHECK_FALSE(fixture.manager.is_busy());
+  fixture.collect(0);
+  CHECK(fixture.manager.is_busy());
+  fixture.manager.begin_term(at(0), fixture.state);
   std::size_t sent = 0;
   for (std::int64_t time = 0; time < 50; ++time) {
     fixture.collect(time);
