Routers learn the controllers that their settings do not name

The log shows the cell back within 0.7 s, led by core-hala-c-2, which is no seed: routers that have just started know the seeds alone, and followers passed over their hellos. A leader that is no seed can come only where more controllers run than there are seeds, as on the grown sites. Change: a follower answers a hello with the peers of the cell, a router connects to those it does not know (24 at most).

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -200,6 +200,12 @@
   for (const OutgoingTable& table : output.tables) {
     send_table(table);
   }
+  for (const OutgoingControllers& controllers : output.controllers) {
+    const auto identity = router_identities_.find(controllers.router);
+    if (identity != router_identities_.end()) {
+      server_socket_->send(identity->second, transport::WireMessage(controllers.list));
+    }
+  }
   for (const Completion& completion : output.completions) {
     api_->complete(completion);
     if (control_ != nullptr) {
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -53,9 +53,12 @@
 }
 
 void ControllerCore::on_router_hello(TimePoint now, const routing::RouterHello& hello) {
-  if (hello.cell != options_.cell || !is_serving(now)) {
+  if (hello.cell != options_.cell) {
     return;
   }
+  if (!is_serving(now)) {
+    return name_controllers(hello.router);
+  }
   distributor_.on_hello(now, hello);
   loads_.add(hello.loads);
   ranges_.note_loads(hello);
@@ -65,6 +68,16 @@
   step(now);
 }
 
+void ControllerCore::name_controllers(const common::RouterName& router) {
+  routing::ControllerList list{options_.cell, {}};
+  for (const consensus::Member& member : raft_.membership().members) {
+    list.addresses.push_back(member.peer_address);
+  }
+  if (!list.addresses.empty()) {
+    output_.controllers.push_back({router, std::move(list)});
+  }
+}
+
 void ControllerCore::on_lease_reply(TimePoint now, const common::MachineName& machine,
                                     common::BackendId backend, const ownership::LeaseReply& reply) {
   leases_.on_lease_reply(now, machine, backend, reply);
@@ -113,7 +126,7 @@
 bool ControllerOutput::empty() const {
   return peer_messages.empty() && !join.has_value() && !heard.has_value() && persist.empty() &&
          leases.empty() && releases.empty() && grants.empty() && key_releases.empty() &&
-         tables.empty() && completions.empty();
+         tables.empty() && controllers.empty() && completions.empty();
 }
 
 // ---------------------------------------------------------------- the log
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -86,6 +86,11 @@
 };
 using Completion = std::variant<ChangeCompleted, CommandCompleted, ReadCompleted>;
 
+struct OutgoingControllers {
+  common::RouterName router;
+  routing::ControllerList list;
+};
+
 struct ControllerOutput {
   std::vector<consensus::RaftMessage> peer_messages;
   std::optional<consensus::JoinRequest> join;        ///< to every configured peer
@@ -96,6 +101,7 @@
   std::vector<ownership::GrantOrder> grants;
   std::vector<ownership::ReleaseOrder> key_releases;
   std::vector<OutgoingTable> tables;
+  std::vector<OutgoingControllers> controllers;
   std::vector<Completion> completions;
 
   /// True where there is nothing to carry out.
@@ -206,6 +212,8 @@
   /// True where the replicated state has all that the heartbeat says, and there is a leader.
   bool may_answer_for_leader(const Heartbeat& heartbeat) const;
   void report_heartbeats(TimePoint now);
+  /// Tells a router that asked a follower where the others are.
+  void name_controllers(const common::RouterName& router);
   void plan_ranges(TimePoint now);
   void register_backends(TimePoint now);
   void mark_leaving(TimePoint now);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -15,6 +15,9 @@
 /// A router that stops looks this often whether it has finished.
 constexpr common::Duration kDrainPoll = std::chrono::milliseconds(20);
 
+/// Controllers that a router stays connected to at most.
+constexpr std::size_t kMostControllers = 24;
+
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -81,6 +84,22 @@
   return {};
 }
 
+void RouterProcess::learn_controllers(const routing::ControllerList& list) {
+  if (list.cell != settings_.options.cell) {
+    return;
+  }
+  for (const std::string& address : list.addresses) {
+    if (controllers_.contains(address) || controllers_.size() >= kMostControllers) {
+      continue;
+    }
+    if (auto connected = connect_controller(address); !connected) {
+      transport::log_error("controller_refused", connected.error());
+      continue;
+    }
+    log_event("controller_learnt", {{"peer", address}});
+  }
+}
+
 common::Result<void> RouterProcess::connect_controller(const std::string& address) {
   if (controllers_.contains(address)) {
     return {};
@@ -92,6 +111,8 @@
           leader_ = address;
           core_.on_table_update(boot_time_now(), *update);
           flush();
+        } else if (const auto* list = std::get_if<routing::ControllerList>(&message.value)) {
+          learn_controllers(*list);
         }
       });
   if (!socket.has_value()) {
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -61,6 +61,8 @@
 
   common::Result<void> listen();
   common::Result<void> connect_controller(const std::string& address);
+  /// Connects to controllers that the settings do not name.
+  void learn_controllers(const routing::ControllerList& list);
   void tick();
   void on_http(const transport::ExchangePointer& exchange);
   bool answer_status(const transport::ExchangePointer& exchange);
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -156,4 +156,12 @@
                        router_count, deltas, hello_interval_ms)
 };
 
+/// Follower to router, in place of an answer to its hello: where the controllers of the cell are.
+/// A router starts with a few of them only, and the leader may be another.
+struct ControllerList {
+  common::CellName cell;
+  std::vector<std::string> addresses;  ///< "IP:port" of their sockets for peers
+  MSGPACK_DEFINE_ARRAY(cell, addresses)
+};
+
 }  // namespace planktray::routing
--- a/src/sim/grant_world.cpp
+++ b/src/sim/grant_world.cpp
@@ -280,7 +280,7 @@
     const bool is_lost = has(GrantFault::kLostAnswers) && common::chance(random_, 0.02);
     const Duration delay = is_late ? between(0, kLongestDelayMs) : between(1, 40);
     const TimePoint sent = now_;
-    at(now_ + delay, [this, order, is_late, is_lost, sent, timeout] {
+    at(now_ + delay, [this, order, is_late, is_lost] {
       result_.taken_late += is_late ? 1 : 0;
       const OrderReply answer = take(order);
       if (!is_late && !is_lost) {
--- a/src/transport/wire.hpp
+++ b/src/transport/wire.hpp
@@ -16,8 +16,8 @@
 /// Changed whenever an older process could misread a message.
 inline constexpr std::string_view kProtocolVersion = "planktray/2";
 
-using WireMessage =
-    common::EncodedVariant<consensus::RaftMessage, consensus::JoinRequest, routing::RouterHello,
-                           routing::TableUpdate, membership::HeartbeatReport>;
+using WireMessage = common::EncodedVariant<consensus::RaftMessage, consensus::JoinRequest,
+                                           routing::RouterHello, routing::TableUpdate,
+                                           membership::HeartbeatReport, routing::ControllerList>;
 
 }  // namespace planktray::transport
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -135,5 +135,23 @@
   CHECK_FALSE(cell.beat(follower, 2, false));
 }
 
+TEST_CASE("a follower tells a router where all controllers are, the leader answers itself") {
+  Cell cell;
+  routing::RouterHello hello;
+  hello.router = common::RouterName("r");
+  ControllerCore& follower = *cell.replicas[cell.follower()];
+  follower.on_router_hello(at(cell.time), hello);
+  const ControllerOutput output = follower.take_output();
+  REQUIRE(output.controllers.size() == 1);
+  CHECK(output.controllers[0].router == hello.router);
+  CHECK(output.controllers[0].list.addresses == std::vector<std::string>{"c0:1", "c1:1", "c2:1"});
+  CHECK(output.tables.empty());
+  ControllerCore& leader = *cell.replicas[cell.leader()];
+  leader.on_router_hello(at(cell.time), hello);
+  const ControllerOutput answer = leader.take_output();
+  CHECK(answer.controllers.empty());
+  CHECK(answer.tables.size() == 1);
+}
+
 }  // namespace
 }  // namespace planktray::controller
