Reading the change again: one assign() in the planner's tests, a header that says what connections do

Cause: the same lambda stood in two tests of the range planner; grant_manager.hpp still said that every order has a connection of its own, which rounds of renewals have changed. Behaviour and assertions are unchanged.

--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -9,12 +9,13 @@
 ///  - every order that X may have taken has run out, on a clock that is slow by `clock_error`: an
 ///    answered one counts from its answer, one without an answer from the latest moment at which it
 ///    may still be taken.
-/// Every order goes on a connection of its own, so that one to a machine that is gone or cut off is
-/// known not to have been sent: the connection never comes up.
-/// A new leader does not know the orders of the one before: it takes all that may have been sent
-/// until its election as answered then; and one more as without an answer at each back end that
-/// the state marks as in doubt, or that has not answered the new leader yet. (The mark may come too
-/// late: the one before may have ended between an order and the commit of its mark.)
+/// A round of renewals goes on a connection that was opened for it, a release on one of its own, so
+/// that an order to a machine that is gone or cut off is known not to have been sent: the
+/// connection never comes up. A new leader does not know the orders of the one before: it takes all
+/// that may have been sent until its election as answered then; and one more as without an answer
+/// at each back end that the state marks as in doubt, or that has not answered the new leader yet.
+/// (The mark may come too late: the one before may have ended between an order and the commit of
+/// its mark.)
 
 #include <cstdint>
 #include <map>
--- a/test/ownership/range_planner_test.cpp
+++ b/test/ownership/range_planner_test.cpp
@@ -51,6 +51,12 @@
     capacities[targets.back()] = capacity;
     return targets.back();
   }
+  void assign(const KeyRange& keys, BackendId owner) {
+    const Epoch fence = state.routed_services().at(service).ranges.record_of(keys.first).fence;
+    ApplyRangePlan plan;
+    plan.assignments.push_back({service, keys, fence, owner, ""});
+    apply(plan);
+  }
   ApplyRangePlan plan(bool balance, bool join = false) const {
     RangePlannerInput input{state, loads, {}, {}, {}, balance, join};
     input.is_eligible = [&](const BackendRecord& backend) {
@@ -217,18 +223,11 @@
   Fixture fixture(2);
   const BackendId x = fixture.targets[0];
   const BackendId y = fixture.targets[1];
-  const auto assign = [&](const KeyRange& keys, BackendId owner) {
-    ApplyRangePlan plan;
-    const Epoch fence =
-        fixture.state.routed_services().at(fixture.service).ranges.record_of(keys.first).fence;
-    plan.assignments.push_back({fixture.service, keys, fence, owner, ""});
-    fixture.apply(plan);
-  };
-  assign({0, 999}, x);
-  assign({1000, 1999}, x);
-  assign({2000, 2999}, y);
-  assign({3000, 3999}, x);
-  assign({4000, config::kKeyCount - 1}, x);
+  fixture.assign({0, 999}, x);
+  fixture.assign({1000, 1999}, x);
+  fixture.assign({2000, 2999}, y);
+  fixture.assign({3000, 3999}, x);
+  fixture.assign({4000, config::kKeyCount - 1}, x);
   CHECK(fixture.plan(false, false).joins.empty());
   const auto joins = fixture.plan(false, true).joins;
   REQUIRE(joins.size() == 2);
@@ -249,17 +248,10 @@
   Fixture fixture(2);
   const BackendId x = fixture.targets[0];
   const BackendId y = fixture.targets[1];
-  const auto assign = [&](const KeyRange& keys, BackendId owner) {
-    ApplyRangePlan plan;
-    const Epoch fence =
-        fixture.state.routed_services().at(fixture.service).ranges.record_of(keys.first).fence;
-    plan.assignments.push_back({fixture.service, keys, fence, owner, ""});
-    fixture.apply(plan);
-  };
-  assign({0, 29'999}, x);
-  assign({30'000, config::kKeyCount - 1}, y);
-  assign({1000, 1009}, y);
-  assign({2000, 2009}, y);
+  fixture.assign({0, 29'999}, x);
+  fixture.assign({30'000, config::kKeyCount - 1}, y);
+  fixture.assign({1000, 1009}, y);
+  fixture.assign({2000, 2009}, y);
   for (int i = 0; i < 5; ++i) {
     fixture.report(2000, 2009, 5);  // busy now
     fixture.report(10'000, 10'049, 1);
