Routers log what they decide about requests that fail, are repeated or are refused

Cause: a router wrote nothing about a single request, so the three hypotheses of the budget incident could not be told apart from its logs. No change of what is decided; judge() is told the incarnation that was asked, and does not use it yet.

--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -317,10 +317,19 @@
 
 void RouterCore::forward(TimePoint now, Request& request, BackendId backend,
                          const routing::TableService& service) {
+  ++targets_[backend].outstanding;
+  Forward effect = begin_attempt(now, request, backend);
+  effect.shard = request.shard;
+  if (request.keyed) {
+    effect.epoch = service.shards[request.shard.value].epoch;
+  }
+  output_.forwards.push_back(std::move(effect));
+}
+
+Forward RouterCore::begin_attempt(TimePoint now, Request& request, BackendId backend) {
   const routing::BackendRoute& route = *table_.find_backend(backend);
   request.attempt = next_attempt_++;
   attempts_[request.attempt] = {request.caller.handle, backend, now};
-  ++targets_[backend].outstanding;
   Forward effect;
   effect.attempt = request.attempt;
   effect.handle = request.caller.handle;
@@ -328,13 +337,20 @@
   effect.machine = route.machine;
   effect.incarnation = route.incarnation;
   effect.keyed = request.keyed;
-  effect.shard = request.shard;
   effect.time_left = request.deadline - now;
   effect.repeatable = request.repeatable;
-  if (request.keyed) {
-    effect.epoch = service.shards[request.shard.value].epoch;
+  effect.service = service_name(request);
+  effect.number = ++request.sends;
+  effect.table_index = table_.index();
+  return effect;
+}
+
+std::string RouterCore::service_name(const Request& request) const {
+  if (!request.routed) {
+    return request.caller.service.tenant.value + "/" + request.caller.service.service.value;
   }
-  output_.forwards.push_back(std::move(effect));
+  const auto* service = table_.routes().find_service(request.service);
+  return service == nullptr ? "" : service->route.config.name.value;
 }
 
 void RouterCore::wait(TimePoint now, Request& request, QueueKey queue,
@@ -618,15 +634,16 @@
   ++counters_.not_run;
   const bool never = reason == NotRunReason::kUnknownService;
   const RequestHandle handle = request.caller.handle;
-  output_.answers.push_back({handle, Outcome::kNotRun, 0, reason, never, retry_after});
+  output_.answers.push_back({handle, Outcome::kNotRun, 0, reason, never, retry_after,
+                             service_name(request), request.sends, table_.index()});
   finish(handle);
 }
 
 void RouterCore::answer_unknown(const Request& request) {
   ++counters_.unknown;
   const RequestHandle handle = request.caller.handle;
-  output_.answers.push_back(
-      {handle, Outcome::kUnknown, 0, NotRunReason::kNone, false, Duration(0)});
+  output_.answers.push_back({handle, Outcome::kUnknown, 0, NotRunReason::kNone, false, Duration(0),
+                             service_name(request), request.sends, table_.index()});
   finish(handle);
 }
 
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -107,6 +107,11 @@
   common::Epoch epoch;
   Duration time_left{0};
   bool repeatable = false;  ///< false: never on a connection that was used before
+  // For logs.
+  std::string service{};           ///< whose request it is, and whose budget a repeat counts in
+  std::uint32_t number = 1;        ///< 1: the first attempt of its request
+  common::LogIndex table_index{};  ///< the table that named the back end
+  routing::RetryUsage budget{};    ///< of a repeat on a route: what is spent, with it
 };
 
 /// Effect: tell the caller.
@@ -117,6 +122,10 @@
   routing::NotRunReason reason = routing::NotRunReason::kNone;
   bool can_never_run = false;  ///< asking again makes no sense
   Duration retry_after{0};
+  // For logs; set where the request was taken in.
+  std::string service{};
+  std::uint32_t attempts = 0;      ///< how often it was sent
+  common::LogIndex table_index{};  ///< the table that decided it
 };
 
 struct AttemptResult {
@@ -124,6 +133,7 @@
   routing::Refusal refusal = routing::Refusal::kShed;
   bool is_failure = false;  ///< answered, but by a failure of the back end
   std::optional<routing::LoadReport> load = std::nullopt;
+  common::Incarnation answered_by{};  ///< who refused, where the answer names it
 };
 
 struct RouterOutput {
@@ -198,7 +208,8 @@
     bool is_queued = false;
     QueueKey queue;
     TimePoint deadline;
-    AttemptId attempt = 0;  ///< 0: waiting
+    AttemptId attempt = 0;    ///< 0: waiting
+    std::uint32_t sends = 0;  ///< attempts so far, also those that were never sent
     std::set<BackendId> refused_by;
     Duration backoff{0};
     // Requests on routes only.
@@ -266,6 +277,9 @@
   void report_key_loads(routing::RouterHello& hello);
   void report_target_times(routing::RouterHello& hello);
 
+  /// The parts of a Forward that do not depend on the kind of service.
+  Forward begin_attempt(TimePoint now, Request& request, BackendId backend);
+  std::string service_name(const Request& request) const;
   void answer_not_run(const Request& request, routing::NotRunReason reason, Duration retry_after);
   void answer_unknown(const Request& request);
   void finish(RequestHandle handle);
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -46,7 +46,9 @@
 void RouterCore::on_route_request(TimePoint now, const CallerRequest& caller) {
   const auto refuse = [&](NotRunReason reason, bool never, Duration retry_after) {
     ++counters_.not_run;
-    output_.answers.push_back({caller.handle, Outcome::kNotRun, 0, reason, never, retry_after});
+    Answer answer{caller.handle, Outcome::kNotRun, 0, reason, never, retry_after};
+    answer.table_index = table_.index();
+    output_.answers.push_back(std::move(answer));
   };
   if (!has_routes()) {
     return refuse(NotRunReason::kNotServing, false, kRetryAfterUnavailable);
@@ -170,20 +172,13 @@
 }
 
 void RouterCore::send_routed(TimePoint now, Request& request, BackendId backend) {
-  const routing::BackendRoute& route = *table_.find_backend(backend);
-  request.attempt = next_attempt_++;
+  RoutedService& service = routed_service(request.service);
+  Forward effect = begin_attempt(now, request, backend);
   ++request.attempts;
-  attempts_[request.attempt] = {request.caller.handle, backend, now};
-  routed_service(request.service).targets.on_sent(now, backend);
-  Forward effect;
-  effect.attempt = request.attempt;
-  effect.handle = request.caller.handle;
-  effect.address = route.address;
-  effect.machine = route.machine;
-  effect.incarnation = route.incarnation;
-  effect.keyed = request.keyed;
-  effect.time_left = request.deadline - now;
-  effect.repeatable = request.repeatable;
+  service.targets.on_sent(now, backend);
+  if (effect.number > 1) {
+    effect.budget = service.retries.usage(now, router_count_);
+  }
   output_.forwards.push_back(std::move(effect));
 }
 
--- a/src/router/native_dialect.cpp
+++ b/src/router/native_dialect.cpp
@@ -140,7 +140,7 @@
   return request;
 }
 
-AttemptResult NativeDialect::judge(const ReadRequest& read,
+AttemptResult NativeDialect::judge(const ReadRequest& read, const common::Incarnation& /*expected*/,
                                    const transport::HttpResponse& response) const {
   AttemptResult result;
   if (!response.is_whole()) {
--- a/src/router/native_dialect.hpp
+++ b/src/router/native_dialect.hpp
@@ -16,7 +16,7 @@
   void refuse(transport::HttpExchange& exchange, const common::Error& error) const override;
   transport::HttpRequest to_backend(const transport::HttpExchange& exchange,
                                     const ReadRequest& read, const Forward& forward) const override;
-  AttemptResult judge(const ReadRequest& read,
+  AttemptResult judge(const ReadRequest& read, const common::Incarnation& expected,
                       const transport::HttpResponse& response) const override;
   void pass_on(transport::HttpExchange& exchange, const ReadRequest& read,
                const transport::HttpResponse& response) const override;
--- a/src/router/request_dialect.hpp
+++ b/src/router/request_dialect.hpp
@@ -32,8 +32,9 @@
   virtual transport::HttpRequest to_backend(const transport::HttpExchange& exchange,
                                             const ReadRequest& read,
                                             const Forward& forward) const = 0;
-  /// What a response, or the lack of one, says of the attempt.
-  virtual AttemptResult judge(const ReadRequest& read,
+  /// What a response, or the lack of one, says of the attempt. @param expected the incarnation
+  /// that the request was sent to.
+  virtual AttemptResult judge(const ReadRequest& read, const common::Incarnation& expected,
                               const transport::HttpResponse& response) const = 0;
   /// Passes a back end's answer on.
   virtual void pass_on(transport::HttpExchange& exchange, const ReadRequest& read,
--- /dev/null
+++ b/src/router/request_log.cpp
@@ -0,0 +1,78 @@
+#include "router/request_log.hpp"
+
+#include "transport/logging.hpp"
+
+namespace planktray::router {
+namespace {
+
+using transport::log_event;
+
+std::string milliseconds_text(common::Duration value) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+std::string key_text(const ReadRequest& read) {
+  const auto& route = read.request.route;
+  if (!route.has_value()) {
+    return read.request.key;
+  }
+  return route->key.has_value() ? std::to_string(*route->key) : "";
+}
+
+}  // namespace
+
+void RequestLog::repeated(common::TimePoint now, const ReadRequest& read, const Forward& forward) {
+  if (!limit_.allows(now)) {
+    return;
+  }
+  log_event("request_repeated",
+            {{"request", read.request_id},
+             {"attempt", std::to_string(forward.number)},
+             {"service", forward.service},
+             {"key", key_text(read)},
+             {"peer", forward.address},
+             {"instance", forward.incarnation.value},
+             {"table_index", std::to_string(forward.table_index.value)},
+             {"budget_repeats", std::to_string(forward.budget.repeats)},
+             {"budget_allowed", std::to_string(static_cast<int>(forward.budget.allowed))},
+             {"time_left_ms", milliseconds_text(forward.time_left)}});
+}
+
+void RequestLog::attempt_failed(common::TimePoint now, const ReadRequest& read,
+                                const SentAttempt& attempt, const AttemptResult& result,
+                                const transport::HttpResponse& response) {
+  if (!limit_.allows(now)) {
+    return;
+  }
+  const bool refused = result.end == routing::AttemptEnd::kRefused;
+  log_event("attempt_failed",
+            {{"request", read.request_id},
+             {"attempt", std::to_string(attempt.number)},
+             {"service", attempt.service},
+             {"peer", attempt.address},
+             {"instance", attempt.incarnation.value},
+             {"outcome", std::string(routing::to_string(result.end))},
+             {"refusal", refused ? std::string(routing::to_string(result.refusal)) : "none"},
+             {"status", std::to_string(response.status)},
+             {"answered_by", result.answered_by.value},
+             {"took_ms", milliseconds_text(now - attempt.sent)},
+             {"error", response.error.message}});
+}
+
+void RequestLog::refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
+                         common::Duration took) {
+  if (!limit_.allows(now)) {
+    return;
+  }
+  log_event("request_refused", {{"request", read.request_id},
+                                {"outcome", std::string(routing::to_string(answer.outcome))},
+                                {"reason", std::string(routing::to_string(answer.reason))},
+                                {"service", answer.service},
+                                {"key", key_text(read)},
+                                {"attempts", std::to_string(answer.attempts)},
+                                {"took_ms", milliseconds_text(took)},
+                                {"retry_after_ms", milliseconds_text(answer.retry_after)},
+                                {"table_index", std::to_string(answer.table_index.value)}});
+}
+
+}  // namespace planktray::router
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -315,9 +315,15 @@
   transport::HttpRequest request = dialect_->to_backend(*caller.exchange, caller.read, forward);
   request.address = forward.address;
   const AttemptId attempt = forward.attempt;
-  sent_[attempt].call = client_->send(
-      std::move(request),
-      [this, attempt](transport::HttpResponse& response) { on_response(attempt, response); });
+  const common::TimePoint now = boot_time_now();
+  if (forward.number > 1) {
+    request_log_.repeated(now, caller.read, forward);
+  }
+  Sent& sent = sent_[attempt];
+  sent.attempt = {forward.address, forward.incarnation, forward.service, forward.number, now};
+  sent.call = client_->send(std::move(request), [this, attempt](transport::HttpResponse& response) {
+    on_response(attempt, response);
+  });
 }
 
 void RouterProcess::on_response(AttemptId attempt, transport::HttpResponse& response) {
@@ -331,13 +337,16 @@
     sent_.erase(found);
     return;
   }
-  const AttemptResult result = dialect_->judge(caller->second.read, response);
+  const AttemptResult result =
+      dialect_->judge(caller->second.read, found->second.attempt.incarnation, response);
+  const common::TimePoint now = boot_time_now();
   if (result.end == routing::AttemptEnd::kAnswered) {
     found->second.response = std::move(response);
   } else {
+    request_log_.attempt_failed(now, caller->second.read, found->second.attempt, result, response);
     sent_.erase(found);
   }
-  core_.on_attempt_done(boot_time_now(), attempt, result);
+  core_.on_attempt_done(now, attempt, result);
   flush();
 }
 
@@ -348,14 +357,16 @@
   }
   const Caller caller = std::move(found->second);
   callers_.erase(found);
-  const std::chrono::duration<double> took = boot_time_now() - caller.arrived;
-  latency_.Observe(took.count());
+  const common::TimePoint now = boot_time_now();
+  const common::Duration took = now - caller.arrived;
+  latency_.Observe(std::chrono::duration<double>(took).count());
   if (answer.outcome == routing::Outcome::kAnswered) {
     const auto sent = sent_.find(answer.attempt);
     dialect_->pass_on(*caller.exchange, caller.read, sent->second.response);
     sent_.erase(sent);
     return;
   }
+  request_log_.refused(now, caller.read, answer, took);
   dialect_->answer(*caller.exchange, caller.read, answer);
 }
 
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -10,6 +10,7 @@
 
 #include "router/core/router_core.hpp"
 #include "router/request_dialect.hpp"
+#include "router/request_log.hpp"
 #include "transport/event_loop.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
@@ -56,6 +57,7 @@
   /// An attempt that is under way, or whose answer waits to be passed on.
   struct Sent {
     std::uint64_t call = 0;
+    SentAttempt attempt;
     transport::HttpResponse response;
   };
 
@@ -95,6 +97,7 @@
   std::string leader_;  ///< endpoint of the controller whose update came last
   std::unordered_map<RequestHandle, Caller> callers_;
   std::unordered_map<AttemptId, Sent> sent_;
+  RequestLog request_log_;
   RequestHandle next_handle_ = 1;
   config::RequestLimits limits_;
   bool was_serving_ = false;
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -73,6 +73,22 @@
   return "shed";
 }
 
+std::string_view to_string(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kRefused:
+      return "refused";
+    case AttemptEnd::kNotSent:
+      return "not-sent";
+    case AttemptEnd::kBroken:
+      return "broken";
+    case AttemptEnd::kForeign:
+      return "foreign";
+  }
+  return "broken";
+}
+
 bool parse_refusal(std::string_view text, Refusal& refusal) {
   for (const Refusal candidate : kRefusals) {
     if (to_string(candidate) == text) {
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -52,6 +52,7 @@
 std::string_view to_string(Outcome outcome);
 std::string_view to_string(NotRunReason reason);
 std::string_view to_string(Refusal refusal);
+std::string_view to_string(AttemptEnd end);
 /// @return false where the text names no refusal.
 bool parse_refusal(std::string_view text, Refusal& refusal);
 
--- a/src/routing/retry_window.hpp
+++ b/src/routing/retry_window.hpp
@@ -17,6 +17,13 @@
   double spent_share = 0.8;
 };
 
+/// What a router has spent of its part of a service's budget in the present window.
+struct RetryUsage {
+  std::uint32_t requests = 0;
+  std::uint32_t repeats = 0;
+  double allowed = 0;  ///< repeats
+};
+
 /// Counts requests and repeats of one service at one router.
 class RetryWindow {
  public:
@@ -26,21 +33,25 @@
   /// Takes one repeat. @param routers among which the extra is divided.
   /// @return false where the budget is spent.
   bool take(common::TimePoint now, std::uint32_t routers) {
-    Slot& present = slot_at(now);
-    std::uint32_t requests = 0;
-    std::uint32_t repeats = 0;
+    const RetryUsage present = usage(now, routers);
+    if (present.repeats + 1 > present.allowed) {
+      return false;
+    }
+    ++slot_at(now).repeats;
+    return true;
+  }
+
+  RetryUsage usage(common::TimePoint now, std::uint32_t routers) {
+    const Slot& present = slot_at(now);
+    RetryUsage usage;
     for (const Slot& slot : slots_) {
       const bool counts = present.number - slot.number < static_cast<std::int64_t>(kSlots);
-      requests += counts ? slot.requests : 0;
-      repeats += counts ? slot.repeats : 0;
+      usage.requests += counts ? slot.requests : 0;
+      usage.repeats += counts ? slot.repeats : 0;
     }
     const double part = options_.extra / (routers == 0 ? 1 : routers);
-    const double allowed = options_.spent_share * (options_.ratio * requests + part);
-    if (repeats + 1 > allowed) {
-      return false;
-    }
-    ++present.repeats;
-    return true;
+    usage.allowed = options_.spent_share * (options_.ratio * usage.requests + part);
+    return usage;
   }
 
  private:
--- a/test/platform/request_dialect_test.cpp
+++ b/test/platform/request_dialect_test.cpp
@@ -32,7 +32,7 @@
   return made;
 }
 
-AttemptEnd end_of(const HttpResponse& given) { return PlatformDialect().judge({}, given).end; }
+AttemptEnd end_of(const HttpResponse& given) { return PlatformDialect().judge({}, {}, given).end; }
 
 TEST_CASE("only the words of a target say that it did not run a request") {
   const transport::HeaderList not_executed = {{kNotExecutedHeader, "1"}};
@@ -59,15 +59,15 @@
 
 TEST_CASE("a misdirected request tells an owner that has changed from another instance") {
   const PlatformDialect dialect;
-  CHECK(dialect.judge({}, response(421, {{kNotExecutedHeader, "1"}})).refusal ==
+  CHECK(dialect.judge({}, {}, response(421, {{kNotExecutedHeader, "1"}})).refusal ==
         Refusal::kNotOwner);
-  CHECK(dialect.judge({}, response(421, {})).refusal == Refusal::kWrongIncarnation);
+  CHECK(dialect.judge({}, {}, response(421, {})).refusal == Refusal::kWrongIncarnation);
 }
 
 TEST_CASE("the load a target tells is read, and nothing else is taken for it") {
   const PlatformDialect dialect;
   const auto load = [&](const char* text) {
-    return dialect.judge({}, response(200, {{kSealHeader, "s"}, {kLoadHeader, text}})).load;
+    return dialect.judge({}, {}, response(200, {{kSealHeader, "s"}, {kLoadHeader, text}})).load;
   };
   REQUIRE(load("3,1,8").has_value());
   CHECK(load("3,1,8")->running == 3);
