--- /dev/null
+++ b/test/platform/reused_address_test.cpp
@@ -0,0 +1,136 @@
+/// The incident of the retry budget (docs/incidents): a back end that owns keys ends, and its
+/// address passes to a back end of another service before routers have a newer table.
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "platform/names.hpp"
+#include "platform/request_dialect.hpp"
+#include "router/core/router_core.hpp"
+
+namespace planktray::platform {
+namespace {
+
+using common::TimePoint;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kKeyedService = 1;
+constexpr std::uint64_t kOwner = 7;
+const std::string kAddress = "10.1.64.57:8325";
+const common::Incarnation kEnded("i-ended");
+const common::Incarnation kNewcomer("i-newcomer");
+
+TimePoint at(std::int64_t value) { return TimePoint(milliseconds(1'000'000 + value)); }
+
+/// A table with one service divided by key, all of whose keys one back end owns.
+routing::TableUpdate table_with_owner() {
+  routing::TableDelta delta;
+  delta.is_snapshot = true;
+  delta.to = common::LogIndex(10);
+  routing::BackendRoute owner;
+  owner.id = common::BackendId(kOwner);
+  owner.address = kAddress;
+  owner.incarnation = kEnded;
+  owner.pool = common::PoolName("tallies");
+  owner.slots = 3;
+  owner.self_registered = true;
+  delta.backends = {owner};
+  config::RoutedService service;
+  service.name = common::ServiceName("tallies");
+  service.keyed = true;
+  delta.routed_services = {{common::ServiceId(kKeyedService), service}};
+  delta.ranges = {{common::ServiceId(kKeyedService), 0, config::kKeyCount - 1, owner.id}};
+  config::Route route;
+  route.name = "r";
+  route.host = "h.example";
+  route.path_prefix = "/";
+  route.repeatable = true;
+  route.timeout_ms = 1200;
+  route.objective_ms = 500;
+  route.maximum_attempts = 2;
+  route.parts = {{service.name, 1}};
+  delta.routes = {route};
+  delta.routes_version = 1;
+  routing::TableUpdate update;
+  update.echo_clock_us = common::to_microseconds(at(0));
+  update.current_index = delta.to;
+  update.deltas = {delta};
+  return update;
+}
+
+/// What a back end answers to a request that names another incarnation, as seen on the wire.
+transport::HttpResponse misdirected() {
+  transport::HttpResponse response;
+  response.status = kStatusMisdirected;
+  response.was_sent = true;
+  response.headers = {{kNotExecutedHeader, "1"}, {kInstanceHeader, kNewcomer.value}};
+  return response;
+}
+
+/// A router beside the back end that has taken the address: it answers at once.
+class ReusedAddress {
+ public:
+  ReusedAddress() : core_(router::RouterOptions{}, common::RandomEngine(1), at(0)) {
+    core_.on_table_update(at(0), table_with_owner());
+    core_.take_output();
+  }
+
+  void ask(std::int64_t when, std::uint32_t key) {
+    router::CallerRequest request;
+    request.handle = next_handle_++;
+    request.method = "GET";
+    request.timeout_ms = 1200;
+    request.route = router::RouteCall{"h.example", "/x", key};
+    core_.on_request(at(when), request);
+    answer_forwards(when);
+  }
+
+  void tick(std::int64_t when) {
+    core_.tick(at(when));
+    answer_forwards(when);
+  }
+
+  /// How often each request has arrived at the address.
+  const std::map<router::RequestHandle, int>& arrivals() const { return arrivals_; }
+  const std::vector<router::Answer>& answers() const { return answers_; }
+  router::RouterCore& core() { return core_; }
+
+ private:
+  void answer_forwards(std::int64_t when) {
+    for (router::RouterOutput output = core_.take_output(); !output.empty();
+         output = core_.take_output()) {
+      answers_.insert(answers_.end(), output.answers.begin(), output.answers.end());
+      for (const router::Forward& forward : output.forwards) {
+        ++arrivals_[forward.handle];
+        core_.on_attempt_done(at(when), forward.attempt,
+                              dialect_.judge({}, forward.incarnation, misdirected()));
+      }
+    }
+  }
+
+  router::RouterCore core_;
+  PlatformDialect dialect_;
+  router::RequestHandle next_handle_ = 1;
+  std::map<router::RequestHandle, int> arrivals_;
+  std::vector<router::Answer> answers_;
+};
+
+TEST_CASE("a request does not arrive twice at an address that another incarnation answers at") {
+  ReusedAddress world;
+  constexpr int kRequests = 200;
+  for (int i = 0; i < kRequests; ++i) {
+    world.ask(10 * i, static_cast<std::uint32_t>(i) * 300);
+    for (int j = 1; j < 10; ++j) {
+      world.tick(10 * i + j);
+    }
+  }
+  int repeats = 0;
+  for (const auto& [request, count] : world.arrivals()) {
+    repeats += count - 1;
+  }
+  CHECK(repeats == 0);
+}
+
+}  // namespace
+}  // namespace planktray::platform
