The leader's log says which status an order got, and who answered

Cause: grants to an ended owner fail with outcome refused, and the log did not say why. Ruled out: that the leader gets 421 there as routers do. Conclusion: a back end of a service that is not divided by key does not name itself to an order, so the leader cannot tell from it that the owner has ended; routers can.

--- a/src/controller/order_sender.cpp
+++ b/src/controller/order_sender.cpp
@@ -60,7 +60,7 @@
 void OrderSender::on_grant_response(const GrantOrder& order,
                                     const transport::HttpResponse& response) {
   const OrderReply reply = interface_.read_reply(response);
-  log_grant(order, reply, response.error);
+  log_grant(order, reply, response);
   auto& queue = waiting_.at(order.backend);
   queue.pop_front();
   const bool failed = reply.end == OrderEnd::kNotSent || reply.end == OrderEnd::kUnanswered;
@@ -83,13 +83,13 @@
   request.fresh_connection = true;
   client_.send(std::move(request), [this, order](const transport::HttpResponse& response) {
     const OrderReply reply = interface_.read_reply(response);
-    log_release(order, reply, response.error);
+    log_release(order, reply, response);
     on_reply_(order.id, reply);
   });
 }
 
 void OrderSender::log_grant(const GrantOrder& order, const OrderReply& reply,
-                            const common::Error& error) const {
+                            const transport::HttpResponse& response) const {
   if (reply.end == OrderEnd::kAccepted) {
     return;  // renewals go on all the time
   }
@@ -99,18 +99,22 @@
                                         {"peer", order.address},
                                         {"keys", keys_text(order.keys)},
                                         {"fence", std::to_string(order.fence.value)},
-                                        {"error", error.message}});
+                                        {"status", std::to_string(response.status)},
+                                        {"answered_by", reply.answered_by.value},
+                                        {"error", response.error.message}});
 }
 
 void OrderSender::log_release(const ReleaseOrder& order, const OrderReply& reply,
-                              const common::Error& error) const {
+                              const transport::HttpResponse& response) const {
   transport::log_event("release", {{"outcome", std::string(to_string(reply.end))},
                                    {"order", std::to_string(order.id)},
                                    {"backend", order.incarnation.value},
                                    {"peer", order.address},
                                    {"keys", keys_text(order.keys)},
                                    {"fence", std::to_string(order.fence.value)},
-                                   {"error", error.message}});
+                                   {"status", std::to_string(response.status)},
+                                   {"answered_by", reply.answered_by.value},
+                                   {"error", response.error.message}});
 }
 
 }  // namespace planktray::controller
--- a/src/controller/order_sender.hpp
+++ b/src/controller/order_sender.hpp
@@ -39,9 +39,9 @@
   void on_grant_response(const ownership::GrantOrder& order,
                          const transport::HttpResponse& response);
   void log_grant(const ownership::GrantOrder& order, const ownership::OrderReply& reply,
-                 const common::Error& error) const;
+                 const transport::HttpResponse& response) const;
   void log_release(const ownership::ReleaseOrder& order, const ownership::OrderReply& reply,
-                   const common::Error& error) const;
+                   const transport::HttpResponse& response) const;
 
   OrderSenderOptions options_;
   const ControlInterface& interface_;
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -105,7 +105,8 @@
 
 struct OrderReply {
   OrderEnd end = OrderEnd::kUnanswered;
-  std::string handover;  ///< of an accepted release
+  std::string handover;               ///< of an accepted release
+  common::Incarnation answered_by{};  ///< where the answer names it
 };
 
 class GrantManager {
