Routers tell the leader which owners have ended; the table says so to all

Cause: the leader keeps the keys of an owner that fell silent until its grants have run out (9 s with 139 owners) unless it learns that the process has ended. A back end of a service without keys answers its orders with 400 and no name, and its own first heartbeat came 3 to 4 s after it had taken the address (18 and 19 s for 15 s); routers had met it at once. Each router found out by itself, and each asked once more. Changed: a hello names back ends at whose address another, named incarnation answered; the leader commits that they have ended (MarkLeaving.ended), their keys are free at once, and the table's entry says ended, so that other routers do not ask. A 421 that names the very incarnation the leader asked is no end any more (it was taken for one). The leader logs each change of a back end; back ends with fenced grants moved to a file of their own. Ruled out: acting on the 400, which proves nothing.

--- a/src/controller/control_interface.hpp
+++ b/src/controller/control_interface.hpp
@@ -25,7 +25,9 @@
   /// An order as a back end reads it. Address, time-out and connection are the process's.
   virtual transport::HttpRequest to_request(const ownership::GrantOrder& order) const = 0;
   virtual transport::HttpRequest to_request(const ownership::ReleaseOrder& order) const = 0;
-  virtual ownership::OrderReply read_reply(const transport::HttpResponse& response) const = 0;
+  /// @param expected the incarnation that the order was for.
+  virtual ownership::OrderReply read_reply(const common::Incarnation& expected,
+                                           const transport::HttpResponse& response) const = 0;
 };
 
 /// Makes the interface of a running controller; `flush` carries out what the core wants done.
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -206,6 +206,14 @@
       server_socket_->send(identity->second, transport::WireMessage(controllers.list));
     }
   }
+  for (const routing::BackendRoute& backend : output.changed_backends) {
+    log_event("backend_changed", {{"instance_seen", backend.incarnation.value},
+                                  {"backend", std::to_string(backend.id.value)},
+                                  {"service", backend.pool.value},
+                                  {"peer", backend.address},
+                                  {"draining", backend.draining ? "yes" : "no"},
+                                  {"ended", backend.ended ? "yes" : "no"}});
+  }
   for (const Completion& completion : output.completions) {
     api_->complete(completion);
     if (control_ != nullptr) {
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -12,8 +12,6 @@
 
 /// A plan without a change of state is tried again this often: losses come with time alone.
 constexpr Duration kPlanInterval = std::chrono::milliseconds(20);
-/// A follower reports the heartbeats that it has answered this often.
-constexpr Duration kReportInterval = std::chrono::milliseconds(250);
 /// All sessions and subscribers are looked through this often, and at once after a change.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(5);
 /// A controller looks around at least this often, and at most, where nothing comes in.
@@ -62,6 +60,9 @@
   distributor_.on_hello(now, hello);
   loads_.add(hello.loads);
   ranges_.note_loads(hello);
+  for (const common::BackendId id : hello.ended) {
+    mark_ended(now, id);
+  }
   if (auto table = distributor_.answer(now, state_, hello.router)) {
     output_.tables.push_back(std::move(*table));
   }
@@ -93,7 +94,11 @@
 
 void ControllerCore::on_order_reply(TimePoint now, ownership::OrderId id,
                                     const ownership::OrderReply& reply) {
-  ranges_.on_order_reply(now, state_, id, reply);
+  const auto backend = ranges_.on_order_reply(now, state_, id, reply);
+  const bool is_named = !reply.answered_by.value.empty();
+  if (backend.has_value() && reply.end == ownership::OrderEnd::kGone && is_named) {
+    mark_ended(now, *backend);
+  }
   step(now);
 }
 
@@ -126,7 +131,7 @@
 bool ControllerOutput::empty() const {
   return peer_messages.empty() && !join.has_value() && !heard.has_value() && persist.empty() &&
          leases.empty() && releases.empty() && grants.empty() && key_releases.empty() &&
-         tables.empty() && controllers.empty() && completions.empty();
+         tables.empty() && controllers.empty() && completions.empty() && changed_backends.empty();
 }
 
 // ---------------------------------------------------------------- the log
@@ -223,6 +228,7 @@
     distributor_.begin_term(now, raft_.term());
     registering_.clear();
     marking_.clear();
+    ending_.clear();
     replaced_.clear();
     plan_index_ = common::LogIndex();
     range_plan_index_ = common::LogIndex();
@@ -249,6 +255,7 @@
   }
   if (const auto* leaving = std::get_if<ownership::MarkLeaving>(&command->value)) {
     marking_.erase(leaving->backend);
+    ending_.erase(leaving->backend);
   }
   if (const auto* applied_plan = std::get_if<ApplyPlan>(&command->value)) {
     counters_.backends_lost += applied_plan->lost.size();
@@ -263,6 +270,10 @@
     }
   }
   complete(entry, result);
+  if (leading_) {
+    output_.changed_backends.insert(output_.changed_backends.end(), result.delta.backends.begin(),
+                                    result.delta.backends.end());
+  }
   distributor_.on_delta(std::move(result.delta));
 }
 
@@ -493,103 +504,4 @@
   }
 }
 
-// ---------------------------------------------------------------- back ends with fenced grants
-
-void ControllerCore::heartbeat(TimePoint now, OperatorRequestId request,
-                               const Heartbeat& heartbeat) {
-  const auto complete_now = [&](common::Result<common::LogIndex> index) {
-    output_.completions.emplace_back(CommandCompleted{request, std::move(index)});
-  };
-  if (!is_serving(now)) {
-    if (!may_answer_for_leader(heartbeat)) {
-      return complete_now(tl::unexpected(not_leader("take heartbeat")));
-    }
-    heard_.push_back({heartbeat.incarnation, heartbeat.sequence});
-    complete_now(state_.applied());
-    return step(now);
-  }
-  const bool is_late = !ranges_.note_heartbeat(now, heartbeat.incarnation, heartbeat.sequence);
-  if (state_.has_departed(heartbeat.incarnation) || (is_late && !heartbeat.draining)) {
-    return complete_now(state_.applied());
-  }
-  const ownership::BackendRecord* known = state_.find_incarnation(heartbeat.incarnation);
-  if (known == nullptr) {
-    ownership::RegisterBackend registration;
-    registration.machine = common::MachineName(heartbeat.incarnation.value);
-    registration.address = heartbeat.address;
-    registration.zone = heartbeat.zone;
-    registration.pool = common::PoolName(heartbeat.service);
-    registration.incarnation = heartbeat.incarnation;
-    registration.contract = static_cast<std::uint8_t>(ownership::OwnershipContract::kFencedGrant);
-    registration.slots = heartbeat.slots;
-    registration.cold_ms = heartbeat.cold_ms;
-    registration.leaving = heartbeat.draining;
-    return submit(now, request, Command(std::move(registration)), false);
-  }
-  if (heartbeat.draining && !known->leaving) {
-    return submit(now, request, Command(ownership::MarkLeaving{known->id, true, false}), false);
-  }
-  complete_now(state_.applied());
-}
-
-bool ControllerCore::may_answer_for_leader(const Heartbeat& heartbeat) const {
-  const bool follows = !raft_.is_leader() && raft_.leader().value != 0;
-  const ownership::BackendRecord* known = state_.find_incarnation(heartbeat.incarnation);
-  return follows && known != nullptr && !known->ended && (known->leaving || !heartbeat.draining);
-}
-
-void ControllerCore::report_heartbeats(TimePoint now) {
-  if (heard_.empty() || now < next_report_) {
-    return;
-  }
-  next_report_ = now + kReportInterval;
-  output_.heard = membership::HeartbeatReport{options_.cell, std::exchange(heard_, {})};
-}
-
-void ControllerCore::on_heartbeat_report(TimePoint now, const membership::HeartbeatReport& report) {
-  if (report.cell != options_.cell || !is_serving(now)) {
-    return;
-  }
-  for (const membership::HeardBackend& heard : report.heard) {
-    ranges_.note_heartbeat(now, heard.incarnation, heard.sequence);
-  }
-}
-
-void ControllerCore::depart(TimePoint now, OperatorRequestId request,
-                            const common::Incarnation& incarnation) {
-  if (!is_serving(now)) {
-    output_.completions.emplace_back(
-        CommandCompleted{request, tl::unexpected(not_leader("take goodbye"))});
-    return;
-  }
-  const ownership::BackendRecord* known = state_.find_incarnation(incarnation);
-  if (known == nullptr || known->departed) {
-    output_.completions.emplace_back(CommandCompleted{request, state_.applied()});
-    return;
-  }
-  submit(now, request, Command(ownership::MarkLeaving{known->id, true, true}), false);
-}
-
-void ControllerCore::plan_ranges(TimePoint now) {
-  if (range_plan_index_ > state_.applied()) {
-    return;
-  }
-  ownership::ApplyRangePlan next = ranges_.plan(now, state_);
-  if (next.empty()) {
-    return;
-  }
-  const auto index = propose(now, Command(std::move(next)));
-  if (index.has_value()) {
-    range_plan_index_ = *index;
-  }
-}
-
-void ControllerCore::commit_grant_terms(TimePoint now) {
-  const ownership::GrantTerms wanted = ranges_.wanted_terms(now, state_);
-  if (wanted != state_.grant_terms() && terms_index_ <= state_.applied()) {
-    const auto index = propose(now, Command(ownership::SetGrantTerms{wanted}));
-    terms_index_ = index.value_or(common::LogIndex());
-  }
-}
-
 }  // namespace planktray::controller
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -103,6 +103,7 @@
   std::vector<OutgoingTable> tables;
   std::vector<OutgoingControllers> controllers;
   std::vector<Completion> completions;
+  std::vector<routing::BackendRoute> changed_backends;  ///< of a leader, for its log
 
   /// True where there is nothing to carry out.
   bool empty() const;
@@ -214,6 +215,8 @@
   void report_heartbeats(TimePoint now);
   /// Tells a router that asked a follower where the others are.
   void name_controllers(const common::RouterName& router);
+  /// Proposes that the back end's process has ended: another incarnation answers at its address.
+  void mark_ended(TimePoint now, common::BackendId id);
   void plan_ranges(TimePoint now);
   void register_backends(TimePoint now);
   void mark_leaving(TimePoint now);
@@ -239,6 +242,7 @@
   std::map<common::LogIndex, PendingRequest> pending_;
   std::set<std::pair<common::MachineName, common::Incarnation>> registering_;
   std::set<common::BackendId> marking_;
+  std::set<common::BackendId> ending_;  ///< proposed as ended, not applied yet
   std::set<std::string> allowed_names_;
   std::set<common::ReplicaId> replaced_;  ///< members whose place has a new folder
   common::LogIndex plan_index_;           ///< the last plan proposed; wait for it before the next
--- /dev/null
+++ b/src/controller/core/controller_core_backends.cpp
@@ -0,0 +1,129 @@
+/// Back ends with fenced grants in ControllerCore: their heartbeats, departures and ends, and the
+/// plans for the key ranges they own.
+
+#include <utility>
+
+#include "controller/core/controller_core.hpp"
+
+namespace planktray::controller {
+
+using ownership::Command;
+
+namespace {
+
+/// A follower reports the heartbeats that it has answered this often.
+constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+
+}  // namespace
+
+void ControllerCore::heartbeat(TimePoint now, OperatorRequestId request,
+                               const Heartbeat& heartbeat) {
+  const auto complete_now = [&](common::Result<common::LogIndex> index) {
+    output_.completions.emplace_back(CommandCompleted{request, std::move(index)});
+  };
+  if (!is_serving(now)) {
+    if (!may_answer_for_leader(heartbeat)) {
+      return complete_now(tl::unexpected(not_leader("take heartbeat")));
+    }
+    heard_.push_back({heartbeat.incarnation, heartbeat.sequence});
+    complete_now(state_.applied());
+    return step(now);
+  }
+  const bool is_late = !ranges_.note_heartbeat(now, heartbeat.incarnation, heartbeat.sequence);
+  if (state_.has_departed(heartbeat.incarnation) || (is_late && !heartbeat.draining)) {
+    return complete_now(state_.applied());
+  }
+  const ownership::BackendRecord* known = state_.find_incarnation(heartbeat.incarnation);
+  if (known == nullptr) {
+    ownership::RegisterBackend registration;
+    registration.machine = common::MachineName(heartbeat.incarnation.value);
+    registration.address = heartbeat.address;
+    registration.zone = heartbeat.zone;
+    registration.pool = common::PoolName(heartbeat.service);
+    registration.incarnation = heartbeat.incarnation;
+    registration.contract = static_cast<std::uint8_t>(ownership::OwnershipContract::kFencedGrant);
+    registration.slots = heartbeat.slots;
+    registration.cold_ms = heartbeat.cold_ms;
+    registration.leaving = heartbeat.draining;
+    return submit(now, request, Command(std::move(registration)), false);
+  }
+  if (heartbeat.draining && !known->leaving) {
+    return submit(now, request, Command(ownership::MarkLeaving{known->id, true, false}), false);
+  }
+  complete_now(state_.applied());
+}
+
+bool ControllerCore::may_answer_for_leader(const Heartbeat& heartbeat) const {
+  const bool follows = !raft_.is_leader() && raft_.leader().value != 0;
+  const ownership::BackendRecord* known = state_.find_incarnation(heartbeat.incarnation);
+  return follows && known != nullptr && !known->ended && (known->leaving || !heartbeat.draining);
+}
+
+void ControllerCore::report_heartbeats(TimePoint now) {
+  if (heard_.empty() || now < next_report_) {
+    return;
+  }
+  next_report_ = now + kReportInterval;
+  output_.heard = membership::HeartbeatReport{options_.cell, std::exchange(heard_, {})};
+}
+
+void ControllerCore::on_heartbeat_report(TimePoint now, const membership::HeartbeatReport& report) {
+  if (report.cell != options_.cell || !is_serving(now)) {
+    return;
+  }
+  for (const membership::HeardBackend& heard : report.heard) {
+    ranges_.note_heartbeat(now, heard.incarnation, heard.sequence);
+  }
+}
+
+void ControllerCore::depart(TimePoint now, OperatorRequestId request,
+                            const common::Incarnation& incarnation) {
+  if (!is_serving(now)) {
+    output_.completions.emplace_back(
+        CommandCompleted{request, tl::unexpected(not_leader("take goodbye"))});
+    return;
+  }
+  const ownership::BackendRecord* known = state_.find_incarnation(incarnation);
+  if (known == nullptr || known->departed) {
+    output_.completions.emplace_back(CommandCompleted{request, state_.applied()});
+    return;
+  }
+  submit(now, request, Command(ownership::MarkLeaving{known->id, true, true}), false);
+}
+
+void ControllerCore::mark_ended(TimePoint now, common::BackendId id) {
+  const ownership::BackendRecord* backend = state_.find_backend(id);
+  const bool is_news = backend != nullptr && !backend->ended &&
+                       backend->has_contract(ownership::OwnershipContract::kFencedGrant);
+  if (!is_news || !is_serving(now) || !ending_.insert(id).second) {
+    return;
+  }
+  const bool departed = backend->departed;
+  if (!propose(now, ownership::MarkLeaving{id, true, departed, true}).has_value()) {
+    ending_.erase(id);  // the next report tries again
+  }
+}
+
+void ControllerCore::plan_ranges(TimePoint now) {
+  if (range_plan_index_ > state_.applied()) {
+    return;
+  }
+  ownership::ApplyRangePlan next = ranges_.plan(now, state_);
+  if (next.empty()) {
+    return;
+  }
+  const auto index = propose(now, Command(std::move(next)));
+  if (index.has_value()) {
+    range_plan_index_ = *index;
+  }
+}
+
+void ControllerCore::commit_grant_terms(TimePoint now) {
+  const ownership::GrantTerms wanted = ranges_.wanted_terms(now, state_);
+  if (wanted != state_.grant_terms() && terms_index_ <= state_.applied()) {
+    const auto index = propose(now, Command(ownership::SetGrantTerms{wanted}));
+    terms_index_ = index.value_or(common::LogIndex());
+  }
+}
+
+}  // namespace planktray::controller
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -34,8 +34,9 @@
   joined_.clear();
 }
 
-void RangeController::on_order_reply(TimePoint now, const CellState& state, ownership::OrderId id,
-                                     const ownership::OrderReply& reply) {
+std::optional<common::BackendId> RangeController::on_order_reply(
+    TimePoint now, const CellState& state, ownership::OrderId id,
+    const ownership::OrderReply& reply) {
   const auto backend = grants_.on_reply(now, id, reply);
   const BackendRecord* record = backend.has_value() ? state.find_backend(*backend) : nullptr;
   const bool accepted = reply.end == ownership::OrderEnd::kAccepted;
@@ -46,6 +47,7 @@
   if (!is_renewal) {
     next_plan_ = now;  // keys may have become free, or must be taken away
   }
+  return backend;
 }
 
 bool RangeController::is_eligible(TimePoint now, const BackendRecord& backend) const {
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -48,8 +48,10 @@
                       std::uint64_t sequence) {
     return heartbeats_.note_heartbeat(now, incarnation, sequence);
   }
-  void on_order_reply(TimePoint now, const ownership::CellState& state, ownership::OrderId id,
-                      const ownership::OrderReply& reply);
+  /// @return the back end the order was for, or nothing where the order is not known any more.
+  std::optional<common::BackendId> on_order_reply(TimePoint now, const ownership::CellState& state,
+                                                  ownership::OrderId id,
+                                                  const ownership::OrderReply& reply);
 
   /// Makes the orders that are due.
   void collect_orders(TimePoint now, const ownership::CellState& state,
--- a/src/controller/order_sender.cpp
+++ b/src/controller/order_sender.cpp
@@ -59,7 +59,7 @@
 
 void OrderSender::on_grant_response(const GrantOrder& order,
                                     const transport::HttpResponse& response) {
-  const OrderReply reply = interface_.read_reply(response);
+  const OrderReply reply = interface_.read_reply(order.incarnation, response);
   log_grant(order, reply, response);
   auto& queue = waiting_.at(order.backend);
   queue.pop_front();
@@ -82,7 +82,7 @@
   request.timeout = options_.release_timeout;
   request.fresh_connection = true;
   client_.send(std::move(request), [this, order](const transport::HttpResponse& response) {
-    const OrderReply reply = interface_.read_reply(response);
+    const OrderReply reply = interface_.read_reply(order.incarnation, response);
     log_release(order, reply, response);
     on_reply_(order.id, reply);
   });
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -121,6 +121,7 @@
   }
   BackendRecord& backend = found->second;
   backend.leaving = command.leaving;
+  backend.ended = backend.ended || command.ended;
   if (command.departed) {
     backend.departed = true;
     remember_departure(backend.incarnation);
@@ -272,7 +273,8 @@
           backend.address,     backend.zone,
           backend.incarnation, is_draining(backend),
           backend.pool,        backend.slots,
-          backend.cold_ms,     backend.has_contract(OwnershipContract::kFencedGrant)};
+          backend.cold_ms,     backend.has_contract(OwnershipContract::kFencedGrant),
+          backend.ended};
 }
 
 routing::ServiceRoute CellState::service_route(const ServiceRecord& service) {
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -65,7 +65,9 @@
   bool leaving = true;
   /// It has said goodbye: its incarnation is never registered again.
   bool departed = false;
-  MSGPACK_DEFINE_ARRAY(backend, leaving, departed)
+  /// Its process has ended: another incarnation has answered at its address.
+  bool ended = false;
+  MSGPACK_DEFINE_ARRAY(backend, leaving, departed, ended)
 };
 
 struct TargetSet {
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -149,7 +149,9 @@
                              is_serving(now),
                              {},
                              {},
+                             {},
                              {}};
+  report_ended(now, hello);
   if (now >= next_load_) {
     next_load_ = now + options_.load_interval;
     for (const auto& [ref, count] : loads_) {
@@ -512,7 +514,7 @@
         break;
       }
       if (result.refusal == Refusal::kWrongIncarnation) {
-        note_ended(now, attempt.backend);
+        note_ended(now, attempt.backend, !result.answered_by.value.empty());
       } else if (result.refusal != Refusal::kShed || keyed) {
         block(now, attempt.backend);
       }
@@ -555,14 +557,33 @@
   target.blocked_until = std::max(target.blocked_until, now + target.block);
 }
 
-void RouterCore::note_ended(TimePoint now, BackendId backend) {
-  counters_.ended_backends += has_ended(now, backend) ? 0 : 1;
-  ended_[backend] = now + options_.ended_memory;
+void RouterCore::note_ended(TimePoint now, BackendId backend, bool is_named) {
+  if (has_ended(now, backend)) {
+    return;
+  }
+  ++counters_.ended_backends;
+  ended_[backend] = {now + options_.ended_memory, is_named};
+  if (is_named) {
+    next_hello_ = std::min(next_hello_, now + options_.ended_report_delay);
+  }
+}
+
+void RouterCore::report_ended(TimePoint now, routing::RouterHello& hello) const {
+  for (const auto& [id, ended] : ended_) {
+    const routing::BackendRoute* route = table_.find_backend(id);
+    const bool is_news = ended.is_named && now < ended.remembered_until && route != nullptr &&
+                         route->self_registered && !route->ended;
+    if (is_news && hello.ended.size() < options_.maximum_reported_ended) {
+      hello.ended.push_back(id);
+    }
+  }
 }
 
 bool RouterCore::has_ended(TimePoint now, BackendId backend) const {
+  const routing::BackendRoute* route = table_.find_backend(backend);
   const auto found = ended_.find(backend);
-  return found != ended_.end() && now < found->second;
+  const bool was_found = found != ended_.end() && now < found->second.remembered_until;
+  return was_found || (route != nullptr && route->ended);
 }
 
 void RouterCore::retry_later(TimePoint now, Request& request) {
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -65,6 +65,11 @@
   Duration short_retry_after = std::chrono::milliseconds(150);
   /// A target in another zone counts as slower by this part.
   double other_zone_cost = 0.05;
+  /// Ended back ends named in one hello at most.
+  std::size_t maximum_reported_ended = 64;
+  /// A back end found to have ended is reported within this time: other routers are about to ask
+  /// it too, and those found within it go together.
+  Duration ended_report_delay = std::chrono::milliseconds(5);
   /// Requests for the same key counted in one load report at most.
   std::size_t maximum_reported_keys = 400;
   routing::SubsetPolicy subset = routing::SubsetPolicy::kDeterministicAperture;
@@ -291,8 +296,10 @@
   void answer_unknown(const Request& request);
   void finish(RequestHandle handle);
   void block(TimePoint now, BackendId backend);
-  /// Notes that another incarnation answers at the back end's address.
-  void note_ended(TimePoint now, BackendId backend);
+  /// Notes that another incarnation answers at the back end's address. @param is_named it said
+  /// which one it is: proof that the leader may act upon.
+  void note_ended(TimePoint now, BackendId backend, bool is_named);
+  void report_ended(TimePoint now, routing::RouterHello& hello) const;
   /// True where the back end's process has ended: nothing is sent to it.
   bool has_ended(TimePoint now, BackendId backend) const;
   /// Rough time until a request behind `queued` others would be answered.
@@ -320,8 +327,12 @@
   std::unordered_map<RequestHandle, Request> requests_;
   std::unordered_map<AttemptId, Attempt> attempts_;
   std::unordered_map<BackendId, Target> targets_;
-  /// Back ends found to have ended, and until when that is remembered.
-  std::unordered_map<BackendId, TimePoint> ended_;
+  struct Ended {
+    TimePoint remembered_until;
+    bool is_named = false;
+  };
+  /// Back ends found to have ended.
+  std::unordered_map<BackendId, Ended> ended_;
   std::unordered_map<common::ServiceId, Duration> service_latency_;
   std::map<QueueKey, std::deque<RequestHandle>> queues_;
   std::unordered_map<common::ServiceId, std::uint32_t> queued_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -224,7 +224,7 @@
         return answer_not_run(request, NotRunReason::kDeadline, Duration(0));
       }
       if (result.refusal == Refusal::kWrongIncarnation) {
-        note_ended(now, attempt.backend);
+        note_ended(now, attempt.backend, !result.answered_by.value.empty());
       } else if (result.refusal == Refusal::kShed) {
         book.block(now, attempt.backend);
       }
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -32,8 +32,9 @@
   std::uint32_t slots = 0;    ///< requests it runs at once; 0: as its service says
   std::uint32_t cold_ms = 0;  ///< how long it is slow from its registration
   bool self_registered = false;
+  bool ended = false;  ///< its address has another incarnation: it gets nothing
   MSGPACK_DEFINE_ARRAY(id, machine, address, zone, incarnation, draining, pool, slots, cold_ms,
-                       self_registered)
+                       self_registered, ended)
 };
 
 struct ServiceRoute {
@@ -137,8 +138,10 @@
   std::vector<ShardLoad> loads;
   std::vector<KeyLoad> key_loads;
   std::vector<TargetTime> target_times;
+  /// Back ends at whose address another incarnation has answered, and named itself.
+  std::vector<BackendId> ended;
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
-                       target_times)
+                       target_times, ended)
 };
 
 /// Leader to router: confirmation that the table is current, and what changed.
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -153,5 +153,26 @@
   CHECK(answer.tables.size() == 1);
 }
 
+TEST_CASE("a back end that a router found to have ended is dropped on every replica") {
+  Cell cell;
+  CHECK(cell.beat(cell.leader(), 1, false));
+  cell.run_for(100);
+  const common::Incarnation life("life");
+  const std::size_t leader = cell.leader();
+  const ownership::BackendRecord* known = cell.replicas[leader]->state().find_incarnation(life);
+  REQUIRE(known != nullptr);
+  routing::RouterHello hello;
+  hello.router = common::RouterName("r");
+  hello.ended = {known->id, common::BackendId(999'999)};
+  cell.replicas[cell.follower()]->on_router_hello(at(cell.time), hello);
+  cell.run_for(100);
+  CHECK(cell.replicas[leader]->state().find_incarnation(life) != nullptr);  // not told the leader
+  cell.replicas[leader]->on_router_hello(at(cell.time), hello);
+  cell.run_for(100);
+  for (const auto& replica : cell.replicas) {
+    CHECK(replica->state().find_incarnation(life) == nullptr);  // it owned no keys
+  }
+}
+
 }  // namespace
 }  // namespace planktray::controller
--- a/test/controller/order_sender_test.cpp
+++ b/test/controller/order_sender_test.cpp
@@ -30,7 +30,8 @@
   transport::HttpRequest to_request(const ownership::ReleaseOrder& order) const override {
     return request("/release/" + std::to_string(order.id));
   }
-  ownership::OrderReply read_reply(const transport::HttpResponse& response) const override {
+  ownership::OrderReply read_reply(const common::Incarnation& /*expected*/,
+                                   const transport::HttpResponse& response) const override {
     if (!response.is_whole()) {
       return {response.was_sent ? OrderEnd::kUnanswered : OrderEnd::kNotSent, ""};
     }
--- a/test/platform/request_dialect_test.cpp
+++ b/test/platform/request_dialect_test.cpp
@@ -195,14 +195,19 @@
   CHECK(request.body == R"({"fence":12,"from":4096,"hold_time":"4000ms","to_version":8191})");
   CHECK(transport::find_header(request.headers, kExpectedInstanceHeader) == "i-1");
   using ownership::OrderEnd;
-  CHECK(api.read_reply(response(200, {{kHandoverHeader, "token"}})).handover == "token");
-  CHECK(api.read_reply(response(409, {})).end == OrderEnd::kFenced);
-  CHECK(api.read_reply(response(421, {})).end == OrderEnd::kGone);
-  CHECK(api.read_reply(response(400, {})).end == OrderEnd::kRefused);
+  CHECK(api.read_reply(order.incarnation, response(200, {{kHandoverHeader, "token"}})).handover ==
+        "token");
+  CHECK(api.read_reply(order.incarnation, response(409, {})).end == OrderEnd::kFenced);
+  CHECK(api.read_reply(order.incarnation, response(421, {})).end == OrderEnd::kGone);
+  CHECK(api.read_reply(order.incarnation, response(421, {{kInstanceHeader, "i-2"}})).end ==
+        OrderEnd::kGone);
+  CHECK(api.read_reply(order.incarnation, response(421, {{kInstanceHeader, "i-1"}})).end ==
+        OrderEnd::kRefused);
+  CHECK(api.read_reply(order.incarnation, response(400, {})).end == OrderEnd::kRefused);
   HttpResponse lost;
-  CHECK(api.read_reply(lost).end == OrderEnd::kNotSent);
+  CHECK(api.read_reply(order.incarnation, lost).end == OrderEnd::kNotSent);
   lost.was_sent = true;
-  CHECK(api.read_reply(lost).end == OrderEnd::kUnanswered);
+  CHECK(api.read_reply(order.incarnation, lost).end == OrderEnd::kUnanswered);
 }
 
 }  // namespace
--- a/test/platform/reused_address_test.cpp
+++ b/test/platform/reused_address_test.cpp
@@ -95,12 +95,16 @@
   const std::map<router::RequestHandle, int>& arrivals() const { return arrivals_; }
   const std::vector<router::Answer>& answers() const { return answers_; }
   router::RouterCore& core() { return core_; }
+  std::vector<routing::RouterHello>& hellos() { return hellos_; }
 
  private:
   void answer_forwards(std::int64_t when) {
     for (router::RouterOutput output = core_.take_output(); !output.empty();
          output = core_.take_output()) {
       answers_.insert(answers_.end(), output.answers.begin(), output.answers.end());
+      if (output.hello.has_value()) {
+        hellos_.push_back(*output.hello);
+      }
       for (const router::Forward& forward : output.forwards) {
         ++arrivals_[forward.handle];
         core_.on_attempt_done(at(when), forward.attempt,
@@ -114,6 +118,7 @@
   router::RequestHandle next_handle_ = 1;
   std::map<router::RequestHandle, int> arrivals_;
   std::vector<router::Answer> answers_;
+  std::vector<routing::RouterHello> hellos_;
 };
 
 TEST_CASE("a request does not arrive twice at an address that another incarnation answers at") {
@@ -142,6 +147,48 @@
   CHECK(world.core().counters().ended_backends == 1);
 }
 
+TEST_CASE("an ended owner is reported to the leader at once, and again until the table says so") {
+  ReusedAddress world;
+  world.tick(0);
+  world.hellos().clear();
+  world.ask(1, 1);
+  for (int i = 2; i <= 20; ++i) {
+    world.tick(i);
+  }
+  REQUIRE(world.hellos().size() == 1);
+  CHECK(world.hellos()[0].ended == std::vector<common::BackendId>{common::BackendId(kOwner)});
+  routing::TableUpdate update;
+  update.base_index = common::LogIndex(10);
+  update.current_index = common::LogIndex(11);
+  routing::TableDelta delta;
+  delta.from = update.base_index;
+  delta.to = update.current_index;
+  delta.backends = {table_with_owner().deltas[0].backends[0]};
+  delta.backends[0].ended = true;
+  update.deltas = {delta};
+  world.core().on_table_update(at(30), update);
+  world.hellos().clear();
+  for (int i = 30; i <= 400; ++i) {
+    world.tick(i);
+  }
+  REQUIRE_FALSE(world.hellos().empty());
+  CHECK(world.hellos().back().ended.empty());
+}
+
+TEST_CASE("a back end that the table calls ended gets nothing, also after the router forgot it") {
+  ReusedAddress world;
+  routing::TableUpdate update = table_with_owner();
+  update.current_index = common::LogIndex(11);
+  update.deltas[0].to = update.current_index;
+  update.deltas[0].backends[0].ended = true;
+  world.core().on_table_update(at(1), update);
+  for (int i = 2; i < 12'000; i += 50) {
+    world.ask(i, 1);
+    world.tick(i + 25);
+  }
+  CHECK(world.arrivals().empty());
+}
+
 TEST_CASE("requests for keys of an ended owner are refused as not run, and say when to come back") {
   ReusedAddress world;
   world.ask(0, 1);
