Seeded runs of requests on routes: budgets as back ends bear them, and three mutants

Cause: no test and no simulated run played requests on routes at all, so nothing could show the incident; the one test of the judgement stated the same assumption as the code. Added: RouteWorld (12 routers, owners that end in silence, addresses that pass to another service, cut and restarted routers, lost answers), RepeatAudit, 'planktray-sim routes'. Ruled out: that the mended router breaks the budget of any service in these runs.

--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -14,6 +14,7 @@
 #include "sim/grant_world.hpp"
 #include "sim/mutants.hpp"
 #include "sim/recorded.hpp"
+#include "sim/route_world.hpp"
 #include "sim/run.hpp"
 
 namespace planktray::sim {
@@ -415,6 +416,35 @@
   return violated == 0 ? kExitOk : kExitViolation;
 }
 
+/// Runs requests on routes over many seeds, or with a safeguard taken away.
+int run_routes(const Arguments& arguments, const SeedRange& range) {
+  RouteWorldOptions options;
+  for (const RouteMutant& mutant : all_route_mutants()) {
+    if (arguments.only == mutant.name) {
+      mutant.apply(options.router);
+    }
+  }
+  std::uint64_t violated = 0;
+  RouteWorldResult sum;
+  for (options.seed = range.first; options.seed <= range.last; ++options.seed) {
+    const RouteWorldResult result = run_route_world(options);
+    sum.requests += result.requests;
+    sum.answered += result.answered;
+    sum.repeats += result.repeats;
+    sum.misdirected += result.misdirected;
+    sum.ended_owners += result.ended_owners;
+    if (!result.violations.empty()) {
+      ++violated;
+      std::cout << "seed " << options.seed << ": " << result.violations.front() << '\n';
+    }
+  }
+  std::cout << range.last - range.first + 1 << " seeds, " << violated << " with a violation; "
+            << sum.requests << " requests, " << sum.answered << " answered, " << sum.repeats
+            << " repeats, " << sum.misdirected << " misdirected, " << sum.ended_owners
+            << " owners ended\n";
+  return violated == 0 ? kExitOk : kExitViolation;
+}
+
 int main_with(int argc, char** argv) {
   CLI::App app{"Runs planktray under virtual time with faults and judges what happened"};
   app.require_subcommand(1);
@@ -458,6 +488,10 @@
       "grants", "Run the contract of fenced grants over many seeds; exits 1 on a violation");
   grants->add_option("--seeds", arguments.seeds, "FIRST-LAST");
   grants->add_option("--mutant", arguments.only, "Name of a safeguard to take away");
+  CLI::App* routes = app.add_subcommand(
+      "routes", "Run requests on routes over many seeds; exits 1 on a violation");
+  routes->add_option("--seeds", arguments.seeds, "FIRST-LAST");
+  routes->add_option("--mutant", arguments.only, "Name of a safeguard to take away");
   RecordedFiles recorded;
   CLI::App* judge_command =
       app.add_subcommand("judge", "Check what a fleet of real processes recorded");
@@ -492,6 +526,9 @@
   if (grants->parsed()) {
     return run_grants(arguments, *range);
   }
+  if (routes->parsed()) {
+    return run_routes(arguments, *range);
+  }
   return run_seeds(arguments, *options, *range);
 }
 
--- /dev/null
+++ b/src/sim/route_world.cpp
@@ -0,0 +1,510 @@
+#include "sim/route_world.hpp"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "sim/repeat_audit.hpp"
+
+namespace planktray::sim {
+namespace {
+
+using common::BackendId;
+using common::Duration;
+using common::Incarnation;
+using common::LogIndex;
+using common::ServiceId;
+using common::TimePoint;
+using router::Answer;
+using router::AttemptResult;
+using router::Forward;
+using router::RequestHandle;
+using routing::AttemptEnd;
+using routing::Refusal;
+using std::chrono::milliseconds;
+
+constexpr Duration kStep = milliseconds(2);
+constexpr Duration kOneWay = milliseconds(2);
+/// A connection to nobody fails after this time.
+constexpr Duration kConnectFailure = milliseconds(30);
+/// The leader commits and sends what it has learnt within this time.
+constexpr Duration kCommitTime = milliseconds(40);
+/// An owner that falls silent keeps its keys for this long, unless it is known to have ended.
+constexpr Duration kHold = milliseconds(9000);
+/// An address is free again after this time.
+constexpr Duration kReuseAfter = milliseconds(2000);
+constexpr std::uint32_t kRanges = 64;
+constexpr std::uint32_t kRangeKeys = config::kKeyCount / kRanges;
+constexpr std::size_t kQueue = 12;
+constexpr std::uint32_t kSlots = 3;
+
+enum ServiceNumber : std::size_t { kKeyed, kSmall, kPlain, kServices };
+constexpr std::array<std::size_t, kServices> kTargets = {24, 8, 12};
+constexpr std::array<double, kServices> kWorkMs = {60, 80, 80};
+constexpr std::array<const char*, kServices> kNames = {"keyed", "small", "plain"};
+
+ServiceId service_id(std::size_t service) { return ServiceId(service + 1); }
+
+/// One process behind an address.
+struct Process {
+  BackendId id;
+  Incarnation incarnation;
+  std::string address;
+  std::size_t service = 0;
+  std::size_t running = 0;
+  TimePoint granted;  ///< it holds its keys from then on
+};
+
+class RouteWorld {
+ public:
+  explicit RouteWorld(const RouteWorldOptions& options)
+      : options_(options), random_(options.seed), audit_(options.router.retry_window, kServices) {
+    for (std::size_t service = 0; service < kServices; ++service) {
+      for (std::size_t i = 0; i < kTargets[service]; ++i) {
+        start_process(service, new_address());
+      }
+    }
+    publish(first_table());
+    for (std::size_t i = 0; i < options_.routers; ++i) {
+      nodes_.emplace_back();
+      start_router(nodes_.back());
+    }
+  }
+
+  RouteWorldResult run() {
+    const TimePoint end = now_ + options_.length;
+    while (now_ < end) {
+      now_ += kStep;
+      run_events();
+      make_trouble();
+      send_tables();
+      ask();
+      for (Node& node : nodes_) {
+        node.core->tick(now_);
+        flush(node);
+      }
+    }
+    audit_.judge([this](const std::string& text) { violate(text); });
+    result_.repeats = audit_.repeats();
+    return result_;
+  }
+
+ private:
+  struct Node {
+    std::unique_ptr<router::RouterCore> core;
+    TimePoint cut_until;
+    std::uint64_t life = 0;  ///< replies to an earlier life are lost
+  };
+  /// What was seen of one request.
+  struct Story {
+    std::size_t service = 0;
+    bool repeatable = false;
+    int runs = 0;
+    bool told_not_run = false;
+  };
+
+  bool has(RouteFault fault) const {
+    return std::find(options_.faults.begin(), options_.faults.end(), fault) !=
+           options_.faults.end();
+  }
+  void violate(const std::string& text) {
+    const auto when = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
+    result_.violations.push_back("at " + std::to_string(when) + " ms " + text);
+  }
+  void after(Duration wait, std::function<void()> event) {
+    events_.emplace(now_ + wait, std::move(event));
+  }
+  void run_events() {
+    while (!events_.empty() && events_.begin()->first <= now_) {
+      const auto event = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      event();
+    }
+  }
+  std::uint64_t uniform(std::uint64_t bound) { return common::uniform(random_, 0, bound - 1); }
+  Duration between(std::int64_t first_ms, std::int64_t last_ms) {
+    return milliseconds(first_ms + static_cast<std::int64_t>(
+                                       uniform(static_cast<std::uint64_t>(last_ms - first_ms))));
+  }
+
+  // ------------------------------------------------------------ back ends and the leader
+
+  std::string new_address() { return "10.0.0." + std::to_string(++last_address_) + ":80"; }
+
+  Process& start_process(std::size_t service, const std::string& address) {
+    Process& process = at_address_[address];
+    process = Process();
+    process.id = BackendId(++last_backend_);
+    process.incarnation = Incarnation("i-" + std::to_string(last_backend_));
+    process.address = address;
+    process.service = service;
+    return process;
+  }
+
+  static routing::BackendRoute route_of(const Process& process) {
+    routing::BackendRoute route;
+    route.id = process.id;
+    route.incarnation = process.incarnation;
+    route.address = process.address;
+    route.zone = common::ZoneName("z");
+    route.pool = common::PoolName(kNames[process.service]);
+    route.slots = kSlots;
+    route.self_registered = true;
+    return route;
+  }
+
+  routing::TableDelta first_table() {
+    routing::TableDelta table;
+    table.is_snapshot = true;
+    for (std::size_t service = 0; service < kServices; ++service) {
+      config::RoutedService config;
+      config.name = common::ServiceName(kNames[service]);
+      config.keyed = service == kKeyed;
+      table.routed_services.push_back({service_id(service), config});
+      config::Route route;
+      route.name = kNames[service];
+      route.host = kNames[service];
+      route.path_prefix = "/";
+      route.repeatable = service != kSmall;
+      route.timeout_ms = 1200;
+      route.objective_ms = 500;
+      route.maximum_attempts = 2;
+      route.parts = {{config.name, 1}};
+      table.routes.push_back(route);
+    }
+    for (const auto& [address, process] : at_address_) {
+      table.backends.push_back(route_of(process));
+      known_[process.id] = process;
+    }
+    for (std::uint32_t range = 0; range < kRanges; ++range) {
+      table.ranges.push_back(give(range, free_owner()));
+    }
+    table.routes_version = 1;
+    return table;
+  }
+
+  /// A registered, running back end with keys' service.
+  BackendId free_owner() {
+    std::vector<BackendId> candidates;
+    for (const auto& [id, process] : known_) {
+      const auto present = at_address_.find(process.address);
+      const bool runs = present != at_address_.end() && present->second.id == id;
+      if (process.service == kKeyed && runs) {
+        candidates.push_back(id);
+      }
+    }
+    return candidates.empty() ? BackendId() : candidates[uniform(candidates.size())];
+  }
+
+  routing::KeyRangeRoute give(std::uint32_t range, BackendId owner) {
+    owners_[range] = owner;
+    const auto known = known_.find(owner);
+    if (known != known_.end()) {
+      at_address_.at(known->second.address).granted = now_ + between(1, 40);
+    }
+    return {service_id(kKeyed), range * kRangeKeys, (range + 1) * kRangeKeys - 1, owner};
+  }
+
+  void publish(routing::TableDelta delta) {
+    delta.to = LogIndex(deltas_.size() + 2);
+    delta.from = deltas_.empty() ? LogIndex() : deltas_.back().to;
+    deltas_.push_back(std::move(delta));
+  }
+
+  /// The leader learns that a back end has ended: its keys pass on.
+  void drop_owner(BackendId id) {
+    const auto known = known_.find(id);
+    if (known == known_.end()) {
+      return;
+    }
+    routing::TableDelta delta;
+    routing::BackendRoute route = route_of(known->second);
+    route.ended = true;
+    delta.backends = {route};
+    known_.erase(known);
+    for (std::uint32_t range = 0; range < kRanges; ++range) {
+      if (owners_[range] == id) {
+        delta.ranges.push_back(give(range, free_owner()));
+      }
+    }
+    publish(std::move(delta));
+  }
+
+  void register_process(const std::string& address, BackendId id) {
+    const auto found = at_address_.find(address);
+    if (found == at_address_.end() || found->second.id != id) {
+      return;
+    }
+    std::vector<BackendId> replaced;
+    for (const auto& [other, process] : known_) {
+      if (process.address == address) {
+        replaced.push_back(other);
+      }
+    }
+    for (const BackendId other : replaced) {
+      drop_owner(other);
+    }
+    known_[id] = found->second;
+    routing::TableDelta delta;
+    delta.backends = {route_of(found->second)};
+    publish(std::move(delta));
+  }
+
+  /// A third of the owners end in silence; others take their addresses and their work.
+  void end_owners() {
+    std::vector<std::string> addresses;
+    for (const auto& [address, process] : at_address_) {
+      if (process.service == kKeyed && common::chance(random_, 0.35)) {
+        addresses.push_back(address);
+      }
+    }
+    for (const std::string& address : addresses) {
+      ++result_.ended_owners;
+      const BackendId ended = at_address_.at(address).id;
+      at_address_.erase(address);
+      after(kHold, [this, ended] { drop_owner(ended); });
+      after(kReuseAfter, [this, address] {
+        const BackendId id = start_process(kSmall, address).id;
+        after(between(100, 4500), [this, address, id] { register_process(address, id); });
+      });
+      const std::string fresh = new_address();
+      const BackendId id = start_process(kKeyed, fresh).id;
+      after(between(200, 1500), [this, fresh, id] { register_process(fresh, id); });
+    }
+  }
+
+  void make_trouble() {
+    if (now_ < next_trouble_) {
+      return;
+    }
+    next_trouble_ = now_ + between(1000, 3000);
+    const auto turn = static_cast<RouteFault>(uniform(4));
+    Node& node = nodes_[uniform(nodes_.size())];
+    if (turn == RouteFault::kReusedAddresses && has(turn)) {
+      end_owners();
+    } else if (turn == RouteFault::kCutRouters && has(turn)) {
+      for (Node& cut : nodes_) {
+        cut.cut_until = common::chance(random_, 0.4) ? now_ + between(2000, 7000) : cut.cut_until;
+      }
+    } else if (turn == RouteFault::kLostAnswers && has(turn)) {
+      answers_lost_until_ = now_ + between(2000, 7000);
+    } else if (turn == RouteFault::kRestartedRouters && has(turn)) {
+      start_router(node);
+    }
+  }
+
+  // ------------------------------------------------------------ routers
+
+  void start_router(Node& node) {
+    router::RouterOptions options = options_.router;
+    options.name = common::RouterName("r" + std::to_string(&node - nodes_.data()));
+    options.zone = common::ZoneName("z");
+    node.core = std::make_unique<router::RouterCore>(
+        options, common::RandomEngine(options_.seed + ++lives_), now_);
+    node.life = lives_;
+  }
+
+  void send_tables() {
+    if (now_ < next_tables_) {
+      return;
+    }
+    next_tables_ = now_ + kCommitTime;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      Node& node = nodes_[i];
+      if (now_ < node.cut_until) {
+        continue;
+      }
+      routing::TableUpdate update;
+      update.cell = options_.router.cell;
+      update.echo_clock_us = common::to_microseconds(now_);
+      update.router_rank = static_cast<std::uint32_t>(i);
+      update.router_count = static_cast<std::uint32_t>(nodes_.size());
+      update.base_index = node.core->table().index();
+      update.current_index = deltas_.back().to;
+      for (const routing::TableDelta& delta : deltas_) {
+        if (delta.to > update.base_index) {
+          update.deltas.push_back(delta);
+        }
+      }
+      node.core->on_table_update(now_, update);
+    }
+  }
+
+  void ask() {
+    const double expected =
+        options_.requests_per_second * std::chrono::duration<double>(kStep).count();
+    for (double left = expected; left > 0; left -= 1) {
+      if (left >= 1 || common::chance(random_, left)) {
+        ask_one();
+      }
+    }
+  }
+
+  void ask_one() {
+    constexpr std::array<double, kServices> kUntil = {0.75, 0.83, 1.0};
+    const double draw = common::uniform_real(random_);
+    const auto service = static_cast<std::size_t>(
+        std::find_if(kUntil.begin(), kUntil.end(), [&](double until) { return draw < until; }) -
+        kUntil.begin());
+    Node& node = nodes_[uniform(nodes_.size())];
+    router::CallerRequest request;
+    request.handle = ++last_request_;
+    request.method = "GET";
+    request.timeout_ms = 1200;
+    request.route = router::RouteCall{kNames[service], "/x", std::nullopt};
+    if (service == kKeyed) {
+      request.route->key = static_cast<std::uint32_t>(uniform(config::kKeyCount));
+    }
+    ++result_.requests;
+    stories_[request.handle] = {service, service != kSmall, 0, false};
+    audit_.on_request(now_, service);
+    node.core->on_request(now_, request);
+    flush(node);
+  }
+
+  void flush(Node& node) {
+    for (router::RouterOutput output = node.core->take_output(); !output.empty();
+         output = node.core->take_output()) {
+      for (const Answer& answer : output.answers) {
+        on_answer(answer);
+      }
+      for (const Forward& forward : output.forwards) {
+        const auto place = static_cast<std::size_t>(&node - nodes_.data());
+        after(kOneWay, [this, place, life = node.life, forward] { arrive(place, life, forward); });
+      }
+      if (output.hello.has_value() && now_ >= node.cut_until) {
+        for (const BackendId id : output.hello->ended) {
+          after(kCommitTime, [this, id] { drop_owner(id); });
+        }
+      }
+    }
+  }
+
+  void on_answer(const Answer& answer) {
+    Story& story = stories_.at(answer.handle);
+    if (answer.outcome == routing::Outcome::kAnswered) {
+      ++result_.answered;
+    } else if (answer.outcome == routing::Outcome::kNotRun) {
+      story.told_not_run = true;
+      if (story.runs > 0) {
+        violate("request " + std::to_string(answer.handle) + " is called not run, and it has run");
+      }
+    }
+  }
+
+  // ------------------------------------------------------------ a request at a back end
+
+  void reply(Duration wait, std::size_t place, std::uint64_t life, router::AttemptId attempt,
+             AttemptResult result) {
+    after(wait + kOneWay, [this, place, life, attempt, result = std::move(result)] {
+      Node& node = nodes_[place];
+      if (node.life == life) {
+        node.core->on_attempt_done(now_, attempt, result);
+        flush(node);
+      }
+    });
+  }
+
+  static AttemptResult refusal(Refusal reason, const Process& process) {
+    AttemptResult result;
+    result.end = AttemptEnd::kRefused;
+    result.refusal = reason;
+    result.answered_by = process.incarnation;
+    return result;
+  }
+
+  void arrive(std::size_t place, std::uint64_t life, const Forward& forward) {
+    const auto found = at_address_.find(forward.address);
+    if (found == at_address_.end()) {
+      AttemptResult result;
+      result.end = AttemptEnd::kNotSent;
+      return reply(kConnectFailure, place, life, forward.attempt, result);
+    }
+    Process& process = found->second;
+    audit_.on_arrival(now_, process.service, forward.handle);
+    if (process.incarnation != forward.incarnation) {
+      ++result_.misdirected;
+      return reply({}, place, life, forward.attempt, refusal(Refusal::kWrongIncarnation, process));
+    }
+    if (forward.keyed && now_ < process.granted) {
+      return reply({}, place, life, forward.attempt, refusal(Refusal::kNotOwner, process));
+    }
+    if (process.running >= kSlots + kQueue) {
+      return reply({}, place, life, forward.attempt, refusal(Refusal::kShed, process));
+    }
+    run_request(place, life, forward, process);
+  }
+
+  void run_request(std::size_t place, std::uint64_t life, const Forward& forward,
+                   Process& process) {
+    Story& story = stories_.at(forward.handle);
+    ++story.runs;
+    if (story.runs > 1 && !story.repeatable) {
+      violate("request " + std::to_string(forward.handle) + " runs again");
+    }
+    if (story.told_not_run) {
+      violate("request " + std::to_string(forward.handle) + " runs, and was called not run");
+    }
+    ++process.running;
+    const double queued = static_cast<double>(process.running) / kSlots;
+    const Duration work(
+        static_cast<Duration::rep>(kWorkMs[process.service] * 1000 * std::max(1.0, queued) *
+                                   (0.6 + 0.8 * common::uniform_real(random_))));
+    const bool lost = now_ < answers_lost_until_ && common::chance(random_, 0.5);
+    AttemptResult result;
+    result.end = lost ? AttemptEnd::kBroken : AttemptEnd::kAnswered;
+    result.is_failure = !lost && common::chance(random_, 0.005);
+    const BackendId id = process.id;
+    after(work, [this, address = process.address, id] {
+      const auto present = at_address_.find(address);
+      if (present != at_address_.end() && present->second.id == id) {
+        --present->second.running;
+      }
+    });
+    reply(work, place, life, forward.attempt, result);
+  }
+
+  RouteWorldOptions options_;
+  common::RandomEngine random_;
+  RepeatAudit audit_;
+  RouteWorldResult result_;
+  TimePoint now_ = TimePoint(std::chrono::seconds(100));
+  TimePoint next_trouble_ = now_ + milliseconds(3000);
+  TimePoint next_tables_;
+  TimePoint answers_lost_until_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  std::map<std::string, Process> at_address_;
+  std::map<BackendId, Process> known_;  ///< what the leader has registered
+  std::array<BackendId, kRanges> owners_;
+  std::vector<routing::TableDelta> deltas_;
+  std::vector<Node> nodes_;
+  std::map<RequestHandle, Story> stories_;
+  std::uint64_t last_address_ = 0;
+  std::uint64_t last_backend_ = 0;
+  std::uint64_t last_request_ = 0;
+  std::uint64_t lives_ = 0;
+};
+
+}  // namespace
+
+RouteWorldResult run_route_world(const RouteWorldOptions& options) {
+  return RouteWorld(options).run();
+}
+
+const std::vector<RouteMutant>& all_route_mutants() {
+  static const std::vector<RouteMutant> kMutants = {
+      {"ended-owners-asked-again", "a back end that another incarnation answers for gets nothing",
+       [](router::RouterOptions& options) { options.ended_memory = Duration(0); }},
+      {"repeats-without-bound", "repeats stay within the service's budget",
+       [](router::RouterOptions& options) { options.retry_window.spent_share = 20; }},
+      {"unknown-called-not-run", "what may have run is never called not run",
+       [](router::RouterOptions& options) { options.claim_not_run = true; }},
+  };
+  return kMutants;
+}
+
+}  // namespace planktray::sim
--- /dev/null
+++ b/test/sim/route_world_test.cpp
@@ -0,0 +1,46 @@
+/// Requests on routes over many seeds, and with safeguards taken away.
+
+#include "sim/route_world.hpp"
+
+#include <doctest/doctest.h>
+
+namespace planktray::sim {
+namespace {
+
+constexpr std::uint64_t kSeeds = 12;
+
+/// The first seed with a violation, 0 where there is none.
+std::uint64_t first_violation(RouteWorldOptions options) {
+  for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+    const RouteWorldResult result = run_route_world(options);
+    if (!result.violations.empty()) {
+      MESSAGE("seed ", options.seed, ": ", result.violations.front());
+      return options.seed;
+    }
+  }
+  return 0;
+}
+
+TEST_CASE("repeats stay in the budget of the service that bears them and nothing runs twice") {
+  CHECK(first_violation({}) == 0);
+}
+
+TEST_CASE("the runs of requests on routes hold what they are meant to try") {
+  const RouteWorldResult result = run_route_world({});
+  CHECK(result.answered > result.requests / 2);
+  CHECK(result.repeats > 100);
+  CHECK(result.misdirected > 20);
+  CHECK(result.ended_owners > 10);
+}
+
+TEST_CASE("each safeguard of requests on routes taken away is caught") {
+  for (const RouteMutant& mutant : all_route_mutants()) {
+    CAPTURE(mutant.name);
+    RouteWorldOptions options;
+    mutant.apply(options.router);
+    CHECK(first_violation(options) > 0);
+  }
+}
+
+}  // namespace
+}  // namespace planktray::sim
