--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -94,7 +94,11 @@
     return;
   }
   const auto host = by_host_.find(plain_host(found->second.host));
-  std::erase(host->second, name);
+  const auto prefix = host->second.find(found->second.path_prefix);
+  prefix->second.erase(name);
+  if (prefix->second.empty()) {
+    host->second.erase(prefix);
+  }
   if (host->second.empty()) {
     by_host_.erase(host);
   }
@@ -103,11 +107,7 @@
 
 void RouteTable::put_route(const config::Route& route) {
   routes_[route.name] = route;
-  std::vector<std::string>& names = by_host_[plain_host(route.host)];
-  names.push_back(route.name);
-  std::sort(names.begin(), names.end(), [this](const std::string& a, const std::string& b) {
-    return routes_.at(a).path_prefix.size() > routes_.at(b).path_prefix.size();
-  });
+  by_host_[plain_host(route.host)][route.path_prefix].insert(route.name);
 }
 
 void RouteTable::list_targets(const std::unordered_map<BackendId, BackendRoute>& backends) {
@@ -126,14 +126,16 @@
 }
 
 const config::Route* RouteTable::find(std::string_view host, std::string_view path) const {
-  const auto names = by_host_.find(plain_host(host));
-  if (names == by_host_.end()) {
+  const auto prefixes = by_host_.find(plain_host(host));
+  if (prefixes == by_host_.end()) {
     return nullptr;
   }
-  for (const std::string& name : names->second) {
-    const config::Route& route = routes_.at(name);
-    if (path.starts_with(route.path_prefix)) {
-      return &route;
+  // Prefixes end with a slash: those of the path are its parts up to each slash, the longest first.
+  for (auto slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+    const auto found = prefixes->second.find(path.substr(0, slash + 1));
+    if (found != prefixes->second.end()) {
+      return &routes_.at(*found->second.begin());
     }
   }
   return nullptr;
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -58,8 +59,10 @@
   void list_targets(const std::unordered_map<BackendId, BackendRoute>& backends);
 
   std::map<std::string, config::Route> routes_;  ///< by name
-  /// Route names by host, those with the longest prefix first.
-  std::unordered_map<std::string, std::vector<std::string>> by_host_;
+  /// Route names of one host by path prefix. Hosts that differ in case or port only may hold the
+  /// same prefix twice: the first name counts.
+  using Prefixes = std::map<std::string, std::set<std::string>, std::less<>>;
+  std::unordered_map<std::string, Prefixes> by_host_;
   std::map<ServiceId, RoutedTableService> services_;
   std::unordered_map<std::string, ServiceId> service_ids_;
   std::map<ServiceId, KeyOwners> owners_;
