--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -28,6 +28,7 @@
       budget_(options_.retry_budget),
       confirmed_until_(now),
       next_hello_(now),
+      last_hello_(now),
       hello_interval_(options_.hello_interval),
       next_load_(now) {}
 
@@ -138,6 +139,7 @@
 
 void RouterCore::make_hello(TimePoint now) {
   next_hello_ = now + hello_interval_;
+  last_hello_ = now;
   const bool leader_is_known =
       leader_heard_.has_value() && now - *leader_heard_ < kHellosWithoutAnswer * hello_interval_;
   output_.hello_to_all = !leader_is_known;
@@ -564,7 +566,9 @@
   ++counters_.ended_backends;
   ended_[backend] = {now + options_.ended_memory, is_named};
   if (is_named) {
-    next_hello_ = std::min(next_hello_, now + options_.ended_report_delay);
+    const TimePoint soonest = std::max(now + options_.ended_report_delay,
+                                       last_hello_ + hello_interval_ / options_.reports_per_hello);
+    next_hello_ = std::min(next_hello_, soonest);
   }
 }
 
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -67,9 +67,12 @@
   double other_zone_cost = 0.05;
   /// Ended back ends named in one hello at most.
   std::size_t maximum_reported_ended = 64;
-  /// A back end found to have ended is reported within this time: other routers are about to ask
-  /// it too, and those found within it go together.
+  /// A back end found to have ended is reported after this time: other routers are about to ask it
+  /// too, and those found within it go together.
   Duration ended_report_delay = std::chrono::milliseconds(5);
+  /// Such reports are at least this part of a hello's interval apart, so that routers which find
+  /// many do not bury the leader in hellos.
+  int reports_per_hello = 4;
   /// Requests for the same key counted in one load report at most.
   std::size_t maximum_reported_keys = 400;
   routing::SubsetPolicy subset = routing::SubsetPolicy::kDeterministicAperture;
@@ -346,6 +349,7 @@
   std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
   std::set<RequestHandle> routed_waiting_;
   TimePoint next_hello_;
+  TimePoint last_hello_;
   std::optional<TimePoint> leader_heard_;  ///< when the last update came
   Duration hello_interval_;
   TimePoint next_load_;
--- a/test/routing/route_table_test.cpp
+++ b/test/routing/route_table_test.cpp
@@ -67,6 +67,7 @@
 TEST_CASE("thousands of routes on one host are found each by its own prefix") {
   constexpr int kRoutes = 5000;
   std::vector<config::Route> routes;
+  routes.reserve(kRoutes);
   for (int i = 0; i < kRoutes; ++i) {
     routes.push_back(route("r" + std::to_string(i), "a", "/p" + std::to_string(i) + "/"));
   }
