The goodbye of a back end that is not registered yet is remembered

Cause: a goodbye of an incarnation that the leader did not know was acknowledged and forgotten. A heartbeat that came 2.3 s later registered it, and it got work: DRAIN. Changed: the goodbye is committed with the incarnation, known or not; a registration under way is marked, a later one is refused. Ruled out: a late table: the leader's log shows the registration at 10.757 s after the acknowledgement at 8.502 s, and no mark in between. Conclusion: acknowledged means committed, here too.

--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -84,11 +84,13 @@
     return;
   }
   const ownership::BackendRecord* known = state_.find_incarnation(incarnation);
-  if (known == nullptr || known->departed) {
+  if (state_.has_departed(incarnation)) {
     output_.completions.emplace_back(CommandCompleted{request, state_.applied()});
     return;
   }
-  submit(now, request, Command(ownership::MarkLeaving{known->id, true, true}), false);
+  // One that is not registered is remembered too: a heartbeat that comes late must not bring it in.
+  const common::BackendId id = known == nullptr ? common::BackendId() : known->id;
+  submit(now, request, Command(ownership::MarkLeaving{id, true, true, false, incarnation}), false);
 }
 
 void ControllerCore::mark_ended(TimePoint now, common::BackendId id) {
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -115,7 +115,12 @@
 }
 
 void CellState::apply_command(LogIndex /*index*/, const MarkLeaving& command, ApplyResult& result) {
-  const auto found = backends_.find(command.backend);
+  if (command.departed && !command.incarnation.value.empty()) {
+    remember_departure(command.incarnation);
+  }
+  // Its registration may have been under way when it said goodbye.
+  const BackendRecord* named = find_incarnation(command.incarnation);
+  const auto found = backends_.find(named == nullptr ? command.backend : named->id);
   if (found == backends_.end()) {
     return;
   }
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -67,7 +67,9 @@
   bool departed = false;
   /// Its process has ended: another incarnation has answered at its address.
   bool ended = false;
-  MSGPACK_DEFINE_ARRAY(backend, leaving, departed, ended)
+  /// Says goodbye without having been registered (`backend` is 0): its heartbeats may still come.
+  common::Incarnation incarnation{};
+  MSGPACK_DEFINE_ARRAY(backend, leaving, departed, ended, incarnation)
 };
 
 struct TargetSet {
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -153,6 +153,44 @@
   CHECK(answer.tables.size() == 1);
 }
 
+TEST_CASE("the goodbye of a back end that is not known yet is remembered") {
+  Cell cell;
+  const common::Incarnation life("life");
+  ControllerCore& leader = *cell.replicas[cell.leader()];
+  cell.completions.clear();
+  const OperatorRequestId request = leader.new_request();
+  leader.depart(at(cell.time), request, life);
+  cell.exchange();
+  cell.run_for(50);
+  REQUIRE(cell.completions.size() == 1);
+  CHECK(std::get<CommandCompleted>(cell.completions[0]).index.has_value());
+  // A heartbeat that it sent before arrives late: acknowledged, and it gets no work.
+  CHECK(cell.beat(cell.leader(), 1, false));
+  cell.run_for(100);
+  for (const auto& replica : cell.replicas) {
+    CHECK(replica->state().find_incarnation(life) == nullptr);
+    CHECK(replica->state().has_departed(life));
+  }
+}
+
+TEST_CASE("a goodbye that overtakes the registration under way marks the back end") {
+  Cell cell;
+  const common::Incarnation life("life");
+  ControllerCore& leader = *cell.replicas[cell.leader()];
+  Heartbeat heartbeat;
+  heartbeat.incarnation = life;
+  heartbeat.address = "10.0.0.1:80";
+  heartbeat.service = "s";
+  heartbeat.sequence = 1;
+  leader.heartbeat(at(cell.time), leader.new_request(), heartbeat);
+  leader.depart(at(cell.time), leader.new_request(), life);
+  cell.exchange();
+  cell.run_for(50);
+  const ownership::BackendRecord* known = leader.state().find_incarnation(life);
+  CHECK((known == nullptr || known->leaving));
+  CHECK(leader.state().has_departed(life));
+}
+
 TEST_CASE("a back end that a router found to have ended is dropped on every replica") {
   Cell cell;
   CHECK(cell.beat(cell.leader(), 1, false));
