--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -70,7 +70,7 @@
     return core.take_output();
   }
 
-  RouterOutput end(TimePoint now, AttemptId attempt, AttemptResult result) {
+  RouterOutput end(TimePoint now, AttemptId attempt, const AttemptResult& result) {
     core.on_attempt_done(now, attempt, result);
     return core.take_output();
   }
