A leader's plans and orders keep a distance; connections are served as high as peers

Connections stood at a lower priority than the sockets between processes, and one was accepted in a turn: 6 to 15 a second.

Ruled out: elections (one leader from 3.47 s on), the disk (a change waited 10 to 40 ms once it was read), a full queue of new connections (512), redirects (each named the right leader).

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -12,8 +12,8 @@
 
 /// A plan without a change of state is tried again this often: losses come with time alone.
 constexpr Duration kPlanInterval = std::chrono::milliseconds(20);
-/// All sessions and subscribers are looked through this often, and at once after a change.
-constexpr Duration kSweepInterval = std::chrono::milliseconds(5);
+/// All sessions and subscribers are looked through this often at most.
+constexpr Duration kSweepInterval = std::chrono::milliseconds(10);
 /// A controller looks around at least this often, and at most, where nothing comes in.
 constexpr Duration kLongestRest = std::chrono::milliseconds(250);
 constexpr Duration kShortestRest = std::chrono::milliseconds(1);
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -12,6 +12,19 @@
 
 /// Plans are at least this far apart where nothing has changed.
 constexpr Duration kShortestRest = std::chrono::milliseconds(10);
+/// After a plan the next one waits this long for each range there is, so that changes which follow
+/// each other closely are planned for together: a plan looks at every range, and took 7 ms of a
+/// leader's time at 420 ranges and 0.15 of a core.
+constexpr Duration kRestPerRange = std::chrono::microseconds(100);
+constexpr Duration kLongestPlanRest = std::chrono::milliseconds(100);
+
+Duration rest_after_plan(const CellState& state) {
+  std::size_t ranges = 0;
+  for (const auto& [id, service] : state.routed_services()) {
+    ranges += service.ranges.records().size();
+  }
+  return std::min<Duration>(kRestPerRange * static_cast<std::int64_t>(ranges), kLongestPlanRest);
+}
 
 }  // namespace
 
@@ -27,6 +40,8 @@
   grants_.begin_term(now, state);
   loads_.clear();
   times_.clear();
+  capacities_ = {};
+  rested_at_ = now;
   planned_state_ = common::LogIndex();
   next_plan_ = now;
   next_balance_ = now + options_.balance_interval;
@@ -81,16 +96,18 @@
   return targets > 0 && now - joined.changed >= options_.settle_time;
 }
 
-std::vector<common::BackendId> RangeController::forgotten(TimePoint now,
-                                                          const CellState& state) const {
+std::vector<common::BackendId> RangeController::forgotten(TimePoint now, const CellState& state,
+                                                          bool look_for_silent) const {
   std::vector<common::BackendId> gone;
   for (const auto& [id, backend] : state.backends()) {
     if (!backend.has_fenced_grants()) {
       continue;
     }
-    const bool is_gone = backend.ended ||
-                         (backend.leaving && heartbeats_.is_silent(now, backend.incarnation)) ||
-                         heartbeats_.is_forgotten(now, backend.incarnation);
+    const auto is_unheard = [&] {
+      return (backend.leaving && heartbeats_.is_silent(now, backend.incarnation)) ||
+             heartbeats_.is_forgotten(now, backend.incarnation);
+    };
+    const bool is_gone = backend.ended || (look_for_silent && is_unheard());
     if (is_gone && !state.owns_keys(id)) {
       gone.push_back(id);
     }
@@ -105,16 +122,21 @@
   if (!fold && !changed && now < next_plan_) {
     return {};
   }
+  if (!fold && now < rested_at_) {
+    next_plan_ = rested_at_;
+    return {};
+  }
+  rested_at_ = now + rest_after_plan(state);
   if (fold) {
     next_balance_ = now + options_.balance_interval;
     loads_.fold(now);
+    capacities_ = times_.capacities(state);
   }
   planned_state_ = state.applied();
   ownership::RangePlannerInput input{
       state, loads_, {}, {}, {}, balance, balance && now >= next_join_};
   input.is_eligible = [&](const BackendRecord& backend) { return is_eligible(now, backend); };
-  const ownership::Capacities capacities = times_.capacities(state);
-  input.capacity = [&](const BackendRecord& backend) { return capacities.of(backend.id); };
+  input.capacity = [&](const BackendRecord& backend) { return capacities_.of(backend.id); };
   input.may_assign = [&](common::ServiceId service, const ownership::RangeRecord& record) {
     const auto found = state.routed_services().find(service);
     if (!is_settled(now, state, found->second)) {
@@ -129,7 +151,7 @@
   for (const ownership::RangeMove& move : grants_.withdrawals(now, state)) {
     plan.moves.push_back(move);
   }
-  plan.removed = forgotten(now, state);
+  plan.removed = forgotten(now, state, fold);
   next_plan_ = std::min(next_balance_, std::max(grants_.next_due(), now + kShortestRest));
   return plan;
 }
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -104,7 +104,9 @@
   bool is_eligible(TimePoint now, const ownership::BackendRecord& backend) const;
   bool is_settled(TimePoint now, const ownership::CellState& state,
                   const ownership::RoutedServiceRecord& service);
-  std::vector<common::BackendId> forgotten(TimePoint now, const ownership::CellState& state) const;
+  /// Back ends that own nothing and have ended, or, where that is looked for, fell silent.
+  std::vector<common::BackendId> forgotten(TimePoint now, const ownership::CellState& state,
+                                           bool look_for_silent) const;
 
   RangeOptions options_;
   membership::HeartbeatMonitor heartbeats_;
@@ -113,8 +115,10 @@
   ownership::RangePlanner planner_;
   ownership::KeyLoads loads_;
   ownership::TargetTimes times_;
+  ownership::Capacities capacities_;  ///< as of the last fold of loads
   common::LogIndex planned_state_;
   TimePoint next_plan_;
+  TimePoint rested_at_;  ///< no plan before, but for balance
   TimePoint next_balance_;
   TimePoint next_join_;
   struct Joined {
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/codec.hpp"
@@ -181,6 +182,18 @@
 
 enum class ChangeStatus : std::uint8_t { kAccepted = 0, kConflict = 1, kInvalid = 2 };
 
+constexpr std::string_view to_string(ChangeStatus status) {
+  switch (status) {
+    case ChangeStatus::kAccepted:
+      return "accepted";
+    case ChangeStatus::kConflict:
+      return "conflict";
+    case ChangeStatus::kInvalid:
+      return "invalid";
+  }
+  return "invalid";
+}
+
 /// What an operator is told about a change; a resend of the same change gets the same answer.
 struct ChangeAnswer {
   std::uint8_t status = 0;    ///< a ChangeStatus
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -60,6 +60,7 @@
   rounds_.clear();
   synced_ = LogIndex();
   next_due_ = now;
+  rested_at_ = now;
   hold_ = std::max<Duration>(options_.hold_time, state.grant_terms().hold());
   earlier_answers_end_ = now + true_time(options_.reported_hold_time);
   for (const auto& [id, service] : state.routed_services()) {
@@ -171,10 +172,14 @@
   if (!active_) {
     return;
   }
+  if (now < rested_at_) {
+    return;
+  }
   sync(now, state);
   if (now < next_due_) {
     return;
   }
+  rested_at_ = now + options_.rest_per_holding * static_cast<std::int64_t>(holdings_.size());
   Outgoing outgoing{grants, releases};
   send_releases(now, state, outgoing);
   send_first_grants(now, state, outgoing);
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -24,6 +24,7 @@
 ///  - the end of their process, as above; or
 ///  - the end of the longest hold that was told, counted from the arrival of its heartbeat.
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -53,6 +54,8 @@
   /// Grants under way at once: a new leader has as many to send as there are ranges, and must not
   /// let them wait for each other until they time out.
   std::size_t grants_under_way = 24;
+  /// Orders are made at most this often for each range that is held: every look goes through all.
+  Duration rest_per_holding = std::chrono::microseconds(20);
   /// An order without an answer is repeated after this time.
   Duration retry_interval = std::chrono::milliseconds(200);
   /// A holder's clock may run slow by this fraction.
@@ -170,7 +173,7 @@
   /// How long grants should hold for the owners there are; they hold as the state says.
   Duration wanted_hold(const CellState& state) const;
   /// When collect() or withdrawals() next has something to do.
-  TimePoint next_due() const { return next_due_; }
+  TimePoint next_due() const { return std::max(next_due_, rested_at_); }
   std::size_t holdings() const { return holdings_.size(); }
   /// True where grants wait for room: moving keys for balance would only make more of them.
   bool is_busy() const { return 2 * grants_under_way_ >= options_.grants_under_way; }
@@ -260,6 +263,7 @@
   Duration hold_{0};               ///< of the orders that are sent now
   TimePoint earlier_answers_end_;  ///< what leaders before have told by answers has run out then
   TimePoint next_due_;
+  TimePoint rested_at_;  ///< collect() does nothing before
   Holdings holdings_;
   std::map<BackendId, Round> rounds_;
   std::map<OrderId, Order> orders_;
--- a/src/ownership/range_planner.cpp
+++ b/src/ownership/range_planner.cpp
@@ -14,6 +14,9 @@
     if (service.retired || service.ranges.records().empty()) {
       continue;
     }
+    if (!input.balance && !input.join && !has_work(input, service)) {
+      continue;
+    }
     Workspace work(input, service);
     if (work.targets().empty()) {
       continue;
@@ -34,6 +37,18 @@
   return plan;
 }
 
+bool RangePlanner::has_work(const RangePlannerInput& input, const RoutedServiceRecord& service) {
+  const auto& records = service.ranges.records();
+  return std::any_of(records.begin(), records.end(), [&](const auto& item) {
+    const RangeRecord& range = item.second;
+    if (range.moving || range.owner.value == 0) {
+      return input.may_assign(service.id, range).free;
+    }
+    const BackendRecord* owner = input.state.find_backend(range.owner);
+    return owner != nullptr && owner->leaving;
+  });
+}
+
 void RangePlanner::assign_free(Workspace& work, ApplyRangePlan& plan) const {
   const ServiceId service = work.service().id;
   for (const auto& [first, record] : work.service().ranges.records()) {
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -56,6 +56,9 @@
  private:
   class Workspace;
 
+  /// True where keys can be given away, or have to leave their owner: cheap to find out, unlike the
+  /// loads of all keys and targets.
+  static bool has_work(const RangePlannerInput& input, const RoutedServiceRecord& service);
   void assign_free(Workspace& work, ApplyRangePlan& plan) const;
   void empty_leaving(Workspace& work, ApplyRangePlan& plan) const;
   /// Gives a dominant key the fastest target for itself.
--- a/src/transport/descriptor_watch.cpp
+++ b/src/transport/descriptor_watch.cpp
@@ -37,7 +37,9 @@
   static constexpr std::size_t kBatch = 16;
 
   DescriptorQueue() : queue_(epoll_create1(EPOLL_CLOEXEC)) {
-    g_unix_fd_add(queue_, G_IO_IN, on_ready, this);
+    // As high as the sockets between the system's own processes: with a lower one, connections are
+    // not served at all while those have something to say.
+    g_unix_fd_add_full(G_PRIORITY_HIGH, queue_, G_IO_IN, on_ready, this, nullptr);
   }
   static gboolean on_ready(gint /*fd*/, GIOCondition /*condition*/, gpointer self) {
     static_cast<DescriptorQueue*>(self)->dispatch();
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned kStatusUnavailable = 503;
 constexpr unsigned kStatusGatewayTimeout = 504;
 constexpr int kBacklog = 512;
+/// Connections taken before other sources of the main loop get their turn.
+constexpr int kAcceptBatch = 16;
 /// Idle and slow connections are looked for this often.
 constexpr guint kSweepSeconds = 1;
 /// Bytes of later requests kept while one is being answered.
@@ -302,8 +304,8 @@
     g_error_free(error);
     return common::fail(common::ErrorCode::kIo, "listen", address, message);
   }
-  server->accept_source_ =
-      g_unix_fd_add(g_socket_get_fd(server->listener_), G_IO_IN, on_incoming, server.get());
+  server->accept_source_ = g_unix_fd_add_full(G_PRIORITY_HIGH, g_socket_get_fd(server->listener_),
+                                              G_IO_IN, on_incoming, server.get(), nullptr);
   server->sweep_source_ = g_timeout_add_seconds(kSweepSeconds, on_sweep, server.get());
   return server;
 }
@@ -321,14 +323,16 @@
 }
 
 gboolean HttpServer::on_incoming(gint /*fd*/, GIOCondition /*condition*/, gpointer self) {
-  static_cast<HttpServer*>(self)->accept_one();
+  auto* server = static_cast<HttpServer*>(self);
+  for (int i = 0; i < kAcceptBatch && server->accept_one(); ++i) {
+  }
   return G_SOURCE_CONTINUE;
 }
 
-void HttpServer::accept_one() {
+bool HttpServer::accept_one() {
   GSocket* socket = g_socket_accept(listener_, nullptr, nullptr);
   if (socket == nullptr) {
-    return;  // the client has gone already, or no descriptor is free: the sweep frees some
+    return false;  // none waits, or no descriptor is free: the sweep frees some
   }
   const std::uint64_t id = next_id_++;
   auto connection = std::make_shared<ServerConnection>(
@@ -336,6 +340,7 @@
   g_object_unref(socket);
   connections_[id] = connection;
   connection->start();
+  return true;
 }
 
 gboolean HttpServer::on_sweep(gpointer self) {
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -112,7 +112,8 @@
   HttpServer(HttpServerOptions options, Handler handler);
   static gboolean on_incoming(gint fd, GIOCondition condition, gpointer self);
   static gboolean on_sweep(gpointer self);
-  void accept_one();
+  /// @return false where no connection waits, or none can be taken.
+  bool accept_one();
   void sweep();
   void forget(std::uint64_t id);
 
