Each router works with a part of the targets where a service without keys has many

Change: 20 targets of the own zone and 12 of the others, drawn by rendezvous hashing of router and target; where none of them can take a request, all are looked at. Services with 32 targets or fewer are used whole, so that the small sites stay as they were.

Ruled out: the ring of the product's own services (routers of one zone are neighbours on it, so that they would share a sixth of their zone's targets); subsets of one size over all zones (bytes between zones are the dearest price on one site).

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -25,6 +25,7 @@
 #include "routing/table.hpp"
 #include "routing/target_book.hpp"
 #include "routing/target_choice.hpp"
+#include "routing/zone_subset.hpp"
 
 namespace planktray::router {
 
@@ -79,6 +80,8 @@
   routing::ChoicePolicy choice = routing::ChoicePolicy::kPowerOfTwoChoices;
   /// Targets a router uses at least, where a service has more.
   std::uint32_t minimum_subset = 20;
+  /// The same for services of the route configuration that are not divided by key.
+  routing::ZoneSubsetOptions zone_subset;
   /// Shards named in one load report at most.
   std::size_t maximum_reported_shards = 500;
   /// Safeguards; off only in mutants.
@@ -246,6 +249,9 @@
         : targets(book), retries(window) {}
     routing::TargetBook targets;
     routing::RetryWindow retries;
+    /// Targets that take new work, and those of them that this router works with.
+    std::vector<routing::ZonedTarget> available;
+    std::vector<BackendId> subset;
   };
   struct Target {
     std::uint32_t outstanding = 0;
@@ -287,6 +293,7 @@
                       const routing::RoutedTableService& service);
   RoutedService& routed_service(common::ServiceId id);
   void note_routed_targets(TimePoint now);
+  void draw_zone_subset(const routing::RoutedTableService& service);
   void dispatch_waiting(TimePoint now);
   void drop_attempt(Request& request);
   void report_key_loads(routing::RouterHello& hello);
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -40,6 +40,26 @@
   for (auto& [id, service] : routed_) {
     service.targets.drop_unless(
         [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
+    draw_zone_subset(*table_.routes().find_service(id));
+  }
+}
+
+void RouterCore::draw_zone_subset(const routing::RoutedTableService& service) {
+  if (service.route.config.keyed) {
+    return;
+  }
+  RoutedService& routed = routed_service(service.route.id);
+  std::vector<routing::ZonedTarget> available;
+  for (const BackendId id : service.targets) {
+    const routing::BackendRoute* route = table_.find_backend(id);
+    if (!route->draining && !route->ended) {
+      available.push_back({id, route->zone == options_.zone});
+    }
+  }
+  if (available != routed.available) {
+    routed.subset =
+        routing::choose_zone_subset(available, options_.name.value, options_.zone_subset);
+    routed.available = std::move(available);
   }
 }
 
@@ -152,23 +172,27 @@
     const bool refuses = request.refused_by.contains(owner) && now < request.not_before;
     return owner.value != 0 && !refuses && is_usable(owner) ? std::optional(owner) : std::nullopt;
   }
-  std::optional<BackendId> best;
-  double best_cost = 0;
-  for (const BackendId id : service.targets) {
-    const routing::BackendRoute* route = table_.find_backend(id);
-    if (!is_usable(id) || route->draining || request.refused_by.contains(id)) {
-      continue;
-    }
-    constexpr double kNoise = 0.2;
-    double cost = static_cast<double>(book.projected(now, id).count());
-    cost *= 1.0 + kNoise * common::uniform_real(random_);
-    cost *= route->zone == options_.zone ? 1.0 : 1.0 + options_.other_zone_cost;
-    if (!best.has_value() || cost < best_cost) {
-      best = id;
-      best_cost = cost;
+  const auto cheapest_of = [&](const std::vector<BackendId>& candidates) {
+    std::optional<BackendId> best;
+    double best_cost = 0;
+    for (const BackendId id : candidates) {
+      const routing::BackendRoute* route = table_.find_backend(id);
+      if (!is_usable(id) || route->draining || request.refused_by.contains(id)) {
+        continue;
+      }
+      constexpr double kNoise = 0.2;
+      double cost = static_cast<double>(book.projected(now, id).count());
+      cost *= 1.0 + kNoise * common::uniform_real(random_);
+      cost *= route->zone == options_.zone ? 1.0 : 1.0 + options_.other_zone_cost;
+      if (!best.has_value() || cost < best_cost) {
+        best = id;
+        best_cost = cost;
+      }
     }
-  }
-  return best;
+    return best;
+  };
+  const auto best = cheapest_of(routed_service(request.service).subset);
+  return best.has_value() ? best : cheapest_of(service.targets);
 }
 
 void RouterCore::send_routed(TimePoint now, Request& request, BackendId backend) {
--- /dev/null
+++ b/src/routing/zone_subset.cpp
@@ -0,0 +1,45 @@
+#include "routing/zone_subset.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/hash.hpp"
+
+namespace planktray::routing {
+namespace {
+
+/// The targets, those first that this router prefers.
+std::vector<common::BackendId> in_order_of_preference(
+    std::vector<std::pair<std::uint64_t, common::BackendId>> ranked) {
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<common::BackendId> targets;
+  targets.reserve(ranked.size());
+  for (const auto& [rank, backend] : ranked) {
+    targets.push_back(backend);
+  }
+  return targets;
+}
+
+}  // namespace
+
+std::vector<common::BackendId> choose_zone_subset(const std::vector<ZonedTarget>& targets,
+                                                  const std::string& router,
+                                                  const ZoneSubsetOptions& options) {
+  std::vector<std::pair<std::uint64_t, common::BackendId>> ranked_own;
+  std::vector<std::pair<std::uint64_t, common::BackendId>> ranked_others;
+  for (const ZonedTarget& target : targets) {
+    const std::uint64_t rank = common::hash_bytes(router, target.backend.value);
+    (target.is_in_own_zone ? ranked_own : ranked_others).emplace_back(rank, target.backend);
+  }
+  std::vector<common::BackendId> subset = in_order_of_preference(std::move(ranked_own));
+  const std::vector<common::BackendId> others = in_order_of_preference(std::move(ranked_others));
+  const std::size_t wanted_others =
+      std::max(options.other_zones, options.size() - std::min(options.size(), subset.size()));
+  const std::size_t taken_others = std::min(others.size(), wanted_others);
+  subset.resize(std::min(subset.size(), options.size() - std::min(options.size(), taken_others)));
+  subset.insert(subset.end(), others.begin(),
+                others.begin() + static_cast<std::ptrdiff_t>(taken_others));
+  return subset;
+}
+
+}  // namespace planktray::routing
