A late heartbeat of a back end that has ended does not end the one after it

Cause: an ended back end that owns nothing is removed from the state, and was forgotten with it. A heartbeat of it that a cut had held up then registered it anew, at an address that another incarnation has by now; registration ends whoever had the address before, so that the living one got no requests any more and its keys were given away while it held them. Change: an ended incarnation is remembered as departed when it is removed; its late heartbeats are acknowledged, no more. Ruled out: remembering it as soon as it ends (it may still own keys, and its goodbye is taken as before). Left open: a back end whose very first heartbeat is held up by a cut until after its end and its successor's registration.

--- a/src/ownership/cell_state_routes.cpp
+++ b/src/ownership/cell_state_routes.cpp
@@ -63,6 +63,10 @@
   if (incarnation != incarnations_.end() && incarnation->second == id) {
     incarnations_.erase(incarnation);
   }
+  if (found->second.ended) {
+    // Its address has another incarnation: a heartbeat that comes late must not bring it back.
+    remember_departure(found->second.incarnation);
+  }
   backends_.erase(found);
   return true;
 }
--- a/test/ownership/cell_state_test.cpp
+++ b/test/ownership/cell_state_test.cpp
@@ -101,5 +101,34 @@
   CHECK_FALSE(CellState::decode_snapshot(bytes.substr(0, bytes.size() / 2)).has_value());
 }
 
+TEST_CASE("a late heartbeat of a back end that has ended does not end the one after it") {
+  Fixture fixture;
+  const auto register_at = [&](const std::string& incarnation) {
+    RegisterBackend registration;
+    registration.machine = common::MachineName(incarnation);
+    registration.address = "10.0.0.1:80";
+    registration.pool = common::PoolName("album");
+    registration.incarnation = common::Incarnation(incarnation);
+    registration.contract = static_cast<std::uint8_t>(OwnershipContract::kFencedGrant);
+    fixture.apply(registration);
+  };
+  register_at("first");
+  register_at("second");
+  const BackendRecord* first = fixture.state.find_incarnation(common::Incarnation("first"));
+  REQUIRE(first != nullptr);
+  CHECK(first->ended);
+  ApplyRangePlan plan;
+  plan.removed.push_back(first->id);
+  fixture.apply(plan);
+  auto restored = CellState::decode_snapshot(fixture.state.encode_snapshot());
+  REQUIRE(restored.has_value());
+  fixture.state = std::move(*restored);
+  register_at("first");  // its heartbeat was held up by a cut
+  CHECK(fixture.state.find_incarnation(common::Incarnation("first")) == nullptr);
+  const BackendRecord* second = fixture.state.find_incarnation(common::Incarnation("second"));
+  REQUIRE(second != nullptr);
+  CHECK_FALSE(second->ended);
+}
+
 }  // namespace
 }  // namespace planktray::ownership
