Lint: no captured structured binding, completions built in place

Cause: clang-tidy refused a captured structured binding and parenthesised initialisation of aggregates; gcc 12 warns of an uninitialised answer where a failed change is moved into the variant. Ruled out: switching the warning off.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -309,8 +309,9 @@
   }
   const bool accepted = result.answer->change_status() == ownership::ChangeStatus::kAccepted;
   ++(accepted ? counters_.changes_accepted : counters_.changes_refused);
-  output_.completions.emplace_back(std::in_place_type<ChangeCompleted>, pending.request,
-                                   *result.answer);
+  ChangeCompleted& completed = output_.completions.emplace_back().emplace<ChangeCompleted>();
+  completed.request = pending.request;
+  completed.answer = *result.answer;
 }
 
 void ControllerCore::fail_pending() {
@@ -324,11 +325,11 @@
 void ControllerCore::fail_request(OperatorRequestId request, bool is_change,
                                   const common::Error& error) {
   if (is_change) {
-    output_.completions.emplace_back(std::in_place_type<ChangeCompleted>, request,
-                                     tl::unexpected(error));
+    ChangeCompleted& completed = output_.completions.emplace_back().emplace<ChangeCompleted>();
+    completed.request = request;
+    completed.answer = tl::unexpected(error);
   } else {
-    output_.completions.emplace_back(std::in_place_type<CommandCompleted>, request,
-                                     tl::unexpected(error));
+    output_.completions.emplace_back(CommandCompleted{request, tl::unexpected(error)});
   }
 }
 
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -8,7 +8,6 @@
 
 using ownership::BackendRecord;
 using ownership::CellState;
-using ownership::OwnershipContract;
 
 /// Plans are at least this far apart where nothing has changed.
 constexpr Duration kShortestRest = std::chrono::milliseconds(10);
@@ -96,6 +95,11 @@
   return targets > 0 && now - joined.changed >= options_.settle_time;
 }
 
+bool RangeController::is_unheard(TimePoint now, const BackendRecord& backend) const {
+  return (backend.leaving && heartbeats_.is_silent(now, backend.incarnation)) ||
+         heartbeats_.is_forgotten(now, backend.incarnation);
+}
+
 std::vector<common::BackendId> RangeController::forgotten(TimePoint now, const CellState& state,
                                                           bool look_for_silent) const {
   std::vector<common::BackendId> gone;
@@ -103,11 +107,7 @@
     if (!backend.has_fenced_grants()) {
       continue;
     }
-    const auto is_unheard = [&] {
-      return (backend.leaving && heartbeats_.is_silent(now, backend.incarnation)) ||
-             heartbeats_.is_forgotten(now, backend.incarnation);
-    };
-    const bool is_gone = backend.ended || (look_for_silent && is_unheard());
+    const bool is_gone = backend.ended || (look_for_silent && is_unheard(now, backend));
     if (is_gone && !state.owns_keys(id)) {
       gone.push_back(id);
     }
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -104,6 +104,8 @@
   bool is_eligible(TimePoint now, const ownership::BackendRecord& backend) const;
   bool is_settled(TimePoint now, const ownership::CellState& state,
                   const ownership::RoutedServiceRecord& service);
+  /// True where it has not been heard for so long that it may be dropped.
+  bool is_unheard(TimePoint now, const ownership::BackendRecord& backend) const;
   /// Back ends that own nothing and have ended, or, where that is looked for, fell silent.
   std::vector<common::BackendId> forgotten(TimePoint now, const ownership::CellState& state,
                                            bool look_for_silent) const;
