--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -72,8 +72,9 @@
   Duration release_interval = std::chrono::milliseconds(400);
   /// An order that is under way for this long counts as in doubt.
   Duration doubt_after = std::chrono::milliseconds(40);
-  /// How long an answer to a heartbeat holds, from when the heartbeat was sent. Three of the
-  /// platform's shorter heartbeat intervals: one may be lost, and the leader with it.
+  /// How long an answer to a heartbeat holds, from when the heartbeat was sent: three intervals
+  /// between heartbeats of 870 ms. Where the interval is known, it is set from that. All replicas
+  /// must use the same value, as a new leader waits for what the one before may have told.
   Duration reported_hold_time = std::chrono::milliseconds(2610);
   /// A back end that does not take keys that so many answers have told it refuses them.
   std::uint32_t answers_in_vain = 3;
