--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -64,9 +64,10 @@
   Duration ended_memory = std::chrono::milliseconds(5000);
   /// Told to callers who should come back soon.
   Duration short_retry_after = std::chrono::milliseconds(150);
-  /// Told to callers whose key has no owner: what ran on it has to end before the next owner gets
-  /// it, which took 0.3 to 0.9 s on the bench. Each caller is told a time of its own between this
-  /// and twice as much, so that they do not come back together.
+  /// Told to callers whose key has no owner: what ran on it has to end, and the next owner has to
+  /// be told, before it runs again. Worked out from running times of 0.2 s and more, not measured.
+  /// Each caller is told a time of its own between this and twice as much, so that they do not come
+  /// back together.
   Duration ownerless_retry_after = std::chrono::milliseconds(300);
   /// A target in another zone counts as slower by this part.
   double other_zone_cost = 0.05;
