A load report with a fourth figure is read; what cannot be read is counted and said

Cause: back ends of the shifted site add a fourth figure to their load header (how long work takes there at this moment, in percent); parse_load took exactly three and dropped the whole header, so routers were blind to other routers' load. The class: a field that grew was taken for absent. Ruled out: reading only the first three in silence (the next growth would not be seen). The fourth figure is carried, not used yet.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -155,6 +155,7 @@
   bool is_failure = false;  ///< answered, but by a failure of the back end
   std::optional<routing::LoadReport> load = std::nullopt;
   common::Incarnation answered_by{};  ///< who refused, where the answer names it
+  std::string unread_load{};  ///< the load report as it came, where not all of it could be read
 };
 
 struct RouterOutput {
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -59,6 +59,20 @@
              {"error", response.error.message}});
 }
 
+void RequestLog::load_unread(common::TimePoint now, const SentAttempt& attempt,
+                             const std::string& text) {
+  ++unread_loads_;
+  if (!load_limit_.allows(now)) {
+    return;
+  }
+  constexpr std::size_t kLongest = 64;
+  log_event("load_unread", {{"service", attempt.service},
+                            {"peer", attempt.address},
+                            {"instance", attempt.incarnation.value},
+                            {"text", text.substr(0, kLongest)},
+                            {"total", std::to_string(unread_loads_)}});
+}
+
 void RequestLog::refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
                          common::Duration took) {
   if (!limit_.allows(now)) {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -340,6 +340,9 @@
   const AttemptResult result =
       dialect_->judge(caller->second.read, found->second.attempt.incarnation, response);
   const common::TimePoint now = boot_time_now();
+  if (!result.unread_load.empty()) {
+    request_log_.load_unread(now, found->second.attempt, result.unread_load);
+  }
   if (result.end == routing::AttemptEnd::kAnswered) {
     found->second.response = std::move(response);
   } else {
@@ -389,6 +392,9 @@
                        counters.cancelled);
   metrics_.set_counter("planktray_requests_rejected_total", "Requests too long to read.",
                        server_->refused());
+  metrics_.set_counter("planktray_load_reports_unread_total",
+                       "Load reports of back ends that could not be read whole.",
+                       request_log_.unread_loads());
   metrics_.set_gauge("planktray_table_index", "Log index of the table served.",
                      static_cast<double>(core_.table().index().value));
   metrics_.set_gauge("planktray_serving", "1 where the table is confirmed.",
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -22,6 +22,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// How long work takes there at this moment, in percent of its usual time; nothing where the
+  /// target does not say. It changes many times a second.
+  std::optional<std::uint32_t> work_time_percent = std::nullopt;
 };
 
 struct TargetBookOptions {
