--- a/src/config/route_configuration.hpp
+++ b/src/config/route_configuration.hpp
@@ -46,9 +46,10 @@
   std::uint32_t connections = 0;  ///< that a back end accepts from all routers; 0: no bound
   bool keyed = false;             ///< a request runs only at the owner of its key
   std::uint32_t warm_up_ms = 0;   ///< keys that change owner without a handover are slow this long
+  double cold_rate = 0;           ///< requests a second that a cold back end bears; 0: no bound
   std::string document;
   bool operator==(const RoutedService&) const = default;
-  MSGPACK_DEFINE_ARRAY(name, connections, keyed, warm_up_ms, document)
+  MSGPACK_DEFINE_ARRAY(name, connections, keyed, warm_up_ms, cold_rate, document)
 };
 
 /// What callers may send, and how long they may take. 0: the router's own default.
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -172,6 +172,7 @@
   }
   maintain_members(now);
   commit_grant_terms(now);
+  commit_warmth(now);
   for (OutgoingTable& table : distributor_.collect(now, state_)) {
     output_.tables.push_back(std::move(table));
   }
@@ -236,6 +237,7 @@
     plan_index_ = common::LogIndex();
     range_plan_index_ = common::LogIndex();
     terms_index_ = common::LogIndex();
+    warmth_index_ = common::LogIndex();
     planned_state_ = common::LogIndex();
   }
 }
@@ -265,6 +267,11 @@
     counters_.shards_assigned += applied_plan->assignments.size();
     counters_.moves_begun += applied_plan->moves.size();
   }
+  if (const auto* evacuation = std::get_if<ownership::EvacuateZone>(&command->value)) {
+    if (!evacuation->evacuated) {
+      ranges_.note_zone_returned(now, evacuation->zone);
+    }
+  }
   sweep_needed_ = true;
   ownership::ApplyResult result = state_.apply(entry.index, *command);
   if (leading_) {
@@ -398,6 +405,17 @@
   submit(now, request, Command(std::move(drain)), false);
 }
 
+void ControllerCore::evacuate_zone(TimePoint now, OperatorRequestId request,
+                                   ownership::EvacuateZone evacuation) {
+  if (!options_.zones.empty() && !options_.zones.contains(evacuation.zone)) {
+    output_.completions.emplace_back(
+        CommandCompleted{request, common::fail(ErrorCode::kNotFound, "evacuate zone", options_.name,
+                                               "there is no zone " + evacuation.zone.value)});
+    return;
+  }
+  submit(now, request, Command(std::move(evacuation)), false);
+}
+
 void ControllerCore::move_shard(TimePoint now, OperatorRequestId request,
                                 const common::ServiceKey& service, common::ShardNumber shard,
                                 const common::MachineName& to) {
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -55,6 +55,8 @@
   /// A member counts as present where it was heard this recently: three heartbeats, and less than
   /// a machine takes to come back with an empty disk.
   Duration presence_window = std::chrono::milliseconds(90);
+  /// Zones that an operator may evacuate. Empty: any.
+  std::set<common::ZoneName> zones;
 };
 
 /// What a back end that registers itself says in a heartbeat.
@@ -66,7 +68,8 @@
   std::uint32_t slots = 0;
   bool draining = false;
   std::uint64_t sequence = 0;
-  std::uint32_t cold_ms = 0;
+  std::uint32_t cold_ms = 0;        ///< how much longer it is slow, and bears few requests a second
+  bool cold_is_unreadable = false;  ///< it says so in a form that cannot be read
   /// Given where the back end hears in the answer what it is to hold.
   std::optional<ownership::HoldingsReport> holdings;
 };
@@ -158,6 +161,8 @@
                           ownership::ChangeDeclaration change);
   void change_routes(TimePoint now, OperatorRequestId request, config::RouteChange change);
   void drain_machine(TimePoint now, OperatorRequestId request, ownership::DrainMachine drain);
+  /// Completed once it is committed; the same again changes nothing and is completed too.
+  void evacuate_zone(TimePoint now, OperatorRequestId request, ownership::EvacuateZone evacuation);
   /// Begins a planned move of one shard to a machine.
   void move_shard(TimePoint now, OperatorRequestId request, const common::ServiceKey& service,
                   common::ShardNumber shard, const common::MachineName& to);
@@ -231,6 +236,8 @@
   /// Proposes that the back end's process has ended: another incarnation answers at its address.
   void mark_ended(TimePoint now, common::BackendId id);
   void plan_ranges(TimePoint now);
+  /// Proposes which back ends have turned cold or warm.
+  void commit_warmth(TimePoint now);
   void register_backends(TimePoint now);
   void mark_leaving(TimePoint now);
   void plan(TimePoint now);
@@ -265,6 +272,7 @@
   common::LogIndex plan_index_;           ///< the last plan proposed; wait for it before the next
   common::LogIndex range_plan_index_;     ///< the same for plans of key ranges
   common::LogIndex terms_index_;          ///< the same for terms of grants
+  common::LogIndex warmth_index_;         ///< the same for cold and warm back ends
   common::LogIndex planned_state_;        ///< state that the last plan was made from
   TimePoint next_balance_;
   TimePoint next_join_;
--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -31,11 +31,12 @@
     if (!may_answer_for_leader(heartbeat)) {
       return complete_now(tl::unexpected(not_leader("take heartbeat")));
     }
-    heard_.push_back({heartbeat.incarnation, heartbeat.sequence});
+    heard_.push_back({heartbeat.incarnation, heartbeat.sequence, heartbeat.cold_ms});
     complete_now(state_.applied());
     return step(now);
   }
-  const bool is_late = !ranges_.note_heartbeat(now, heartbeat.incarnation, heartbeat.sequence);
+  const bool is_late = !ranges_.note_heartbeat(now, heartbeat.incarnation, heartbeat.sequence,
+                                               std::chrono::milliseconds(heartbeat.cold_ms));
   if (state_.has_departed(heartbeat.incarnation) || (is_late && !heartbeat.draining)) {
     return complete_now(state_.applied());
   }
@@ -49,7 +50,7 @@
     registration.incarnation = heartbeat.incarnation;
     registration.contract = static_cast<std::uint8_t>(contract_of(heartbeat));
     registration.slots = heartbeat.slots;
-    registration.cold_ms = heartbeat.cold_ms;
+    registration.cold = heartbeat.cold_ms > 0;
     registration.leaving = heartbeat.draining;
     const bool is_holder = heartbeat.holdings.has_value();
     return submit_heartbeat(now, request, is_holder ? heartbeat.incarnation : common::Incarnation(),
@@ -116,7 +117,8 @@
     return;
   }
   for (const membership::HeardBackend& heard : report.heard) {
-    ranges_.note_heartbeat(now, heard.incarnation, heard.sequence);
+    ranges_.note_heartbeat(now, heard.incarnation, heard.sequence,
+                           std::chrono::milliseconds(heard.cold_ms));
   }
 }
 
@@ -163,6 +165,16 @@
   }
 }
 
+void ControllerCore::commit_warmth(TimePoint now) {
+  if (warmth_index_ > state_.applied()) {
+    return;
+  }
+  ownership::SetWarmth changes = ranges_.warmth_changes(now, state_);
+  if (!changes.empty()) {
+    warmth_index_ = propose(now, Command(std::move(changes))).value_or(common::LogIndex());
+  }
+}
+
 void ControllerCore::commit_grant_terms(TimePoint now) {
   const ownership::GrantTerms wanted = ranges_.wanted_terms(now, state_);
   if (wanted != state_.grant_terms() && terms_index_ <= state_.applied()) {
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -46,6 +46,9 @@
   next_balance_ = now + options_.balance_interval;
   next_join_ = now + options_.join_interval;
   joined_.clear();
+  next_warmth_ = now + options_.warmth_interval;
+  term_began_ = now;
+  zones_returned_.clear();
 }
 
 std::optional<common::BackendId> RangeController::on_order_reply(
@@ -72,9 +75,52 @@
   }
 }
 
-bool RangeController::is_eligible(TimePoint now, const BackendRecord& backend) const {
+bool RangeController::is_eligible(TimePoint now, const CellState& state,
+                                  const BackendRecord& backend) const {
   return backend.has_fenced_grants() && !backend.leaving && !backend.ended &&
-         !heartbeats_.is_silent(now, backend.incarnation);
+         !state.is_evacuated(backend) && !heartbeats_.is_silent(now, backend.incarnation);
+}
+
+std::set<common::PoolName> RangeController::mostly_warm(const CellState& state) const {
+  std::map<common::PoolName, std::pair<std::size_t, std::size_t>> counts;  // cold, all
+  for (const auto& [id, backend] : state.backends()) {
+    if (backend.has_fenced_grants() && !backend.leaving && !state.is_evacuated(backend)) {
+      auto& [cold, all] = counts[backend.pool];
+      cold += backend.cold ? 1 : 0;
+      ++all;
+    }
+  }
+  std::set<common::PoolName> warm;
+  for (const auto& [pool, count] : counts) {
+    if (2 * count.first <= count.second) {
+      warm.insert(pool);
+    }
+  }
+  return warm;
+}
+
+ownership::SetWarmth RangeController::warmth_changes(TimePoint now, const CellState& state) {
+  ownership::SetWarmth changes;
+  if (now < next_warmth_) {
+    return changes;
+  }
+  next_warmth_ = now + options_.warmth_interval;
+  for (const auto& [id, backend] : state.backends()) {
+    if (!backend.has_fenced_grants()) {
+      continue;
+    }
+    const auto returned = zones_returned_.find(backend.zone);
+    const TimePoint known_since =
+        returned == zones_returned_.end() ? term_began_ : std::max(term_began_, returned->second);
+    const auto warmth =
+        heartbeats_.warmth(now, backend.incarnation, known_since + options_.warmth_settle);
+    if (warmth == membership::Warmth::kCold && !backend.cold) {
+      changes.cooled.push_back(id);
+    } else if (warmth == membership::Warmth::kWarm && backend.cold) {
+      changes.warmed.push_back(id);
+    }
+  }
+  return changes;
 }
 
 bool RangeController::is_settled(TimePoint now, const CellState& state,
@@ -86,7 +132,8 @@
   }
   const auto targets = static_cast<std::size_t>(
       std::count_if(state.backends().begin(), state.backends().end(), [&](const auto& item) {
-        return item.second.pool.value == service.config.name.value && is_eligible(now, item.second);
+        return item.second.pool.value == service.config.name.value &&
+               is_eligible(now, state, item.second);
       }));
   Joined& joined = joined_[service.id];
   if (targets != joined.targets) {
@@ -133,9 +180,18 @@
     capacities_ = times_.capacities(state);
   }
   planned_state_ = state.applied();
-  ownership::RangePlannerInput input{
-      state, loads_, {}, {}, {}, balance, balance && now >= next_join_};
-  input.is_eligible = [&](const BackendRecord& backend) { return is_eligible(now, backend); };
+  ownership::RangePlannerInput input{state, loads_, {},      {},
+                                     {},    {},     balance, balance && now >= next_join_};
+  const std::set<common::PoolName> warm = mostly_warm(state);
+  const auto is_spared = [&](const BackendRecord& backend) {
+    return backend.cold && warm.contains(backend.pool);
+  };
+  input.is_eligible = [&](const BackendRecord& backend) {
+    return is_eligible(now, state, backend) && !is_spared(backend);
+  };
+  input.must_be_emptied = [&](const BackendRecord& backend) {
+    return backend.leaving || state.is_evacuated(backend) || is_spared(backend);
+  };
   input.capacity = [&](const BackendRecord& backend) { return capacities_.of(backend.id); };
   input.may_assign = [&](common::ServiceId service, const ownership::RangeRecord& record) {
     const auto found = state.routed_services().find(service);
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "controller/core/holder_answers.hpp"
@@ -37,6 +38,12 @@
   /// The same for one that has just said it is leaving, which waits for the acknowledgement: time
   /// enough for the plan that empties it.
   Duration leaving_answer_delay = std::chrono::milliseconds(60);
+  /// Which back ends are cold is looked through this often.
+  Duration warmth_interval = std::chrono::milliseconds(200);
+  /// A heartbeat that comes sooner than this after its zone was taken back, or after the leader
+  /// was elected, does not show that its sender is warm: followers report heartbeats up to 250 ms
+  /// after they came.
+  Duration warmth_settle = std::chrono::milliseconds(400);
 };
 
 class RangeController {
@@ -55,10 +62,17 @@
     times_.add(hello.target_times);
   }
   /// @return false for a late heartbeat that says nothing about now.
-  bool note_heartbeat(TimePoint now, const common::Incarnation& incarnation,
-                      std::uint64_t sequence) {
-    return heartbeats_.note_heartbeat(now, incarnation, sequence);
+  bool note_heartbeat(TimePoint now, const common::Incarnation& incarnation, std::uint64_t sequence,
+                      Duration cold_for) {
+    return heartbeats_.note_heartbeat(now, incarnation, sequence, cold_for);
   }
+  /// Requests may go to the zone's back ends again.
+  void note_zone_returned(TimePoint now, const common::ZoneName& zone) {
+    zones_returned_[zone] = now;
+  }
+  /// Back ends that heartbeats show to be cold or warm otherwise than the state says; empty between
+  /// two looks.
+  ownership::SetWarmth warmth_changes(TimePoint now, const ownership::CellState& state);
   /// @return the back end the order was for, or nothing where the order is not known any more.
   std::optional<common::BackendId> on_order_reply(TimePoint now, const ownership::CellState& state,
                                                   ownership::OrderId id,
@@ -101,7 +115,10 @@
   }
 
  private:
-  bool is_eligible(TimePoint now, const ownership::BackendRecord& backend) const;
+  /// Services most of whose targets are warm, by name: there, cold ones own no keys.
+  std::set<common::PoolName> mostly_warm(const ownership::CellState& state) const;
+  bool is_eligible(TimePoint now, const ownership::CellState& state,
+                   const ownership::BackendRecord& backend) const;
   bool is_settled(TimePoint now, const ownership::CellState& state,
                   const ownership::RoutedServiceRecord& service);
   /// True where it has not been heard for so long that it may be dropped.
@@ -123,6 +140,9 @@
   TimePoint rested_at_;  ///< no plan before, but for balance
   TimePoint next_balance_;
   TimePoint next_join_;
+  TimePoint next_warmth_;
+  TimePoint term_began_;
+  std::map<common::ZoneName, TimePoint> zones_returned_;  ///< in this term
   struct Joined {
     std::size_t targets = 0;
     TimePoint changed;
--- a/src/membership/heartbeat_monitor.hpp
+++ b/src/membership/heartbeat_monitor.hpp
@@ -20,6 +20,9 @@
   bool refuse_late = true;
 };
 
+/// What a back end's heartbeats say of its start.
+enum class Warmth : std::uint8_t { kUnknown, kCold, kWarm };
+
 class HeartbeatMonitor {
  public:
   explicit HeartbeatMonitor(HeartbeatOptions options) : options_(options) {}
@@ -27,10 +30,14 @@
   /// Starts over: every back end has one silent_after to be heard.
   void begin_term(common::TimePoint now);
   /// @return false where this heartbeat, or a newer one of this incarnation, came before.
+  /// @param cold_for how much longer the back end is cold by its own word.
   bool note_heartbeat(common::TimePoint now, const common::Incarnation& incarnation,
-                      std::uint64_t sequence);
+                      std::uint64_t sequence, common::Duration cold_for);
   /// It answered a call: as good as a heartbeat.
   void note_answer(common::TimePoint now, const common::Incarnation& incarnation);
+  /// @param since a heartbeat heard before this says nothing.
+  Warmth warmth(common::TimePoint now, const common::Incarnation& incarnation,
+                common::TimePoint since) const;
   bool is_silent(common::TimePoint now, const common::Incarnation& incarnation) const;
   bool is_forgotten(common::TimePoint now, const common::Incarnation& incarnation) const;
 
@@ -38,6 +45,8 @@
   struct Heard {
     common::TimePoint at;
     std::optional<std::uint64_t> sequence;  ///< of its newest heartbeat
+    common::TimePoint told_at;              ///< when that came
+    common::TimePoint cold_until;           ///< by that heartbeat
   };
 
   common::TimePoint heard_at(const common::Incarnation& incarnation) const;
--- a/src/membership/heartbeat_report.hpp
+++ b/src/membership/heartbeat_report.hpp
@@ -12,7 +12,8 @@
 struct HeardBackend {
   common::Incarnation incarnation;
   std::uint64_t sequence = 0;  ///< of its newest heartbeat
-  MSGPACK_DEFINE_ARRAY(incarnation, sequence)
+  std::uint32_t cold_ms = 0;   ///< how much longer it is cold, by that heartbeat
+  MSGPACK_DEFINE_ARRAY(incarnation, sequence, cold_ms)
 };
 
 struct HeartbeatReport {
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -27,8 +27,10 @@
   std::vector<RoutedServiceRecord> routed_services;
   std::vector<common::Incarnation> departed;
   GrantTerms grant_terms;
+  std::vector<common::ZoneName> evacuated_zones;
   MSGPACK_DEFINE_MAP(applied, templates, tenants, answers, backends, drained, services,
-                     next_service, routes, taken_changes, routed_services, departed, grant_terms)
+                     next_service, routes, taken_changes, routed_services, departed, grant_terms,
+                     evacuated_zones)
 };
 
 std::string digest_of(const std::vector<Grant>& grants) {
@@ -90,7 +92,7 @@
   record.grants_index = index;
   record.contract = command.contract;
   record.slots = command.slots;
-  record.cold_ms = command.cold_ms;
+  record.cold = command.cold;
   record.leaving = command.leaving;
   result.delta.backends.push_back(backend_route(record));
   if (record.has_fenced_grants()) {
@@ -139,6 +141,40 @@
   grant_terms_ = command.terms;
 }
 
+void CellState::apply_command(LogIndex /*index*/, const EvacuateZone& command,
+                              ApplyResult& result) {
+  const bool changed = command.evacuated ? evacuated_zones_.insert(command.zone).second
+                                         : evacuated_zones_.erase(command.zone) > 0;
+  if (!changed) {
+    return;
+  }
+  result.delta.zones.push_back({command.zone, command.evacuated});
+  if (command.evacuated) {
+    return;
+  }
+  for (auto& [id, backend] : backends_) {
+    // Routers conclude the same from the zone's change.
+    backend.cold = backend.cold || (backend.has_fenced_grants() && backend.zone == command.zone);
+  }
+}
+
+void CellState::apply_command(LogIndex /*index*/, const SetWarmth& command, ApplyResult& result) {
+  for (const BackendId id : command.cooled) {
+    set_warmth(id, true, result);
+  }
+  for (const BackendId id : command.warmed) {
+    set_warmth(id, false, result);
+  }
+}
+
+void CellState::set_warmth(BackendId id, bool cold, ApplyResult& result) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end() && found->second.cold != cold) {
+    found->second.cold = cold;
+    result.delta.warmth.push_back({id, cold});
+  }
+}
+
 void CellState::apply_command(LogIndex index, const ApplyPlan& plan, ApplyResult& result) {
   for (const BackendId id : plan.lost) {
     lose_backend(index, id, result);
@@ -278,7 +314,7 @@
           backend.address,     backend.zone,
           backend.incarnation, is_draining(backend),
           backend.pool,        backend.slots,
-          backend.cold_ms,     backend.has_fenced_grants(),
+          backend.cold,        backend.has_fenced_grants(),
           backend.ended};
 }
 
@@ -298,6 +334,9 @@
   for (const auto& [id, backend] : backends_) {
     table.backends.push_back(backend_route(backend));
   }
+  for (const common::ZoneName& zone : evacuated_zones_) {
+    table.zones.push_back({zone, true});
+  }
   for (const auto& [id, service] : services_) {
     if (service.retired) {
       continue;
@@ -337,6 +376,7 @@
   }
   form.departed.assign(departed_.begin(), departed_.end());
   form.grant_terms = grant_terms_;
+  form.evacuated_zones.assign(evacuated_zones_.begin(), evacuated_zones_.end());
   return common::encode(form);
 }
 
@@ -372,6 +412,7 @@
   }
   state.next_service_ = form->next_service;
   state.grant_terms_ = form->grant_terms;
+  state.evacuated_zones_ = {form->evacuated_zones.begin(), form->evacuated_zones.end()};
   state.routes_ = std::move(form->routes);
   state.taken_changes_ = std::move(form->taken_changes);
   for (RoutedServiceRecord& service : form->routed_services) {
--- a/src/ownership/cell_state.hpp
+++ b/src/ownership/cell_state.hpp
@@ -41,12 +41,12 @@
   LogIndex grants_index;      ///< index at which its set of shards last changed
   std::uint8_t contract = 0;  ///< an OwnershipContract
   std::uint32_t slots = 0;    ///< requests it runs at once; 0: as its service says
-  std::uint32_t cold_ms = 0;  ///< how long it is slow from its registration
+  bool cold = false;          ///< it is slow, and bears few requests a second
   bool departed = false;      ///< it has said goodbye
   bool ended = false;         ///< its process has ended for certain: its address has another
   std::set<common::ShardRef> shards;  ///< derived from the services, not encoded
   MSGPACK_DEFINE_ARRAY(id, machine, address, zone, pool, incarnation, leaving, grants_index,
-                       contract, slots, cold_ms, departed, ended)
+                       contract, slots, cold, departed, ended)
 
   bool has_contract(OwnershipContract wanted) const {
     return contract == static_cast<std::uint8_t>(wanted);
@@ -130,6 +130,11 @@
   /// @return the shard, or nullptr.
   const ShardRecord* find_shard(const common::ShardRef& ref) const;
   const std::set<common::MachineName>& drained_machines() const { return drained_; }
+  const std::set<common::ZoneName>& evacuated_zones() const { return evacuated_zones_; }
+  /// True where requests are kept off the back end's zone.
+  bool is_evacuated(const BackendRecord& backend) const {
+    return evacuated_zones_.contains(backend.zone);
+  }
   const GrantTerms& grant_terms() const { return grant_terms_; }
   const config::RouteConfiguration& routes() const { return routes_; }
   const std::map<ServiceId, RoutedServiceRecord>& routed_services() const {
@@ -158,6 +163,9 @@
   void apply_command(LogIndex index, const ChangeRoutes& command, ApplyResult& result);
   void apply_command(LogIndex index, const ApplyRangePlan& plan, ApplyResult& result);
   void apply_command(LogIndex index, const SetGrantTerms& command, ApplyResult& result);
+  void apply_command(LogIndex index, const EvacuateZone& command, ApplyResult& result);
+  void apply_command(LogIndex index, const SetWarmth& command, ApplyResult& result);
+  void set_warmth(BackendId id, bool cold, ApplyResult& result);
 
   ChangeAnswer judge(LogIndex index, const ChangeDeclaration& change) const;
   common::Result<void> validate(const ChangeDeclaration& change) const;
@@ -198,6 +206,7 @@
   std::map<BackendId, BackendRecord> backends_;
   std::map<common::Incarnation, BackendId> incarnations_;  ///< derived from the back ends
   std::set<common::MachineName> drained_;
+  std::set<common::ZoneName> evacuated_zones_;
   std::map<ServiceId, ServiceRecord> services_;
   std::map<common::ServiceKey, ServiceId> service_ids_;
   std::set<common::ShardRef> moving_;  ///< derived from the services
--- a/src/ownership/commands.hpp
+++ b/src/ownership/commands.hpp
@@ -49,9 +49,9 @@
   common::Incarnation incarnation;
   std::uint8_t contract = 0;  ///< an OwnershipContract
   std::uint32_t slots = 0;    ///< requests it runs at once; 0: as its service says
-  std::uint32_t cold_ms = 0;  ///< how much longer it is slow from its start
+  bool cold = false;          ///< it is slow from its start, and bears few requests a second
   bool leaving = false;       ///< it is draining already
-  MSGPACK_DEFINE_ARRAY(machine, address, zone, pool, incarnation, contract, slots, cold_ms, leaving)
+  MSGPACK_DEFINE_ARRAY(machine, address, zone, pool, incarnation, contract, slots, cold, leaving)
 };
 
 /// An operator drains a machine, or takes that back. Holds for later incarnations too.
@@ -176,9 +176,26 @@
   MSGPACK_DEFINE_ARRAY(terms)
 };
 
+/// An operator keeps all requests off the back ends of a zone, or takes that back. Where it is
+/// taken back, every back end of the zone counts as cold until it has said otherwise.
+struct EvacuateZone {
+  common::ZoneName zone;
+  bool evacuated = true;
+  MSGPACK_DEFINE_ARRAY(zone, evacuated)
+};
+
+/// What heartbeats tell of back ends that are cold: slow, and bearing few requests a second.
+struct SetWarmth {
+  std::vector<BackendId> cooled;
+  std::vector<BackendId> warmed;
+  MSGPACK_DEFINE_ARRAY(cooled, warmed)
+
+  bool empty() const { return cooled.empty() && warmed.empty(); }
+};
+
 using Command =
     common::EncodedVariant<ChangeDeclaration, RegisterBackend, DrainMachine, MarkLeaving, ApplyPlan,
-                           ChangeRoutes, ApplyRangePlan, SetGrantTerms>;
+                           ChangeRoutes, ApplyRangePlan, SetGrantTerms, EvacuateZone, SetWarmth>;
 
 enum class ChangeStatus : std::uint8_t { kAccepted = 0, kConflict = 1, kInvalid = 2 };
 
--- a/src/ownership/range_planner.cpp
+++ b/src/ownership/range_planner.cpp
@@ -45,7 +45,7 @@
       return input.may_assign(service.id, range).free;
     }
     const BackendRecord* owner = input.state.find_backend(range.owner);
-    return owner != nullptr && owner->leaving;
+    return owner != nullptr && input.must_be_emptied(*owner);
   });
 }
 
@@ -76,7 +76,7 @@
   const std::vector<Segment> segments = work.segments();
   for (const Segment& segment : segments) {
     const BackendRecord* owner = work.input().state.find_backend(segment.owner);
-    if (owner == nullptr || !owner->leaving) {
+    if (owner == nullptr || !work.input().must_be_emptied(*owner)) {
       continue;
     }
     work.spread(segment.keys, [&](const KeyRange& piece, BackendId target) {
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -39,6 +39,8 @@
   const KeyLoads& loads;
   /// True where the back end may get keys.
   std::function<bool(const BackendRecord&)> is_eligible;
+  /// True where an owner is to give up all its keys.
+  std::function<bool(const BackendRecord&)> must_be_emptied;
   /// Requests that it can answer, relative to a typical one of its service; above 0.
   std::function<double(const BackendRecord&)> capacity;
   /// Whether a moving or unowned range may be given to another owner.
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -27,6 +27,7 @@
       random_(random),
       budget_(options_.retry_budget),
       confirmed_until_(now),
+      cold_limit_(options_.cold_limit),
       next_hello_(now),
       last_hello_(now),
       hello_interval_(options_.hello_interval),
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -19,6 +19,7 @@
 
 #include "common/random.hpp"
 #include "common/time.hpp"
+#include "routing/cold_limit.hpp"
 #include "routing/outcome.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/retry_window.hpp"
@@ -51,6 +52,10 @@
   /// For requests on routes.
   routing::RetryWindowOptions retry_window;
   routing::TargetBookOptions targets;
+  routing::ColdLimitOptions cold_limit;
+  /// The owner of a key in a zone that is being evacuated may get requests for this long after the
+  /// router has learnt of it, so that its keys can be handed over first. 0: none.
+  Duration evacuation_grace = std::chrono::milliseconds(2000);
   /// A request that is not sent within this part of its objective is refused.
   double patience = 0.2;
   /// The same where its route states no objective.
@@ -93,6 +98,7 @@
   bool resend_unknown = false;      ///< also resend what may have run
   bool keep_table_forever = false;  ///< serve without confirmation
   bool claim_not_run = false;       ///< call unknown outcomes "not run"
+  bool keep_off_evacuated = true;   ///< send nothing to the back ends of an evacuated zone
 };
 
 /// Identity of a request inside this router.
@@ -300,6 +306,12 @@
                       const routing::RoutedTableService& service);
   RoutedService& routed_service(common::ServiceId id);
   void note_routed_targets(TimePoint now);
+  void note_evacuations(TimePoint now);
+  /// True where the back end's zone is evacuated, and the time to hand its keys over is up.
+  bool is_closed(TimePoint now, const routing::BackendRoute& backend, bool keyed) const;
+  /// True where the back end is not cold, or bears one more request of this router.
+  bool bears(TimePoint now, const routing::BackendRoute& backend,
+             const routing::RoutedTableService& service);
   void draw_zone_subset(const routing::RoutedTableService& service);
   void dispatch_waiting(TimePoint now);
   void drop_attempt(Request& request);
@@ -359,6 +371,8 @@
   std::unordered_map<common::ServiceId, std::vector<routing::WeightedTarget>> subsets_;
   std::map<common::ShardRef, std::uint32_t> loads_;
   std::map<common::ServiceId, RoutedService> routed_;
+  routing::ColdLimit cold_limit_;
+  std::map<common::ZoneName, TimePoint> evacuations_;        ///< when this router learnt of each
   std::map<std::string, std::vector<double>> part_credits_;  ///< by route name
   std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
   std::set<RequestHandle> routed_waiting_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -33,10 +33,13 @@
     if (!backend.self_registered || service == nullptr) {
       continue;
     }
-    // What is cold in the first table has been there before this router.
-    const Duration cold_for = had_table_ ? std::chrono::milliseconds(backend.cold_ms) : Duration(0);
-    routed_service(service->route.id).targets.add(now, id, backend.slots, cold_for);
+    routed_service(service->route.id).targets.add(id, backend.slots, backend.cold);
   }
+  note_evacuations(now);
+  cold_limit_.keep_only([this](BackendId id) {
+    const routing::BackendRoute* backend = table_.find_backend(id);
+    return backend != nullptr && backend->cold;
+  });
   for (auto& [id, service] : routed_) {
     service.targets.drop_unless(
         [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
@@ -44,6 +47,28 @@
   }
 }
 
+void RouterCore::note_evacuations(TimePoint now) {
+  const auto& zones = table_.evacuated_zones();
+  std::erase_if(evacuations_, [&](const auto& item) { return !zones.contains(item.first); });
+  for (const common::ZoneName& zone : zones) {
+    evacuations_.try_emplace(zone, now);
+  }
+}
+
+bool RouterCore::is_closed(TimePoint now, const routing::BackendRoute& backend, bool keyed) const {
+  const auto found = evacuations_.find(backend.zone);
+  if (found == evacuations_.end() || !options_.keep_off_evacuated) {
+    return false;
+  }
+  return !keyed || now >= found->second + options_.evacuation_grace;
+}
+
+bool RouterCore::bears(TimePoint now, const routing::BackendRoute& backend,
+                       const routing::RoutedTableService& service) {
+  return !backend.cold || cold_limit_.allows(now, backend.id, service.route.config.cold_rate,
+                                             router_count_, random_);
+}
+
 void RouterCore::draw_zone_subset(const routing::RoutedTableService& service) {
   if (service.route.config.keyed) {
     return;
@@ -52,7 +77,7 @@
   std::vector<routing::ZonedTarget> available;
   for (const BackendId id : service.targets) {
     const routing::BackendRoute* route = table_.find_backend(id);
-    if (!route->draining && !route->ended) {
+    if (!route->draining && !route->ended && !table_.is_evacuated(*route)) {
       available.push_back({id, route->zone == options_.zone});
     }
   }
@@ -139,7 +164,9 @@
   const auto target = choose_target(now, request, *service);
   if (!target.has_value()) {
     const BackendId owner = table_.routes().owner_of(request.service, request.key);
-    const bool ownerless = request.keyed && (owner.value == 0 || has_ended(now, owner));
+    const routing::BackendRoute* route = table_.find_backend(owner);
+    const bool ownerless = request.keyed && (route == nullptr || has_ended(now, owner) ||
+                                             is_closed(now, *route, request.keyed));
     return wait_routed(now, request, ownerless ? NotRunReason::kNoOwner : NotRunReason::kNoTarget);
   }
   const Duration left = request.deadline - now;
@@ -164,8 +191,10 @@
                                                    const routing::RoutedTableService& service) {
   const routing::TargetBook& book = routed_service(request.service).targets;
   const auto is_usable = [&](BackendId id) {
-    return table_.find_backend(id) != nullptr && !has_ended(now, id) && !book.is_blocked(now, id) &&
-           has_connection(request, id, service);
+    const routing::BackendRoute* backend = table_.find_backend(id);
+    return backend != nullptr && !has_ended(now, id) && !book.is_blocked(now, id) &&
+           !is_closed(now, *backend, request.keyed) && has_connection(request, id, service) &&
+           bears(now, *backend, service);
   };
   if (request.keyed) {
     const BackendId owner = table_.routes().owner_of(request.service, request.key);
@@ -205,6 +234,10 @@
   Forward effect = begin_attempt(now, request, backend);
   ++request.attempts;
   service.targets.on_sent(now, backend);
+  if (table_.find_backend(backend)->cold) {
+    const auto* routed = table_.routes().find_service(request.service);
+    cold_limit_.on_sent(now, backend, routed->route.config.cold_rate, router_count_);
+  }
   if (effect.number > 1) {
     effect.budget = service.retries.usage(now, router_count_);
   }
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -10,7 +10,7 @@
   return backends.empty() && removed_backends.empty() && services.empty() &&
          removed_services.empty() && shards.empty() && tenants.empty() && routes.empty() &&
          removed_routes.empty() && routed_services.empty() && removed_routed_services.empty() &&
-         ranges.empty() && limits.empty() && routes_version == 0;
+         ranges.empty() && limits.empty() && routes_version == 0 && zones.empty() && warmth.empty();
 }
 
 ShardNumber shard_of_key(std::string_view key, const config::ServiceTemplate& parameters) {
@@ -42,6 +42,7 @@
     services_.clear();
     service_ids_.clear();
     tenants_.clear();
+    evacuated_zones_.clear();
   }
   for (const BackendRoute& backend : delta.backends) {
     backends_[backend.id] = backend;
@@ -65,12 +66,34 @@
   for (const BackendId id : delta.removed_backends) {
     backends_.erase(id);
   }
+  for (const ZoneRoute& zone : delta.zones) {
+    install_zone(zone);
+  }
+  for (const WarmthRoute& warmth : delta.warmth) {
+    const auto found = backends_.find(warmth.backend);
+    if (found != backends_.end()) {
+      found->second.cold = warmth.cold;
+    }
+  }
   for (const TenantRevision& tenant : delta.tenants) {
     tenants_[tenant.tenant] = tenant.revision;
   }
   routes_.install(delta, backends_);
 }
 
+void RoutingTable::install_zone(const ZoneRoute& zone) {
+  if (zone.evacuated) {
+    evacuated_zones_.insert(zone.zone);
+    return;
+  }
+  if (evacuated_zones_.erase(zone.zone) == 0) {
+    return;
+  }
+  for (auto& [id, backend] : backends_) {
+    backend.cold = backend.cold || (backend.self_registered && backend.zone == zone.zone);
+  }
+}
+
 void RoutingTable::put_service(const ServiceRoute& route) {
   TableService& service = services_[route.id];
   service.route = route;
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -43,6 +44,11 @@
   /// True where the tenant is or was declared.
   const std::map<common::TenantName, common::Revision>& tenants() const { return tenants_; }
   const RouteTable& routes() const { return routes_; }
+  /// Zones whose back ends are to get nothing.
+  const std::set<common::ZoneName>& evacuated_zones() const { return evacuated_zones_; }
+  bool is_evacuated(const BackendRoute& backend) const {
+    return evacuated_zones_.contains(backend.zone);
+  }
 
  private:
   struct KeyHash {
@@ -51,6 +57,7 @@
 
   void install(const TableDelta& delta);
   void put_service(const ServiceRoute& route);
+  void install_zone(const ZoneRoute& zone);
 
   LogIndex index_;
   std::unordered_map<BackendId, BackendRoute> backends_;
@@ -58,6 +65,7 @@
   std::unordered_map<common::ServiceKey, ServiceId, KeyHash> service_ids_;
   std::map<common::TenantName, common::Revision> tenants_;
   RouteTable routes_;
+  std::set<common::ZoneName> evacuated_zones_;
 };
 
 }  // namespace planktray::routing
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -28,12 +28,12 @@
   common::ZoneName zone;
   common::Incarnation incarnation;
   bool draining = false;
-  common::PoolName pool{};    ///< self-registered: the name of its service
-  std::uint32_t slots = 0;    ///< requests it runs at once; 0: as its service says
-  std::uint32_t cold_ms = 0;  ///< how long it is slow from its registration
+  common::PoolName pool{};  ///< self-registered: the name of its service
+  std::uint32_t slots = 0;  ///< requests it runs at once; 0: as its service says
+  bool cold = false;        ///< it is slow, and bears few requests a second
   bool self_registered = false;
   bool ended = false;  ///< its address has another incarnation: it gets nothing
-  MSGPACK_DEFINE_ARRAY(id, machine, address, zone, incarnation, draining, pool, slots, cold_ms,
+  MSGPACK_DEFINE_ARRAY(id, machine, address, zone, incarnation, draining, pool, slots, cold,
                        self_registered, ended)
 };
 
@@ -77,6 +77,21 @@
   MSGPACK_DEFINE_ARRAY(service, first, last, owner)
 };
 
+/// Whether requests are kept off the back ends of a zone. Where that is taken back, all back ends
+/// that the table has there become cold.
+struct ZoneRoute {
+  common::ZoneName zone;
+  bool evacuated = false;
+  MSGPACK_DEFINE_ARRAY(zone, evacuated)
+};
+
+/// A back end that turns cold, or is warm again.
+struct WarmthRoute {
+  BackendId backend;
+  bool cold = false;
+  MSGPACK_DEFINE_ARRAY(backend, cold)
+};
+
 /// Changes of the table from one log index to another; a snapshot starts from nothing.
 struct TableDelta {
   bool is_snapshot = false;
@@ -95,9 +110,11 @@
   std::vector<KeyRangeRoute> ranges;
   std::vector<config::RequestLimits> limits;  ///< one at most
   std::uint64_t routes_version = 0;           ///< 0: unchanged
+  std::vector<ZoneRoute> zones;
+  std::vector<WarmthRoute> warmth;
   MSGPACK_DEFINE_ARRAY(is_snapshot, from, to, backends, removed_backends, services,
                        removed_services, shards, tenants, routes, removed_routes, routed_services,
-                       removed_routed_services, ranges, limits, routes_version)
+                       removed_routed_services, ranges, limits, routes_version, zones, warmth)
 
   /// True where nothing changes but the index.
   bool empty() const;
--- a/src/routing/target_book.cpp
+++ b/src/routing/target_book.cpp
@@ -25,12 +25,10 @@
 
 }  // namespace
 
-void TargetBook::add(TimePoint now, BackendId id, std::uint32_t slots, Duration cold_for) {
-  const auto [found, is_new] = targets_.try_emplace(id);
-  found->second.slots = std::max<std::uint32_t>(1, slots);
-  if (is_new) {
-    found->second.cold_until = now + cold_for;
-  }
+void TargetBook::add(BackendId id, std::uint32_t slots, bool is_cold) {
+  TargetView& target = targets_[id];
+  target.slots = std::max<std::uint32_t>(1, slots);
+  target.is_cold = is_cold;
 }
 
 void TargetBook::on_sent(TimePoint now, BackendId id) { targets_[id].outstanding.insert(now); }
@@ -89,7 +87,7 @@
     const double half_lives = to_us(now - target.learnt_at) / to_us(options_.forget_half);
     const double kept = std::exp2(-half_lives);
     time = kept * target.time_us + (1.0 - kept) * typical;
-  } else if (now < target.cold_until) {
+  } else if (target.is_cold) {
     time *= options_.cold_factor;
   }
   return time;
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -53,7 +53,7 @@
   double time_us = 0;                    ///< smoothed time of an answer, 0: none seen
   double others = 0;                     ///< smoothed requests of other routers at the target
   TimePoint learnt_at;                   ///< when time_us last changed
-  TimePoint cold_until;
+  bool is_cold = false;
   TimePoint blocked_until;
   Duration block{0};
   WorkSamples samples;
@@ -63,8 +63,8 @@
  public:
   explicit TargetBook(TargetBookOptions options) : options_(options) {}
 
-  /// Notes a target of the table. @param cold_for how much longer it is slow from its start.
-  void add(TimePoint now, BackendId id, std::uint32_t slots, Duration cold_for);
+  /// Notes a target of the table.
+  void add(BackendId id, std::uint32_t slots, bool is_cold);
   /// Drops targets that the table lacks, once nothing is outstanding there.
   template <typename Keep>
   void drop_unless(const Keep& keep) {
--- a/src/sim/grant_world.cpp
+++ b/src/sim/grant_world.cpp
@@ -323,7 +323,7 @@
     if (!leads_ || record == nullptr) {
       return;
     }
-    if (!monitor_.note_heartbeat(now_, record->incarnation, heartbeat.sequence)) {
+    if (!monitor_.note_heartbeat(now_, record->incarnation, heartbeat.sequence, Duration(0))) {
       ++result_.late_heartbeats;
       return;
     }
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -245,5 +245,81 @@
   }
 }
 
+/// @return what the evacuation ended with, within `wait` milliseconds.
+std::optional<common::Result<common::LogIndex>> evacuate(Cell& cell, std::size_t replica,
+                                                         const std::string& zone, bool evacuated,
+                                                         std::int64_t wait = 50) {
+  cell.completions.clear();
+  ControllerCore& core = *cell.replicas[replica];
+  const OperatorRequestId request = core.new_request();
+  core.evacuate_zone(at(cell.time), request, {common::ZoneName(zone), evacuated});
+  cell.exchange();
+  cell.run_for(wait);
+  for (const Completion& completion : cell.completions) {
+    const auto* command = std::get_if<CommandCompleted>(&completion);
+    if (command != nullptr && command->request == request) {
+      return command->index;
+    }
+  }
+  return std::nullopt;
+}
+
+TEST_CASE("an evacuation is acknowledged once a majority has it, and again when it is sent again") {
+  Cell cell;
+  const common::ZoneName zone("north");
+  for (int i = 0; i < 2; ++i) {
+    const auto answer = evacuate(cell, cell.leader(), "north", true);
+    REQUIRE(answer.has_value());
+    CHECK(answer->has_value());
+  }
+  cell.run_for(200);
+  for (const auto& replica : cell.replicas) {
+    CHECK(replica->state().evacuated_zones().contains(zone));
+  }
+  const auto misdirected = evacuate(cell, cell.follower(), "north", false);
+  REQUIRE(misdirected.has_value());
+  REQUIRE_FALSE(misdirected->has_value());
+  CHECK(misdirected->error().code == common::ErrorCode::kNotLeader);
+}
+
+TEST_CASE("an acknowledged evacuation survives the loss of its leader") {
+  Cell cell;
+  REQUIRE(evacuate(cell, cell.leader(), "north", true).has_value());
+  const std::size_t lost = cell.leader();
+  cell.cut[lost] = true;
+  cell.run_for(3000);
+  REQUIRE(cell.leader() != lost);
+  CHECK(
+      cell.replicas[cell.leader()]->state().evacuated_zones().contains(common::ZoneName("north")));
+}
+
+TEST_CASE("a leader that is cut off acknowledges no evacuation") {
+  Cell cell;
+  const std::size_t leader = cell.leader();
+  cell.cut[leader] = true;
+  const auto answer = evacuate(cell, leader, "north", true, 3000);
+  CHECK((!answer.has_value() || !answer->has_value()));
+}
+
+TEST_CASE("only a heartbeat that came well after a zone was taken back shows a warm back end") {
+  Cell cell;
+  const common::Incarnation life("life");
+  CHECK(cell.beat(cell.leader(), 1, false));
+  const auto is_cold = [&] {
+    return cell.replicas[cell.leader()]->state().find_incarnation(life)->cold;
+  };
+  CHECK_FALSE(is_cold());
+  REQUIRE(evacuate(cell, cell.leader(), "", true).has_value());
+  REQUIRE(evacuate(cell, cell.leader(), "", false).has_value());
+  CHECK(is_cold());
+  // It may have been sent before the back end turned cold, and held up at a follower.
+  CHECK(cell.beat(cell.leader(), 2, false, 250));
+  CHECK(is_cold());
+  cell.run_for(400);
+  CHECK(is_cold());
+  CHECK(cell.beat(cell.follower(), 3, false, 600));  // reported by a follower
+  CHECK_FALSE(is_cold());
+}
+
 }  // namespace
 }  // namespace planktray::controller
--- a/test/ownership/cell_state_test.cpp
+++ b/test/ownership/cell_state_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "routing/table.hpp"
+
 namespace planktray::ownership {
 namespace {
 
@@ -130,5 +132,84 @@
   CHECK_FALSE(second->ended);
 }
 
+/// A back end that holds fenced grants, in a zone.
+BackendId register_in(Fixture& fixture, const std::string& name, const std::string& zone,
+                      bool cold = false) {
+  RegisterBackend registration;
+  registration.machine = common::MachineName(name);
+  registration.address = name + ":80";
+  registration.zone = common::ZoneName(zone);
+  registration.pool = common::PoolName("album");
+  registration.incarnation = common::Incarnation(name);
+  registration.contract = static_cast<std::uint8_t>(OwnershipContract::kFencedGrant);
+  registration.cold = cold;
+  fixture.apply(registration);
+  return BackendId(fixture.index);
+}
+
+/// The table of a router that has followed every change.
+struct Follower {
+  routing::RoutingTable table;
+
+  void follow(const routing::TableDelta& delta) {
+    routing::TableUpdate update;
+    update.base_index = delta.from;
+    update.current_index = delta.to;
+    update.deltas = {delta};
+    table.apply(update);
+  }
+};
+
+TEST_CASE("an evacuated zone stays so until it is taken back, over repeats and snapshots") {
+  Fixture fixture;
+  const common::ZoneName zone("north");
+  const BackendId id = register_in(fixture, "a", "north");
+  CHECK(fixture.apply(EvacuateZone{zone, true}).delta.zones.size() == 1);
+  CHECK(fixture.apply(EvacuateZone{zone, true}).delta.empty());  // the same order again
+  auto restored = CellState::decode_snapshot(fixture.state.encode_snapshot());
+  REQUIRE(restored.has_value());
+  fixture.state = std::move(*restored);
+  CHECK(fixture.state.is_evacuated(*fixture.state.find_backend(id)));
+  const routing::TableDelta snapshot = fixture.state.table_snapshot();
+  REQUIRE(snapshot.zones.size() == 1);
+  CHECK(snapshot.zones[0].evacuated);
+  CHECK(fixture.apply(EvacuateZone{zone, false}).delta.zones.size() == 1);
+  CHECK_FALSE(fixture.state.is_evacuated(*fixture.state.find_backend(id)));
+  CHECK(fixture.state.table_snapshot().zones.empty());
+  CHECK(fixture.apply(EvacuateZone{zone, false}).delta.empty());
+}
+
+TEST_CASE("back ends of a zone that is taken back are cold, for routers as for the state") {
+  Fixture fixture;
+  Follower router;
+  const BackendId inside = register_in(fixture, "a", "north");
+  const BackendId outside = register_in(fixture, "b", "south");
+  router.follow(fixture.state.table_snapshot());
+  for (const bool evacuated : {true, false}) {
+    router.follow(fixture.apply(EvacuateZone{common::ZoneName("north"), evacuated}).delta);
+    CHECK(router.table.is_evacuated(*router.table.find_backend(inside)) == evacuated);
+    CHECK_FALSE(router.table.is_evacuated(*router.table.find_backend(outside)));
+  }
+  CHECK(fixture.state.find_backend(inside)->cold);
+  CHECK(router.table.find_backend(inside)->cold);
+  CHECK_FALSE(fixture.state.find_backend(outside)->cold);
+  CHECK_FALSE(router.table.find_backend(outside)->cold);
+  const ApplyResult warmed = fixture.apply(SetWarmth{{outside}, {inside}});
+  CHECK(warmed.delta.backends.empty());  // a few bytes for each, not the whole route
+  router.follow(warmed.delta);
+  CHECK_FALSE(router.table.find_backend(inside)->cold);
+  CHECK(router.table.find_backend(outside)->cold);
+}
+
+TEST_CASE("a back end that registers cold is cold in the table from its first moment") {
+  Fixture fixture;
+  Follower router;
+  router.follow(fixture.state.table_snapshot());
+  const BackendId id = register_in(fixture, "a", "north", true);
+  router.follow(fixture.state.table_snapshot());
+  CHECK(fixture.state.find_backend(id)->cold);
+  CHECK(router.table.find_backend(id)->cold);
+}
+
 }  // namespace
 }  // namespace planktray::ownership
--- a/test/ownership/range_planner_test.cpp
+++ b/test/ownership/range_planner_test.cpp
@@ -59,7 +59,8 @@
     apply(plan);
   }
   ApplyRangePlan plan(bool balance, bool join = false) const {
-    RangePlannerInput input{state, loads, {}, {}, {}, balance, join};
+    RangePlannerInput input{state, loads, {}, {}, {}, {}, balance, join};
+    input.must_be_emptied = [](const BackendRecord& backend) { return backend.leaving; };
     input.is_eligible = [&](const BackendRecord& backend) {
       return !backend.leaving && !ineligible.contains(backend.id);
     };
--- a/test/platform/heartbeat_codec_test.cpp
+++ b/test/platform/heartbeat_codec_test.cpp
@@ -38,6 +38,26 @@
   CHECK(full->holdings->released[0].handover == "5c0e");
 }
 
+TEST_CASE("a cold time that cannot be read costs neither the heartbeat nor the sign of it") {
+  const auto with = [](const std::string& cold) {
+    return parse_heartbeat("life",
+                           R"({"address":"a:1","information":{"service":"s","zone":"z","slots":3},)"
+                           R"("status":{"state":"ready","sequence":4)" +
+                               cold + "}}");
+  };
+  for (const char* cold :
+       {R"(,"cold_remaining":"soon")", R"(,"cold_remaining":3)", R"(,"cold_remaining":null)"}) {
+    CAPTURE(cold);
+    const auto heartbeat = with(cold);
+    REQUIRE(heartbeat.has_value());
+    CHECK(heartbeat->cold_is_unreadable);
+    CHECK(heartbeat->cold_ms == 0);
+  }
+  CHECK_FALSE(with("")->cold_is_unreadable);
+  CHECK_FALSE(with(R"(,"cold_remaining":"0ms")")->cold_is_unreadable);
+  CHECK(with(R"(,"cold_remaining":"0.4ms")")->cold_ms == 1);  // not warm yet
+}
+
 TEST_CASE("rows that cannot be read make the whole heartbeat invalid") {
   for (const char* rows :
        {R"("holds":7,)", R"("holds":[7],)", R"("holds":[[0,1]],)", R"("holds":[[5,4,7]],)",
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -2,7 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
+#include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace planktray::router {
 namespace {
@@ -315,5 +320,187 @@
   CHECK(told.size() == kCallers);
 }
 
+/// A router of a zone with back ends there and elsewhere, and a service with or without keys.
+struct RoutedFixture {
+  RouterCore core;
+  RequestHandle next_handle = 1;
+  std::uint64_t index = 5;
+
+  static RouterOptions options(const std::string& name) {
+    RouterOptions options = Fixture::options();
+    options.name = common::RouterName(name);
+    options.zone = common::ZoneName("north");
+    return options;
+  }
+
+  /// @param adjust takes safeguards away. @param routers that there are, by the leader's word.
+  explicit RoutedFixture(bool keyed, const std::string& name = "r", std::uint32_t routers = 1,
+                         void (*adjust)(RouterOptions&) = nullptr)
+      : core(adjusted(name, adjust), common::RandomEngine(std::hash<std::string>{}(name)), at(0)) {
+    routing::TableDelta snapshot;
+    snapshot.is_snapshot = true;
+    snapshot.to = common::LogIndex(index);
+    for (std::uint64_t id : {1U, 2U}) {
+      routing::BackendRoute backend;
+      backend.id = common::BackendId(id);
+      backend.zone = common::ZoneName(id == 1 ? "north" : "south");
+      backend.incarnation = common::Incarnation(std::to_string(id));
+      backend.pool = common::PoolName("album");
+      backend.slots = 3;
+      backend.self_registered = true;
+      snapshot.backends.push_back(backend);
+    }
+    config::RoutedService service;
+    service.name = common::ServiceName("album");
+    service.keyed = keyed;
+    service.cold_rate = 4.2;
+    snapshot.routed_services.push_back({common::ServiceId(1), service});
+    if (keyed) {
+      snapshot.ranges.push_back(
+          {common::ServiceId(1), 0, config::kKeyCount - 1, common::BackendId(1)});
+    }
+    config::Route route;
+    route.name = "r";
+    route.host = "album.example";
+    route.path_prefix = "/";
+    route.parts.push_back({service.name, 1.0});
+    snapshot.routes.push_back(route);
+    snapshot.routes_version = 1;
+    install(at(1), snapshot, routers);
+  }
+
+  static RouterOptions adjusted(const std::string& name, void (*adjust)(RouterOptions&)) {
+    RouterOptions made = options(name);
+    if (adjust != nullptr) {
+      adjust(made);
+    }
+    return made;
+  }
+
+  void install(TimePoint now, routing::TableDelta delta, std::uint32_t routers = 1) {
+    routing::TableUpdate update;
+    update.term = common::Term(1);
+    update.router_count = routers;
+    update.base_index = delta.from;
+    update.current_index = delta.to;
+    update.deltas = {std::move(delta)};
+    core.on_table_update(now, update);
+    (void)core.take_output();
+  }
+
+  routing::TableDelta next_delta() {
+    routing::TableDelta delta;
+    delta.from = common::LogIndex(index);
+    delta.to = common::LogIndex(++index);
+    return delta;
+  }
+
+  void evacuate(TimePoint now, const std::string& zone, bool evacuated, std::uint32_t routers = 1) {
+    routing::TableDelta delta = next_delta();
+    delta.zones.push_back({common::ZoneName(zone), evacuated});
+    install(now, delta, routers);
+  }
+
+  /// The back ends that get one of `count` requests at this moment; each is answered in the time
+  /// that a router expects of a back end it does not know.
+  std::multiset<std::string> receivers(TimePoint now, int count) {
+    std::multiset<std::string> seen;
+    for (int i = 0; i < count; ++i) {
+      CallerRequest caller;
+      caller.handle = next_handle++;
+      caller.method = "GET";
+      caller.timeout_ms = 1000;
+      caller.route = RouteCall{"album.example", "/a", static_cast<std::uint32_t>(i)};
+      core.on_request(now, caller);
+      for (const Forward& forward : core.take_output().forwards) {
+        seen.insert(forward.incarnation.value);
+        core.on_attempt_done(now + core.options().targets.initial_time, forward.attempt,
+                             {routing::AttemptEnd::kAnswered, {}});
+      }
+      core.on_caller_gone(caller.handle);
+      (void)core.take_output();
+    }
+    return seen;
+  }
+};
+
+TEST_CASE(
+    "nothing goes to an evacuated zone, and it is used again once it is taken back and warm") {
+  RoutedFixture fixture(false);
+  CHECK(fixture.receivers(at(2), 50).contains("1"));
+  fixture.evacuate(at(10), "north", true);
+  const auto during = fixture.receivers(at(11), 50);
+  CHECK(during.count("1") == 0);
+  CHECK(during.count("2") == 50);
+  fixture.evacuate(at(20), "north", false);
+  CHECK(fixture.receivers(at(21), 50).count("1") <= 1);  // it may have turned cold
+  routing::TableDelta warmed = fixture.next_delta();
+  warmed.warmth.push_back({common::BackendId(1), false});
+  fixture.install(at(30), warmed);
+  CHECK(fixture.receivers(at(31), 50).count("1") > 5);
+}
+
+TEST_CASE("where every zone is evacuated, callers are refused") {
+  RoutedFixture fixture(false);
+  fixture.evacuate(at(10), "north", true);
+  fixture.evacuate(at(10), "south", true);
+  CHECK(fixture.receivers(at(11), 50).empty());
+}
+
+TEST_CASE("an owner in an evacuated zone gets requests while its keys are handed over, not after") {
+  RoutedFixture fixture(true);
+  fixture.evacuate(at(10), "north", true);
+  CHECK(fixture.receivers(at(1000), 5).count("1") == 5);
+  CHECK(fixture.receivers(at(2011), 5).empty());
+}
+
+/// Most requests in one second that the back end gets from 68 routers which all want to use it, and
+/// all of which learn at the same moment that its zone is taken back.
+std::size_t most_in_a_second(bool keyed, void (*adjust)(RouterOptions&)) {
+  constexpr std::uint32_t kRouters = 68;
+  constexpr std::int64_t kStep = 25;
+  std::vector<std::unique_ptr<RoutedFixture>> routers;
+  for (std::uint32_t i = 0; i < kRouters; ++i) {
+    routers.push_back(
+        std::make_unique<RoutedFixture>(keyed, "r" + std::to_string(i), kRouters, adjust));
+    routers.back()->evacuate(at(10), "north", true, kRouters);
+    routers.back()->evacuate(at(20), "north", false, kRouters);
+    if (!keyed) {
+      // No other back end is there to take the requests.
+      routers.back()->evacuate(at(20), "south", true, kRouters);
+    }
+  }
+  std::vector<std::size_t> steps;
+  for (std::int64_t time = 21; time < 6000; time += kStep) {
+    std::size_t sum = 0;
+    for (auto& router : routers) {
+      sum += router->receivers(at(time), 1).count("1");
+    }
+    steps.push_back(sum);
+  }
+  std::size_t most = 0;
+  constexpr std::size_t kWindow = 1000 / kStep;
+  for (std::size_t i = 0; i + kWindow <= steps.size(); ++i) {
+    std::size_t sum = 0;
+    for (std::size_t j = i; j < i + kWindow; ++j) {
+      sum += steps[j];
+    }
+    most = std::max(most, sum);
+  }
+  return most;
+}
+
+TEST_CASE("what all routers send to a cold back end in a second stays below what it bears") {
+  constexpr std::size_t kAllowed = 14;  // 4.2 a second, half as much again, and 8
+  for (const bool keyed : {false, true}) {
+    CAPTURE(keyed);
+    const std::size_t most = most_in_a_second(keyed, nullptr);
+    CHECK(most <= kAllowed);
+    CHECK(most >= 1);  // some of it is used
+    CHECK(most_in_a_second(
+              keyed, [](RouterOptions& options) { options.cold_limit.holds = false; }) > kAllowed);
+  }
+}
+
 }  // namespace
 }  // namespace planktray::router
