--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -44,6 +44,7 @@
   std::string name;
   std::string machine;
   bool undo = false;
+  std::string zone;
   std::string tenant;
   std::string service;
   std::uint32_t shard = 0;
@@ -284,6 +285,8 @@
     all["controllers"].push_back(item);
   }
   if (has_leader) {
+    const auto evacuations = client.ask("GET", "/v1/evacuations");
+    all["evacuations"] = evacuations.has_value() ? evacuations->body : json();
     const auto sites = client.ask("GET", "/v1/sites");
     all["sites"] = sites.has_value() ? sites->body : json();
   }
@@ -308,6 +311,11 @@
               (router["serving"].get<bool>() ? "  serving\n" : "  not serving\n");
     }
   }
+  if (all.contains("evacuations") && all["evacuations"].is_object()) {
+    for (const json& zone : all["evacuations"].value("evacuated_zones", json::array())) {
+      text += "zone " + zone.get<std::string>() + "  evacuated\n";
+    }
+  }
   text += has_leader ? "the cell is serving" : "the cell has no serving leader";
   print(options, all, text);
   return has_leader ? kOk : kFailed;
@@ -332,6 +340,11 @@
               options.machine + (options.undo ? ": takes work again" : ": draining"));
 }
 
+int run_evacuate(const Options& options) {
+  return post(options, "/v1/evacuations/" + options.zone, {{"evacuated", !options.undo}},
+              options.zone + (options.undo ? ": taken back" : ": evacuated"));
+}
+
 int run_move(const Options& options) {
   return post(options, "/v1/moves",
               {{"tenant", options.tenant},
@@ -470,6 +483,10 @@
       add_command(app, "drain", "Give a machine no new work", "planktray drain sledovanie-3");
   drain->add_option("machine", options.machine)->required();
   drain->add_flag("--undo", options.undo, "Let it take work again");
+  auto* evacuate = add_command(app, "evacuate", "Keep all requests off the back ends of a zone",
+                               "planktray evacuate hala-a");
+  evacuate->add_option("zone", options.zone)->required();
+  evacuate->add_flag("--undo", options.undo, "Take it back: its back ends get requests again");
   auto* move = add_command(app, "move", "Move one shard to a machine",
                            "planktray move zilina sledovanie 17 sledovanie-3");
   move->add_option("tenant", options.tenant)->required();
@@ -506,6 +523,9 @@
   if (command == "drain") {
     return run_drain(options);
   }
+  if (command == "evacuate") {
+    return run_evacuate(options);
+  }
   if (command == "move") {
     return run_move(options);
   }
--- a/src/controller/operator_api.cpp
+++ b/src/controller/operator_api.cpp
@@ -32,12 +32,6 @@
 
 common::TimePoint now() { return transport::boot_time_now(); }
 
-std::string replica_text(common::ReplicaId id) {
-  char text[17] = {};
-  const auto end = std::to_chars(text, text + sizeof(text) - 1, id.value, 16);
-  return std::string(text, end.ptr);
-}
-
 common::Result<common::ReplicaId> parse_replica(const std::string& text) {
   common::ReplicaId id;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id.value, 16);
@@ -47,14 +41,6 @@
   return id;
 }
 
-json member_json(const consensus::Member& member) {
-  return {{"replica", replica_text(member.id)},
-          {"name", member.name},
-          {"peer_address", member.peer_address},
-          {"operator_address", member.operator_address},
-          {"voter", member.voter}};
-}
-
 void refuse(HttpExchange& exchange, common::ErrorCode code, const std::string& step,
             const std::string& message) {
   exchange.respond_error({code, step, "", message});
@@ -107,6 +93,10 @@
     if (second == "members") {
       return exchange->respond_json(kStatusOk, members_json());
     }
+    if (second == "evacuations") {
+      return read(exchange,
+                  [this](HttpExchange& out) { out.respond_json(kStatusOk, evacuations_json()); });
+    }
     if (second == "sites") {
       return read(exchange,
                   [this](HttpExchange& out) { out.respond_json(kStatusOk, sites_json()); });
@@ -120,6 +110,9 @@
     if (second == "drain" && parts.size() == 3) {
       return handle_drain(exchange, parts[2]);
     }
+    if (second == "evacuations" && parts.size() == 3) {
+      return handle_evacuation(exchange, parts[2]);
+    }
     if (second == "moves" && parts.size() == 2) {
       return handle_move(exchange);
     }
@@ -197,7 +190,8 @@
   exchange.respond_json(kStatusOk, body.dump());
 }
 
-// ---------------------------------------------------------------- drains, moves, members
+// ---------------------------------------------------------------- drains, evacuations, moves,
+// members
 
 void OperatorApi::handle_drain(const ExchangePointer& exchange, const std::string& machine) {
   json body = json::object();
@@ -211,6 +205,21 @@
   flush_();
 }
 
+void OperatorApi::handle_evacuation(const ExchangePointer& exchange, const std::string& zone) {
+  json body = json::object();
+  if (!exchange->body().empty() && !parse_body(*exchange, body)) {
+    return;
+  }
+  const auto evacuated = body.find("evacuated");
+  if (evacuated != body.end() && !evacuated->is_boolean()) {
+    return refuse(*exchange, common::ErrorCode::kInvalid, "read evacuation",
+                  "evacuated must be true or false");
+  }
+  const bool starts = evacuated == body.end() || evacuated->get<bool>();
+  core_.evacuate_zone(now(), await(exchange), {common::ZoneName(zone), starts});
+  flush_();
+}
+
 void OperatorApi::handle_move(const ExchangePointer& exchange) {
   json body;
   if (!parse_body(*exchange, body)) {
@@ -348,157 +357,4 @@
   }
 }
 
-// ---------------------------------------------------------------- views
-
-std::string OperatorApi::identity_json() const {
-  return json{{"cell", core_.options().cell.value},
-              {"replica", replica_text(core_.raft().self())},
-              {"name", core_.options().name},
-              {"peer_address", core_.options().peer_address},
-              {"operator_address", core_.options().operator_address},
-              {"created", !core_.raft().membership().members.empty()}}
-      .dump();
-}
-
-std::string OperatorApi::status_json() const {
-  const consensus::Member* leader = core_.raft().membership().find(core_.raft().leader());
-  const auto& state = core_.state();
-  std::size_t shards = 0;
-  std::size_t unowned = 0;
-  for (const auto& [id, service] : state.services()) {
-    shards += service.shards.size();
-    for (const ownership::ShardRecord& shard : service.shards) {
-      unowned += shard.owner.value == 0 ? 1 : 0;
-    }
-  }
-  json backends = json::array();
-  for (const auto& [id, backend] : state.backends()) {
-    backends.push_back({{"id", id.value},
-                        {"machine", backend.machine.value},
-                        {"address", backend.address},
-                        {"zone", backend.zone.value},
-                        {"pool", backend.pool.value},
-                        {"incarnation", backend.incarnation.value},
-                        {"draining", state.is_draining(backend)},
-                        {"shards", backend.shards.size()}});
-  }
-  return json{{"cell", core_.options().cell.value},
-              {"name", core_.options().name},
-              {"is_leader", core_.raft().is_leader()},
-              {"is_serving", core_.is_serving(now())},
-              {"leader", leader == nullptr ? "" : leader->operator_address},
-              {"term", core_.raft().term().value},
-              {"commit_index", core_.raft().commit_index().value},
-              {"applied_index", state.applied().value},
-              {"services", state.services().size()},
-              {"shards", shards},
-              {"unowned_shards", unowned},
-              {"moving_shards", state.moving().size()},
-              {"backends", backends}}
-      .dump();
-}
-
-std::string OperatorApi::members_json() const {
-  json members = json::array();
-  const auto time = now();
-  for (const consensus::Member& member : core_.raft().membership().members) {
-    json item = member_json(member);
-    const auto heard = core_.raft().last_heard(member.id);
-    item["match_index"] = core_.raft().match_index(member.id).value;
-    item["is_self"] = member.id == core_.raft().self();
-    if (heard.has_value()) {
-      item["silent_ms"] =
-          std::chrono::duration_cast<std::chrono::milliseconds>(time - *heard).count();
-    }
-    members.push_back(std::move(item));
-  }
-  return json{{"members", members},
-              {"is_leader", core_.raft().is_leader()},
-              {"fully_replicated", core_.is_fully_replicated(time)},
-              {"change_pending", core_.raft().membership_change_pending()}}
-      .dump();
-}
-
-std::string OperatorApi::sites_json() const {
-  const auto time = now();
-  json routers = json::array();
-  for (const RouterView& router : core_.distributor().routers(time)) {
-    routers.push_back({{"name", router.name.value},
-                       {"address", router.address},
-                       {"table_index", router.table_index.value},
-                       {"serving", router.serving}});
-  }
-  json body = {{"routers", routers}, {"applied_index", core_.state().applied().value}};
-  const auto in_force = core_.distributor().in_force(time, core_.state());
-  body["in_force_index"] = in_force.has_value() ? json(in_force->value) : json(nullptr);
-  return body.dump();
-}
-
-void OperatorApi::render_assignments(HttpExchange& exchange,
-                                     const common::ServiceKey& service) const {
-  const ownership::ServiceRecord* record = core_.state().find_service(service);
-  if (record == nullptr || record->retired) {
-    return refuse(exchange, common::ErrorCode::kNotFound, "get assignments", "no such service");
-  }
-  const auto machine_of = [&](common::BackendId id) {
-    const ownership::BackendRecord* backend = core_.state().find_backend(id);
-    return backend == nullptr ? std::string() : backend->machine.value;
-  };
-  json targets = json::array();
-  for (const common::BackendId id : record->targets) {
-    targets.push_back(machine_of(id));
-  }
-  json shards = json::array();
-  for (std::size_t i = 0; i < record->shards.size(); ++i) {
-    const ownership::ShardRecord& shard = record->shards[i];
-    shards.push_back({{"shard", i},
-                      {"owner", machine_of(shard.owner)},
-                      {"epoch", shard.epoch.value},
-                      {"moving", shard.moving}});
-  }
-  exchange.respond_json(kStatusOk, json{{"tenant", service.tenant.value},
-                                        {"service", service.service.value},
-                                        {"targets", targets},
-                                        {"shards", shards}}
-                                       .dump());
-}
-
-std::string OperatorApi::metrics_text() {
-  const ControllerCounters& counters = core_.counters();
-  metrics_.set_counter("planktray_elections_won_total", "Elections won.", counters.elections_won);
-  metrics_.set_counter("planktray_entries_applied_total", "Log entries applied.",
-                       counters.entries_applied);
-  metrics_.set_counter("planktray_changes_accepted_total", "Declarations accepted.",
-                       counters.changes_accepted);
-  metrics_.set_counter("planktray_changes_refused_total", "Declarations refused.",
-                       counters.changes_refused);
-  metrics_.set_counter("planktray_backends_registered_total", "Back-end incarnations registered.",
-                       counters.backends_registered);
-  metrics_.set_counter("planktray_backends_lost_total", "Back-end sessions ended.",
-                       counters.backends_lost);
-  metrics_.set_counter("planktray_shards_assigned_total", "Shards given to an owner.",
-                       counters.shards_assigned);
-  metrics_.set_counter("planktray_moves_begun_total", "Planned moves begun.", counters.moves_begun);
-  metrics_.set_counter("planktray_snapshots_taken_total", "Snapshots taken.",
-                       counters.snapshots_taken);
-  metrics_.set_gauge("planktray_is_leader", "1 where this replica leads.",
-                     core_.raft().is_leader() ? 1 : 0);
-  metrics_.set_gauge("planktray_term", "Election term.",
-                     static_cast<double>(core_.raft().term().value));
-  metrics_.set_gauge("planktray_commit_index", "Highest committed log index.",
-                     static_cast<double>(core_.raft().commit_index().value));
-  metrics_.set_gauge("planktray_applied_index", "Highest applied log index.",
-                     static_cast<double>(core_.state().applied().value));
-  metrics_.set_gauge("planktray_log_entries", "Log entries in memory.",
-                     static_cast<double>(core_.raft().log_size()));
-  metrics_.set_gauge("planktray_backends", "Registered back ends.",
-                     static_cast<double>(core_.state().backends().size()));
-  metrics_.set_gauge("planktray_moving_shards", "Planned moves under way.",
-                     static_cast<double>(core_.state().moving().size()));
-  if (on_metrics) {
-    on_metrics();
-  }
-  return metrics_.serialize();
-}
-
 }  // namespace planktray::controller
--- a/src/controller/operator_api.hpp
+++ b/src/controller/operator_api.hpp
@@ -36,6 +36,7 @@
   void change(const transport::ExchangePointer& exchange, ownership::DeclarationKind kind,
               const std::string& name);
   void handle_drain(const transport::ExchangePointer& exchange, const std::string& machine);
+  void handle_evacuation(const transport::ExchangePointer& exchange, const std::string& zone);
   void handle_move(const transport::ExchangePointer& exchange);
   void handle_members(const transport::ExchangePointer& exchange);
   void handle_create(const transport::ExchangePointer& exchange);
@@ -50,6 +51,7 @@
   std::string identity_json() const;
   std::string status_json() const;
   std::string members_json() const;
+  std::string evacuations_json() const;
   std::string sites_json() const;
   std::string metrics_text();
 
