--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -1,6 +1,7 @@
 #include "controller/core/range_controller.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace planktray::controller {
@@ -25,14 +26,22 @@
   return std::min<Duration>(kRestPerRange * static_cast<std::int64_t>(ranges), kLongestPlanRest);
 }
 
+/// Variance of a load smoothed with this half-life, per load: ln 2 / (2 half-lives), in 1/s.
+ownership::RangePlannerOptions with_noise_of(ownership::RangePlannerOptions planner,
+                                             Duration half_life) {
+  planner.noise_rate = std::log(2.0) / (2.0 * std::chrono::duration<double>(half_life).count());
+  return planner;
+}
+
 }  // namespace
 
 RangeController::RangeController(RangeOptions options)
     : options_(options),
       heartbeats_(options.heartbeat),
       grants_(options.grant),
-      planner_(options.planner),
-      loads_(options.load_half_life) {}
+      planner_(with_noise_of(options.planner, options.load_half_life)),
+      loads_(options.load_half_life),
+      times_(options.speed_sample_weight) {}
 
 void RangeController::begin_term(TimePoint now, const CellState& state) {
   heartbeats_.begin_term(now);
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -26,6 +26,9 @@
   ownership::GrantOptions grant;
   ownership::RangePlannerOptions planner;
   Duration load_half_life = std::chrono::milliseconds(800);
+  /// Weight of one measured request in the smoothed speed of a target. A request's time scatters by
+  /// about its own mean, so 25 requests tell a speed to a fifth.
+  double speed_sample_weight = 0.04;
   /// How often loads are folded and keys may be moved for balance.
   Duration balance_interval = std::chrono::milliseconds(300);
   /// Neighbouring ranges of one owner become one this often.
--- a/src/controller/settings.cpp
+++ b/src/controller/settings.cpp
@@ -34,6 +34,25 @@
                    "How long a router serves without confirmation; the same in every process");
   add_milliseconds(app, "--balance-interval-ms", options.balance_interval, 100, 600'000,
                    "How often balancing may act");
+  auto& ranges = options.ranges;
+  add_milliseconds(app, "--load-half-life-ms", ranges.load_half_life, 50, 600'000,
+                   "Time after which what was seen of a key's requests counts half");
+  app.add_option("--balance-limit", ranges.planner.max_imbalance,
+                 "A target may carry this many times its share before keys are moved off it")
+      ->default_val(ranges.planner.max_imbalance)
+      ->check(CLI::Range(1.0, 100.0));
+  app.add_option("--balance-noise-factor", ranges.planner.noise_factor,
+                 "Standard deviations of a target's measured load that are borne in any case")
+      ->default_val(ranges.planner.noise_factor)
+      ->check(CLI::Range(0.0, 100.0));
+  app.add_option("--balance-smallest-gain", ranges.planner.smallest_gain,
+                 "A move shifts at least this part of a target's share")
+      ->default_val(ranges.planner.smallest_gain)
+      ->check(CLI::Range(0.001, 10.0));
+  app.add_option("--speed-sample-weight", ranges.speed_sample_weight,
+                 "Weight of one measured request in the smoothed speed of a target")
+      ->default_val(ranges.speed_sample_weight)
+      ->check(CLI::Range(0.0001, 1.0));
   app.add_option("--snapshot-entries", options.snapshot_entries,
                  "A snapshot is taken after this many entries")
       ->default_val(options.snapshot_entries)
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -52,6 +52,14 @@
                     options_.longest_hold_time);
 }
 
+Duration GrantManager::renewal_interval() const {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const double paced =
+      kMicrosecondsPerSecond * static_cast<double>(owners_) / options_.renewals_per_second;
+  return std::clamp(Duration(static_cast<Duration::rep>(paced)), hold_ / options_.renewals_per_hold,
+                    hold_ / options_.least_renewals_per_hold);
+}
+
 void GrantManager::begin_term(TimePoint now, const CellState& state) {
   active_ = true;
   holdings_.clear();
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -49,8 +49,13 @@
   /// renewals a second stay bounded; never longer than `longest_hold_time`.
   Duration hold_per_owner = std::chrono::milliseconds(64);
   Duration longest_hold_time = std::chrono::milliseconds(9000);
-  /// A grant is renewed so many times within its hold.
+  /// A grant is renewed so many times within its hold, or fewer where owners are so many that all
+  /// together would make more than `renewals_per_second`.
   std::int64_t renewals_per_hold = 4;
+  /// Never fewer: one renewal may be lost, and there is time to repeat it.
+  std::int64_t least_renewals_per_hold = 2;
+  /// Each is a connection of its own, about 0.3 ms of a leader's processor time.
+  double renewals_per_second = 200;
   /// Grants under way at once: a new leader has as many to send as there are ranges, and must not
   /// let them wait for each other until they time out.
   std::size_t grants_under_way = 24;
@@ -231,7 +236,7 @@
 
   /// The longest that an order with this hold may last, on this clock.
   Duration true_time(Duration hold) const;
-  Duration renewal_interval() const { return hold_ / options_.renewals_per_hold; }
+  Duration renewal_interval() const;
   void sync(TimePoint now, const CellState& state);
   Holding derive_holding(TimePoint now, const CellState& state, const HoldingKey& key,
                          const RangeRecord& record, const Holdings& before) const;
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -20,7 +20,7 @@
   double starved_share = 0.5;
   /// So many standard deviations of a target's measured load are borne in any case.
   double noise_factor = 3.0;
-  /// Variance of a smoothed load per load, in 1/s: ln 2 / (2 half-lives).
+  /// Variance of a smoothed load per load, in 1/s; follows from how loads are smoothed.
   double noise_rate = 0.43;
   /// A move must shift at least this part of a target's share.
   double smallest_gain = 0.15;
--- a/src/ownership/target_times.cpp
+++ b/src/ownership/target_times.cpp
@@ -6,8 +6,6 @@
 namespace planktray::ownership {
 namespace {
 
-/// Weight of one new sample; a report counts as many samples as it has.
-constexpr double kSampleWeight = 0.04;
 constexpr double kMostWeight = 0.6;
 
 }  // namespace
@@ -16,7 +14,7 @@
   for (const routing::TargetTime& report : times) {
     const auto [found, is_new] = times_.try_emplace(report.backend, report.time_us);
     if (!is_new) {
-      const double weight = std::min(kMostWeight, kSampleWeight * report.samples);
+      const double weight = std::min(kMostWeight, sample_weight_ * report.samples);
       found->second += weight * (report.time_us - found->second);
     }
   }
--- a/src/ownership/target_times.hpp
+++ b/src/ownership/target_times.hpp
@@ -25,6 +25,9 @@
 
 class TargetTimes {
  public:
+  /// @param sample_weight of one new sample; a report counts as many samples as it has.
+  explicit TargetTimes(double sample_weight) : sample_weight_(sample_weight) {}
+
   void add(const std::vector<routing::TargetTime>& times);
   void clear() { times_.clear(); }
   /// Within [1 / kMostSpread, kMostSpread].
@@ -33,6 +36,7 @@
  private:
   static constexpr double kMostSpread = 4.0;
 
+  double sample_weight_;
   std::map<common::BackendId, double> times_;  ///< smoothed, in microseconds
 };
 
--- a/test/ownership/grant_manager_test.cpp
+++ b/test/ownership/grant_manager_test.cpp
@@ -275,6 +275,18 @@
   CHECK(fixture.grants.empty());
 }
 
+TEST_CASE("many owners are renewed less often, twice within a hold at least") {
+  GrantOptions options;
+  options.renewals_per_second = 0.01;  // what one owner needs is far above it
+  Fixture fixture(options);
+  fixture.run(0, OrderEnd::kAccepted);
+  const std::int64_t hold = options.hold_time.count() / 1000;
+  fixture.collect(hold / options.renewals_per_hold + 50);
+  CHECK(fixture.grants.empty());
+  fixture.collect(hold / options.least_renewals_per_hold + 2);
+  CHECK(fixture.grants.size() == 1);
+}
+
 TEST_CASE("a round without an answer is repeated soon") {
   Fixture fixture;
   fixture.run(0, OrderEnd::kAccepted);
