Connections: come up soon, show silence, and settle before what may run once is written on them

Cause: a connection to a back end that is dark was waited for 5 s, beyond every objective; sent bytes without an acknowledgement were never noticed; a back end at its cap resets a new connection at once, and a request that had been written on it could only be answered 'unknown' (504). Ruled out: taking a reset before any byte of an answer for proof of not run: it is none.

--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -30,6 +30,7 @@
   transport::HttpClientOptions options;
   options.connections_per_server = static_cast<std::size_t>(settings.connections_per_backend);
   options.connect_timeout = settings.connect_timeout;
+  options.unacknowledged_timeout = settings.unacknowledged_timeout;
   options.limits.body_bytes = settings.maximum_body;
   return options;
 }
@@ -314,6 +315,9 @@
   const Caller& caller = found->second;
   transport::HttpRequest request = dialect_->to_backend(*caller.exchange, caller.read, forward);
   request.address = forward.address;
+  if (!forward.repeatable) {
+    request.settle_time = settings_.settle_time;
+  }
   const AttemptId attempt = forward.attempt;
   const common::TimePoint now = boot_time_now();
   if (forward.number > 1) {
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -27,6 +27,10 @@
   int connections_per_backend = 130;
   /// A connection to a back end that is not up by then has failed; nothing was sent.
   common::Duration connect_timeout = std::chrono::milliseconds(5000);
+  /// What may not be repeated is written on a connection that has been up for this long.
+  common::Duration settle_time{0};
+  /// A connection that has gone silent ends after this time, and its request with it; 0: never.
+  common::Duration unacknowledged_timeout{0};
   common::Duration drain_timeout = std::chrono::milliseconds(30'000);
   /// At a stop, new connections are still taken for this long: callers notice late.
   common::Duration accept_while_draining{0};
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -33,6 +33,12 @@
       ->check(CLI::Range(0.0, 10.0));
   add_milliseconds(app, "--table-lease-ms", options.table_lease, 100, 600'000,
                    "How long to serve without confirmation; the same in every process");
+  add_milliseconds(app, "--connect-timeout-ms", settings.connect_timeout, 1, 60'000,
+                   "A back end whose connection is not up by then gets nothing: another is asked");
+  add_milliseconds(app, "--settle-time-ms", settings.settle_time, 0, 1'000,
+                   "What may not be repeated is written once its connection is up for so long");
+  add_milliseconds(app, "--unacknowledged-timeout-ms", settings.unacknowledged_timeout, 0, 600'000,
+                   "Ends a back end's connection whose sent bytes are not acknowledged; 0: never");
   add_milliseconds(app, "--warm-up-ms", options.warm_up, 1, 600'000,
                    "Time in which a new target reaches its full share");
   add_milliseconds(app, "--drain-timeout-ms", settings.drain_timeout, 0, 3'600'000,
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -61,14 +61,17 @@
         since_(boot_time_now()) {}
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
-  ~ClientConnection() { stop_connect_timer(); }
+  ~ClientConnection() {
+    stop_timer(connect_timer_);
+    stop_timer(settle_timer_);
+  }
 
   void start() {
     const auto wait =
         std::chrono::ceil<std::chrono::milliseconds>(client_.options_.connect_timeout).count();
     connect_timer_ = g_timeout_add(static_cast<guint>(wait), on_connect_timeout, this);
     TcpStream::Handlers handlers;
-    handlers.on_connected = [this] { stop_connect_timer(); };
+    handlers.on_connected = [this] { on_connected(); };
     handlers.on_data = [this](std::string_view bytes) { on_data(bytes); };
     handlers.on_end = [this](StreamEnd end) { on_end(end); };
     stream_->start(std::move(handlers));
@@ -92,7 +95,12 @@
     if (fresh_only_) {
       headers.emplace_back("Connection", "close");
     }
-    stream_->write(serialize_request(request.method, request.target, headers, request.body));
+    std::string bytes = serialize_request(request.method, request.target, headers, request.body);
+    if (used_before_ || request.settle_time.count() == 0) {
+      return stream_->write(std::move(bytes));
+    }
+    settle_time_ = request.settle_time;
+    unsettled_ = std::move(bytes);
   }
 
   /// True where some of the present call's bytes may have reached the server.
@@ -106,7 +114,8 @@
   void close() {
     const auto keep = shared_from_this();
     const bool abandons_call = std::exchange(call_, 0) != 0;
-    stop_connect_timer();
+    stop_timer(connect_timer_);
+    stop_timer(settle_timer_);
     if (abandons_call) {
       stream_->abort();  // what was sent of it should not arrive later
     } else {
@@ -126,9 +135,24 @@
         {ErrorCode::kTimeout, "connect", connection->address_, "the connection did not come up"});
     return G_SOURCE_REMOVE;
   }
-  void stop_connect_timer() {
-    if (connect_timer_ != 0) {
-      g_source_remove(std::exchange(connect_timer_, 0));
+  static gboolean on_settled(gpointer self) {
+    auto* connection = static_cast<ClientConnection*>(self);
+    const auto keep = connection->shared_from_this();
+    connection->settle_timer_ = 0;
+    connection->stream_->write(std::exchange(connection->unsettled_, {}));
+    return G_SOURCE_REMOVE;
+  }
+  static void stop_timer(guint& timer) {
+    if (timer != 0) {
+      g_source_remove(std::exchange(timer, 0));
+    }
+  }
+
+  void on_connected() {
+    stop_timer(connect_timer_);
+    if (!unsettled_.empty()) {
+      const auto wait = std::chrono::ceil<std::chrono::milliseconds>(settle_time_).count();
+      settle_timer_ = g_timeout_add(static_cast<guint>(wait), on_settled, this);
     }
   }
 
@@ -230,6 +254,9 @@
   bool has_surplus_ = false;
   bool forgotten_ = false;
   guint connect_timer_ = 0;
+  guint settle_timer_ = 0;
+  Duration settle_time_{0};
+  std::string unsettled_;  ///< a request that waits for its connection to settle
 };
 
 // ---------------------------------------------------------------- client
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -36,6 +36,10 @@
   common::Duration timeout{0};  ///< 0: until cancelled
   /// Opens a connection for this request alone, and closes it afterwards.
   bool fresh_connection = false;
+  /// A new connection has to stay open for this long before the request is written on it. A server
+  /// that takes no more connections resets a new one at once: that is then known to be before the
+  /// request, which has not been sent. 0: written as soon as the connection is up.
+  common::Duration settle_time{0};
   /// A connection that has rested for longer is not used for this request; 0: any that is usable.
   common::Duration longest_rest{0};
   /// The answer carries this header with this value; answers with another one are not to this
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -28,6 +28,7 @@
   kSurplusLater,    ///< the first answer again in place of the second, then the second
   kSurplusAtOnce,   ///< two answers to each request
   kNonsense,        ///< bytes that are no answer
+  kResetAtOnce,     ///< a new connection is reset before anything is read
 };
 
 constexpr const char* kMark = "Request-Mark";
@@ -66,6 +67,13 @@
                               GObject* /*source*/, gpointer data) {
     auto* self = static_cast<RawServer*>(data);
     self->open_.push_back(G_SOCKET_CONNECTION(g_object_ref(connection)));
+    if (self->behaviour_ == Behaviour::kResetAtOnce) {
+      constexpr linger kReset{1, 0};
+      setsockopt(g_socket_get_fd(g_socket_connection_get_socket(connection)), SOL_SOCKET, SO_LINGER,
+                 &kReset, sizeof(kReset));
+      g_io_stream_close(G_IO_STREAM(connection), nullptr, nullptr);
+      return TRUE;
+    }
     self->read_next(connection);
     return TRUE;
   }
@@ -108,6 +116,7 @@
         return "\x01\x02 nonsense\r\n\r\n";
       case Behaviour::kClose:
       case Behaviour::kFreeze:
+      case Behaviour::kResetAtOnce:
         break;
     }
     return "";
@@ -186,6 +195,39 @@
   }
 }
 
+TEST_CASE("a connection that is reset while it settles has carried nothing") {
+  RawServer server(Behaviour::kResetAtOnce);
+  HttpClient client(options_of_four());
+  HttpRequest request = request_for(server, "POST");
+  CHECK(send_and_wait(client, request).was_sent);  // nobody can tell
+  request.settle_time = milliseconds(100);
+  const HttpResponse settled = send_and_wait(client, request);
+  CHECK_FALSE(settled.was_sent);
+  CHECK_FALSE(settled.is_whole());
+}
+
+TEST_CASE("a connection that settles carries its request once, one that was used does not wait") {
+  RawServer server(Behaviour::kSurplusLater);
+  HttpClient client(options_of_four());
+  HttpRequest request = request_for(server, "POST");
+  request.fresh_connection = false;
+  request.settle_time = milliseconds(20);
+  CHECK(send_and_wait(client, request).is_whole());
+  request.settle_time = milliseconds(10'000);  // longer than the request may take
+  CHECK(send_and_wait(client, request).is_whole());
+  CHECK(server.connections() == 1);
+}
+
+TEST_CASE("a request that is given up while its connection settles was not sent") {
+  RawServer server(Behaviour::kFreeze);
+  HttpClient client(options_of_four());
+  HttpRequest request = request_for(server, "POST");
+  request.settle_time = milliseconds(500);
+  request.timeout = milliseconds(50);
+  CHECK_FALSE(send_and_wait(client, request).was_sent);
+  CHECK(server.requests() == 0);
+}
+
 TEST_CASE("a connection that has rested for too long is not used") {
   RawServer server(Behaviour::kSurplusLater);
   HttpClient client(options_of_four());
