--- a/src/routing/target_book.cpp
+++ b/src/routing/target_book.cpp
@@ -36,23 +36,42 @@
 void TargetBook::on_answered(TimePoint now, BackendId id, TimePoint sent,
                              const std::optional<LoadReport>& report) {
   TargetView& target = targets_[id];
-  const double ahead = static_cast<double>(target.outstanding.size()) - 1.0 + target.others;
-  const double work = to_us(now - sent) / queue_factor(std::max(0.0, ahead), target.slots);
-  target.samples.sum_us += work;
+  erase_one(target.outstanding, sent);
+  const double queued = static_cast<double>(target.outstanding.size()) + target.usual_others;
+  const double sample = to_us(now - sent) / queue_factor(queued, target.slots);
+  target.samples.sum_us += sample;
   ++target.samples.count;
+  if (report.has_value()) {
+    take_report(now, target, *report);
+  }
+  // What is there now is about what was there when the request came.
+  const double ahead = static_cast<double>(target.outstanding.size()) + target.others;
+  const double work = to_us(now - sent) / target.pace / queue_factor(ahead, target.slots);
   const double present = service_time_us(now, target);
   target.time_us = present + options_.weight * (work - present);
   target.learnt_at = now;
   typical_us_ = typical_us_ == 0 ? work : typical_us_ + options_.weight / 4 * (work - typical_us_);
   target.block = Duration(0);
   target.blocked_until = TimePoint();
-  erase_one(target.outstanding, sent);
-  if (report.has_value()) {
-    const double seen = report->running + report->waiting;
-    const double others = std::max(0.0, seen - static_cast<double>(target.outstanding.size()));
-    target.others += 2 * options_.weight * (others - target.others);
-    target.slots = report->slots > 0 ? report->slots : target.slots;
-  }
+}
+
+void TargetBook::take_report(TimePoint now, TargetView& target, const LoadReport& report) {
+  constexpr double kPercent = 100.0;
+  const double seen = static_cast<double>(report.running) + report.waiting;
+  target.others = std::max(0.0, seen - static_cast<double>(target.outstanding.size()));
+  target.usual_others += 2 * options_.weight * (target.others - target.usual_others);
+  target.pace = std::max(report.work_time_percent.value_or(100U), 1U) / kPercent;
+  target.reported_at = now;
+  target.slots = report.slots > 0 ? report.slots : target.slots;
+  typical_.others += options_.weight / 4 * (target.others - typical_.others);
+  typical_.pace += options_.weight / 4 * (target.pace - typical_.pace);
+}
+
+TargetBook::Belief TargetBook::belief(TimePoint now, const TargetView& target) const {
+  const double half_lives = to_us(now - target.reported_at) / to_us(options_.report_half);
+  const double kept = std::exp2(-half_lives);
+  return {typical_.others + kept * (target.others - typical_.others),
+          typical_.pace + kept * (target.pace - typical_.pace)};
 }
 
 void TargetBook::on_ended(BackendId id, TimePoint sent) {
@@ -99,12 +118,13 @@
     return options_.initial_time;
   }
   const TargetView& target = found->second;
-  double time = service_time_us(now, target);
+  const Belief present = belief(now, target);
+  double time = service_time_us(now, target) * present.pace;
   if (!target.outstanding.empty()) {
     const double overdue = to_us(now - *target.outstanding.begin());
     time = overdue > kOverdueFactor * time ? overdue : time;
   }
-  const double ahead = static_cast<double>(target.outstanding.size()) + target.others;
+  const double ahead = static_cast<double>(target.outstanding.size()) + present.others;
   return Duration(static_cast<Duration::rep>(time * queue_factor(ahead, target.slots)));
 }
 
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -34,6 +34,9 @@
   double weight = 0.15;
   /// After this time without an answer, what was learnt of a target counts half.
   Duration forget_half = std::chrono::milliseconds(2500);
+  /// After this time a load report counts half against what is usual at the book's targets. Work
+  /// takes some hundreds of milliseconds, and how fast it goes changes several times a second.
+  Duration report_half = std::chrono::milliseconds(400);
   /// A target is avoided this long after a failure; doubles with each more, up to the maximum.
   Duration minimum_block = std::chrono::milliseconds(100);
   Duration maximum_block = std::chrono::milliseconds(1600);
@@ -50,9 +53,14 @@
 struct TargetView {
   std::uint32_t slots = 1;
   std::multiset<TimePoint> outstanding;  ///< when each was sent
-  double time_us = 0;                    ///< smoothed time of an answer, 0: none seen
-  double others = 0;                     ///< smoothed requests of other routers at the target
-  TimePoint learnt_at;                   ///< when time_us last changed
+  double time_us = 0;                    ///< smoothed time of work at its usual pace, 0: none seen
+  double others = 0;                     ///< requests of other routers there, by its last report
+  /// The same, smoothed. Owners of keys are compared by work times that are freed of this, not of
+  /// the last report: that would make an owner which is behind look fast, and bring it more keys.
+  double usual_others = 0;
+  double pace = 1;        ///< work time there / its usual one, by its last report
+  TimePoint reported_at;  ///< when that came
+  TimePoint learnt_at;    ///< when time_us last changed
   bool is_cold = false;
   TimePoint blocked_until;
   Duration block{0};
@@ -98,11 +106,19 @@
   }
 
  private:
+  /// What the last report of a target says of this moment.
+  struct Belief {
+    double others = 0;
+    double pace = 1;
+  };
+  Belief belief(TimePoint now, const TargetView& target) const;
+  void take_report(TimePoint now, TargetView& target, const LoadReport& report);
   double service_time_us(TimePoint now, const TargetView& target) const;
 
   TargetBookOptions options_;
   std::unordered_map<BackendId, TargetView> targets_;
   double typical_us_ = 0;  ///< smoothed time over all targets of the book
+  Belief typical_;         ///< smoothed over all reports
 };
 
 }  // namespace planktray::routing
--- /dev/null
+++ b/test/routing/target_book_test.cpp
@@ -0,0 +1,73 @@
+/// What a router believes of its targets, and for how long.
+
+#include "routing/target_book.hpp"
+
+#include <doctest/doctest.h>
+
+namespace planktray::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(std::int64_t value) { return common::from_microseconds((10'000 + value) * 1000); }
+
+constexpr std::uint32_t kSlots = 3;
+
+struct Fixture {
+  TargetBook book{TargetBookOptions()};
+  BackendId near{1};
+  BackendId far{2};
+
+  Fixture() {
+    book.add(near, kSlots, false);
+    book.add(far, kSlots, false);
+  }
+  /// A request of 100 ms ends at `time`, with this report.
+  void answer(std::int64_t time, BackendId id, const std::optional<LoadReport>& report) {
+    book.on_sent(at(time - 100), id);
+    book.on_answered(at(time), id, at(time - 100), report);
+  }
+  Duration projected(std::int64_t time, BackendId id) const { return book.projected(at(time), id); }
+};
+
+TEST_CASE("a target that has just reported a queue is expected to be later, for a moment") {
+  Fixture fixture;
+  fixture.answer(0, fixture.near, LoadReport{3, 6, kSlots});
+  fixture.answer(0, fixture.far, LoadReport{0, 0, kSlots});
+  CHECK(fixture.projected(1, fixture.near) > 2 * fixture.projected(1, fixture.far));
+  // Seconds later both are as usual: what was seen then says nothing of now.
+  const Duration later = fixture.projected(4000, fixture.near);
+  CHECK(later < fixture.projected(1, fixture.near) / 2);
+}
+
+TEST_CASE("the pace that a target tells counts at once, and is not taken for its speed") {
+  Fixture fixture;
+  for (int i = 0; i < 40; ++i) {
+    fixture.answer(i * 200, fixture.near, LoadReport{1, 0, kSlots, 100});
+    fixture.answer(i * 200, fixture.far, LoadReport{1, 0, kSlots, 100});
+  }
+  fixture.book.on_sent(at(8000), fixture.near);
+  fixture.book.on_answered(at(8300), fixture.near, at(8000), LoadReport{1, 0, kSlots, 300});
+  CHECK(fixture.projected(8301, fixture.near) > 2 * fixture.projected(8301, fixture.far));
+  CHECK(fixture.projected(11'000, fixture.near) < fixture.projected(11'000, fixture.far) * 3 / 2);
+}
+
+TEST_CASE("what a target does not tell is taken as usual") {
+  Fixture fixture;
+  fixture.answer(0, fixture.near, std::nullopt);
+  fixture.answer(0, fixture.far, LoadReport{0, 0, kSlots});
+  CHECK(fixture.projected(1, fixture.near) <= fixture.projected(1, fixture.far) * 11 / 10);
+}
+
+TEST_CASE("work times told to the leader do not make an owner that is behind look fast") {
+  Fixture fixture;
+  fixture.answer(0, fixture.near, LoadReport{3, 9, kSlots});
+  double sample_us = 0;
+  fixture.book.take_samples([&](BackendId /*id*/, const WorkSamples& samples) {
+    sample_us = samples.sum_us / samples.count;
+  });
+  CHECK(sample_us == doctest::Approx(100'000.0));
+}
+
+}  // namespace
+}  // namespace planktray::routing
