--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -31,7 +31,6 @@
       ranges_(options_.ranges),
       next_balance_(now),
       next_join_(now),
-      relay_(options_.relay),
       next_plan_(now) {
   absorb_raft(now);
 }
@@ -120,7 +119,7 @@
 TimePoint ControllerCore::next_due(TimePoint now) const {
   TimePoint due = std::min(raft_.next_due(), now + kLongestRest);
   if (!raft_.is_leader()) {
-    return std::max(std::min(due, relay_.next_due()), now + kShortestRest);
+    return heard_.empty() ? due : std::max(std::min(due, next_report_), now + kShortestRest);
   }
   if (sweep_needed_ || uses_leases()) {
     due = std::min(due, next_sweep_);
@@ -149,7 +148,7 @@
           {raft_.self(), options_.name, options_.peer_address, options_.operator_address, false}};
     }
   }
-  relay_heartbeats(now);
+  report_heartbeats(now);
   if (!is_serving(now)) {
     return;
   }
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -14,7 +14,6 @@
 #include "common/error.hpp"
 #include "consensus/join.hpp"
 #include "consensus/raft.hpp"
-#include "controller/core/heartbeat_relay.hpp"
 #include "controller/core/range_controller.hpp"
 #include "controller/core/table_distributor.hpp"
 #include "membership/heartbeat_report.hpp"
@@ -39,7 +38,6 @@
   ownership::PlannerOptions planner;
   DistributorOptions distributor;
   RangeOptions ranges;
-  HeartbeatRelayOptions relay;
   /// How often load is folded and balancing may act.
   Duration balance_interval = std::chrono::milliseconds(1000);
   /// A snapshot is taken after this many applied entries.
@@ -73,7 +71,7 @@
   std::uint32_t cold_ms = 0;        ///< how much longer it is slow, and bears few requests a second
   bool cold_is_unreadable = false;  ///< it says so in a form that cannot be read
   /// Given where the back end hears in the answer what it is to hold.
-  std::optional<ownership::HoldingsReport> holdings = std::nullopt;
+  std::optional<ownership::HoldingsReport> holdings;
 };
 
 struct ChangeCompleted {
@@ -149,8 +147,8 @@
   void on_machine_list(TimePoint now, membership::MachineList list);
 
   void on_order_reply(TimePoint now, ownership::OrderId id, const ownership::OrderReply& reply);
-  /// Completed once what it says is in the replicated state, or at once where it is already. A
-  /// follower answers it as well, and tells the leader of it (HeartbeatRelay).
+  /// Completed once what it says is in the replicated state, or at once where it is already: a
+  /// follower answers those that say nothing new, and tells the leader of them.
   void heartbeat(TimePoint now, OperatorRequestId request, const Heartbeat& heartbeat);
   void on_heartbeat_report(TimePoint now, const membership::HeartbeatReport& report);
   /// A back end says goodbye; as above.
@@ -174,9 +172,6 @@
   /// Asks for a moment at which the state may be read linearizably.
   void read(TimePoint now, OperatorRequestId request);
 
-  /// Where a back end that has called here should send its next heartbeats: to this controller, or
-  /// from the leader to one of the others, in turn. The leader has other work to do.
-  std::string next_heartbeat_address(TimePoint now);
   /// A number for a request to this process, different from all before.
   OperatorRequestId new_request() { return next_request_++; }
   ControllerOutput take_output();
@@ -235,14 +230,7 @@
   void drop_request(std::optional<OperatorRequestId> request);
   /// True where the replicated state has all that the heartbeat says, and there is a leader.
   bool may_answer_for_leader(const Heartbeat& heartbeat) const;
-  /// What a heartbeat says that the state does not have, as a command; nothing where it has all.
-  std::optional<ownership::Command> news_of(const Heartbeat& heartbeat) const;
-  /// The same of a goodbye.
-  std::optional<ownership::Command> news_of_departure(const common::Incarnation& incarnation) const;
-  void take_forwarded(TimePoint now, const membership::ForwardedHeartbeat& forwarded);
-  /// True where this replica can pass a heartbeat on to a leader.
-  bool can_forward() const;
-  void relay_heartbeats(TimePoint now);
+  void report_heartbeats(TimePoint now);
   /// Tells a router that asked a follower where the others are.
   void name_controllers(const common::RouterName& router);
   /// Proposes that the back end's process has ended: another incarnation answers at its address.
@@ -288,8 +276,8 @@
   common::LogIndex planned_state_;        ///< state that the last plan was made from
   TimePoint next_balance_;
   TimePoint next_join_;
-  HeartbeatRelay relay_;
-  std::uint64_t heartbeat_turn_ = 0;  ///< of the controllers that the leader names to back ends
+  std::vector<membership::HeardBackend> heard_;  ///< as a follower, since the last report
+  TimePoint next_report_;
   TimePoint next_plan_;
   TimePoint next_sweep_;
   bool sweep_needed_ = false;  ///< something changed that should not wait for the next sweep
--- a/src/controller/core/holder_answers.hpp
+++ b/src/controller/core/holder_answers.hpp
@@ -11,7 +11,6 @@
 #include <optional>
 #include <vector>
 
-#include "controller/core/operator_request.hpp"
 #include "ownership/grant_manager.hpp"
 
 namespace planktray::controller {
@@ -19,6 +18,9 @@
 using common::Duration;
 using common::TimePoint;
 
+/// Identity of an operator's or back end's request inside this process.
+using OperatorRequestId = std::uint64_t;
+
 struct HolderAnswer {
   OperatorRequestId request = 0;
   ownership::GrantedHoldings holdings;
