Promised times are compared with what the settings and the fleet allow; hellos follow the promise

Cause: nothing compared the times promised to users with the worst that settings allow; the deployment promises 2 to 2.5 s for a change, and its settings let a router go on with an old table for 4.5 s in a fleet of 281. It would have been a line at the first start. Change: controller/promises computes, for each promise, the worst time by part (pace of updates, a lost update, the way to a new leader, the longest hold), logged as promise_at_risk at start and when the fleet outgrows the settings, and as promise_kept_again. The longest interval between hellos is worked out from the shortest promise; holds stay below what back ends take. A lost update is sent again after 0.6 s in place of 1 s: with 1 s the calculation said 2.3 s, above the promise of 2 s. Ruled out: a table lease below the promise. A router that hears nobody is not within the promise, and routers that stop serving while a leader is full were the worse fault. Conclusion: class of the fault (a time that grows with the fleet against one that does not) is checked for every promise that the controllers keep; evacuations and reuse are not in the calculation.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -119,6 +119,7 @@
       return created;
     }
   }
+  note_promises(0);
   log_event("started", {{"replica", std::to_string(core_->raft().self().value)},
                         {"applied", std::to_string(core_->state().applied().value)}});
   return {};
@@ -441,6 +442,7 @@
         (i == 0 ? "" : ",") + std::string(to_string(static_cast<Activity>(i))) + ":" + ms(times[i]);
   }
   const auto grown = [](std::uint64_t to, std::uint64_t from) { return std::to_string(to - from); };
+  note_promises(core_->distributor().routers(now).size());
   const auto laggard = core_->distributor().laggard(now);
   log_event("leader_load",
             {{"processor_ms", ms(totals.processor - before.processor)},
@@ -465,6 +467,23 @@
              {"behind_router", laggard.has_value() ? laggard->router.value : ""}});
 }
 
+void ControllerProcess::note_promises(std::size_t routers) {
+  for (const Promise& promise : check_promises(settings_.promised, settings_.options, routers)) {
+    const bool is_news = promise.holds() ? broken_promises_.erase(promise.name) > 0
+                                         : broken_promises_.insert(promise.name).second;
+    if (!is_news) {
+      continue;
+    }
+    const auto ms = [](common::Duration time) { return std::to_string(time.count() / 1000); };
+    log_event(promise.holds() ? "promise_kept_again" : "promise_at_risk",
+              {{"promise", promise.name},
+               {"promised_ms", ms(promise.promised)},
+               {"worst_ms", ms(promise.worst)},
+               {"routers", std::to_string(routers)},
+               {"reason", promise.reason}});
+  }
+}
+
 void ControllerProcess::update_metrics() {
   transport::SocketCounters total = server_socket_->counters();
   for (const auto& [address, socket] : dealers_) {
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "controller/founding.hpp"
 #include "controller/operator_api.hpp"
 #include "controller/order_sender.hpp"
+#include "controller/promises.hpp"
 #include "storage/log_store.hpp"
 #include "transport/event_loop.hpp"
 #include "transport/file_disk.hpp"
@@ -41,6 +43,7 @@
   std::string control_address;
   ControlInterfaceFactory make_control;
   OrderSenderOptions orders;
+  PromisedTimes promised;
 
   std::string settings_path;  ///< file whose change is a reason to read the settings anew
   /// Reads the settings anew; none: they never change.
@@ -78,6 +81,9 @@
   void log_changes();
   /// Writes what the last second of a leader was spent on.
   void log_load();
+  /// Writes a line for each promise that the settings cannot keep with this many routers, where
+  /// the last look said otherwise.
+  void note_promises(std::size_t routers);
   void update_metrics();
   transport::ZmqSocket* dealer(const std::string& address);
 
@@ -116,6 +122,7 @@
   };
   LoadTotals logged_;
   LoadTotals load_totals() const;
+  std::set<std::string> broken_promises_;  ///< by the settings, as last logged
   bool was_leader_ = false;
   bool had_platform_ = true;
   bool flushing_ = false;
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -22,6 +22,7 @@
 #include "ownership/lease_manager.hpp"
 #include "ownership/load_view.hpp"
 #include "ownership/planner.hpp"
+#include "routing/leader_search.hpp"
 
 namespace planktray::controller {
 
@@ -38,6 +39,8 @@
   ownership::PlannerOptions planner;
   DistributorOptions distributor;
   RangeOptions ranges;
+  /// As routers have it.
+  routing::LeaderSearchOptions leader_search;
   /// How often load is folded and balancing may act.
   Duration balance_interval = std::chrono::milliseconds(1000);
   /// A snapshot is taken after this many applied entries.
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -11,6 +11,11 @@
 
 }  // namespace
 
+common::Duration paced_interval(std::size_t routers, double per_second) {
+  return common::Duration(static_cast<common::Duration::rep>(static_cast<double>(routers) *
+                                                             kMicrosecondsPerSecond / per_second));
+}
+
 void TableDistributor::begin_term(common::TimePoint now, common::Term term) {
   term_ = term;
   term_began_ = now;
@@ -143,7 +148,7 @@
     }
   }
   subscriber.hello_pending = false;
-  subscriber.next_news = now + interval_for(options_.updates_per_second);
+  subscriber.next_news = now + paced_interval(subscribers_.size(), options_.updates_per_second);
   return OutgoingTable{name, std::move(update)};
 }
 
@@ -156,13 +161,8 @@
 }
 
 common::Duration TableDistributor::hello_interval() const {
-  return std::min(interval_for(options_.hellos_per_second), options_.longest_hello_interval);
-}
-
-common::Duration TableDistributor::interval_for(double per_second) const {
-  const double routers = static_cast<double>(subscribers_.size());
-  return common::Duration(
-      static_cast<common::Duration::rep>(routers * kMicrosecondsPerSecond / per_second));
+  return std::min(paced_interval(subscribers_.size(), options_.hellos_per_second),
+                  options_.longest_hello_interval);
 }
 
 bool TableDistributor::is_waiting(common::TimePoint now, const Subscriber& subscriber) const {
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -32,7 +32,7 @@
   /// One whose hello still has an older table this long after the last update gets it again, too.
   /// Updates of a busy leader take long, and the same again makes them longer: with 250 ms, 1.8 MB
   /// went to 183 hellos in a second that had no other news.
-  common::Duration confirmation_timeout = std::chrono::milliseconds(1000);
+  common::Duration confirmation_timeout = std::chrono::milliseconds(600);
   /// A snapshot may take this long before it counts as lost: many routers may want one at once.
   common::Duration resend_snapshot = std::chrono::milliseconds(5000);
   /// Snapshots under way at once; the other routers wait without a table.
@@ -54,6 +54,9 @@
   std::size_t maximum_deltas = 512;
 };
 
+/// Time between two messages of one router where all together send or get `per_second`.
+common::Duration paced_interval(std::size_t routers, double per_second);
+
 struct OutgoingTable {
   common::RouterName router;
   routing::TableUpdate update;
@@ -129,8 +132,6 @@
   std::deque<routing::TableDelta>::const_iterator first_after(common::LogIndex have) const;
   /// True while a snapshot may still be under way to the router.
   bool is_waiting(common::TimePoint now, const Subscriber& subscriber) const;
-  /// Time that all routers together have for `per_second` messages each of them gets one of.
-  common::Duration interval_for(double per_second) const;
   common::Duration hello_interval() const;
   std::size_t snapshots_under_way(common::TimePoint now) const;
   bool may_serve(common::TimePoint now, const Subscriber& subscriber) const;
--- /dev/null
+++ b/src/controller/promises.cpp
@@ -0,0 +1,58 @@
+#include "controller/promises.hpp"
+
+#include <algorithm>
+
+namespace planktray::controller {
+namespace {
+
+/// Routers say hello at least this often: more would cost a leader more than it brings.
+constexpr Duration kShortestHelloInterval = std::chrono::milliseconds(250);
+/// A change travels, commits and is installed within this time where nobody is full: some round
+/// trips of a few milliseconds, a sync, a sweep.
+constexpr Duration kDelivery = std::chrono::milliseconds(100);
+
+std::string text(Duration time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) +
+         " ms";
+}
+
+}  // namespace
+
+Duration PromisedTimes::shortest_change() const {
+  if (in_force.count() == 0 || leaving.count() == 0) {
+    return std::max(in_force, leaving);
+  }
+  return std::min(in_force, leaving);
+}
+
+Duration longest_hello_interval(Duration promised, Duration shortest_election,
+                                const routing::LeaderSearchOptions& search) {
+  // A new leader acknowledges nothing before its election, which the old one's last word precedes.
+  const Duration left = promised + shortest_election - search.longest() - kDelivery;
+  return std::max(left, kShortestHelloInterval);
+}
+
+std::vector<Promise> check_promises(const PromisedTimes& promised, const ControllerOptions& options,
+                                    std::size_t routers) {
+  const DistributorOptions& tables = options.distributor;
+  const Duration hellos = paced_interval(routers, tables.hellos_per_second);
+  const Duration hello_interval = std::min(hellos, tables.longest_hello_interval);
+  const Duration updates = paced_interval(routers, tables.updates_per_second);
+  const Duration search = options.leader_search.longest();
+  const Duration sent = updates + kDelivery;
+  const Duration lost = tables.confirmation_timeout + hello_interval + kDelivery;
+  const Duration new_leader =
+      hello_interval + search + kDelivery - options.raft.minimum_election_timeout;
+  const Duration change = std::max({sent, lost, new_leader});
+  const std::string reason = "updates " + text(updates) + " apart, hellos " + text(hello_interval) +
+                             ", a lost update is sent again after " + text(lost) +
+                             ", a new leader is found " + text(new_leader) +
+                             " after it may acknowledge";
+  const auto& grant = options.ranges.grant;
+  const Duration hold = std::max(grant.longest_hold_time, grant.reported_hold_time);
+  return {{"configuration in force", promised.in_force, change, reason},
+          {"leaving back ends left alone", promised.leaving, change, reason},
+          {"longest hold of a grant", promised.longest_hold, hold, "the longest hold of settings"}};
+}
+
+}  // namespace planktray::controller
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -104,7 +104,7 @@
   leader_term_ = list.term;
   leader_heard_ = now;
   const Duration wait(static_cast<Duration::rep>(common::uniform(
-      random_, 0, static_cast<std::uint64_t>(options_.announcement_spread.count()))));
+      random_, 0, static_cast<std::uint64_t>(options_.leader_search.announcement_spread.count()))));
   next_hello_ = std::min(next_hello_, now + wait);
 }
 
@@ -187,8 +187,8 @@
   output_.hello_to_all = !leader_is_known;
   output_.hello_to = {leader_};
   if (leader_is_known && next_inquiry_ == TimePoint::max()) {
-    next_inquiry_ = now + options_.answer_timeout;
-    inquiry_interval_ = options_.inquiry_interval;
+    next_inquiry_ = now + options_.leader_search.answer_timeout;
+    inquiry_interval_ = options_.leader_search.inquiry_interval;
   }
   routing::RouterHello hello = plain_hello(now);
   report_ended(now, hello);
@@ -224,7 +224,8 @@
 
 void RouterCore::inquire(TimePoint now) {
   next_inquiry_ = now + inquiry_interval_;
-  inquiry_interval_ = std::min(2 * inquiry_interval_, options_.longest_inquiry_interval);
+  inquiry_interval_ =
+      std::min(2 * inquiry_interval_, options_.leader_search.longest_inquiry_interval);
   std::vector<std::string> others;
   std::copy_if(controllers_.begin(), controllers_.end(), std::back_inserter(others),
                [this](const std::string& address) { return address != leader_; });
@@ -234,7 +235,7 @@
   ++counters_.inquiries;
   const auto first = common::uniform(random_, 0, others.size() - 1);
   std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(first), others.end());
-  others.resize(std::min(others.size(), options_.inquired_controllers));
+  others.resize(std::min(others.size(), options_.leader_search.inquired_controllers));
   output_.hello = plain_hello(now);
   output_.hello_to_all = false;
   output_.hello_to = std::move(others);
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -20,6 +20,7 @@
 #include "common/random.hpp"
 #include "common/time.hpp"
 #include "routing/cold_limit.hpp"
+#include "routing/leader_search.hpp"
 #include "routing/outcome.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/retry_window.hpp"
@@ -43,19 +44,7 @@
   Duration load_interval = std::chrono::milliseconds(1000);
   /// How long the table may be used after its last confirmation; the controllers' value.
   Duration table_lease = std::chrono::milliseconds(3000);
-  /// A hello that the leader has not answered after this time is reason to ask other controllers
-  /// whom they follow. Independent of the interval between hellos, which grows with the fleet: with
-  /// a wait of two such intervals, a fleet of 281 routers kept old tables for 4.5 s. A leader in
-  /// trouble was seen to take 0.6 s for a turn of its loop; asking others does not add to that.
-  Duration answer_timeout = std::chrono::milliseconds(500);
-  /// Others are asked again after this time, which doubles up to the maximum.
-  Duration inquiry_interval = std::chrono::milliseconds(250);
-  Duration longest_inquiry_interval = std::chrono::milliseconds(1000);
-  /// Controllers that are asked at once.
-  std::size_t inquired_controllers = 3;
-  /// Routers that are told of a new leader say hello to it within this time, each at a moment of
-  /// its own: all of them lack what it has committed.
-  Duration announcement_spread = std::chrono::milliseconds(200);
+  routing::LeaderSearchOptions leader_search;
   /// First wait after a refusal or a failed connection; doubles up to the maximum.
   Duration minimum_backoff = std::chrono::milliseconds(5);
   Duration maximum_backoff = std::chrono::milliseconds(100);
