--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -65,6 +65,7 @@
   holdings_.clear();
   orders_.clear();
   grants_under_way_ = 0;
+  tries_under_way_ = 0;
   rounds_.clear();
   unreachable_.clear();
   synced_.reset();
@@ -223,7 +224,7 @@
   order.backend = backend.id;
   order.sent = now;
   order.hold = hold_;
-  orders_[id] = order;
+  note_sent(id, order);
   ++grants_under_way_;
   outgoing.grants.push_back({id, backend.id, backend.address, backend.incarnation, order.keys,
                              order.fence, hold_, handover});
@@ -344,7 +345,7 @@
       wait = std::max(2 * wait, options_.release_interval);
       item->second.next_order = now + wait;
     }
-    orders_[id] = order;
+    note_sent(id, order);
     outgoing.releases.push_back(
         {id, backend->id, backend->address, backend->incarnation, order.keys, fence});
     first = end;
@@ -379,13 +380,19 @@
   if (found == unreachable_.end()) {
     return true;
   }
-  if (now < found->second.next_try) {
+  if (now < found->second.next_try || tries_under_way_ >= options_.tries_under_way) {
     return false;
   }
   found->second.next_try = now + options_.longest_retry_interval;  // until its answer says more
   return true;
 }
 
+void GrantManager::note_sent(OrderId id, Order order) {
+  order.is_try = unreachable_.contains(order.backend);
+  tries_under_way_ += order.is_try ? 1 : 0;
+  orders_[id] = order;
+}
+
 TimePoint GrantManager::next_try(BackendId backend) const {
   const auto found = unreachable_.find(backend);
   return found == unreachable_.end() ? TimePoint() : found->second.next_try;
@@ -430,6 +437,7 @@
   const bool made_room = !may_send_more();
   orders_.erase(found);
   grants_under_way_ -= order.is_release ? 0 : 1;
+  tries_under_way_ -= order.is_try ? 1 : 0;
   note_reach(now, order, reply);
   for (auto item = first_holding_at(order);
        item != holdings_.end() && item->first.service == order.service &&
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -59,6 +59,8 @@
   /// Grants under way at once: a new leader has as many to send as there are ranges, and must not
   /// let them wait for each other until they time out.
   std::size_t grants_under_way = 24;
+  /// Of these, tries at owners out of reach: each waits until its connection is given up.
+  std::size_t tries_under_way = 6;
   /// Orders are made at most this often for each range that is held: every look goes through all.
   /// 20 ms with 500 ranges; with half of it, looks were 7% of a leader's decisions.
   Duration rest_per_holding = std::chrono::microseconds(40);
@@ -235,6 +237,7 @@
     Duration hold{0};
     bool is_release = false;
     bool is_round = false;  ///< a renewal
+    bool is_try = false;    ///< its back end was out of reach when it was sent
   };
   /// Renewals of one back end: of all that it holds at once, so that one connection carries them.
   struct Round {
@@ -270,6 +273,8 @@
   bool may_try(TimePoint now, BackendId backend);
   /// Not before this may an order go to the back end.
   TimePoint next_try(BackendId backend) const;
+  /// Keeps an order that goes out now, under its number.
+  void note_sent(OrderId id, Order order);
   /// Notes how the order ended for what is known of its back end's reach.
   void note_reach(TimePoint now, const Order& order, const OrderReply& reply);
   /// The end of the run of keys that begins with `first`: neighbours of one owner for which
@@ -301,6 +306,7 @@
   std::map<BackendId, Unreachable> unreachable_;
   std::map<OrderId, Order> orders_;
   std::size_t grants_under_way_ = 0;  ///< of orders_
+  std::size_t tries_under_way_ = 0;   ///< of orders_
   std::size_t owners_ = 0;            ///< back ends that hold something
   OrderId next_order_ = 1;
 };
--- a/test/ownership/grant_manager_test.cpp
+++ b/test/ownership/grant_manager_test.cpp
@@ -424,5 +424,41 @@
   CHECK(orders <= 2 * kRanges);
 }
 
+/// Seen with 72 owners that had crashed: each try at one waits 400 ms for a connection, and
+/// together they took most of the 24 places for grants, so that owners that were there waited for
+/// renewals.
+TEST_CASE("tries at owners out of reach leave room for the others") {
+  Fixture fixture;
+  constexpr std::uint32_t kOwners = 40;
+  constexpr std::uint32_t kWidth = config::kKeyCount / (kOwners + 1);
+  std::vector<BackendId> lost;
+  for (std::uint32_t i = 0; i < kOwners; ++i) {
+    lost.push_back(fixture.add_backend("lost" + std::to_string(i)));
+    fixture.assign({i * kWidth, (i + 1) * kWidth - 1}, lost.back());
+  }
+  fixture.assign({kOwners * kWidth, config::kKeyCount - 1}, fixture.y);
+  std::size_t renewals = 0;
+  std::vector<std::pair<std::int64_t, OrderId>> hanging;
+  for (std::int64_t time = 0; time < 10'000; time += 10) {
+    while (!hanging.empty() && hanging.front().first <= time) {
+      fixture.manager.on_reply(at(time), hanging.front().second, {OrderEnd::kNotSent, ""});
+      hanging.erase(hanging.begin());
+    }
+    fixture.collect(time);
+    for (const GrantOrder& order : fixture.grants) {
+      if (order.backend == fixture.y) {
+        ++renewals;
+        fixture.manager.on_reply(at(time + 1), order.id, {OrderEnd::kAccepted, ""});
+      } else {
+        hanging.emplace_back(time + 400, order.id);
+      }
+    }
+    if (time >= 2000) {
+      CHECK(hanging.size() <= fixture.options.grants_under_way / 2);
+    }
+  }
+  CHECK(renewals >= 10);
+}
+
 }  // namespace
 }  // namespace planktray::ownership
