Which owners are out of reach has a module of its own, off the grant manager

Cause: grant_manager.cpp had grown to 600 lines with the waits of owners out of reach among its book of holdings.

--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -65,9 +65,8 @@
   holdings_.clear();
   orders_.clear();
   grants_under_way_ = 0;
-  tries_under_way_ = 0;
   rounds_.clear();
-  unreachable_.clear();
+  reach_.clear();
   synced_.reset();
   next_due_ = now;
   rested_at_ = now;
@@ -129,11 +128,9 @@
     }
   }
   owners_ = owners.size();
-  const auto is_removed = [&](const auto& item) {
-    return state.find_backend(item.first) == nullptr;
-  };
-  std::erase_if(rounds_, is_removed);
-  std::erase_if(unreachable_, is_removed);
+  const auto is_removed = [&](BackendId id) { return state.find_backend(id) == nullptr; };
+  std::erase_if(rounds_, [&](const auto& item) { return is_removed(item.first); });
+  reach_.forget(is_removed);
 }
 
 GrantManager::Holding GrantManager::derive_holding(TimePoint now, const CellState& state,
@@ -246,7 +243,7 @@
       holding.gone = true;
       continue;
     }
-    if (!may_try(now, holding.owner)) {
+    if (!reach_.may_try(now, holding.owner)) {
       continue;
     }
     ++holding.grants_under_way;
@@ -265,7 +262,7 @@
   std::vector<std::pair<TimePoint, BackendId>> due;
   for (const auto& [backend, count] : ranges) {
     const Round& round = rounds_[backend];
-    if (round.under_way == 0 && now >= std::max(round.next, next_try(backend))) {
+    if (round.under_way == 0 && now >= std::max(round.next, reach_.next_try(backend))) {
       due.emplace_back(round.next, backend);
     }
   }
@@ -296,7 +293,7 @@
       holding.gone = true;
       continue;
     }
-    if (!may_try(now, holding.owner)) {
+    if (!reach_.may_try(now, holding.owner)) {
       continue;
     }
     Round& round = rounds_[holding.owner];
@@ -326,7 +323,7 @@
       ++first;
       continue;
     }
-    if (!may_try(now, backend->id)) {
+    if (!reach_.may_try(now, backend->id)) {
       ++first;
       continue;
     }
@@ -362,7 +359,7 @@
     const bool waits_for_order = holding.moving || (is_ungranted && may_send_more());
     const bool is_sent_later = holding.is_reported && holding.moving && holding.next_order > now;
     if ((waits_for_order && !holding.refused && !holding.is_reported) || is_sent_later) {
-      next_due_ = std::min(next_due_, std::max(holding.next_order, next_try(holding.owner)));
+      next_due_ = std::min(next_due_, std::max(holding.next_order, reach_.next_try(holding.owner)));
     }
     const TimePoint turn =
         holding.moving ? holding.held_until : holding.held_until - options_.withdraw_before_end;
@@ -370,38 +367,18 @@
   }
   for (const auto& [backend, round] : rounds_) {
     if (round.under_way == 0 && may_send_more()) {
-      next_due_ = std::min(next_due_, std::max(round.next, next_try(backend)));
+      next_due_ = std::min(next_due_, std::max(round.next, reach_.next_try(backend)));
     }
   }
 }
 
-bool GrantManager::may_try(TimePoint now, BackendId backend) {
-  const auto found = unreachable_.find(backend);
-  if (found == unreachable_.end()) {
-    return true;
-  }
-  if (now < found->second.next_try || tries_under_way_ >= options_.tries_under_way) {
-    return false;
-  }
-  found->second.next_try = now + options_.longest_retry_interval;  // until its answer says more
-  return true;
-}
-
 void GrantManager::note_sent(OrderId id, Order order) {
-  order.is_try = unreachable_.contains(order.backend);
-  tries_under_way_ += order.is_try ? 1 : 0;
+  order.is_try = reach_.note_sent(order.backend);
   orders_[id] = order;
 }
 
-TimePoint GrantManager::next_try(BackendId backend) const {
-  const auto found = unreachable_.find(backend);
-  return found == unreachable_.end() ? TimePoint() : found->second.next_try;
-}
-
 void GrantManager::note_alive(TimePoint now, BackendId backend) {
-  const auto found = unreachable_.find(backend);
-  if (found != unreachable_.end()) {
-    found->second.next_try = std::min(found->second.next_try, now);
+  if (reach_.note_alive(now, backend)) {
     next_due_ = now;
   }
 }
@@ -409,21 +386,15 @@
 // ---------------------------------------------------------------- replies
 
 void GrantManager::note_reach(TimePoint now, const Order& order, const OrderReply& reply) {
-  const auto found = unreachable_.find(order.backend);
-  if (reply.end != OrderEnd::kNotSent) {
-    // One that takes connections and does not answer may carry orders out late.
-    if (found != unreachable_.end() && reply.end != OrderEnd::kUnanswered) {
-      unreachable_.erase(found);
-      rounds_[order.backend].next = now;  // what was put off is due at once
-    }
-    return;
+  if (order.is_try) {
+    reach_.note_try_ended();
+  }
+  if (reply.end == OrderEnd::kNotSent) {
+    return reach_.note_unreached(now, order.backend, order.sent);
   }
-  if (found == unreachable_.end()) {
-    const Duration wait = options_.retry_interval;
-    unreachable_[order.backend] = {now, now + wait, wait};
-  } else if (order.sent >= found->second.since) {
-    const Duration wait = std::min(2 * found->second.wait, options_.longest_retry_interval);
-    found->second = {now, now + wait, wait};
+  // One that takes connections and does not answer may carry orders out late: that says nothing.
+  if (reply.end != OrderEnd::kUnanswered && reach_.note_answer(order.backend)) {
+    rounds_[order.backend].next = now;  // what was put off is due at once
   }
 }
 
@@ -437,7 +408,6 @@
   const bool made_room = !may_send_more();
   orders_.erase(found);
   grants_under_way_ -= order.is_release ? 0 : 1;
-  tries_under_way_ -= order.is_try ? 1 : 0;
   note_reach(now, order, reply);
   for (auto item = first_holding_at(order);
        item != holdings_.end() && item->first.service == order.service &&
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -36,6 +36,7 @@
 #include "common/time.hpp"
 #include "ownership/cell_state.hpp"
 #include "ownership/holdings_report.hpp"
+#include "ownership/owner_reach.hpp"
 
 namespace planktray::ownership {
 
@@ -59,8 +60,8 @@
   /// Grants under way at once: a new leader has as many to send as there are ranges, and must not
   /// let them wait for each other until they time out.
   std::size_t grants_under_way = 24;
-  /// Of these, tries at owners out of reach: each waits until its connection is given up.
-  std::size_t tries_under_way = 6;
+  /// How owners out of reach are tried. Its places for tries are among `grants_under_way`.
+  ReachOptions reach;
   /// Orders are made at most this often for each range that is held: every look goes through all.
   /// 20 ms with 500 ranges; with half of it, looks were 7% of a leader's decisions.
   Duration rest_per_holding = std::chrono::microseconds(40);
@@ -68,10 +69,6 @@
   Duration longest_rest = std::chrono::milliseconds(25);
   /// An order without an answer is repeated after this time.
   Duration retry_interval = std::chrono::milliseconds(200);
-  /// An owner out of reach is tried with one order at a time, after waits that double up to this; a
-  /// heartbeat of it ends the wait. Without, each of its ranges asked every 200 ms: with 72 owners
-  /// crashed, 1,300 orders a second failed and took a third of a leader's time.
-  Duration longest_retry_interval = std::chrono::milliseconds(1600);
   /// A holder's clock may run slow by this fraction.
   double clock_error = 0.02;
   /// Added to every wait, for what the fraction does not cover.
@@ -150,7 +147,7 @@
 
 class GrantManager {
  public:
-  explicit GrantManager(GrantOptions options) : options_(options) {}
+  explicit GrantManager(GrantOptions options) : options_(options), reach_(options.reach) {}
 
   /// Starts over as the leader of a term.
   void begin_term(TimePoint now, const CellState& state);
@@ -162,7 +159,7 @@
   /// The back end has been heard of: if it was out of reach, it is tried at once.
   void note_alive(TimePoint now, BackendId backend);
   /// True where some owner is out of reach.
-  bool has_unreachable() const { return !unreachable_.empty(); }
+  bool has_unreachable() const { return reach_.has_unreachable(); }
   /// @return the back end the order was for, or nothing where the order is not known any more.
   std::optional<BackendId> on_reply(TimePoint now, OrderId id, const OrderReply& reply);
 
@@ -244,12 +241,6 @@
     TimePoint next;
     std::size_t under_way = 0;
   };
-  /// An owner to which the last order could not be sent.
-  struct Unreachable {
-    TimePoint since;  ///< orders that were sent before say nothing new
-    TimePoint next_try;
-    Duration wait{0};
-  };
   /// The orders of one call of collect().
   struct Outgoing {
     std::vector<GrantOrder>& grants;
@@ -268,11 +259,6 @@
   std::set<BackendId> due_rounds(TimePoint now);
   bool may_send_more() const { return grants_under_way_ < options_.grants_under_way; }
   void send_releases(TimePoint now, const CellState& state, Outgoing& outgoing);
-  /// True where an order may go to the back end now. To one that is out of reach only one may at a
-  /// time, so this notes it.
-  bool may_try(TimePoint now, BackendId backend);
-  /// Not before this may an order go to the back end.
-  TimePoint next_try(BackendId backend) const;
   /// Keeps an order that goes out now, under its number.
   void note_sent(OrderId id, Order order);
   /// Notes how the order ended for what is known of its back end's reach.
@@ -303,10 +289,9 @@
   TimePoint rested_at_;  ///< collect() does nothing before
   Holdings holdings_;
   std::map<BackendId, Round> rounds_;
-  std::map<BackendId, Unreachable> unreachable_;
+  OwnerReach reach_;
   std::map<OrderId, Order> orders_;
   std::size_t grants_under_way_ = 0;  ///< of orders_
-  std::size_t tries_under_way_ = 0;   ///< of orders_
   std::size_t owners_ = 0;            ///< back ends that hold something
   OrderId next_order_ = 1;
 };
