Sight: how old a router's table is at each decision, and where an update was late

Cause looked for: routers in touch answer by tables older than promised, and nothing told how old, or whether the sender, the way or the router was late. Now an update says as of which moment of the router's clock it shows the table; request_refused carries table_age_ms, table_late tells delay and the router's own longest turn, planktray_table_age_seconds is a gauge. Ruled out by nothing yet.

--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -115,6 +115,7 @@
   update.term = term_;
   update.echo_clock_us = subscriber.clock_us;
   update.current_index = state.applied();
+  update.as_of_clock_us = as_of_clock_us(subscriber, now);
   update.router_rank = rank;
   update.router_count = static_cast<std::uint32_t>(subscribers_.size());
   update.hello_interval_ms = static_cast<std::uint32_t>(
@@ -152,6 +153,13 @@
   return OutgoingTable{name, std::move(update)};
 }
 
+std::int64_t TableDistributor::as_of_clock_us(const Subscriber& subscriber,
+                                              common::TimePoint current_as_of) {
+  // The router read its clock before its hello came here, so this is never later than the moment.
+  const Duration since_hello = current_as_of - subscriber.view.heard;
+  return subscriber.clock_us + since_hello.count();
+}
+
 const TableDistributor::Deltas& TableDistributor::deltas_after(common::LogIndex have) {
   const auto [found, is_new] = made_.try_emplace(have);
   if (is_new) {
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -127,6 +127,9 @@
   std::optional<OutgoingTable> make_update(common::TimePoint now, const ownership::CellState& state,
                                            const common::RouterName& name, Subscriber& subscriber,
                                            std::uint32_t rank);
+  /// The moment `current_as_of` of this process in the router's clock; clock rates that differ by
+  /// 2% shift it by 2% of the time since the router's last hello, 25 ms at 1.25 s.
+  static std::int64_t as_of_clock_us(const Subscriber& subscriber, common::TimePoint current_as_of);
   /// True where deltas lead from `have` to the present table.
   bool deltas_reach(common::LogIndex have, const ownership::CellState& state) const;
   std::deque<routing::TableDelta>::const_iterator first_after(common::LogIndex have) const;
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -130,6 +130,9 @@
     confirmed_until_ = std::max(
         confirmed_until_, common::from_microseconds(update.echo_clock_us) + options_.table_lease);
   }
+  if (table_.index() >= update.current_index && update.as_of_clock_us > 0) {
+    freshness_.on_confirmed(common::from_microseconds(update.as_of_clock_us));
+  }
   const bool has_changes = installed && !update.deltas.empty();
   if (has_changes || ring_changed) {
     ++counters_.table_updates;
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -25,6 +25,7 @@
 #include "routing/retry_budget.hpp"
 #include "routing/retry_window.hpp"
 #include "routing/table.hpp"
+#include "routing/table_freshness.hpp"
 #include "routing/target_book.hpp"
 #include "routing/target_choice.hpp"
 #include "routing/zone_subset.hpp"
@@ -229,6 +230,7 @@
   /// True where the table is confirmed recently enough.
   bool is_serving(TimePoint now) const;
   const routing::RoutingTable& table() const { return table_; }
+  const routing::TableFreshness& freshness() const { return freshness_; }
   const RouterCounters& counters() const { return counters_; }
   std::size_t in_flight() const { return attempts_.size(); }
   std::size_t waiting() const { return requests_.size() - attempts_.size(); }
@@ -361,6 +363,7 @@
   RouterOptions options_;
   common::RandomEngine random_;
   routing::RoutingTable table_;
+  routing::TableFreshness freshness_;
   routing::RetryBudget budget_;
   bool draining_ = false;
   bool had_table_ = false;
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -74,19 +74,32 @@
 }
 
 void RequestLog::refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
-                         common::Duration took) {
+                         common::Duration took, std::optional<common::Duration> table_age) {
   if (!limit_.allows(now)) {
     return;
   }
-  log_event("request_refused", {{"request", read.request_id},
-                                {"outcome", std::string(routing::to_string(answer.outcome))},
-                                {"reason", std::string(routing::to_string(answer.reason))},
-                                {"service", answer.service},
-                                {"key", key_text(read)},
-                                {"attempts", std::to_string(answer.attempts)},
-                                {"took_ms", milliseconds_text(took)},
-                                {"retry_after_ms", milliseconds_text(answer.retry_after)},
-                                {"table_index", std::to_string(answer.table_index.value)}});
+  log_event("request_refused",
+            {{"request", read.request_id},
+             {"outcome", std::string(routing::to_string(answer.outcome))},
+             {"reason", std::string(routing::to_string(answer.reason))},
+             {"service", answer.service},
+             {"key", key_text(read)},
+             {"attempts", std::to_string(answer.attempts)},
+             {"took_ms", milliseconds_text(took)},
+             {"retry_after_ms", milliseconds_text(answer.retry_after)},
+             {"table_index", std::to_string(answer.table_index.value)},
+             {"table_age_ms", table_age.has_value() ? milliseconds_text(*table_age) : "unknown"}});
+}
+
+void RequestLog::table_late(const LateUpdate& late) {
+  if (!late_limit_.allows(late.now)) {
+    return;
+  }
+  log_event("table_late", {{"peer", late.peer},
+                           {"delay_ms", milliseconds_text(late.delay)},
+                           {"age_before_ms", milliseconds_text(late.age_before)},
+                           {"table_index", std::to_string(late.table_index.value)},
+                           {"longest_turn_ms", milliseconds_text(late.longest_turn)}});
 }
 
 }  // namespace planktray::router
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -4,6 +4,7 @@
 /// the first attempt are counted in metrics only.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "router/core/router_core.hpp"
@@ -21,8 +22,20 @@
   common::TimePoint sent;
 };
 
+/// An update of the table that came late.
+struct LateUpdate {
+  common::TimePoint now;
+  std::string peer;                  ///< address of the controller that sent it
+  common::Duration delay{0};         ///< since the moment as of which it shows the table
+  common::Duration age_before{0};    ///< of the table, just before it was taken
+  common::LogIndex table_index;      ///< after it
+  common::Duration longest_turn{0};  ///< of this router's main loop since the line before
+};
+
 class RequestLog {
  public:
+  /// Tells a late sender or way (`delay` is long, `longest_turn` short) from a late router.
+  void table_late(const LateUpdate& late);
   /// An attempt that is not the first of its request goes out.
   void repeated(common::TimePoint now, const ReadRequest& read, const Forward& forward);
   void attempt_failed(common::TimePoint now, const ReadRequest& read, const SentAttempt& attempt,
@@ -30,12 +43,15 @@
   /// A back end tells its load in a form that could not be read whole.
   void load_unread(common::TimePoint now, const SentAttempt& attempt, const std::string& text);
   std::uint64_t unread_loads() const { return unread_loads_; }
-  /// The request ends without a back end's answer.
+  /// The request ends without a back end's answer. @param table_age time since the table was known
+  /// to be up to date; nothing where it never was.
   void refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
-               common::Duration took);
+               common::Duration took, std::optional<common::Duration> table_age);
 
  private:
   transport::LineLimit limit_;
+  /// Updates come several times a second, and late ones come in rows.
+  transport::LineLimit late_limit_{{.lines_per_second = 1, .burst = 5}};
   /// Every answer of a back end may carry such a report: a line now and then is enough to see it.
   transport::LineLimit load_limit_{{.lines_per_second = 0.1, .burst = 5}};
   std::uint64_t unread_loads_ = 0;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -15,6 +15,10 @@
 /// A router that stops looks this often whether it has finished.
 constexpr common::Duration kDrainPoll = std::chrono::milliseconds(20);
 
+/// An update that took longer from its sender to its use is worth a line: some ten times a round
+/// trip between controllers and routers, and a fifth of the shortest promised time.
+constexpr common::Duration kLateUpdate = std::chrono::milliseconds(400);
+
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -97,6 +101,18 @@
   flush();
 }
 
+void RouterProcess::take_update(const routing::TableUpdate& update, const std::string& from) {
+  const common::TimePoint now = boot_time_now();
+  const common::Duration age = core_.freshness().age(now).value_or(common::Duration(0));
+  core_.on_table_update(now, update, from);
+  flush();
+  const common::Duration delay = now - common::from_microseconds(update.as_of_clock_us);
+  if (update.as_of_clock_us > 0 && delay >= kLateUpdate) {
+    request_log_.table_late(
+        {now, from, delay, age, core_.table().index(), loop_.take_longest_turn()});
+  }
+}
+
 common::Result<void> RouterProcess::connect_controller(const std::string& address) {
   if (controllers_.contains(address)) {
     return {};
@@ -105,8 +121,7 @@
       context_, address, "router/" + settings_.options.name.value,
       [this, address](const std::string& /*identity*/, const auto& message) {
         if (const auto* update = std::get_if<routing::TableUpdate>(&message.value)) {
-          core_.on_table_update(boot_time_now(), *update, address);
-          flush();
+          take_update(*update, address);
         } else if (const auto* list = std::get_if<routing::ControllerList>(&message.value)) {
           learn_controllers(*list);
         }
@@ -370,7 +385,7 @@
     sent_.erase(sent);
     return;
   }
-  request_log_.refused(now, caller.read, answer, took);
+  request_log_.refused(now, caller.read, answer, took, core_.freshness().age(now));
   dialect_->answer(*caller.exchange, caller.read, answer);
 }
 
@@ -398,6 +413,10 @@
                        request_log_.unread_loads());
   metrics_.set_gauge("planktray_table_index", "Log index of the table served.",
                      static_cast<double>(core_.table().index().value));
+  const auto age = core_.freshness().age(boot_time_now());
+  metrics_.set_gauge("planktray_table_age_seconds",
+                     "Time since the table was known to be up to date; -1: it never was.",
+                     age.has_value() ? std::chrono::duration<double>(*age).count() : -1);
   metrics_.set_gauge("planktray_serving", "1 where the table is confirmed.",
                      core_.is_serving(boot_time_now()) ? 1 : 0);
   metrics_.set_gauge("planktray_requests_in_flight", "Attempts under way.",
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -69,6 +69,7 @@
   common::Result<void> connect_controller(const std::string& address);
   /// Connects to controllers that the settings do not name.
   void learn_controllers(const routing::ControllerList& list);
+  void take_update(const routing::TableUpdate& update, const std::string& from);
   void tick();
   void on_http(const transport::ExchangePointer& exchange);
   bool answer_status(const transport::ExchangePointer& exchange);
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -174,8 +174,11 @@
   std::uint32_t router_count = 1;  ///< live routers, for subsets of targets
   SharedList<TableDelta> deltas;
   std::uint32_t hello_interval_ms = 0;  ///< the leader asks for hellos this far apart; 0: any
+  /// In the router's clock: what was acknowledged to anybody before this moment is in the table at
+  /// `current_index`. 0: the sender cannot tell.
+  std::int64_t as_of_clock_us = 0;
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
-                       router_count, deltas, hello_interval_ms)
+                       router_count, deltas, hello_interval_ms, as_of_clock_us)
 };
 
 /// Follower to router, in place of an answer to its hello: where the controllers of the cell are.
