Routers decide with tables known to be young; followers bring them, and take heartbeats whole

Cause: what is acknowledged was committed, and its use at routers in time was left to one process's pace. A router decided with the table it had, however old, and told a missing route as final. Change: an update says as of when it shows the table, counted from its sending; a router in contact decides only with a table younger than the shortest promise less 0.5 s, else 503 with a time to return; nobody in contact, it serves the last table and calls nothing unknown. Followers learn from the leader's messages as of when they are up to date, and bring tables to routers that do not hear the leader in time. Followers take heartbeats and goodbyes whole, and answer when the news are committed at them; the leader names a follower for later ones. A leader whose lease is not confirmed no longer sends callers to itself.

--- a/src/consensus/messages.hpp
+++ b/src/consensus/messages.hpp
@@ -103,14 +103,19 @@
   LogIndex commit;
   std::uint64_t round = 0;  ///< heartbeat round, echoed in the reply
   std::vector<Entry> entries;
-  MSGPACK_DEFINE_ARRAY(previous_index, previous_term, commit, round, entries)
+  /// The newest clock reading that the receiver has sent to this leader, where the leader lease
+  /// held when this was sent; else 0. Whatever was acknowledged to anybody before the receiver's
+  /// clock read this is at or below `commit`.
+  std::int64_t echo_clock_us = 0;
+  MSGPACK_DEFINE_ARRAY(previous_index, previous_term, commit, round, entries, echo_clock_us)
 };
 
 struct AppendReply {
   bool success = false;
   LogIndex match;  ///< on success the last index known equal; else where to try again
   std::uint64_t round = 0;
-  MSGPACK_DEFINE_ARRAY(success, match, round)
+  std::int64_t clock_us = 0;  ///< the sender's clock
+  MSGPACK_DEFINE_ARRAY(success, match, round, clock_us)
 };
 
 struct SnapshotChunk {
--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -103,6 +103,10 @@
   const Membership& membership() const { return membership_; }
   /// True while a membership entry waits for commitment.
   bool membership_change_pending() const { return membership_index_ > commit_; }
+  /// Whatever was acknowledged to anybody before this moment is in the entries that this replica
+  /// has committed; nothing where that was never known. A leader's own is the present while its
+  /// lease holds (see has_leader_lease). A follower's is older by a heartbeat and its way.
+  std::optional<TimePoint> current_as_of() const { return current_as_of_; }
   /// When the newest heartbeat that this peer answered was sent; nothing where none was.
   std::optional<TimePoint> last_heard(ReplicaId peer) const;
   /// The last log index this peer is known to hold durably (leader only).
@@ -113,6 +117,7 @@
     LogIndex match;
     LogIndex next;
     std::uint64_t acknowledged_round = 0;
+    std::int64_t clock_us = 0;  ///< the peer's newest clock reading
     std::uint64_t snapshot_offset = 0;
     LogIndex snapshot_index;
     bool waiting = false;  ///< entries are under way; send only heartbeats meanwhile
@@ -150,6 +155,8 @@
   void handle(TimePoint now, const RaftMessage& message, const SnapshotChunk& chunk);
   void handle(TimePoint now, const RaftMessage& message, const SnapshotReply& reply);
   void append_local(TimePoint now, EntryKind kind, std::string payload);
+  /// Takes from a leader's message how far this replica is up to date.
+  void note_current(TimePoint now, const AppendRequest& request);
   void accept_entries(const AppendRequest& request);
   void advance_commit(TimePoint now);
   void commit_up_to(LogIndex index);
@@ -183,6 +190,7 @@
   Role role_ = Role::kFollower;
   ReplicaId leader_;
   LogIndex commit_;
+  std::optional<TimePoint> current_as_of_;
   LogIndex durable_;  ///< own log is synced up to here
   TimePoint election_deadline_;
   TimePoint quiet_until_;  ///< votes are refused before this time
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -36,7 +36,10 @@
     send_snapshot(now, peer, progress);
     return;
   }
-  AppendRequest request{previous, *previous_term, commit_, round_, {}};
+  AppendRequest request{previous, *previous_term, commit_, round_, {}, 0};
+  if (has_leader_lease(now)) {
+    request.echo_clock_us = progress.clock_us;
+  }
   if (!log_.empty() && progress.next <= last_index()) {
     const std::size_t first = progress.next.value - log_.front().index.value;
     const std::size_t count = std::min(options_.maximum_entries_per_message, log_.size() - first);
@@ -72,7 +75,7 @@
 
 void RaftNode::handle(TimePoint now, const RaftMessage& message, const AppendRequest& request) {
   if (message.term < hard_state_.term) {
-    send(message.from, AppendReply{false, commit_, 0});
+    send(message.from, AppendReply{false, commit_, 0, 0});
     return;
   }
   become_follower(now, message.term, message.from);
@@ -82,14 +85,27 @@
   const bool matches = term_at(request.previous_index) == request.previous_term;
   if (!before_log && !matches) {
     const LogIndex hint(std::min(last_index().value, request.previous_index.value - 1));
-    send(message.from, AppendReply{false, std::max(hint, commit_), request.round});
+    send(message.from, AppendReply{false, std::max(hint, commit_), request.round, 0});
     return;
   }
   accept_entries(request);
   const LogIndex match =
       request.entries.empty() ? request.previous_index : request.entries.back().index;
   commit_up_to(std::min(request.commit, match));
-  send_after_sync(message.from, AppendReply{true, match, request.round});
+  note_current(now, request);
+  send_after_sync(message.from,
+                  AppendReply{true, match, request.round, common::to_microseconds(now)});
+}
+
+void RaftNode::note_current(TimePoint now, const AppendRequest& request) {
+  // The leader read this replica's clock before it sent `commit`, and nobody else could acknowledge
+  // anything by then: it held the lease.
+  const TimePoint as_of = common::from_microseconds(request.echo_clock_us);
+  const bool was_read_here = request.echo_clock_us != 0 && as_of <= now;
+  if (!was_read_here || commit_ < request.commit) {
+    return;
+  }
+  current_as_of_ = std::max(current_as_of_.value_or(as_of), as_of);
 }
 
 void RaftNode::accept_entries(const AppendRequest& request) {
@@ -121,6 +137,9 @@
     return;
   }
   Progress& progress = found->second;
+  if (reply.clock_us != 0) {
+    progress.clock_us = reply.clock_us;  // the newest word; its machine's clock may have begun anew
+  }
   if (reply.success) {
     progress.match = std::max(progress.match, reply.match);
     progress.next = std::max(progress.next, next_index(progress.match));
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -17,6 +17,9 @@
 /// A controller looks around at least this often, and at most, where nothing comes in.
 constexpr Duration kLongestRest = std::chrono::milliseconds(250);
 constexpr Duration kShortestRest = std::chrono::milliseconds(1);
+/// A follower that was up to date longer ago than this brings routers no table: one that it
+/// confirmed would be as good as too old on arrival. Half of the shortest bound that routers have.
+constexpr Duration kOldestRelayed = std::chrono::milliseconds(750);
 
 }  // namespace
 
@@ -55,7 +58,7 @@
     return;
   }
   if (!is_serving(now)) {
-    return name_controllers(hello.router);
+    return answer_as_follower(now, hello);
   }
   ++counters_.hellos;
   distributor_.on_hello(now, hello);
@@ -81,6 +84,21 @@
   return list;
 }
 
+void ControllerCore::answer_as_follower(TimePoint now, const routing::RouterHello& hello) {
+  // A leader that is full reads a router's hello seconds late. What its followers have committed,
+  // and as of when, they can tell as well as it can.
+  const auto current_as_of = raft_.current_as_of();
+  const bool follows = !raft_.is_leader() && raft_.leader().value != 0;
+  if (follows && current_as_of.has_value() && now - *current_as_of < kOldestRelayed) {
+    auto table = distributor_.answer_as_follower(now, *current_as_of, state_, raft_.term(), hello);
+    if (table.has_value()) {
+      ++counters_.tables_as_follower;
+      output_.tables.push_back(std::move(*table));
+    }
+  }
+  name_controllers(hello.router);
+}
+
 void ControllerCore::name_controllers(const common::RouterName& router) {
   routing::ControllerList list = controller_list();
   if (!list.addresses.empty()) {
@@ -128,7 +146,10 @@
 TimePoint ControllerCore::next_due(TimePoint now) const {
   TimePoint due = std::min(raft_.next_due(), now + kLongestRest);
   if (!raft_.is_leader()) {
-    return heard_.empty() ? due : std::max(std::min(due, next_report_), now + kShortestRest);
+    if (!heard_.empty() || !news_.empty()) {
+      due = std::min(due, next_report_);
+    }
+    return std::max(due, now + kShortestRest);
   }
   if (sweep_needed_ || uses_leases()) {
     due = std::min(due, next_sweep_);
@@ -159,6 +180,7 @@
     }
   }
   report_heartbeats(now);
+  answer_relayed(now);
   if (!is_serving(now)) {
     return;
   }
@@ -367,6 +389,11 @@
 }
 
 common::Error ControllerCore::not_leader(const std::string& step_name) const {
+  if (raft_.is_leader()) {
+    // Nobody else is known to lead; naming itself would send the asker in circles.
+    return {ErrorCode::kNotLeader, step_name, "",
+            "this replica's lead is not confirmed at present"};
+  }
   const consensus::Member* leader = raft_.membership().find(raft_.leader());
   const std::string peer = leader == nullptr ? "" : leader->operator_address;
   return {ErrorCode::kNotLeader, step_name, peer,
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -132,9 +132,10 @@
   std::uint64_t shards_assigned = 0;
   std::uint64_t moves_begun = 0;
   std::uint64_t snapshots_taken = 0;
-  std::uint64_t hellos = 0;       ///< of routers, while leading
-  std::uint64_t heartbeats = 0;   ///< of back ends, that came here
-  std::uint64_t range_plans = 0;  ///< proposed
+  std::uint64_t hellos = 0;              ///< of routers, while leading
+  std::uint64_t tables_as_follower = 0;  ///< brought to routers that asked a follower
+  std::uint64_t heartbeats = 0;          ///< of back ends, that came here
+  std::uint64_t range_plans = 0;         ///< proposed
 };
 
 class ControllerCore {
@@ -156,7 +157,7 @@
 
   void on_order_reply(TimePoint now, ownership::OrderId id, const ownership::OrderReply& reply);
   /// Completed once what it says is in the replicated state, or at once where it is already: a
-  /// follower answers those that say nothing new, and tells the leader of them.
+  /// follower takes those whose answer need not say what to hold, and tells the leader of them.
   void heartbeat(TimePoint now, OperatorRequestId request, const Heartbeat& heartbeat);
   void on_heartbeat_report(TimePoint now, const membership::HeartbeatReport& report);
   /// A back end says goodbye; as above.
@@ -180,6 +181,11 @@
   /// Asks for a moment at which the state may be read linearizably.
   void read(TimePoint now, OperatorRequestId request);
 
+  /// Where a back end that need not be told what to hold is to send its next heartbeat: a leader
+  /// names a follower that it hears, another one for each back end, so that those whose heartbeats
+  /// came to it do not stay; a follower names itself.
+  std::string heartbeat_address(TimePoint now, const common::Incarnation& sender) const;
+
   /// A number for a request to this process, different from all before.
   OperatorRequestId new_request() { return next_request_++; }
   ControllerOutput take_output();
@@ -210,6 +216,14 @@
     TimePoint received;  ///< of such a heartbeat
   };
 
+  /// What a follower has passed on to the leader and answers once it is committed.
+  struct RelayedNews {
+    common::Incarnation incarnation;
+    bool draining = false;
+    bool departed = false;
+    TimePoint until;
+  };
+
   void step(TimePoint now);
   /// Looks through everything that may have changed; not more often than every few milliseconds.
   void sweep(TimePoint now);
@@ -239,6 +253,13 @@
   /// True where the replicated state has all that the heartbeat says, and there is a leader.
   bool may_answer_for_leader(const Heartbeat& heartbeat) const;
   void report_heartbeats(TimePoint now);
+  void relay_news(TimePoint now, OperatorRequestId request, membership::BackendNews news);
+  bool is_committed(const RelayedNews& news) const;
+  void answer_relayed(TimePoint now);
+  /// As the leader: proposes what a back end has said to a follower.
+  void take_news(TimePoint now, const membership::BackendNews& news);
+  /// Brings a router what it lacks, as far as a follower can tell, and says where the others are.
+  void answer_as_follower(TimePoint now, const routing::RouterHello& hello);
   /// Tells a router that asked a follower where the others are.
   void name_controllers(const common::RouterName& router);
   routing::ControllerList controller_list() const;
@@ -287,6 +308,8 @@
   TimePoint next_balance_;
   TimePoint next_join_;
   std::vector<membership::HeardBackend> heard_;  ///< as a follower, since the last report
+  std::vector<membership::BackendNews> news_;    ///< the same, not answered yet
+  std::map<OperatorRequestId, RelayedNews> relayed_;
   TimePoint next_report_;
   TimePoint next_plan_;
   TimePoint next_sweep_;
--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -1,6 +1,8 @@
 /// Back ends with fenced grants in ControllerCore: their heartbeats, departures and ends, and the
 /// plans for the key ranges they own.
 
+#include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "controller/core/controller_core.hpp"
@@ -15,9 +17,32 @@
 /// A follower reports the heartbeats that it has answered this often.
 constexpr Duration kReportInterval = std::chrono::milliseconds(250);
 
-ownership::OwnershipContract contract_of(const Heartbeat& heartbeat) {
-  return heartbeat.holdings.has_value() ? ownership::OwnershipContract::kReportedGrant
-                                        : ownership::OwnershipContract::kFencedGrant;
+/// News go to the leader after this time, together: back ends that are replaced come dozens at a
+/// time, and their senders wait for the answer.
+constexpr Duration kNewsDelay = std::chrono::milliseconds(5);
+/// A follower that has not seen the news committed by then says so, and its sender asks another
+/// one. Senders give a heartbeat up after a second.
+constexpr Duration kNewsTimeout = std::chrono::milliseconds(800);
+
+membership::BackendNews news_of(const Heartbeat& heartbeat) {
+  return {heartbeat.incarnation, heartbeat.address,  heartbeat.service,
+          heartbeat.zone,        heartbeat.slots,    heartbeat.sequence,
+          heartbeat.cold_ms,     heartbeat.draining, false};
+}
+
+ownership::RegisterBackend registration_of(const membership::BackendNews& news,
+                                           ownership::OwnershipContract contract) {
+  ownership::RegisterBackend registration;
+  registration.machine = common::MachineName(news.incarnation.value);
+  registration.address = news.address;
+  registration.zone = news.zone;
+  registration.pool = common::PoolName(news.service);
+  registration.incarnation = news.incarnation;
+  registration.contract = static_cast<std::uint8_t>(contract);
+  registration.slots = news.slots;
+  registration.cold = news.cold_ms > 0;
+  registration.leaving = news.draining;
+  return registration;
 }
 
 }  // namespace
@@ -30,7 +55,10 @@
   ++counters_.heartbeats;
   if (!is_serving(now)) {
     if (!may_answer_for_leader(heartbeat)) {
-      return complete_now(tl::unexpected(not_leader("take heartbeat")));
+      // Only the leader can say what a back end is to hold.
+      return heartbeat.holdings.has_value()
+                 ? complete_now(tl::unexpected(not_leader("take heartbeat")))
+                 : relay_news(now, request, news_of(heartbeat));
     }
     heard_.push_back({heartbeat.incarnation, heartbeat.sequence, heartbeat.cold_ms});
     complete_now(state_.applied());
@@ -43,19 +71,12 @@
   }
   const ownership::BackendRecord* known = state_.find_incarnation(heartbeat.incarnation);
   if (known == nullptr) {
-    ownership::RegisterBackend registration;
-    registration.machine = common::MachineName(heartbeat.incarnation.value);
-    registration.address = heartbeat.address;
-    registration.zone = heartbeat.zone;
-    registration.pool = common::PoolName(heartbeat.service);
-    registration.incarnation = heartbeat.incarnation;
-    registration.contract = static_cast<std::uint8_t>(contract_of(heartbeat));
-    registration.slots = heartbeat.slots;
-    registration.cold = heartbeat.cold_ms > 0;
-    registration.leaving = heartbeat.draining;
+    const auto contract = heartbeat.holdings.has_value()
+                              ? ownership::OwnershipContract::kReportedGrant
+                              : ownership::OwnershipContract::kFencedGrant;
     const bool is_holder = heartbeat.holdings.has_value();
     return submit_heartbeat(now, request, is_holder ? heartbeat.incarnation : common::Incarnation(),
-                            Command(std::move(registration)));
+                            Command(registration_of(news_of(heartbeat), contract)));
   }
   ranges_.note_alive(now, known->id);
   const bool is_holder = heartbeat.holdings.has_value() && !is_late &&
@@ -106,18 +127,98 @@
          (known->leaving || !heartbeat.draining);
 }
 
+void ControllerCore::relay_news(TimePoint now, OperatorRequestId request,
+                                membership::BackendNews news) {
+  if (raft_.is_leader() || raft_.leader().value == 0) {
+    return fail_request(request, false, not_leader("take heartbeat"));
+  }
+  // Redirected, the sender would wait for one call more, and the leader would read, answer and
+  // close a connection for each: 1,000 a second beside a release, a third of a full leader's time.
+  relayed_[request] = {news.incarnation, news.draining, news.departed, now + kNewsTimeout};
+  news_.push_back(std::move(news));
+  next_report_ = std::min(next_report_, now + kNewsDelay);
+  step(now);
+}
+
+bool ControllerCore::is_committed(const RelayedNews& news) const {
+  const ownership::BackendRecord* known = state_.find_incarnation(news.incarnation);
+  const bool has_what_it_said = known != nullptr && (known->leaving || !news.draining);
+  return state_.has_departed(news.incarnation) || (!news.departed && has_what_it_said);
+}
+
+void ControllerCore::answer_relayed(TimePoint now) {
+  for (auto next = relayed_.begin(); next != relayed_.end();) {
+    const auto& [request, news] = *next;
+    if (is_committed(news)) {
+      output_.completions.emplace_back(CommandCompleted{request, state_.applied()});
+    } else if (now >= news.until) {
+      fail_request(request, false,
+                   {ErrorCode::kTimeout, "take heartbeat", options_.name,
+                    "the leader has not committed it in time"});
+    } else {
+      ++next;
+      continue;
+    }
+    next = relayed_.erase(next);
+  }
+}
+
 void ControllerCore::report_heartbeats(TimePoint now) {
-  if (heard_.empty() || now < next_report_) {
+  if ((heard_.empty() && news_.empty()) || now < next_report_) {
     return;
   }
   next_report_ = now + kReportInterval;
-  output_.heard = membership::HeartbeatReport{options_.cell, std::exchange(heard_, {})};
+  output_.heard = membership::HeartbeatReport{options_.cell, std::exchange(heard_, {}),
+                                              std::exchange(news_, {})};
+}
+
+void ControllerCore::take_news(TimePoint now, const membership::BackendNews& news) {
+  if (state_.has_departed(news.incarnation)) {
+    return;
+  }
+  const ownership::BackendRecord* known = state_.find_incarnation(news.incarnation);
+  const common::BackendId id = known == nullptr ? common::BackendId() : known->id;
+  if (news.departed) {
+    (void)propose(now, ownership::MarkLeaving{id, true, true, false, news.incarnation});
+    return;
+  }
+  const bool is_late = !ranges_.note_heartbeat(now, news.incarnation, news.sequence,
+                                               std::chrono::milliseconds(news.cold_ms));
+  if (is_late && !news.draining) {
+    return;
+  }
+  if (known == nullptr) {
+    (void)propose(now, registration_of(news, ownership::OwnershipContract::kFencedGrant));
+    return;
+  }
+  ranges_.note_alive(now, id);
+  if (news.draining && !known->leaving) {
+    (void)propose(now, ownership::MarkLeaving{id, true, false});
+  }
+}
+
+std::string ControllerCore::heartbeat_address(TimePoint now,
+                                              const common::Incarnation& sender) const {
+  std::vector<std::string> followers;
+  for (const consensus::Member& member : raft_.membership().members) {
+    const bool is_other = raft_.is_leader() && member.id != raft_.self();
+    if (is_other && is_present(now, member.id, options_.replace_after)) {
+      followers.push_back(member.operator_address);
+    }
+  }
+  if (followers.empty()) {
+    return options_.operator_address;
+  }
+  return followers[std::hash<std::string>{}(sender.value) % followers.size()];
 }
 
 void ControllerCore::on_heartbeat_report(TimePoint now, const membership::HeartbeatReport& report) {
   if (report.cell != options_.cell || !is_serving(now)) {
     return;
   }
+  for (const membership::BackendNews& news : report.news) {
+    take_news(now, news);
+  }
   for (const membership::HeardBackend& heard : report.heard) {
     const bool is_news = ranges_.note_heartbeat(now, heard.incarnation, heard.sequence,
                                                 std::chrono::milliseconds(heard.cold_ms));
@@ -128,14 +229,16 @@
       ranges_.note_alive(now, known->id);
     }
   }
+  step(now);
 }
 
 void ControllerCore::depart(TimePoint now, OperatorRequestId request,
                             const common::Incarnation& incarnation) {
   if (!is_serving(now)) {
-    output_.completions.emplace_back(
-        CommandCompleted{request, tl::unexpected(not_leader("take goodbye"))});
-    return;
+    membership::BackendNews news;
+    news.incarnation = incarnation;
+    news.departed = true;
+    return relay_news(now, request, std::move(news));
   }
   const ownership::BackendRecord* known = state_.find_incarnation(incarnation);
   if (state_.has_departed(incarnation)) {
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -94,6 +94,24 @@
   return make_update(now, state, router, found->second, static_cast<std::uint32_t>(rank));
 }
 
+std::optional<OutgoingTable> TableDistributor::answer_as_follower(
+    common::TimePoint now, common::TimePoint current_as_of, const ownership::CellState& state,
+    common::Term term, const routing::RouterHello& hello) {
+  if (hello.table_index.value == 0 || hello.table_index > state.applied() ||
+      !deltas_reach(hello.table_index, state)) {
+    return std::nullopt;
+  }
+  routing::TableUpdate update;
+  update.cell = cell_;
+  update.term = term;
+  update.by_follower = true;
+  update.base_index = hello.table_index;
+  update.current_index = state.applied();
+  update.as_of_clock_us = hello.clock_us + (current_as_of - now).count();
+  update.deltas = deltas_after(hello.table_index);
+  return OutgoingTable{hello.router, std::move(update)};
+}
+
 std::optional<OutgoingTable> TableDistributor::make_update(common::TimePoint now,
                                                            const ownership::CellState& state,
                                                            const common::RouterName& name,
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -93,6 +93,17 @@
   std::optional<OutgoingTable> answer(common::TimePoint now, const ownership::CellState& state,
                                       const common::RouterName& router);
 
+  /// Makes a follower's answer to a hello, for routers that do not hear the leader in time. Keeps
+  /// nothing of the router.
+  /// @param current_as_of whatever was acknowledged before this moment is in `state`.
+  /// @return nothing where the router lacks more than deltas can bring: snapshots come from the
+  ///   leader, which bounds how many are under way.
+  std::optional<OutgoingTable> answer_as_follower(common::TimePoint now,
+                                                  common::TimePoint current_as_of,
+                                                  const ownership::CellState& state,
+                                                  common::Term term,
+                                                  const routing::RouterHello& hello);
+
   /// When collect() has something to send that it has put off; max where there is nothing.
   common::TimePoint next_due() const { return next_due_; }
 
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -28,6 +28,7 @@
 RouterCore::RouterCore(RouterOptions options, common::RandomEngine random, TimePoint now)
     : options_(std::move(options)),
       random_(random),
+      freshness_(options_.freshness),
       budget_(options_.retry_budget),
       confirmed_until_(now),
       cold_limit_(options_.cold_limit),
@@ -41,6 +42,7 @@
 }
 
 void RouterCore::tick(TimePoint now) {
+  freshness_.on_woken(now, next_due());
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const RequestHandle handle = deadlines_.begin()->second;
     expire(now, requests_.at(handle));
@@ -96,6 +98,9 @@
   for (const std::string& address : list.addresses) {
     add_controller(address);
   }
+  if (!list.leader.empty()) {
+    freshness_.on_answered();
+  }
   if (list.leader.empty() || list.term <= leader_term_) {
     return;  // an old word, or the leader that is known: it may be slow
   }
@@ -113,43 +118,73 @@
   if (update.cell != options_.cell) {
     return;
   }
-  if (update.term >= leader_term_) {
-    leader_ = from;
-    leader_term_ = update.term;
-    leader_heard_ = now;
-    next_inquiry_ = TimePoint::max();
-  }
-  hello_interval_ = std::max<Duration>(options_.hello_interval,
-                                       std::chrono::milliseconds(update.hello_interval_ms));
-  const bool ring_changed =
-      update.router_rank != router_rank_ || update.router_count != router_count_;
-  router_rank_ = update.router_rank;
-  router_count_ = std::max<std::uint32_t>(1, update.router_count);
+  freshness_.on_answered();
+  const bool ring_changed = !update.by_follower && take_leaders_word(now, update, from);
   const bool installed = table_.apply(update);
-  if (table_.index() >= update.current_index && update.echo_clock_us > 0) {
+  const bool is_up_to_date = table_.index() >= update.current_index;
+  if (is_up_to_date && update.echo_clock_us > 0) {
     confirmed_until_ = std::max(
         confirmed_until_, common::from_microseconds(update.echo_clock_us) + options_.table_lease);
   }
-  if (table_.index() >= update.current_index && update.as_of_clock_us > 0) {
-    freshness_.on_confirmed(common::from_microseconds(update.as_of_clock_us));
+  // A sender that does not tell more has at least read the hello that it echoes.
+  const std::int64_t as_of = std::max(update.as_of_clock_us, update.echo_clock_us);
+  if (is_up_to_date && as_of > 0) {
+    freshness_.on_confirmed(now, common::from_microseconds(as_of));
   }
+  if (update.by_follower) {
+    ++counters_.follower_updates;
+    helper_ = from;
+  }
+  plan_inquiry(now);
   const bool has_changes = installed && !update.deltas.empty();
   if (has_changes || ring_changed) {
     ++counters_.table_updates;
     subsets_.clear();
     note_targets(now);
   }
-  const bool lacked_update = std::exchange(lacks_update_, table_.index() < update.current_index);
-  const bool is_snapshot = has_changes && update.deltas.front().is_snapshot;
+  if (!update.by_follower) {
+    report_lacks(now, has_changes && update.deltas.front().is_snapshot, update.current_index);
+  }
+  if (has_changes) {
+    redispatch_all(now);
+  }
+}
+
+bool RouterCore::take_leaders_word(TimePoint now, const routing::TableUpdate& update,
+                                   const std::string& from) {
+  if (update.term >= leader_term_) {
+    leader_ = from;
+    leader_term_ = update.term;
+    leader_heard_ = now;
+  }
+  hello_interval_ = std::max<Duration>(options_.hello_interval,
+                                       std::chrono::milliseconds(update.hello_interval_ms));
+  const std::uint32_t count = std::max<std::uint32_t>(1, update.router_count);
+  const bool changed = update.router_rank != router_rank_ || count != router_count_;
+  router_rank_ = update.router_rank;
+  router_count_ = count;
+  return changed;
+}
+
+void RouterCore::plan_inquiry(TimePoint now) {
+  // Not by whether the leader is heard: its words may be seconds old when they come.
+  if (!freshness_.is_aging(now)) {
+    next_inquiry_ = TimePoint::max();
+  }
+}
+
+void RouterCore::report_lacks(TimePoint now, bool is_snapshot, common::LogIndex current) {
+  const bool lacked_update = std::exchange(lacks_update_, table_.index() < current);
   if (is_snapshot || (lacks_update_ && !lacked_update)) {
     next_hello_ = now;  // the leader waits for it to arrive; or an update was lost
   } else if (lacks_update_) {
     // It has been told, and takes a while: each update until then would say the same.
     next_hello_ = std::min(next_hello_, std::max(now, last_hello_ + options_.hello_interval));
   }
-  if (has_changes) {
-    redispatch_all(now);
-  }
+}
+
+void RouterCore::hasten_hello(TimePoint now) {
+  next_hello_ = std::min(next_hello_, std::max(now, last_hello_ + options_.hello_interval));
 }
 
 void RouterCore::note_targets(TimePoint now) {
@@ -187,8 +222,11 @@
   last_hello_ = now;
   const bool leader_is_known =
       leader_heard_.has_value() && now - *leader_heard_ < kHellosWithoutAnswer * hello_interval_;
-  output_.hello_to_all = !leader_is_known;
+  // With a follower that keeps the table young, nobody else need be asked.
+  const bool has_helper = !helper_.empty() && !freshness_.is_aging(now);
+  output_.hello_to_all = !leader_is_known && !has_helper;
   output_.hello_to = {leader_};
+  freshness_.on_asked(now);
   if (leader_is_known && next_inquiry_ == TimePoint::max()) {
     next_inquiry_ = now + options_.leader_search.answer_timeout;
     inquiry_interval_ = options_.leader_search.inquiry_interval;
@@ -229,6 +267,15 @@
   next_inquiry_ = now + inquiry_interval_;
   inquiry_interval_ =
       std::min(2 * inquiry_interval_, options_.leader_search.longest_inquiry_interval);
+  freshness_.on_asked(now);
+  output_.hello_to_all = false;
+  if (!helper_.empty()) {
+    // It has answered the last question; silence to this one has all asked again.
+    output_.hello = plain_hello(now);
+    output_.hello_to = {std::exchange(helper_, "")};
+    ++counters_.inquiries;
+    return;
+  }
   std::vector<std::string> others;
   std::copy_if(controllers_.begin(), controllers_.end(), std::back_inserter(others),
                [this](const std::string& address) { return address != leader_; });
@@ -240,7 +287,6 @@
   std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(first), others.end());
   others.resize(std::min(others.size(), options_.leader_search.inquired_controllers));
   output_.hello = plain_hello(now);
-  output_.hello_to_all = false;
   output_.hello_to = std::move(others);
 }
 
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -46,6 +46,8 @@
   /// How long the table may be used after its last confirmation; the controllers' value.
   Duration table_lease = std::chrono::milliseconds(3000);
   routing::LeaderSearchOptions leader_search;
+  /// For requests on routes: their routes and back ends are promised to be in use in time.
+  routing::FreshnessOptions freshness;
   /// First wait after a refusal or a failed connection; doubles up to the maximum.
   Duration minimum_backoff = std::chrono::milliseconds(5);
   Duration maximum_backoff = std::chrono::milliseconds(100);
@@ -191,8 +193,10 @@
   std::uint64_t refusals = 0;
   std::uint64_t table_updates = 0;
   std::uint64_t cancelled = 0;
-  std::uint64_t inquiries = 0;      ///< the leader was silent, others were asked
-  std::uint64_t leaders_named = 0;  ///< a new leader was named by itself or another controller
+  std::uint64_t inquiries = 0;         ///< the leader was silent, others were asked
+  std::uint64_t leaders_named = 0;     ///< a new leader was named by itself or another controller
+  std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
+  std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
 };
 
 class RouterCore {
@@ -353,6 +357,16 @@
   void release_target(BackendId backend);
   void count_load(const Request& request);
   void make_hello(TimePoint now);
+  /// Brings the next hello forward, since the table is too old to decide with.
+  void hasten_hello(TimePoint now);
+  /// Takes from an update of the leader what only that tells. @return true where the router's place
+  /// among all changed.
+  bool take_leaders_word(TimePoint now, const routing::TableUpdate& update,
+                         const std::string& from);
+  /// Says hello at once where an update did not lead on from the table, or was a snapshot.
+  void report_lacks(TimePoint now, bool is_snapshot, common::LogIndex current);
+  /// Ends or goes on with the questions to other controllers, by how old the table is.
+  void plan_inquiry(TimePoint now);
   /// What every hello says, without a report of loads.
   routing::RouterHello plain_hello(TimePoint now) const;
   /// Asks some controllers other than the silent leader whom they follow.
@@ -400,6 +414,7 @@
   std::string leader_;                     ///< address of the one that leads, as far as known
   common::Term leader_term_;               ///< of the newest leader that was heard or named
   std::optional<TimePoint> leader_heard_;  ///< when it sent the last update, or was named
+  std::string helper_;                     ///< the follower that brought the table last
   /// When others are asked, unless the leader is heard before; max: no hello waits.
   TimePoint next_inquiry_ = TimePoint::max();
   Duration inquiry_interval_{0};
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -12,6 +12,7 @@
 using routing::NotRunReason;
 using routing::Outcome;
 using routing::Refusal;
+using routing::TableStanding;
 
 /// Told to callers whose request cannot run before a table is there.
 constexpr Duration kRetryAfterUnavailable = std::chrono::milliseconds(1000);
@@ -98,16 +99,26 @@
   if (!has_routes()) {
     return refuse(NotRunReason::kNotServing, false, kRetryAfterUnavailable);
   }
+  const TableStanding standing = freshness_.standing(now);
+  if (standing == TableStanding::kTooOld) {
+    // A newer table may be acknowledged already: neither a route nor its absence is known.
+    ++counters_.stale_refusals;
+    hasten_hello(now);
+    return refuse(NotRunReason::kTableTooOld, false, options_.short_retry_after);
+  }
+  const bool is_final = standing == TableStanding::kCurrent;
   const config::Route* route = table_.routes().find(caller.route->host, caller.route->path);
   if (route == nullptr) {
-    return refuse(NotRunReason::kUnknownRoute, true, Duration(0));
+    return is_final ? refuse(NotRunReason::kUnknownRoute, true, Duration(0))
+                    : refuse(NotRunReason::kTableTooOld, false, kRetryAfterUnavailable);
   }
   const routing::RoutedTableService* service = choose_part(*route);
   if (service == nullptr) {
     return refuse(NotRunReason::kNoTarget, false, kRetryAfterUnavailable);
   }
   if (service->route.config.keyed && !caller.route->key.has_value()) {
-    return refuse(NotRunReason::kKeyMissing, true, Duration(0));
+    return is_final ? refuse(NotRunReason::kKeyMissing, true, Duration(0))
+                    : refuse(NotRunReason::kTableTooOld, false, kRetryAfterUnavailable);
   }
   Request request;
   request.caller = caller;
@@ -161,6 +172,10 @@
   if (service == nullptr) {
     return answer_not_run(request, NotRunReason::kNoTarget, kRetryAfterUnavailable);
   }
+  if (freshness_.standing(now) == TableStanding::kTooOld) {
+    // Its target may be leaving by now. A request that had a place waits for the next word.
+    return wait_routed(now, request, NotRunReason::kTableTooOld);
+  }
   const auto target = choose_target(now, request, *service);
   if (!target.has_value()) {
     const BackendId owner = table_.routes().owner_of(request.service, request.key);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -398,6 +398,11 @@
                        counters.not_run);
   metrics_.set_counter("planktray_unknown_total", "Requests that may have run.", counters.unknown);
   metrics_.set_counter("planktray_retries_total", "Attempts after the first.", counters.retries);
+  metrics_.set_counter("planktray_stale_refusals_total",
+                       "Requests on routes refused since the table was too old to decide with.",
+                       counters.stale_refusals);
+  metrics_.set_counter("planktray_follower_updates_total",
+                       "Updates of the table that followers brought.", counters.follower_updates);
   metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
   metrics_.set_counter("planktray_ended_backends_total",
                        "Back ends found to have ended by another incarnation's answer.",
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -49,6 +49,8 @@
       return "no-owner";
     case NotRunReason::kOverload:
       return "overload";
+    case NotRunReason::kTableTooOld:
+      return "table-too-old";
   }
   return "none";
 }
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -27,6 +27,7 @@
   kUnknownRoute,  ///< no route for this host and path
   kNoOwner,       ///< the key has no owner at present
   kOverload,      ///< it could not be answered in time
+  kTableTooOld,   ///< the table may not show what was acknowledged since
 };
 
 /// A back end's refusal with proof that nothing ran (`Planktray-Not-Run`).
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -163,7 +163,7 @@
                        target_times, ended, lacks_update)
 };
 
-/// Leader to router: confirmation that the table is current, and what changed.
+/// Controller to router: confirmation that the table is current, and what changed.
 struct TableUpdate {
   common::CellName cell;
   common::Term term;
@@ -177,8 +177,12 @@
   /// In the router's clock: what was acknowledged to anybody before this moment is in the table at
   /// `current_index`. 0: the sender cannot tell.
   std::int64_t as_of_clock_us = 0;
+  /// The sender follows; it tells what it has committed and nothing of the fleet, and extends no
+  /// table lease: `router_rank`, `router_count`, `hello_interval_ms` and `echo_clock_us` say
+  /// nothing.
+  bool by_follower = false;
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
-                       router_count, deltas, hello_interval_ms, as_of_clock_us)
+                       router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower)
 };
 
 /// Follower to router, in place of an answer to its hello: where the controllers of the cell are.
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -330,6 +330,7 @@
     RouterOptions options = Fixture::options();
     options.name = common::RouterName(name);
     options.zone = common::ZoneName("north");
+    options.freshness.oldest = Duration(0);  // one table for the whole test
     return options;
   }
 
