A soak of the real programs: processes under signals, judged by what clients, targets and the operator see

Cause: nothing started the platform's programs as processes outside the bench; the users run them so. planktray-soak starts controllers and routers on loopback addresses of their own, and draws kills, pauses, planned stops, reloads, ends of all controllers and leaving targets from a seed, overlapping. Clients keep connections. Judged: CONFIG, DENIED, DRAIN, MIXED, LOST, TWICE, REFUSED, ends of their own, recovery; what is bound by time only for routers and controllers without trouble of their own. Keys with owners and cut links are not in it yet.

--- /dev/null
+++ b/test/platform/soak/clients.cpp
@@ -0,0 +1,219 @@
+#include "soak/clients.hpp"
+
+#include <memory>
+
+#include "platform/names.hpp"
+#include "transport/event_loop.hpp"
+
+namespace planktray::soak {
+namespace {
+
+using transport::boot_time_now;
+
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(4000);
+/// Arrivals read this soon after a stall of this process may have come earlier.
+constexpr Duration kAfterStall = std::chrono::milliseconds(200);
+constexpr double kUnsafeShare = 0.2;
+constexpr double kChangingShare = 0.5;
+
+bool is_promise(unsigned status) {
+  return status == platform::kStatusTooManyRequests || status == platform::kStatusUnavailable ||
+         status == platform::kStatusRequestTimeout || status == platform::kStatusMisdirected;
+}
+
+std::string ms(Duration time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) +
+         " ms";
+}
+
+}  // namespace
+
+Clients::Clients(const Processes& processes, const Operator& changes, Promises promises,
+                 std::uint64_t seed)
+    : processes_(processes),
+      changes_(changes),
+      promises_(promises),
+      random_(seed),
+      client_({.connections_per_server = 64}) {}
+
+void Clients::send(TimePoint now, int count) {
+  const auto routers = processes_.of(Role::kRouter);
+  for (int i = 0; i < count; ++i) {
+    const std::size_t router = routers[common::uniform(random_, 0, routers.size() - 1)];
+    const auto& routes = changes_.routes();
+    if (!routes.empty() && common::chance(random_, kChangingShare)) {
+      // Mostly the newest ones: what has just come, and what has just gone.
+      constexpr std::size_t kNewest = 30;
+      const std::size_t first = routes.size() > kNewest ? routes.size() - kNewest : 0;
+      const std::size_t chosen = common::uniform(random_, first, routes.size() - 1);
+      send_one(now, router, routes[chosen].path, true, chosen, {});
+    } else {
+      const bool safe = !common::chance(random_, kUnsafeShare);
+      send_one(now, router, safe ? Operator::kSafePath : Operator::kUnsafePath, safe, std::nullopt,
+               {});
+    }
+  }
+}
+
+void Clients::ask_all(const std::string& path, std::function<void(std::size_t)> done) {
+  const auto routers = processes_.of(Role::kRouter);
+  struct Count {
+    std::size_t left;
+    std::size_t served = 0;
+  };
+  auto count = std::make_shared<Count>(Count{routers.size()});
+  for (const std::size_t router : routers) {
+    send_one(boot_time_now(), router, path, true, std::nullopt, [count, done](unsigned status) {
+      count->served += status == platform::kStatusOk ? 1 : 0;
+      if (--count->left == 0) {
+        done(count->served);
+      }
+    });
+  }
+}
+
+void Clients::send_one(TimePoint now, std::size_t router, const std::string& path, bool safe,
+                       std::optional<std::size_t> route, std::function<void(unsigned)> done) {
+  const Process& process = processes_.all()[router];
+  const std::string id = "q" + std::to_string(next_++);
+  Request record;
+  record.router = router;
+  record.router_pid = process.pid;
+  record.path = path;
+  record.safe = safe;
+  record.route = route;
+  record.sent = now;
+  requests_[id] = record;
+  ++counts_.sent;
+  transport::HttpRequest request;
+  request.method = safe ? "GET" : "POST";
+  request.address = process.address;
+  request.target = path + "x";
+  request.headers = {{"Host", Operator::kHost},
+                     {platform::kRequestIdHeader, id},
+                     {platform::kDeadlineHeader, "2000"}};
+  request.timeout = kAnswerTimeout;
+  client_.send(std::move(request), [this, id, done](const transport::HttpResponse& response) {
+    on_answer(id, response);
+    if (done) {
+      done(response.status);
+    }
+  });
+}
+
+void Clients::on_answer(const std::string& id, const transport::HttpResponse& response) {
+  Request& request = requests_.at(id);
+  const unsigned status = response.status;
+  request.was_promised = is_promise(status);
+  counts_.served += status == platform::kStatusOk ? 1 : 0;
+  counts_.refused += request.was_promised ? 1 : 0;
+  counts_.not_there += status == platform::kStatusNotFound ? 1 : 0;
+  const bool is_known =
+      status == platform::kStatusOk || request.was_promised || status == platform::kStatusNotFound;
+  counts_.other += is_known ? 0 : 1;
+  if (status == platform::kStatusOk &&
+      (response.header(platform::kSealHeader) != "seal-" + id || response.body != "ran " + id)) {
+    violate("MIXED", id, request, "got the answer " + response.body);
+  }
+  const bool is_denied = status >= 400 && status < 500 && !request.was_promised;
+  if (is_denied && !request.route.has_value()) {
+    violate("DENIED", id, request, "status " + std::to_string(status));
+  }
+  if (request.route.has_value()) {
+    judge_route(id, request, status);
+  }
+  judge_cut(id, request, response);
+}
+
+void Clients::judge_route(const std::string& id, const Request& request, unsigned status) {
+  const ChangingRoute& route = changes_.routes()[*request.route];
+  const TimePoint now = boot_time_now();
+  const auto limit = bound(processes_.all()[request.router], request.sent, now);
+  if (!limit.has_value()) {
+    return;
+  }
+  const bool must_be_there =
+      route.added.has_value() && !route.removal_sent && request.sent > *route.added + *limit;
+  const bool must_be_gone = route.removed.has_value() && request.sent > *route.removed + *limit;
+  counts_.judged_added += must_be_there ? 1 : 0;
+  counts_.judged_removed += must_be_gone ? 1 : 0;
+  if (must_be_there && status == platform::kStatusNotFound) {
+    violate("CONFIG", id, request,
+            "no such route " + ms(request.sent - *route.added) + " after its acknowledgement");
+  }
+  if (must_be_gone && status == platform::kStatusOk) {
+    violate("CONFIG", id, request,
+            "served " + ms(request.sent - *route.removed) + " after the removal's acknowledgement");
+  }
+}
+
+void Clients::judge_cut(const std::string& id, const Request& request,
+                        const transport::HttpResponse& response) {
+  const Process& router = processes_.all()[request.router];
+  const bool is_same = router.pid == request.router_pid && router.pid > 0;
+  // A connection that was kept may have been closed while the request was on its way.
+  const bool is_cut = !response.is_whole() && response.was_sent && !response.used_before;
+  if (is_cut && is_same && router.terminating && !router.paused) {
+    violate("LOST", id, request, "cut beside a planned stop: " + response.error.message);
+  }
+}
+
+std::optional<Duration> Clients::bound(const Process& router, TimePoint since,
+                                       TimePoint now) const {
+  const Duration span = promises_.contact + (now - since);
+  if (!Processes::was_quiet(router, now, span)) {
+    return std::nullopt;
+  }
+  if (processes_.core_was_quiet(now, span)) {
+    return promises_.change;
+  }
+  const Duration longer = span + promises_.change + promises_.stretch;
+  return processes_.core_had_majority(now, longer)
+             ? std::optional(promises_.change + promises_.stretch)
+             : std::nullopt;
+}
+
+void Clients::on_arrival(const Arrival& arrival) {
+  const auto found = requests_.find(arrival.request);
+  if (found == requests_.end()) {
+    violations_.push_back("UNASKED " + arrival.request + " ran at " + arrival.instance);
+    return;
+  }
+  Request& request = found->second;
+  ++request.runs;
+  if (!request.safe && request.runs > 1) {
+    violate("TWICE", arrival.request, request, "ran " + std::to_string(request.runs) + " times");
+  }
+  const bool was_read_late = arrival.when < stalled_until_ + kAfterStall;
+  if (!arrival.leaving_since.has_value() || was_read_late) {
+    return;
+  }
+  const Process& router = processes_.all()[request.router];
+  const Duration span = promises_.contact + (arrival.when - request.sent);
+  if (!Processes::was_quiet(router, arrival.when, span) ||
+      !processes_.core_was_quiet(arrival.when, span)) {
+    return;
+  }
+  ++counts_.judged_leaving;
+  if (arrival.when > *arrival.leaving_since + promises_.change) {
+    violate("DRAIN", arrival.request, request,
+            "reached " + arrival.instance + " " + ms(arrival.when - *arrival.leaving_since) +
+                " after its leaving was acknowledged");
+  }
+}
+
+void Clients::judge_end() {
+  for (const auto& [id, request] : requests_) {
+    if (!request.safe && request.was_promised && request.runs > 0) {
+      violate("REFUSED", id, request, "was told that it has not run, and ran");
+    }
+  }
+}
+
+void Clients::violate(const std::string& rule, const std::string& id, const Request& request,
+                      const std::string& what) {
+  violations_.push_back(rule + " " + id + " " + request.path + " at " +
+                        processes_.all()[request.router].name + ": " + what);
+}
+
+}  // namespace planktray::soak
--- /dev/null
+++ b/test/platform/soak/main.cpp
@@ -0,0 +1,365 @@
+/// planktray-soak: runs the real programs as separate processes on loopback addresses, hurts them
+/// by signals in overlapping series while clients, targets and an operator go on, and judges what
+/// these see. Exits 1 where a promise was broken. A seed draws the same troubles again; what they
+/// meet in processes that run for real differs from run to run.
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+#include <iostream>
+
+#include "soak/clients.hpp"
+#include "soak/operator.hpp"
+#include "soak/processes.hpp"
+#include "soak/targets.hpp"
+#include "transport/event_loop.hpp"
+
+namespace planktray::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::boot_time_now;
+
+constexpr Duration kTick = milliseconds(10);
+/// A tick this late means that this process was held up, and saw its sockets late.
+constexpr Duration kStall = milliseconds(150);
+constexpr Duration kStartTimeout = milliseconds(20'000);
+/// After the last trouble everything is given this long before it has to hold; then this long more
+/// until every router serves.
+constexpr Duration kCalm = milliseconds(6'000);
+constexpr Duration kRecovery = milliseconds(20'000);
+
+struct SoakOptions {
+  std::string bin = "build/release";
+  std::string data = "run/soak";
+  FleetSize size;
+  std::uint64_t first_seed = 1;
+  std::uint64_t last_seed = 1;
+  int seconds = 30;
+  int requests_per_second = 300;
+  double troubles_per_second = 1.0;
+};
+
+class Soak {
+ public:
+  Soak(const SoakOptions& options, std::uint64_t seed)
+      : options_(options),
+        random_(seed),
+        processes_(std::filesystem::absolute(options.bin),
+                   std::filesystem::absolute(options.data) / std::to_string(seed), options.size,
+                   seed),
+        operator_(control_addresses(), seed + 1),
+        clients_(processes_, operator_, promises_, seed + 2),
+        targets_(processes_.network(), options.size.targets, control_addresses(), seed + 3,
+                 [this](const Arrival& arrival) { clients_.on_arrival(arrival); }) {}
+
+  /// @return the promises that were broken.
+  std::vector<std::string> run() {
+    if (auto started = targets_.start(); !started) {
+      return {"the targets did not start: " + started.error().describe()};
+    }
+    began_ = boot_time_now();
+    last_tick_ = began_;
+    processes_.start_all(began_);
+    loop_.every(kTick, [this] { tick(); });
+    loop_.run();
+    clients_.judge_end();
+    processes_.end_all();
+    std::vector<std::string> all = clients_.violations();
+    all.insert(all.end(), operator_.violations().begin(), operator_.violations().end());
+    all.insert(all.end(), failures_.begin(), failures_.end());
+    return all;
+  }
+
+  void print_counts(std::uint64_t seed) const {
+    const ClientCounts& counts = clients_.counts();
+    std::cout << "seed " << seed << ": sent " << counts.sent << ", served " << counts.served
+              << ", refused " << counts.refused << ", no route " << counts.not_there << ", other "
+              << counts.other << "; judged added " << counts.judged_added << ", removed "
+              << counts.judged_removed << ", leaving " << counts.judged_leaving << "; changes "
+              << operator_.acknowledged() << ", heartbeats " << targets_.heartbeats_acknowledged()
+              << ", leavings " << targets_.leavings_acknowledged() << ", troubles " << troubles_
+              << std::endl;
+  }
+
+ private:
+  enum class Phase { kStarting, kTrouble, kCalm, kRecovering, kDone };
+  struct Restart {
+    std::size_t process;
+    TimePoint when;
+    int signal;  ///< 0: start it again
+  };
+
+  std::vector<std::string> control_addresses() const {
+    std::vector<std::string> addresses;
+    for (const std::size_t i : processes_.of(Role::kController)) {
+      addresses.push_back(processes_.all()[i].address);
+    }
+    return addresses;
+  }
+
+  void tick() {
+    const TimePoint now = boot_time_now();
+    if (now - last_tick_ > kStall) {
+      clients_.on_stall(now);
+    }
+    last_tick_ = now;
+    for (const std::string& ended : processes_.reap(now)) {
+      failures_.push_back("ENDED " + ended);
+    }
+    restart_due(now);
+    targets_.tick(now);
+    operator_.tick(now, phase_ != Phase::kRecovering || routes_to_see_.empty());
+    switch (phase_) {
+      case Phase::kStarting:
+        return await_start(now);
+      case Phase::kTrouble:
+        send(now);
+        return cause_trouble(now);
+      case Phase::kCalm:
+        send(now);
+        if (now >= calm_until_ && restarts_.empty()) {
+          enter(Phase::kRecovering, now);
+        }
+        return;
+      case Phase::kRecovering:
+        send(now);
+        return await_recovery(now);
+      case Phase::kDone:
+        return loop_.quit();
+    }
+  }
+
+  void enter(Phase phase, TimePoint now) {
+    phase_ = phase;
+    entered_ = now;
+  }
+
+  void await_start(TimePoint now) {
+    if (now - began_ > kStartTimeout) {
+      failures_.emplace_back("START not every router served in time");
+      return enter(Phase::kDone, now);
+    }
+    if (operator_.has_first_configuration() && !is_asking_) {
+      ask_all(Operator::kSafePath, [this] {
+        next_trouble_ = boot_time_now();
+        trouble_until_ = next_trouble_ + std::chrono::seconds(options_.seconds);
+        enter(Phase::kTrouble, next_trouble_);
+      });
+    }
+  }
+
+  /// Asks all routers; goes on once every one of them has served.
+  void ask_all(const std::string& path, const std::function<void()>& then) {
+    is_asking_ = true;
+    clients_.ask_all(path, [this, then](std::size_t served) {
+      is_asking_ = false;
+      last_served_ = served;
+      if (served == processes_.of(Role::kRouter).size()) {
+        then();
+      }
+    });
+  }
+
+  void send(TimePoint now) {
+    const double due =
+        std::chrono::duration<double>(now - sent_until_).count() * options_.requests_per_second;
+    sent_until_ = now;
+    requests_due_ = std::min(requests_due_ + due, options_.requests_per_second / 2.0);
+    clients_.send(now, static_cast<int>(requests_due_));
+    requests_due_ -= static_cast<int>(requests_due_);
+  }
+
+  void cause_trouble(TimePoint now) {
+    if (now >= trouble_until_) {
+      calm_until_ = now + kCalm;
+      return enter(Phase::kCalm, now);
+    }
+    if (now < next_trouble_) {
+      return;
+    }
+    const double wait =
+        -std::log(1.0 - common::uniform_real(random_)) / options_.troubles_per_second;
+    next_trouble_ = now + milliseconds(static_cast<int>(wait * 1000));
+    ++troubles_;
+    constexpr std::uint64_t kKinds = 9;
+    switch (common::uniform(random_, 0, kKinds - 1)) {
+      case 0:
+        return kill_for(now, pick(Role::kRouter), 300, 2000);
+      case 1:
+        return kill_for(now, pick(Role::kController), 300, 3000);
+      case 2:
+        return pause_for(now, pick(Role::kRouter), 500, 4000);
+      case 3:
+        return pause_for(now, pick(Role::kController), 200, 3000);
+      case 4:
+        return stop_as_planned(now, pick(Role::kRouter));
+      case 5:
+        return processes_.signal(now, pick(Role::kRouter), SIGHUP);
+      case 6:
+        return kill_all_controllers(now);
+      default:
+        return leave_some(now);
+    }
+  }
+
+  std::size_t pick(Role role) {
+    const auto all = processes_.of(role);
+    return all[common::uniform(random_, 0, all.size() - 1)];
+  }
+  Duration between(std::uint64_t low_ms, std::uint64_t high_ms) {
+    return milliseconds(common::uniform(random_, low_ms, high_ms));
+  }
+  bool is_touched(std::size_t process) const {
+    return processes_.all()[process].pid == 0 ||
+           std::any_of(restarts_.begin(), restarts_.end(),
+                       [&](const Restart& restart) { return restart.process == process; });
+  }
+  void kill_for(TimePoint now, std::size_t process, std::uint64_t low, std::uint64_t high) {
+    if (!is_touched(process)) {
+      processes_.signal(now, process, SIGKILL);
+      restarts_.push_back({process, now + between(low, high), 0});
+    }
+  }
+  void pause_for(TimePoint now, std::size_t process, std::uint64_t low, std::uint64_t high) {
+    if (!is_touched(process)) {
+      processes_.signal(now, process, SIGSTOP);
+      restarts_.push_back({process, now + between(low, high), SIGCONT});
+    }
+  }
+  void stop_as_planned(TimePoint now, std::size_t process) {
+    if (!is_touched(process)) {
+      processes_.signal(now, process, SIGTERM);
+      restarts_.push_back({process, now + promises_.grace, 0});
+    }
+  }
+  void kill_all_controllers(TimePoint now) {
+    for (const std::size_t i : processes_.of(Role::kController)) {
+      kill_for(now, i, 200, 1000);
+    }
+  }
+  void leave_some(TimePoint now) {
+    for (std::uint64_t left = common::uniform(random_, 1, 3); left > 0; --left) {
+      targets_.leave_one(now);
+    }
+  }
+
+  void restart_due(TimePoint now) {
+    for (auto next = restarts_.begin(); next != restarts_.end();) {
+      const Process& process = processes_.all()[next->process];
+      const bool has_stopped = process.terminating && process.pid == 0;
+      if (now < next->when && !has_stopped) {
+        ++next;
+        continue;
+      }
+      if (next->signal != 0) {
+        processes_.signal(now, next->process, next->signal);
+      } else if (process.pid == 0) {
+        processes_.start(now, next->process);
+      } else if (process.terminating) {
+        failures_.push_back("GRACE " + process.name + " still runs after the grace time");
+        processes_.signal(now, next->process, SIGKILL);
+        ++next;
+        continue;
+      } else {
+        ++next;  // killed, and not reaped yet
+        continue;
+      }
+      next = restarts_.erase(next);
+    }
+  }
+
+  void await_recovery(TimePoint now) {
+    if (now - entered_ > kRecovery) {
+      failures_.push_back("RECOVER " + std::to_string(last_served_) + " of " +
+                          std::to_string(processes_.of(Role::kRouter).size()) +
+                          " routers serve after the troubles, changes idle: " +
+                          (operator_.is_idle() ? "yes" : "no"));
+      return enter(Phase::kDone, now);
+    }
+    if (is_asking_) {
+      return;
+    }
+    if (routes_to_see_.empty()) {
+      routes_to_see_ = {Operator::kSafePath, Operator::kUnsafePath};
+    }
+    if (operator_.is_idle()) {
+      ask_all(routes_to_see_.back(), [this] {
+        routes_to_see_.pop_back();
+        if (routes_to_see_.empty()) {
+          enter(Phase::kDone, boot_time_now());
+        }
+      });
+    }
+  }
+
+  SoakOptions options_;
+  Promises promises_;
+  common::RandomEngine random_;
+  transport::EventLoop loop_;
+  Processes processes_;
+  Operator operator_;
+  Clients clients_;
+  Targets targets_;
+  Phase phase_ = Phase::kStarting;
+  TimePoint began_;
+  TimePoint entered_;
+  TimePoint last_tick_;
+  TimePoint sent_until_ = boot_time_now();
+  TimePoint next_trouble_;
+  TimePoint trouble_until_;
+  TimePoint calm_until_;
+  double requests_due_ = 0;
+  bool is_asking_ = false;
+  std::size_t last_served_ = 0;
+  std::uint64_t troubles_ = 0;
+  std::vector<Restart> restarts_;
+  std::vector<std::string> routes_to_see_;
+  std::vector<std::string> failures_;
+};
+
+bool run_seed(const SoakOptions& options, std::uint64_t seed) {
+  Soak soak(options, seed);
+  const std::vector<std::string> violations = soak.run();
+  soak.print_counts(seed);
+  constexpr std::size_t kMostPrinted = 20;
+  for (std::size_t i = 0; i < std::min(violations.size(), kMostPrinted); ++i) {
+    std::cout << "  broken: " << violations[i] << "\n";
+  }
+  if (violations.size() > kMostPrinted) {
+    std::cout << "  and " << violations.size() - kMostPrinted << " more" << std::endl;
+  }
+  return violations.empty();
+}
+
+}  // namespace
+}  // namespace planktray::soak
+
+int main(int argc, char** argv) {
+  using planktray::soak::SoakOptions;
+  CLI::App app("planktray-soak: the real programs under random trouble, judged by their promises");
+  SoakOptions options;
+  app.add_option("--bin", options.bin, "Folder of the programs")->check(CLI::ExistingDirectory);
+  app.add_option("--data", options.data, "Folder for settings, logs and disks, one for each seed");
+  app.add_option("--first-seed", options.first_seed, "First seed");
+  app.add_option("--last-seed", options.last_seed, "Last seed");
+  app.add_option("--seconds", options.seconds, "Time with troubles, for each seed")
+      ->check(CLI::Range(1, 3600));
+  app.add_option("--controllers", options.size.controllers, "Controllers")
+      ->check(CLI::Range(1, 25));
+  app.add_option("--routers", options.size.routers, "Routers")->check(CLI::Range(1, 400));
+  app.add_option("--targets", options.size.targets, "Targets")->check(CLI::Range(2, 1000));
+  app.add_option("--requests", options.requests_per_second, "Requests a second")
+      ->check(CLI::Range(1, 100'000));
+  app.add_option("--troubles", options.troubles_per_second, "Troubles a second, on average")
+      ->check(CLI::Range(0.0, 100.0));
+  CLI11_PARSE(app, argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::uint64_t broken = 0;
+  std::uint64_t runs = 0;
+  for (std::uint64_t seed = options.first_seed; seed <= options.last_seed; ++seed, ++runs) {
+    broken += planktray::soak::run_seed(options, seed) ? 0 : 1;
+  }
+  std::cout << runs - broken << " passed, " << broken << " failed" << std::endl;
+  return broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/platform/soak/targets.hpp
@@ -0,0 +1,78 @@
+#pragma once
+/// The targets of the soak: HTTP servers in this process that register themselves, leave and come
+/// back as another incarnation at the same address, and remember which requests they ran.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/random.hpp"
+#include "common/time.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+
+namespace planktray::soak {
+
+using common::Duration;
+using common::TimePoint;
+
+/// A request that a target ran.
+struct Arrival {
+  std::string request;
+  std::string service;
+  std::string instance;
+  TimePoint when;
+  std::optional<TimePoint> leaving_since;  ///< its leaving was acknowledged then
+};
+
+class Targets {
+ public:
+  using OnArrival = std::function<void(const Arrival&)>;
+
+  Targets(const std::string& network, int count, std::vector<std::string> controllers,
+          std::uint64_t seed, OnArrival on_arrival);
+  common::Result<void> start();
+  /// Sends the heartbeats that are due, and moves on those that leave.
+  void tick(TimePoint now);
+  /// One of those that serve says that it leaves.
+  void leave_one(TimePoint now);
+  std::uint64_t heartbeats_acknowledged() const { return acknowledged_; }
+  std::uint64_t leavings_acknowledged() const { return leavings_; }
+  static std::vector<std::string> services() { return {"first", "second"}; }
+
+ private:
+  struct Target {
+    std::string address;
+    std::string service;
+    std::string instance;
+    int life = 0;
+    std::uint64_t sequence = 0;
+    bool draining = false;
+    bool awaits_answer = false;
+    std::optional<TimePoint> leaving_since;
+    std::optional<TimePoint> gone_until;  ///< it has ended; its next life starts then
+    TimePoint next_heartbeat;
+    std::string next_controller;
+    std::unique_ptr<transport::HttpServer> server;
+  };
+
+  void handle(Target& target, const transport::ExchangePointer& exchange);
+  void send_heartbeat(TimePoint now, Target& target);
+  void on_answer(Target& target, int life, bool said_draining,
+                 const transport::HttpResponse& response);
+  void say_goodbye(TimePoint now, Target& target);
+  const std::string& any_controller();
+
+  std::vector<std::string> controllers_;
+  common::RandomEngine random_;
+  OnArrival on_arrival_;
+  transport::HttpClient client_;
+  std::vector<std::unique_ptr<Target>> targets_;
+  std::uint64_t acknowledged_ = 0;
+  std::uint64_t leavings_ = 0;
+};
+
+}  // namespace planktray::soak
