--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -135,6 +135,7 @@
   std::uint64_t hellos = 0;              ///< of routers, while leading
   std::uint64_t tables_as_follower = 0;  ///< brought to routers that asked a follower
   std::uint64_t heartbeats = 0;          ///< of back ends, that came here
+  std::uint64_t news_relayed = 0;        ///< of those and of goodbyes: passed on to the leader
   std::uint64_t range_plans = 0;         ///< proposed
 };
 
--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -136,6 +136,7 @@
   // close a connection for each: 1,000 a second beside a release, a third of a full leader's time.
   relayed_[request] = {news.incarnation, news.draining, news.departed, now + kNewsTimeout};
   news_.push_back(std::move(news));
+  ++counters_.news_relayed;
   next_report_ = std::min(next_report_, now + kNewsDelay);
   step(now);
 }
--- a/src/controller/operator_views.cpp
+++ b/src/controller/operator_views.cpp
@@ -172,6 +172,12 @@
   metrics_.set_counter("planktray_shards_assigned_total", "Shards given to an owner.",
                        counters.shards_assigned);
   metrics_.set_counter("planktray_moves_begun_total", "Planned moves begun.", counters.moves_begun);
+  metrics_.set_counter("planktray_tables_as_follower_total",
+                       "Tables brought to routers that did not hear the leader in time.",
+                       counters.tables_as_follower);
+  metrics_.set_counter("planktray_news_relayed_total",
+                       "Heartbeats and goodbyes with news passed on to the leader.",
+                       counters.news_relayed);
   metrics_.set_counter("planktray_snapshots_taken_total", "Snapshots taken.",
                        counters.snapshots_taken);
   metrics_.set_gauge("planktray_is_leader", "1 where this replica leads.",
--- a/src/controller/promises.cpp
+++ b/src/controller/promises.cpp
@@ -18,13 +18,6 @@
 
 }  // namespace
 
-Duration PromisedTimes::shortest_change() const {
-  if (in_force.count() == 0 || leaving.count() == 0) {
-    return std::max(in_force, leaving);
-  }
-  return std::min(in_force, leaving);
-}
-
 Duration longest_hello_interval(Duration promised, Duration shortest_election,
                                 const routing::LeaderSearchOptions& search) {
   // A new leader acknowledges nothing before its election, which the old one's last word precedes.
--- a/src/controller/promises.hpp
+++ b/src/controller/promises.hpp
@@ -7,20 +7,13 @@
 #include <string>
 #include <vector>
 
+#include "common/promised_times.hpp"
 #include "controller/core/controller_core.hpp"
 #include "routing/leader_search.hpp"
 
 namespace planktray::controller {
 
-/// Promised times; 0: nothing is promised.
-struct PromisedTimes {
-  Duration in_force{0};      ///< an acknowledged configuration holds at every router
-  Duration leaving{0};       ///< a back end whose leaving is acknowledged gets nothing more
-  Duration longest_hold{0};  ///< no grant may hold longer
-
-  /// The shorter time for a change to reach all routers; 0: none is promised.
-  Duration shortest_change() const;
-};
+using common::PromisedTimes;
 
 struct Promise {
   std::string name;
--- a/test/consensus/raft_test.cpp
+++ b/test/consensus/raft_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace planktray::consensus {
 namespace {
 
@@ -12,17 +14,18 @@
 /// Three replicas whose messages and syncs are carried by hand.
 struct Cell {
   std::vector<RaftNode> nodes;
-  std::vector<std::vector<Entry>> committed{kReplicas};
+  std::vector<std::vector<Entry>> committed;
   std::set<std::size_t> cut;
+  std::vector<int> side;  ///< replicas of different sides do not hear each other
   bool syncs = true;
 
-  Cell() {
+  explicit Cell(std::size_t replicas = kReplicas) : committed(replicas), side(replicas, 0) {
     Membership membership;
-    for (std::size_t i = 0; i < kReplicas; ++i) {
+    for (std::size_t i = 0; i < replicas; ++i) {
       membership.members.push_back(
           {common::ReplicaId(i + 1), "n" + std::to_string(i + 1), "", "", true});
     }
-    for (std::size_t i = 0; i < kReplicas; ++i) {
+    for (std::size_t i = 0; i < replicas; ++i) {
       nodes.emplace_back(RaftOptions(), common::ReplicaId(i + 1), DurableState(),
                          common::RandomEngine(i + 1), at(0));
       nodes.back().bootstrap(at(0), membership, "");
@@ -32,7 +35,7 @@
   void pump(TimePoint now) {
     for (bool moved = true; moved;) {
       moved = false;
-      for (std::size_t i = 0; i < kReplicas; ++i) {
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
         RaftOutput output = nodes[i].take_output();
         for (Entry& entry : output.committed) {
           committed[i].push_back(std::move(entry));
@@ -43,7 +46,7 @@
         }
         for (const RaftMessage& message : output.messages) {
           const std::size_t to = message.to.value - 1;
-          if (!cut.contains(i) && !cut.contains(to)) {
+          if (!cut.contains(i) && !cut.contains(to) && side[i] == side[to]) {
             moved = true;
             nodes[to].receive(now, message);
           }
@@ -62,7 +65,7 @@
   }
 
   std::optional<std::size_t> leader(std::int64_t time) const {
-    for (std::size_t i = 0; i < kReplicas; ++i) {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
       if (!cut.contains(i) && nodes[i].has_leader_lease(at(time))) {
         return i;
       }
@@ -99,6 +102,73 @@
   }
 }
 
+/// Cuts five replicas in two at random moments, a leader with one follower now and then, while
+/// entries are proposed and every lease holder acknowledges what it has committed.
+/// @return how often a follower said that it was up to date as of a moment at which something had
+///   been acknowledged that it lacks.
+std::size_t false_confirmations(std::uint64_t seed, std::size_t& confirmations) {
+  constexpr std::size_t kFive = 5;
+  constexpr std::int64_t kStep = 10;
+  constexpr std::int64_t kEnd = 12'000;
+  Cell cell(kFive);
+  common::RandomEngine random(seed);
+  std::vector<std::pair<std::int64_t, LogIndex>> acknowledged;  // by time, growing
+  std::size_t wrong = 0;
+  for (std::int64_t time = 0; time < kEnd; time += kStep) {
+    if (common::chance(random, 0.01)) {
+      for (int& side : cell.side) {
+        side = common::chance(random, 0.4) ? 1 : 0;
+      }
+    } else if (common::chance(random, 0.01)) {
+      std::fill(cell.side.begin(), cell.side.end(), 0);
+    }
+    for (RaftNode& node : cell.nodes) {
+      if (node.has_leader_lease(at(time)) && common::chance(random, 0.3)) {
+        (void)node.propose(at(time), "x");
+      }
+    }
+    cell.run(time, time);
+    for (const RaftNode& node : cell.nodes) {
+      if (node.has_leader_lease(at(time))) {
+        acknowledged.emplace_back(time, node.commit_index());
+      }
+    }
+    for (const RaftNode& node : cell.nodes) {
+      const auto as_of = node.current_as_of();
+      if (!as_of.has_value()) {
+        continue;
+      }
+      ++confirmations;
+      wrong += static_cast<std::size_t>(
+          std::any_of(acknowledged.begin(), acknowledged.end(), [&](const auto& known) {
+            return at(known.first) < *as_of && known.second > node.commit_index();
+          }));
+    }
+  }
+  return wrong;
+}
+
+TEST_CASE("a follower knows as of when it lacks nothing that was acknowledged") {
+  std::size_t confirmations = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    CHECK(false_confirmations(seed, confirmations) == 0);
+  }
+  CHECK(confirmations > 10'000);
+}
+
+TEST_CASE("a follower in touch is up to date as of a heartbeat ago, one that is cut off is not") {
+  Cell cell;
+  cell.run(0, 1000);
+  const std::size_t leader = *cell.leader(1000);
+  const std::size_t follower = (leader + 1) % kReplicas;
+  REQUIRE(cell.nodes[follower].current_as_of().has_value());
+  CHECK(at(1000) - *cell.nodes[follower].current_as_of() <= std::chrono::milliseconds(100));
+  cell.cut.insert(follower);
+  cell.run(1010, 2000);
+  CHECK(*cell.nodes[follower].current_as_of() <= at(1000));
+}
+
 TEST_CASE("a leader that is cut off stops answering before another can lead") {
   Cell cell;
   cell.run(0, 1000);
--- a/test/controller/table_distributor_test.cpp
+++ b/test/controller/table_distributor_test.cpp
@@ -97,6 +97,36 @@
       fixture.distributor.answer(at(2), fixture.state, common::RouterName("no one")).has_value());
 }
 
+TEST_CASE("an update shows the table as of its sending, in the router's clock") {
+  Fixture fixture;
+  fixture.hello(1000, 1, 5);
+  const auto answer = fixture.distributor.answer(at(1300), fixture.state, common::RouterName("r1"));
+  REQUIRE(answer.has_value());
+  CHECK(answer->update.echo_clock_us == 1'000'000);
+  CHECK(answer->update.as_of_clock_us == 1'300'000);
+}
+
+TEST_CASE("a follower brings what it has as of the moment that it knows, and no snapshot") {
+  Fixture fixture;
+  routing::RouterHello hello;
+  hello.router = common::RouterName("r1");
+  hello.clock_us = 7'000'000;
+  hello.table_index = common::LogIndex(5);
+  const auto brought = [&] {
+    return fixture.distributor.answer_as_follower(at(1300), at(1100), fixture.state,
+                                                  common::Term(1), hello);
+  };
+  const auto answer = brought();
+  REQUIRE(answer.has_value());
+  CHECK(answer->update.by_follower);
+  CHECK(answer->update.as_of_clock_us == 6'800'000);
+  CHECK(answer->update.echo_clock_us == 0);  // no lease is extended
+  hello.table_index = common::LogIndex(0);
+  CHECK_FALSE(brought().has_value());
+  hello.table_index = common::LogIndex(6);  // newer than what this follower has
+  CHECK_FALSE(brought().has_value());
+}
+
 TEST_CASE("the more routers there are, the less often each is asked to say hello") {
   Fixture fixture;
   constexpr int kRouters = 100;
--- a/test/platform/soak/clients.cpp
+++ b/test/platform/soak/clients.cpp
@@ -1,5 +1,6 @@
 #include "soak/clients.hpp"
 
+#include <algorithm>
 #include <memory>
 
 #include "platform/names.hpp"
@@ -13,6 +14,10 @@
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(4000);
 /// Arrivals read this soon after a stall of this process may have come earlier.
 constexpr Duration kAfterStall = std::chrono::milliseconds(200);
+/// Connections to all routers together, and to each.
+constexpr std::size_t kMostConnections = 4000;
+constexpr std::size_t kFewestConnections = 4;
+constexpr std::size_t kMostAtOne = 64;
 constexpr double kUnsafeShare = 0.2;
 constexpr double kChangingShare = 0.5;
 
@@ -34,7 +39,9 @@
       changes_(changes),
       promises_(promises),
       random_(seed),
-      client_({.connections_per_server = 64}) {}
+      client_({.connections_per_server =
+                   std::clamp<std::size_t>(kMostConnections / processes.of(Role::kRouter).size(),
+                                           kFewestConnections, kMostAtOne)}) {}
 
 void Clients::send(TimePoint now, int count) {
   const auto routers = processes_.of(Role::kRouter);
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -182,7 +182,7 @@
         -std::log(1.0 - common::uniform_real(random_)) / options_.troubles_per_second;
     next_trouble_ = now + milliseconds(static_cast<int>(wait * 1000));
     ++troubles_;
-    constexpr std::uint64_t kKinds = 9;
+    constexpr std::uint64_t kKinds = 10;
     switch (common::uniform(random_, 0, kKinds - 1)) {
       case 0:
         return kill_for(now, pick(Role::kRouter), 300, 2000);
--- a/test/platform/soak/targets.cpp
+++ b/test/platform/soak/targets.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kServesOn = std::chrono::milliseconds(4000);
 constexpr Duration kGone = std::chrono::milliseconds(2000);
+/// All targets share the descriptors of one process, and every router may keep a connection to
+/// each.
+constexpr Duration kIdleTimeout = std::chrono::milliseconds(1000);
 constexpr int kPort = 7003;
 constexpr int kSubnet = 40;
 constexpr int kPerSubnet = 200;
@@ -46,9 +49,11 @@
 }
 
 common::Result<void> Targets::start() {
+  transport::HttpServerOptions options = transport::options_with_body_limit(1024);
+  options.idle_timeout = kIdleTimeout;
   for (auto& target : targets_) {
     auto server = transport::HttpServer::listen(
-        target->address, transport::options_with_body_limit(1024),
+        target->address, options,
         [this, raw = target.get()](const transport::ExchangePointer& exchange) {
           handle(*raw, exchange);
         });
