A reader of standard output that stops or ends no longer holds a process up

Cause, suspected for leaders that lose their lead on machines of their own and shown by test: a line was written to standard output and waited for its reader; once the pipe was full the main loop stood still, elections and all. Now a line for which the pipe has no room is left out, counted and told later (log_lines_lost), and a reader that is gone raises no signal. Ruled out: a queue with a thread of its own (a second thread in each process, for one poll a line here); a non-blocking descriptor (it is shared with whoever started the process). A controller whose log reader stands still for 6 s answers its health page. That this is what happened in the users' runs is not shown.

--- a/src/transport/logging.cpp
+++ b/src/transport/logging.cpp
@@ -1,13 +1,18 @@
 #include "transport/logging.hpp"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
+#include <csignal>
 #include <memory>
 
+#include "transport/line_output.hpp"
+
 namespace planktray::transport {
 namespace {
 
@@ -39,12 +44,28 @@
   return text;
 }
 
+/// Standard output that never holds the process up.
+class OutputAppender : public log4cplus::Appender {
+ public:
+  ~OutputAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    (void)output_.write(formatEvent(event));  // what it leaves out it tells later
+  }
+
+ private:
+  LineOutput output_{STDOUT_FILENO};
+};
+
 }  // namespace
 
 void start_logging(const std::string& program, const std::string& instance) {
   static const log4cplus::Initializer kInitializer;
+  std::signal(SIGPIPE, SIG_IGN);  // a reader that is gone must not end the process
   common_fields() = " program=" + program + " instance=" + instance;
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+  log4cplus::SharedAppenderPtr appender(new OutputAppender());
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       LOG4CPLUS_TEXT("time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n")));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
