Stops answer what has come; controllers up to sixteen belong to the cell; sight of late timers and disks

Cause: a router that stops accepting closed what waited to be accepted, and closed connections whose request had arrived but was not read. Now both are served, and new connections stay open 150 ms longer. The test fails on the code before (nothing delivered). Sixteen may join now. Second part, leaders that fall: not traced; leader_load tells now how late timers were and how long the disk took.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -429,6 +429,8 @@
   const LoadTotals before = std::exchange(logged_, totals);
   const ActivityMeter::Times times = meter_.take();
   const common::Duration turn = loop_.take_longest_turn();
+  const common::Duration late = alarm_.take_latest_call();
+  const common::Duration persisted = worker_->take_longest_persist();
   if (!core_->raft().is_leader()) {
     return;
   }
@@ -448,6 +450,8 @@
             {{"processor_ms", ms(totals.processor - before.processor)},
              {"loop_ms", spent},
              {"longest_turn_ms", ms(turn)},
+             {"latest_call_ms", ms(late)},
+             {"longest_persist_ms", ms(persisted)},
              {"entries", grown(totals.core.entries_applied, before.core.entries_applied)},
              {"plans", grown(totals.core.range_plans, before.core.range_plans)},
              {"hellos", grown(totals.core.hellos, before.core.hellos)},
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -52,7 +52,9 @@
   /// stand by. Off: only names that an operator has allowed join, and all of them vote.
   bool admits_anyone = false;
   std::size_t wanted_voters = 3;
-  std::size_t maximum_members = 9;
+  /// A controller that is left out answers nobody: it knows neither state nor leader. Each one more
+  /// costs the leader its share of the log: some 1 to 2% of a leader with nine others.
+  std::size_t maximum_members = 16;
   /// With admits_anyone, a voter that was silent for this long gives its place to a standby.
   Duration abandon_after = std::chrono::milliseconds(2500);
   /// A member counts as present where it was heard this recently: three heartbeats, and less than
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -14,6 +14,9 @@
 
 /// A router that stops looks this often whether it has finished.
 constexpr common::Duration kDrainPoll = std::chrono::milliseconds(20);
+/// After it has stopped accepting, a router leaves new connections open for this long: their first
+/// requests are on the way. Some ten times the way of a caller, who is a few milliseconds off.
+constexpr common::Duration kLastRequests = std::chrono::milliseconds(150);
 
 /// An update that took longer from its sender to its use is worth a line: some ten times a round
 /// trip between controllers and routers, and a fifth of the shortest promised time.
@@ -197,8 +200,11 @@
     accepting_ = false;
     core_.begin_drain();
     server_->stop_listening();
-    server_->close_idle();
   }
+  if (now < accept_until_ + kLastRequests) {
+    return;
+  }
+  server_->close_idle();
   const bool finished = callers_.empty() && server_->unfinished() == 0;
   if (finished || now >= drain_until_) {
     loop_.quit();
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -135,6 +135,7 @@
 gboolean Alarm::on_time(gpointer self) {
   auto* alarm = static_cast<Alarm*>(self);
   alarm->source_ = 0;
+  alarm->latest_call_ = std::max(alarm->latest_call_, boot_time_now() - alarm->when_);
   alarm->callback_();
   return G_SOURCE_REMOVE;
 }
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -62,6 +62,9 @@
   Alarm& operator=(const Alarm&) = delete;
   ~Alarm() { cancel(); }
 
+  /// The longest that a call came after its time since the last question: how long this process
+  /// waited for a processor, or for its own turns.
+  common::Duration take_latest_call() { return std::exchange(latest_call_, common::Duration(0)); }
   /// Calls back once at `when`, in place of an earlier time.
   void set(common::TimePoint when);
   void cancel();
@@ -72,6 +75,7 @@
   std::function<void()> callback_;
   guint source_ = 0;
   common::TimePoint when_;
+  common::Duration latest_call_{0};
 };
 
 }  // namespace planktray::transport
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -106,8 +106,10 @@
   }
 
   bool is_busy() const { return !exchange_.expired() || writing_ || reader_.has_begun(); }
+  /// A request that has come and was not read yet is work, too: closing over it would reset it.
+  bool has_work() const { return is_busy() || stream_->has_unread(); }
   void close_if_idle() {
-    if (!is_busy()) {
+    if (!has_work()) {
       shut();
     }
   }
@@ -317,6 +319,9 @@
     g_source_remove(std::exchange(accept_source_, 0));
   }
   if (listener_ != nullptr) {
+    // What waits to be accepted has been connected for its client, who may have sent its request.
+    for (int i = 0; i < kBacklog && accept_one(); ++i) {
+    }
     g_socket_close(listener_, nullptr);
     g_clear_object(&listener_);
   }
@@ -368,7 +373,7 @@
 std::size_t HttpServer::unfinished() const {
   std::size_t count = 0;
   for (const auto& [id, connection] : connections_) {
-    count += connection->is_busy() ? 1 : 0;
+    count += connection->has_work() ? 1 : 0;
   }
   return count;
 }
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -96,14 +96,14 @@
   const HttpServerOptions& options() const { return options_; }
   /// From now on every answer announces the end of its connection.
   void announce_close() { closing_ = true; }
-  /// Accepts no further connections.
+  /// Accepts no further connections, but those that wait for it.
   void stop_listening();
-  /// Closes connections that carry no request and have no answer under way.
+  /// Closes connections that carry no request, read or not, and have no answer under way.
   void close_idle();
   /// Requests refused before a handler saw them: malformed, too long, too slow.
   std::uint64_t refused() const { return refused_; }
-  /// Requests begun or read whose answer is not written to its last byte; a process that ends
-  /// before it is 0 cuts them.
+  /// Requests that have come, read or not, whose answer is not written to its last byte; a process
+  /// that ends before it is 0 cuts them.
   std::size_t unfinished() const;
   std::size_t connections() const { return connections_.size(); }
   /// Connections accepted so far.
--- a/src/transport/storage_worker.cpp
+++ b/src/transport/storage_worker.cpp
@@ -1,5 +1,6 @@
 #include "transport/storage_worker.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "transport/event_loop.hpp"
@@ -46,12 +47,20 @@
     }
     const std::vector<consensus::PersistRequest> batch = std::exchange(waiting_, {});
     lock.unlock();
+    const common::TimePoint began = boot_time_now();
     const auto result = persist(batch);
+    const common::Duration took = boot_time_now() - began;
     EventLoop::post([callback = callback_, result] { callback(result); });
     lock.lock();
+    longest_persist_ = std::max(longest_persist_, took);
   }
 }
 
+common::Duration StorageWorker::take_longest_persist() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(longest_persist_, common::Duration(0));
+}
+
 common::Result<std::uint64_t> StorageWorker::persist(
     const std::vector<consensus::PersistRequest>& batch) {
   for (bool is_first = true;; is_first = false) {
--- a/src/transport/storage_worker.hpp
+++ b/src/transport/storage_worker.hpp
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include "common/time.hpp"
 #include "consensus/messages.hpp"
 #include "storage/log_store.hpp"
 
@@ -30,6 +31,8 @@
   ~StorageWorker();
 
   void submit(std::vector<consensus::PersistRequest> requests);
+  /// The longest time that the disk took for a batch since the last call.
+  common::Duration take_longest_persist();
 
  private:
   void work();
@@ -44,6 +47,7 @@
   std::condition_variable wake_;
   std::vector<consensus::PersistRequest> waiting_;
   bool stopping_ = false;
+  common::Duration longest_persist_{0};  ///< guarded by the mutex
   std::thread thread_;
 };
 
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -99,6 +99,10 @@
   watch();
 }
 
+bool TcpStream::has_unread() const {
+  return socket_ != nullptr && g_socket_get_available_bytes(socket_) > 0;
+}
+
 void TcpStream::watch() {
   if (watch_ != nullptr) {
     watch_->want(connected_, !connected_ || !backlog_.empty());
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -63,6 +63,8 @@
   bool is_connected() const { return connected_; }
   /// True once the system has taken a byte of what was written.
   bool has_sent() const { return sent_; }
+  /// True where bytes have come that were not handed out yet.
+  bool has_unread() const;
   /// True while written bytes wait for the system to take them.
   bool is_writing() const { return !backlog_.empty(); }
 
--- a/test/transport/http_server_test.cpp
+++ b/test/transport/http_server_test.cpp
@@ -1,7 +1,10 @@
 #include "transport/http_server.hpp"
 
 #include <doctest/doctest.h>
+#include <gio/gio.h>
 
+#include <array>
+#include <cstring>
 #include <string>
 #include <vector>
 
@@ -172,6 +175,40 @@
   CHECK(client.ended());
 }
 
+TEST_CASE("a request that has come but was not read is answered by a server that stops") {
+  HeldServer held;
+  const RawClient connected("");
+  run_for(kShortly);
+  // Both are with the server's system, and its loop has seen neither.
+  const auto send_all = [](const Endpoint& to, const char* bytes) {
+    GSocket* socket =
+        g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr);
+    GSocketAddress* at = g_inet_socket_address_new_from_string(to.host.c_str(), to.port);
+    REQUIRE(g_socket_connect(socket, at, nullptr, nullptr) != FALSE);
+    g_object_unref(at);
+    g_socket_send(socket, bytes, std::strlen(bytes), nullptr, nullptr);
+    return socket;
+  };
+  const auto endpoint = parse_endpoint(kAddress);
+  REQUIRE(endpoint.has_value());
+  GSocket* late = send_all(*endpoint, "GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+  held.server->announce_close();
+  held.server->stop_listening();
+  held.server->close_idle();
+  CHECK(held.server->unfinished() == 1);
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 1);
+  CHECK(held.exchanges[0]->path() == "/late");
+  CHECK(connected.ended());
+  held.exchanges[0]->respond_text(200, "text/plain", "last");
+  run_for(kShortly);
+  std::array<char, 512> got{};
+  const gssize length = g_socket_receive(late, got.data(), got.size(), nullptr, nullptr);
+  g_object_unref(late);
+  REQUIRE(length > 0);
+  CHECK(std::string_view(got.data(), static_cast<std::size_t>(length)).ends_with("last"));
+}
+
 TEST_CASE("idle connections are closed on demand, busy ones are not") {
   HeldServer held;
   const RawClient idle("");
