A leader keeps its lead while its followers' disks take long

Cause of leaders that fall one after the other on one machine with hundreds of processes: a follower with entries to sync answered the leader's heartbeat after the sync only, and syncs took 0.25, 0.4 and 1.2 s there (longest_persist_ms), so the leader stepped down after 0.5 s and the operator found no leader. Now a follower says at once that it heard the leader; what it holds it says after the sync, as before. Safety: a lease counts voters that refuse votes for a while after hearing a leader and after their own start, neither of which is on disk; a voter that forgets the term in a crash cannot make an old leader's majority, since that would hold one that voted for the new one and synced it.

--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -4,7 +4,9 @@
 /// A plain state machine: messages and the time come in, effects come out through take_output().
 ///
 /// Invariants:
-///  - A vote or an appended entry is answered only after persisted() has covered it.
+///  - A vote or an appended entry is answered only after persisted() has covered it. That a leader
+///  was
+///    heard is answered at once: a voter that forgets it in a crash refuses votes after its start.
 ///  - A voter refuses (pre-)votes for one minimum election timeout after it last heard a leader and
 ///    after its own start, so a leader lease shorter than that by the drift margin is safe.
 ///  - An identity belongs to one data folder. A replaced disk has another identity.
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -93,8 +93,16 @@
       request.entries.empty() ? request.previous_index : request.entries.back().index;
   commit_up_to(std::min(request.commit, match));
   note_current(now, request);
-  send_after_sync(message.from,
-                  AppendReply{true, match, request.round, common::to_microseconds(now)});
+  const AppendReply reply{true, match, request.round, common::to_microseconds(now)};
+  if (synced_sequence_ < sequence_) {
+    // That the leader was heard does not hang on the disk, only what is held does. With one reply
+    // for both, syncs of 0.25 to 1.2 s (250 processes on one machine) cost a leader its lead each
+    // time.
+    AppendReply heard = reply;
+    heard.match = LogIndex();
+    send(message.from, heard);
+  }
+  send_after_sync(message.from, reply);
 }
 
 void RaftNode::note_current(TimePoint now, const AppendRequest& request) {
--- a/test/consensus/raft_test.cpp
+++ b/test/consensus/raft_test.cpp
@@ -102,6 +102,34 @@
   }
 }
 
+/// Seen with 250 processes on one machine: leaders lost their lead every few seconds, and operators
+/// found none. Syncs took 0.25 to 1.2 s there; a follower that had entries to sync answered no
+/// heartbeat until then, so the leader took it for lost. Proved by the disk's times in the leaders'
+/// logs, beside timers that were hardly late.
+TEST_CASE("a leader keeps its lead while its followers' disks take long, and commits nothing") {
+  Cell cell;
+  cell.run(0, 1000);
+  const std::size_t leader = *cell.leader(1000);
+  const Term term = cell.nodes[leader].term();
+  cell.syncs = false;
+  REQUIRE(cell.nodes[leader].propose(at(1000), "x").has_value());
+  for (std::int64_t time = 1000; time < 3000; time += 10) {
+    cell.run(time, time);
+    CHECK(cell.nodes[leader].has_leader_lease(at(time)));
+  }
+  CHECK(cell.nodes[leader].term() == term);
+  for (const auto& committed : cell.committed) {
+    CHECK(std::none_of(committed.begin(), committed.end(),
+                       [](const Entry& entry) { return entry.payload == "x"; }));
+  }
+  cell.syncs = true;
+  REQUIRE(cell.nodes[leader].propose(at(3000), "y").has_value());
+  cell.run(3000, 3200);
+  for (const auto& committed : cell.committed) {
+    CHECK(committed.back().payload == "y");
+  }
+}
+
 /// Cuts five replicas in two at random moments, a leader with one follower now and then, while
 /// entries are proposed and every lease holder acknowledges what it has committed.
 /// @return how often a follower said that it was up to date as of a moment at which something had
