--- a/test/platform/soak/clients.cpp
+++ b/test/platform/soak/clients.cpp
@@ -62,7 +62,7 @@
   }
 }
 
-void Clients::ask_all(const std::string& path, std::function<void(std::size_t)> done) {
+void Clients::ask_all(const std::string& path, const std::function<void(std::size_t)>& done) {
   const auto routers = processes_.of(Role::kRouter);
   struct Count {
     std::size_t left;
@@ -80,7 +80,8 @@
 }
 
 void Clients::send_one(TimePoint now, std::size_t router, const std::string& path, bool safe,
-                       std::optional<std::size_t> route, std::function<void(unsigned)> done) {
+                       std::optional<std::size_t> route,
+                       const std::function<void(unsigned)>& done) {
   const Process& process = processes_.all()[router];
   const std::string id = "q" + std::to_string(next_++);
   Request record;
--- a/test/platform/soak/clients.hpp
+++ b/test/platform/soak/clients.hpp
@@ -36,7 +36,7 @@
   /// Sends `count` requests to routers at random.
   void send(TimePoint now, int count);
   /// Asks every router for one path. @param done gets the number that served it.
-  void ask_all(const std::string& path, std::function<void(std::size_t served)> done);
+  void ask_all(const std::string& path, const std::function<void(std::size_t served)>& done);
   void on_arrival(const Arrival& arrival);
   /// This process did not look at its sockets between `from` and `to`: arrivals then count as they
   /// were read, which may be late.
@@ -60,7 +60,7 @@
   };
 
   void send_one(TimePoint now, std::size_t router, const std::string& path, bool safe,
-                std::optional<std::size_t> route, std::function<void(unsigned)> done);
+                std::optional<std::size_t> route, const std::function<void(unsigned)>& done);
   void on_answer(const std::string& id, const transport::HttpResponse& response);
   void judge_route(const std::string& id, const Request& request, unsigned status);
   void judge_cut(const std::string& id, const Request& request,
