All four kinds of routes are read: a kind says what may be repeated and which bodies are large

Ruled out: a fifth field beside `repeatable` in the codec only (sizes of bodies are needed where a router decides).

--- a/src/config/route_configuration.hpp
+++ b/src/config/route_configuration.hpp
@@ -24,11 +24,19 @@
   MSGPACK_DEFINE_ARRAY(service, weight)
 };
 
+/// What operators declare of the requests of a route.
+struct RequestKind {
+  bool repeatable = false;     ///< its requests may run more than once
+  bool large_request = false;  ///< bodies of requests may take a router's link for long
+  bool large_answer = false;   ///< bodies of answers may take a router's link for long
+  auto operator<=>(const RequestKind&) const = default;
+};
+
 struct Route {
   std::string name;
   std::string host;
-  std::string path_prefix;         ///< begins and ends with a slash
-  bool repeatable = false;         ///< its requests may run more than once
+  std::string path_prefix;  ///< begins and ends with a slash
+  RequestKind kind;
   std::uint32_t timeout_ms = 0;    ///< the longest a request may be held; 0: no bound
   std::uint32_t objective_ms = 0;  ///< within it an answer earns its full worth; 0: none stated
   std::uint32_t priority = 0;      ///< 0 is the highest
@@ -36,8 +44,9 @@
   std::vector<RoutePart> parts;
   std::string document;  ///< the declaration as the operator wrote it
   bool operator==(const Route&) const = default;
-  MSGPACK_DEFINE_ARRAY(name, host, path_prefix, repeatable, timeout_ms, objective_ms, priority,
-                       maximum_attempts, parts, document)
+  /// The sizes come last: logs and snapshots without them are read as those of small bodies.
+  MSGPACK_DEFINE_ARRAY(name, host, path_prefix, kind.repeatable, timeout_ms, objective_ms, priority,
+                       maximum_attempts, parts, document, kind.large_request, kind.large_answer)
 };
 
 /// A service whose back ends register themselves.
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -126,7 +126,7 @@
   request.service = service->route.id;
   request.keyed = service->route.config.keyed;
   request.key = caller.route->key.value_or(0);
-  request.repeatable = route->repeatable;
+  request.repeatable = route->kind.repeatable;
   request.maximum_attempts = route->maximum_attempts;
   const std::uint32_t stated = caller.timeout_ms > 0 ? caller.timeout_ms : config::kMaxTimeoutMs;
   const std::uint32_t allowed = route->timeout_ms > 0 ? route->timeout_ms : stated;
--- a/src/sim/route_world.cpp
+++ b/src/sim/route_world.cpp
@@ -169,7 +169,7 @@
       route.name = kNames[service];
       route.host = kNames[service];
       route.path_prefix = "/";
-      route.repeatable = service != kSmall;
+      route.kind.repeatable = service != kSmall;
       route.timeout_ms = 1200;
       route.objective_ms = 500;
       route.maximum_attempts = 2;
--- a/test/controller/late_leader_test.cpp
+++ b/test/controller/late_leader_test.cpp
@@ -41,7 +41,7 @@
   route.host = "example";
   route.path_prefix = path;
   route.timeout_ms = 1000;
-  route.repeatable = true;
+  route.kind.repeatable = true;
   route.parts.push_back({common::ServiceName(to), 1.0});
   return route;
 }
--- a/test/platform/configuration_codec_test.cpp
+++ b/test/platform/configuration_codec_test.cpp
@@ -46,7 +46,7 @@
   const config::Route& route = change->routes[0];
   CHECK(route.host == "h.example");
   CHECK(route.path_prefix == "/a/");
-  CHECK(route.repeatable);
+  CHECK(route.kind.repeatable);
   CHECK(route.timeout_ms == 800);
   CHECK(route.objective_ms == 300);
   CHECK(route.maximum_attempts == 2);
@@ -60,6 +60,41 @@
   CHECK(change->limits[0].idle_timeout_ms == 15'000);
 }
 
+TEST_CASE("each kind of route says what may be repeated and what is large") {
+  const auto kind_of = [](const std::string& kind) {
+    json change = whole();
+    change["resources"][0]["specification"]["kind"] = kind;
+    return parse_whole(change.dump()).value().routes[0].kind;
+  };
+  CHECK(kind_of("safe") == config::RequestKind{.repeatable = true});
+  CHECK(kind_of("unsafe") == config::RequestKind{});
+  CHECK(kind_of("upload") == config::RequestKind{.large_request = true});
+  CHECK(kind_of("download") == config::RequestKind{.repeatable = true, .large_answer = true});
+}
+
+TEST_CASE("a route of an unknown kind is refused by its name") {
+  json change = whole();
+  change["resources"][0]["specification"]["kind"] = "odd";
+  const auto read = parse_whole(change.dump());
+  REQUIRE_FALSE(read.has_value());
+  CHECK(read.error().message.find("route r ") != std::string::npos);
+}
+
+TEST_CASE("a route written without sizes of bodies is read as one of small bodies") {
+  config::Route route;
+  route.name = "r";
+  route.kind = {.repeatable = true, .large_request = true, .large_answer = true};
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, route);
+  msgpack::object_handle handle = msgpack::unpack(buffer.data(), buffer.size());
+  msgpack::object written = handle.get();
+  constexpr std::uint32_t kSizes = 2;
+  written.via.array.size -= kSizes;
+  const auto read = written.as<config::Route>();
+  CHECK(read.name == "r");
+  CHECK(read.kind == config::RequestKind{.repeatable = true});
+}
+
 TEST_CASE("the same content has the same digest, other content and the other call another") {
   const auto first = parse_whole(whole().dump());
   const auto laid_out = parse_whole(whole().dump(2));
--- a/test/platform/reused_address_test.cpp
+++ b/test/platform/reused_address_test.cpp
@@ -45,7 +45,7 @@
   route.name = "r";
   route.host = "h.example";
   route.path_prefix = "/";
-  route.repeatable = true;
+  route.kind.repeatable = true;
   route.timeout_ms = 1200;
   route.objective_ms = 500;
   route.maximum_attempts = 2;
