--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "config/machine_limits.hpp"
 #include "router/core/router_core.hpp"
 #include "router/request_dialect.hpp"
 #include "router/request_log.hpp"
@@ -23,6 +24,7 @@
 struct RouterSettings {
   RouterOptions options;
   std::vector<std::string> controllers;  ///< ZeroMQ endpoints
+  config::MachineLimits machine;
   std::size_t maximum_body = 8 * 1024 * 1024;
   int connections_per_backend = 130;
   /// A connection to a back end that is not up by then has failed; nothing was sent.
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -6,12 +6,36 @@
 
 using transport::add_milliseconds;
 
+namespace {
+
+/// What the machine gives this process; what is not stated bounds nothing.
+void add_machine_limits(CLI::App& app, config::MachineLimits& machine) {
+  constexpr double kBitsPerMegabit = 1e6;
+  constexpr std::size_t kBytesPerMegabyte = std::size_t{1} << 20U;
+  const auto add = [&app](const std::string& name, const std::string& help, auto take) {
+    app.add_option_function<double>(name, std::move(take), help)->check(CLI::Range(0.0, 1e9));
+  };
+  add("--link-mbps", "What the machine's link carries each way, in Mbit/s; 0: not stated",
+      [&machine](double value) { machine.link_bits_per_second = value * kBitsPerMegabit; });
+  add("--memory-mb", "Memory that the process may take, in MiB; 0: not stated",
+      [&machine](double value) {
+        machine.memory_bytes = static_cast<std::size_t>(value * kBytesPerMegabyte);
+      });
+  add("--processor-share", "Share of a core that the process gets; 0: not stated",
+      [&machine](double value) { machine.processor_share = value; });
+  app.add_option("--descriptors", machine.descriptors,
+                 "File descriptors that the process may open; 0: not stated");
+}
+
+}  // namespace
+
 void add_common_settings(CLI::App& app, RouterSettings& settings) {
   auto& options = settings.options;
   app.add_option("--cell", options.cell.value, "Name of the cell")->default_val("cell-1");
   app.add_option("--name", options.name.value, "Name of this router, unique in the cell")
       ->required();
   app.add_option("--zone", options.zone.value, "Zone of this router")->required();
+  add_machine_limits(app, settings.machine);
   app.add_option("--maximum-body", settings.maximum_body, "Longest request body, in bytes")
       ->default_val(settings.maximum_body)
       ->check(CLI::Range(std::size_t{1024}, std::size_t{1} << 30U));
