Requests of one connection run side by side where their route says that they may be repeated

Cause: a connection handled one exchange at a time.

What is new: the server hands out requests of one connection side by side where a classifier (the router: by the route's kind, answers small) allows it; one that may run once waits for all before it, and nothing behind it is read. Answers leave in order. Bounded in requests (8) and bytes of held answers (256 KiB); beyond it the connection is not read, where it was cut at 256 KiB before. A stop announces the close with the last answer of what is under way.

Ruled out: deciding by method (a GET may be on a route that runs once); closing with the first answer after a stop (requests behind it are at back ends already, and would be cut).

--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -71,6 +71,8 @@
     return tl::unexpected(server.error());
   }
   server_ = std::move(*server);
+  server_->run_side_by_side(
+      [this](const transport::HttpMessage& request) { return runs_beside_others(request); });
   if (settings_.status_address.empty()) {
     return {};
   }
@@ -143,7 +145,8 @@
   settings_watch_ = std::make_unique<transport::SettingsWatch>(loop_, settings_.settings_path,
                                                                [this] { reload(); });
   loop_.run();
-  log_event("stopped", {{"unfinished", std::to_string(server_->unfinished())}});
+  log_event("stopped", {{"unfinished", std::to_string(server_->unfinished())},
+                        {"refused_while_draining", std::to_string(refused_while_draining_)}});
   return 0;
 }
 
@@ -182,9 +185,8 @@
     return;
   }
   draining_ = true;
-  const common::TimePoint now = boot_time_now();
-  accept_until_ = now + settings_.accept_while_draining;
-  drain_until_ = now + settings_.drain_timeout;
+  drain_plan_ =
+      DrainPlan::from(boot_time_now(), settings_.accept_while_draining, settings_.drain_timeout);
   server_->announce_close();
   log_event("draining", {{"in_flight", std::to_string(callers_.size())}});
   loop_.every(kDrainPoll, [this] { continue_drain(); });
@@ -193,7 +195,7 @@
 
 void RouterProcess::continue_drain() {
   const common::TimePoint now = boot_time_now();
-  if (now < accept_until_) {
+  if (now < drain_plan_.accept_until) {
     return;
   }
   if (accepting_) {
@@ -201,12 +203,12 @@
     core_.begin_drain();
     server_->stop_listening();
   }
-  if (now < accept_until_ + kLastRequests) {
+  if (now < drain_plan_.accept_until + kLastRequests) {
     return;
   }
   server_->close_idle();
   const bool finished = callers_.empty() && server_->unfinished() == 0;
-  if (finished || now >= drain_until_) {
+  if (finished || now >= drain_plan_.end_at) {
     loop_.quit();
   }
 }
@@ -243,6 +245,9 @@
   if (!read.has_value()) {
     return dialect_->refuse(*exchange, read.error());
   }
+  if (draining_ && refuse_while_draining(exchange, *read)) {
+    return;
+  }
   const RequestHandle handle = next_handle_++;
   read->request.handle = handle;
   const Caller& caller = callers_[handle] = {exchange, std::move(*read), boot_time_now()};
@@ -255,6 +260,47 @@
   flush();
 }
 
+bool RouterProcess::runs_beside_others(const transport::HttpMessage& request) const {
+  const std::string_view host = transport::find_header(request.headers, "Host");
+  const std::string_view path =
+      std::string_view(request.target).substr(0, request.target.find('?'));
+  const config::Route* route = core_.table().routes().find(host, path);
+  // A large answer that waited for its turn would be held whole.
+  return route != nullptr && route->kind.repeatable && !route->kind.large_answer;
+}
+
+std::optional<common::Duration> RouterProcess::longest_time(const CallerRequest& request) const {
+  std::optional<common::Duration> longest;
+  const auto bound_by = [&longest](std::uint32_t timeout_ms) {
+    const common::Duration timeout = std::chrono::milliseconds(timeout_ms);
+    if (timeout_ms > 0) {
+      longest = std::min(longest.value_or(timeout), timeout);
+    }
+  };
+  bound_by(request.timeout_ms);
+  if (request.route.has_value()) {
+    const config::Route* route =
+        core_.table().routes().find(request.route->host, request.route->path);
+    bound_by(route != nullptr ? route->timeout_ms : 0);
+  }
+  return longest;
+}
+
+bool RouterProcess::refuse_while_draining(const transport::ExchangePointer& exchange,
+                                          const ReadRequest& read) {
+  if (!read.request.route.has_value() ||
+      drain_plan_.takes(boot_time_now(), longest_time(read.request))) {
+    return false;  // requests that are on no route are the core's to refuse
+  }
+  ++refused_while_draining_;
+  Answer answer;
+  answer.outcome = routing::Outcome::kNotRun;
+  answer.reason = routing::NotRunReason::kDrainingRouter;
+  answer.retry_after = settings_.options.short_retry_after;
+  dialect_->answer(*exchange, read, answer);
+  return true;
+}
+
 // ---------------------------------------------------------------- effects
 
 void RouterProcess::flush() {
@@ -419,6 +465,9 @@
                        counters.cancelled);
   metrics_.set_counter("planktray_requests_rejected_total", "Requests too long to read.",
                        server_->refused());
+  metrics_.set_counter("planktray_requests_refused_draining_total",
+                       "Requests refused since this router could stop before their end.",
+                       refused_while_draining_);
   metrics_.set_counter("planktray_load_reports_unread_total",
                        "Load reports of back ends that could not be read whole.",
                        request_log_.unread_loads());
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -10,6 +10,7 @@
 
 #include "config/machine_limits.hpp"
 #include "router/core/router_core.hpp"
+#include "router/drain_plan.hpp"
 #include "router/request_dialect.hpp"
 #include "router/request_log.hpp"
 #include "transport/event_loop.hpp"
@@ -74,6 +75,14 @@
   void take_update(const routing::TableUpdate& update, const std::string& from);
   void tick();
   void on_http(const transport::ExchangePointer& exchange);
+  /// True where the request's route says that it may be repeated and its answer is small.
+  bool runs_beside_others(const transport::HttpMessage& request) const;
+  /// The longest that the request may be under way, by its deadline and its route;
+  /// nothing where neither bounds it.
+  std::optional<common::Duration> longest_time(const CallerRequest& request) const;
+  /// Answers "not run" where this router may stop before the request ends. @return false where it
+  /// has to be taken.
+  bool refuse_while_draining(const transport::ExchangePointer& exchange, const ReadRequest& read);
   bool answer_status(const transport::ExchangePointer& exchange);
   bool is_ready() const;
   void flush();
@@ -110,8 +119,8 @@
   bool flushing_ = false;
   bool draining_ = false;
   bool accepting_ = true;
-  common::TimePoint accept_until_;
-  common::TimePoint drain_until_;
+  DrainPlan drain_plan_;
+  std::uint64_t refused_while_draining_ = 0;
 };
 
 }  // namespace planktray::router
--- a/src/transport/descriptor_watch.hpp
+++ b/src/transport/descriptor_watch.hpp
@@ -16,6 +16,7 @@
   struct Readiness {
     bool readable = false;  ///< also where the connection has ended
     bool writable = false;  ///< also where the connection has failed
+    bool hung_up = false;   ///< the peer has closed its sending side, or the connection has failed
   };
   /// Called from the main loop; may destroy the watch.
   using Callback = std::function<void(Readiness readiness)>;
@@ -26,8 +27,9 @@
   DescriptorWatch& operator=(const DescriptorWatch&) = delete;
   ~DescriptorWatch();
 
-  /// Calls back whenever the descriptor is ready for what is wanted.
-  void want(bool read, bool write);
+  /// Calls back whenever the descriptor is ready for what is wanted. @param hang_up the peer's end
+  /// is wanted by itself, also behind bytes that are not read.
+  void want(bool read, bool write, bool hang_up = false);
 
  private:
   friend class DescriptorQueue;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -2,7 +2,9 @@
 
 #include <glib-unix.h>
 
+#include <deque>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "transport/event_loop.hpp"
@@ -24,8 +26,6 @@
 constexpr int kAcceptBatch = 16;
 /// Idle and slow connections are looked for this often.
 constexpr guint kSweepSeconds = 1;
-/// Bytes of later requests kept while one is being answered.
-constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 unsigned status_of_failure(ReadFailure failure) {
@@ -68,7 +68,8 @@
 
 // ---------------------------------------------------------------- one connection
 
-/// One client's connection: reads a request, waits for its answer, writes it, reads the next.
+/// One client's connection: reads requests, hands them out as their kinds allow, and writes their
+/// answers in order.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(HttpServer& server, std::uint64_t id, std::shared_ptr<TcpStream> stream)
@@ -86,57 +87,142 @@
     stream_->start(std::move(handlers));
   }
 
-  void answer(unsigned status, const HeaderList& headers, std::string_view body, bool is_head) {
-    exchange_.reset();
-    const bool close = closing_ || server_.closing_;
-    closing_ = close;
-    HeaderList all = headers;
-    if (close) {
-      all.emplace_back("Connection", "close");
+  void answer(std::uint64_t number, unsigned status, const HeaderList& headers,
+              std::string_view body, bool is_head) {
+    if (pipeline_.empty() || number < pipeline_.front().number) {
+      return;
     }
-    writing_ = true;
-    stream_->write(serialize_response(status, all, body, is_head));
+    const std::size_t place = number - pipeline_.front().number;
+    if (place == 0) {
+      write_front(status, headers, body, is_head);
+    } else if (place < pipeline_.size()) {
+      hold(pipeline_[place], {status, headers, std::string(body), is_head});
+    }
+    advance();
   }
 
-  /// Ends the connection from this side; a request that waits is told that its client has left.
+  /// Ends the connection from this side; requests that wait are told that their client has left.
   void shut() {
     const auto keep = shared_from_this();
     stream_->close();
     on_end();
   }
 
-  bool is_busy() const { return !exchange_.expired() || writing_ || reader_.has_begun(); }
-  /// A request that has come and was not read yet is work, too: closing over it would reset it.
-  bool has_work() const { return is_busy() || stream_->has_unread(); }
+  /// Requests whose answer is not written to its last byte. One that has come and was not read yet
+  /// is work, too: closing over it would reset it.
+  std::size_t unfinished() const {
+    const bool has_more = reader_.has_begun() || !waiting_.empty() || stream_->has_unread();
+    return pipeline_.size() + (writing_ ? 1 : 0) + (has_more ? 1 : 0);
+  }
   void close_if_idle() {
-    if (!has_work()) {
+    if (unfinished() == 0) {
       shut();
     }
   }
   void sweep(common::TimePoint now) {
     const HttpServerOptions& options = server_.options();
-    if (!exchange_.expired()) {
-      return;
+    if (!has_last_request_ && !may_read()) {
+      return;  // what is missing may have come, and waits to be read
     }
     if (reader_.has_begun() && now - since_ > options.request_timeout) {
+      const auto keep = shared_from_this();
       refuse(kStatusTimeout, "the request did not come whole in time");
-    } else if (!is_busy() && now - since_ > options.idle_timeout) {
+      advance();
+    } else if (!reader_.has_begun() && pipeline_.empty() && !writing_ &&
+               now - since_ > options.idle_timeout) {
       shut();
     }
   }
 
  private:
+  /// An answer that waits for those before it.
+  struct HeldAnswer {
+    unsigned status = 0;
+    HeaderList headers;
+    std::string body;
+    bool is_head = false;
+  };
+  /// A request that has come whole and whose answer was not written.
+  struct PipelinedRequest {
+    std::uint64_t number = 0;
+    bool runs_beside_others = false;
+    bool closes = false;  ///< its answer is the connection's last
+    std::optional<HttpMessage> unstarted{};
+    std::weak_ptr<HttpExchange> exchange{};
+    std::optional<HeldAnswer> answer{};
+  };
+
   void on_data(std::string_view bytes) {
-    if (!exchange_.expired() || writing_) {
-      waiting_.append(bytes);
-      if (waiting_.size() > kMaxPipelinedBytes) {
-        shut();
-      }
+    const auto keep = shared_from_this();
+    if (has_last_request_) {
+      return;  // bytes behind the connection's last request count as not read
+    }
+    const std::size_t taken = waiting_.empty() && may_read() ? read(bytes) : 0;
+    waiting_.append(bytes.substr(taken));
+    advance();
+  }
+
+  /// Does whatever can be done now. Handlers that answer at once come back here.
+  void advance() {
+    if (advancing_) {
       return;
     }
-    if (closing_) {
-      return;  // bytes that cross the end of the connection
+    const auto keep = shared_from_this();
+    advancing_ = true;
+    while (stream_->is_open() && (write_held() || start_next() || read_waiting())) {
+    }
+    advancing_ = false;
+    hold_or_read();
+  }
+
+  /// Everything is read in its turn: nothing behind a request that runs alone, and no more than the
+  /// bounds allow.
+  bool may_read() const {
+    if (has_last_request_ || writing_ || held_bytes_ > server_.options().held_answer_bytes) {
+      return false;
+    }
+    if (pipeline_.empty()) {
+      return true;
+    }
+    return !server_.closing_ && pipeline_.back().runs_beside_others &&
+           !pipeline_.back().unstarted.has_value() &&
+           pipeline_.size() < server_.options().requests_side_by_side;
+  }
+
+  void hold_or_read() {
+    if (!stream_->is_open()) {
+      return;
+    }
+    // Not before something waits: most connections send nothing while a request is under way.
+    const bool pause = !waiting_.empty() && !has_last_request_ && !may_read();
+    if (pause == is_paused_) {
+      return;
+    }
+    is_paused_ = pause;
+    if (pause) {
+      stream_->pause_reading();
+    } else {
+      stream_->resume_reading();
+    }
+  }
+
+  // -------------------------------------------------------------- requests
+
+  /// @return false where nothing could be read.
+  bool read_waiting() {
+    if (waiting_.empty() || !may_read()) {
+      return false;
+    }
+    const std::string bytes = std::exchange(waiting_, {});
+    const std::size_t taken = read(bytes);
+    if (!has_last_request_) {
+      waiting_.append(bytes, taken, std::string::npos);
     }
+    return taken > 0;
+  }
+
+  /// Reads up to the end of the present request. @return the bytes taken.
+  std::size_t read(std::string_view bytes) {
     if (!reader_.has_begun()) {
       since_ = boot_time_now();
       reader_.set_limits(server_.options().limits);
@@ -145,60 +231,135 @@
     const std::size_t taken = reader_.feed(bytes);
     if (reader_.has_failed()) {
       refuse(status_of_failure(reader_.failure()), "the request cannot be read");
-      return;
+    } else if (reader_.is_whole()) {
+      append_request(reader_.take());
+    } else if (!had_head && reader_.has_head()) {
+      owes_continue_ =
+          equals_ignoring_case(find_header(reader_.message().headers, "Expect"), "100-continue");
+      answer_expectation();
     }
-    if (!reader_.is_whole()) {
-      if (!had_head && reader_.has_head()) {
-        answer_expectation();
-      }
-      return;
-    }
-    waiting_.append(bytes.substr(taken));
-    deliver();
+    return taken;
   }
 
+  /// "100 Continue" takes its turn among the answers.
   void answer_expectation() {
-    if (equals_ignoring_case(find_header(reader_.message().headers, "Expect"), "100-continue")) {
+    if (owes_continue_ && pipeline_.empty() && !writing_) {
+      owes_continue_ = false;
       stream_->write(kContinue);
     }
   }
 
-  void deliver() {
-    HttpMessage request = reader_.take();
-    closing_ = closing_ || !request.keep_alive;
-    const auto exchange = std::make_shared<HttpExchange>(weak_from_this(), std::move(request));
-    exchange_ = exchange;
+  void append_request(HttpMessage request) {
+    owes_continue_ = false;
+    PipelinedRequest next;
+    next.number = next_number_++;
+    next.closes = !request.keep_alive;
+    next.runs_beside_others = server_.runs_beside_others_ && server_.runs_beside_others_(request);
+    next.unstarted = std::move(request);
+    has_last_request_ = next.closes;
+    pipeline_.push_back(std::move(next));
+  }
+
+  /// Hands out the last request, the only one that can be unstarted. @return false where it waits.
+  bool start_next() {
+    if (pipeline_.empty() || !pipeline_.back().unstarted.has_value()) {
+      return false;
+    }
+    PipelinedRequest& next = pipeline_.back();
+    const bool is_first = pipeline_.size() == 1;
+    if (!is_first && (!next.runs_beside_others || server_.closing_)) {
+      return false;
+    }
+    const auto exchange =
+        std::make_shared<HttpExchange>(weak_from_this(), next.number, std::move(*next.unstarted));
+    next.unstarted.reset();
+    next.exchange = exchange;
     server_.handler_(exchange);
+    return true;
   }
 
+  /// Answers in its turn a request that no handler gets, and ends the connection with it.
   void refuse(unsigned status, std::string_view message) {
     ++server_.refused_;
-    closing_ = true;
-    answer(status, {{"Content-Type", "application/json"}}, error_json(message, "read request"),
-           false);
+    PipelinedRequest refused;
+    refused.number = next_number_++;
+    refused.closes = true;
+    has_last_request_ = true;
+    static_cast<void>(reader_.take());
+    pipeline_.push_back(std::move(refused));
+    hold(pipeline_.back(), {status,
+                            {{"Content-Type", "application/json"}},
+                            error_json(message, "read request"),
+                            false});
+  }
+
+  // -------------------------------------------------------------- answers
+
+  void hold(PipelinedRequest& request, HeldAnswer answer) {
+    request.exchange.reset();
+    held_bytes_ += answer.body.size();
+    request.answer = std::move(answer);
+  }
+
+  /// @return false where the first request has no answer yet.
+  bool write_held() {
+    if (pipeline_.empty() || !pipeline_.front().answer.has_value()) {
+      return false;
+    }
+    const HeldAnswer held = std::move(*pipeline_.front().answer);
+    held_bytes_ -= held.body.size();
+    write_front(held.status, held.headers, held.body, held.is_head);
+    return true;
+  }
+
+  /// Writes the answer of the first request.
+  void write_front(unsigned status, const HeaderList& headers, std::string_view body,
+                   bool is_head) {
+    const bool is_last = pipeline_.size() == 1 || pipeline_[1].unstarted.has_value();
+    const bool close = pipeline_.front().closes || (server_.closing_ && is_last);
+    pipeline_.pop_front();
+    HeaderList all = headers;
+    if (close) {
+      all.emplace_back("Connection", "close");
+      drop_the_rest();
+    }
+    writing_ = true;
+    stream_->write(serialize_response(status, all, body, is_head));
+  }
+
+  /// Requests behind the connection's last answer count as not read; none of them was started.
+  void drop_the_rest() {
+    has_last_request_ = true;
+    is_ending_ = true;
+    pipeline_.clear();
+    waiting_.clear();
+    if (reader_.has_begun()) {
+      static_cast<void>(reader_.take());
+    }
   }
 
   void on_drained() {
     if (!writing_) {
       return;
     }
+    const auto keep = shared_from_this();
     writing_ = false;
     since_ = boot_time_now();
-    if (closing_) {
+    if (is_ending_) {
       stream_->finish_writing();  // the client's close follows, or the sweep's
       return;
     }
-    if (!waiting_.empty()) {
-      const std::string next = std::exchange(waiting_, {});
-      on_data(next);
-    }
+    answer_expectation();
+    advance();
   }
 
   void on_end() {
     const auto keep = shared_from_this();
-    if (const auto exchange = exchange_.lock()) {
-      exchange_.reset();
-      exchange->client_left();
+    const auto left = std::exchange(pipeline_, {});
+    for (const PipelinedRequest& request : left) {
+      if (const auto exchange = request.exchange.lock()) {
+        exchange->client_left();
+      }
     }
     server_.forget(id_);
   }
@@ -207,17 +368,24 @@
   std::uint64_t id_;
   std::shared_ptr<TcpStream> stream_;
   HttpReader reader_;
-  std::weak_ptr<HttpExchange> exchange_;  ///< the request that waits for its answer
-  std::string waiting_;                   ///< bytes of later requests
-  common::TimePoint since_;               ///< last answer, or first byte of the present request
+  std::deque<PipelinedRequest> pipeline_;  ///< in the order in which they came
+  std::uint64_t next_number_ = 1;
+  std::string waiting_;         ///< bytes of later requests; no more than one read of the socket
+  std::size_t held_bytes_ = 0;  ///< of answers that wait for those before them
+  common::TimePoint since_;     ///< last answer, or first byte of the present request
+  bool advancing_ = false;
   bool writing_ = false;
-  bool closing_ = false;
+  bool is_paused_ = false;
+  bool owes_continue_ = false;
+  bool has_last_request_ = false;  ///< nothing that comes now is read
+  bool is_ending_ = false;         ///< the last answer has been handed to the stream
 };
 
 // ---------------------------------------------------------------- exchange
 
-HttpExchange::HttpExchange(std::weak_ptr<ServerConnection> connection, HttpMessage request)
-    : connection_(std::move(connection)), request_(std::move(request)) {}
+HttpExchange::HttpExchange(std::weak_ptr<ServerConnection> connection, std::uint64_t number,
+                           HttpMessage request)
+    : connection_(std::move(connection)), number_(number), request_(std::move(request)) {}
 
 HttpExchange::~HttpExchange() {
   if (!answered_) {
@@ -236,7 +404,7 @@
   answered_ = true;
   gone_ = nullptr;
   if (const auto connection = connection_.lock()) {
-    connection->answer(status, headers, body, request_.method == "HEAD");
+    connection->answer(number_, status, headers, body, request_.method == "HEAD");
   }
 }
 
@@ -373,7 +541,7 @@
 std::size_t HttpServer::unfinished() const {
   std::size_t count = 0;
   for (const auto& [id, connection] : connections_) {
-    count += connection->has_work() ? 1 : 0;
+    count += connection->unfinished();
   }
   return count;
 }
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -2,8 +2,13 @@
 /// HTTP/1.1 server on GIO sockets and the http-parser library. Handlers may answer later.
 ///
 /// Invariants:
-///  - A handler gets whole requests only, one at a time for each connection.
-///  - A client that closes while its request waits is noticed at once.
+///  - A handler gets whole requests only. Requests of one connection run side by side where all of
+///    them are said to bear it (`run_side_by_side`); any other waits until those before it are
+///    answered, and nothing behind it is read before it is answered.
+///  - Answers leave in the order of their requests. Nothing behind an answer that closes the
+///    connection has been handed out.
+///  - A client that closes while its requests wait is noticed at once, also where its connection is
+///    not read because too much of it is under way.
 ///  - A connection is announced as closing (`Connection: close`) in the answer before it is closed;
 ///    an idle one is closed after its idle time, or when a stop asks for it.
 
@@ -27,7 +32,9 @@
 /// nothing.
 class HttpExchange {
  public:
-  HttpExchange(std::weak_ptr<ServerConnection> connection, HttpMessage request);
+  /// @param number place among the requests of its connection.
+  HttpExchange(std::weak_ptr<ServerConnection> connection, std::uint64_t number,
+               HttpMessage request);
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
   /// A handler that drops an exchange without an answer has failed: the client is told 500.
@@ -59,6 +66,7 @@
   void client_left();
 
   std::weak_ptr<ServerConnection> connection_;
+  std::uint64_t number_;
   HttpMessage request_;
   std::function<void()> gone_;
   bool answered_ = false;
@@ -72,6 +80,12 @@
   common::Duration request_timeout = std::chrono::seconds(30);
   /// A connection without a request is closed after this time.
   common::Duration idle_timeout = std::chrono::seconds(60);
+  /// Requests of one connection under way at once; with more, the connection is not read. Two back
+  /// ends of the usual size are full with it, so one client takes no more than that of a service.
+  std::size_t requests_side_by_side = 8;
+  /// Bytes of answers that wait for their turn; with more, nothing else of the connection is
+  /// started. Some hundred answers of the usual size: it bounds what a slow one at the front holds.
+  std::size_t held_answer_bytes = 256 * 1024;
   /// Ends a connection whose sent bytes stay without an acknowledgement; 0: the system's time.
   common::Duration unacknowledged_timeout{0};
 };
@@ -82,6 +96,9 @@
 class HttpServer {
  public:
   using Handler = std::function<void(ExchangePointer exchange)>;
+  /// Whether a request may run beside others of its connection: it may be repeated, and its answer
+  /// is short enough to be held. Called once for each request, when it has come whole.
+  using Classifier = std::function<bool(const HttpMessage& request)>;
 
   /// Listens at "IP:port". @return kIo or kInvalid.
   static common::Result<std::unique_ptr<HttpServer>> listen(const std::string& address,
@@ -91,10 +108,15 @@
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
 
+  /// Without a classifier, the requests of a connection run one after the other.
+  void run_side_by_side(Classifier runs_beside_others) {
+    runs_beside_others_ = std::move(runs_beside_others);
+  }
   /// Holds for connections and requests from now on.
   void set_options(HttpServerOptions options);
   const HttpServerOptions& options() const { return options_; }
-  /// From now on every answer announces the end of its connection.
+  /// From now on the last answer of what is under way on a connection announces the connection's
+  /// end; nothing behind it is handed out.
   void announce_close() { closing_ = true; }
   /// Accepts no further connections, but those that wait for it.
   void stop_listening();
@@ -121,6 +143,7 @@
 
   HttpServerOptions options_;
   Handler handler_;
+  Classifier runs_beside_others_;
   GSocket* listener_ = nullptr;
   guint accept_source_ = 0;
   guint sweep_source_ = 0;
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -105,10 +105,20 @@
 
 void TcpStream::watch() {
   if (watch_ != nullptr) {
-    watch_->want(connected_, !connected_ || !backlog_.empty());
+    watch_->want(connected_ && !paused_, !connected_ || !backlog_.empty(), connected_ && paused_);
   }
 }
 
+void TcpStream::pause_reading() {
+  paused_ = true;
+  watch();
+}
+
+void TcpStream::resume_reading() {
+  paused_ = false;
+  watch();
+}
+
 void TcpStream::on_ready(DescriptorWatch::Readiness readiness) {
   const auto keep = shared_from_this();
   if (readiness.writable) {
@@ -117,6 +127,9 @@
   if (readiness.readable && is_open()) {
     receive();
   }
+  if (readiness.hung_up && paused_ && is_open()) {
+    end(StreamEnd::kClosed);
+  }
 }
 
 void TcpStream::receive() {
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -52,6 +52,11 @@
   /// Sets the callbacks and begins to read.
   void start(Handlers handlers);
   void write(std::string_view bytes);
+  /// Reads nothing until resume_reading(): the peer is held by the system's buffers. Its end is
+  /// noticed where those buffers hold all that it sent, and ends the stream; bytes that were not
+  /// read are dropped then.
+  void pause_reading();
+  void resume_reading();
   /// Closes at once; bytes that the peer has not acknowledged may still reach it.
   void close();
   /// Ends the connection by a reset: bytes that are still under way reach nobody.
@@ -82,6 +87,7 @@
   bool connected_;
   bool sent_ = false;
   bool finishing_ = false;
+  bool paused_ = false;
   Handlers handlers_;
   std::string backlog_;
   std::unique_ptr<DescriptorWatch> watch_;
--- a/test/transport/http_server_test.cpp
+++ b/test/transport/http_server_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <gio/gio.h>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <string>
@@ -87,7 +88,8 @@
     REQUIRE(listening.has_value());
     server = std::move(*listening);
   }
-  ~HeldServer() { exchanges.clear(); }
+  /// Exchanges that are dropped while the server is there would be answered, and the next started.
+  ~HeldServer() { server.reset(); }
   HeldServer(const HeldServer&) = delete;
   HeldServer& operator=(const HeldServer&) = delete;
 
@@ -221,5 +223,247 @@
   CHECK(held.server->unfinished() == 1);
 }
 
+// ---------------------------------------------------------------- requests sent on without waiting
+
+std::string get(const std::string& path, const std::string& headers = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n";
+}
+
+std::string post(const std::string& path) {
+  return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// A server whose routes say that GET may be repeated.
+struct SideBySideServer : HeldServer {
+  explicit SideBySideServer(HttpServerOptions options = options_with_body_limit(1024))
+      : HeldServer(options) {
+    server->run_side_by_side([](const HttpMessage& request) { return request.method == "GET"; });
+  }
+  void answer(std::size_t place) {
+    exchanges[place]->respond_text(200, "text/plain", "<" + exchanges[place]->path() + ">");
+  }
+};
+
+/// The bodies of the answers, in the order in which they came.
+std::string bodies(const std::string& received) {
+  std::string all;
+  for (auto at = received.find('<'); at != std::string::npos; at = received.find('<', at + 1)) {
+    all += received.substr(at, received.find('>', at) + 1 - at);
+  }
+  return all;
+}
+
+TEST_CASE("answers leave in the order of their requests, in whatever order they are ready") {
+  std::vector<std::size_t> order = {0, 1, 2};
+  do {
+    SideBySideServer held;
+    const RawClient client(get("/1") + get("/2") + get("/3"));
+    run_for(kShortly);
+    REQUIRE(held.exchanges.size() == 3);
+    CHECK(held.server->unfinished() == 3);
+    for (const std::size_t place : order) {
+      held.answer(place);
+      run_for(milliseconds(2));
+    }
+    run_for(kShortly);
+    CHECK(bodies(client.received()) == "</1></2></3>");
+    CHECK(held.server->unfinished() == 0);
+    CHECK_FALSE(client.ended());
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("an answer that is ready leaves at once when those before it have left") {
+  SideBySideServer held;
+  const RawClient client(get("/1") + get("/2") + get("/3"));
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 3);
+  held.answer(1);
+  run_for(kShortly);
+  CHECK(client.received().empty());
+  held.answer(0);
+  run_for(kShortly);
+  CHECK(bodies(client.received()) == "</1></2>");
+}
+
+TEST_CASE("a request that may run once waits for those before it, and those behind wait for it") {
+  SideBySideServer held;
+  const RawClient client(get("/1") + get("/2") + post("/once") + get("/4"));
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 2);
+  held.answer(1);
+  run_for(kShortly);
+  CHECK(held.exchanges.size() == 2);
+  held.answer(0);
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 3);
+  CHECK(held.exchanges[2]->path() == "/once");
+  held.answer(2);
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 4);
+  held.answer(3);
+  run_for(kShortly);
+  CHECK(bodies(client.received()) == "</1></2></once></4>");
+}
+
+TEST_CASE("over its bound of requests a connection is not read, and not cut") {
+  HttpServerOptions options = options_with_body_limit(1024);
+  options.requests_side_by_side = 3;
+  SideBySideServer held(options);
+  constexpr std::size_t kAll = 20'000;  // more than a read, and more than was ever kept for later
+  std::string all;
+  for (std::size_t i = 0; i < kAll; ++i) {
+    all += get("/x");
+  }
+  const RawClient client(all);
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 3);
+  CHECK_FALSE(client.ended());
+  for (std::size_t i = 0; i < kAll; ++i) {
+    if (i == held.exchanges.size()) {
+      run_for(milliseconds(1));
+    }
+    REQUIRE(i < held.exchanges.size());
+    REQUIRE(held.exchanges.size() <= i + 3);
+    held.answer(i);
+  }
+  run_for(kShortly);
+  CHECK(bodies(client.received()).size() == kAll * std::strlen("</x>"));
+}
+
+TEST_CASE("a client that leaves is noticed while its connection is not read") {
+  HttpServerOptions options = options_with_body_limit(1024);
+  options.requests_side_by_side = 2;
+  SideBySideServer held(options);
+  // More than a read, and no more than the system's buffers hold: the client's end comes behind it.
+  std::string all;
+  while (all.size() < std::size_t{32} * 1024) {
+    all += get("/x");
+  }
+  RawClient client(all);
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 2);
+  client.close();
+  run_for(kShortly);
+  CHECK(held.gone == 2);
+  CHECK(held.server->connections() == 0);
+}
+
+TEST_CASE("answers that wait for a slow one are bounded: nothing else is started") {
+  HttpServerOptions options = options_with_body_limit(1024);
+  options.held_answer_bytes = 1000;
+  SideBySideServer held(options);
+  RawClient client(get("/1") + get("/2"));
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 2);
+  held.exchanges[1]->respond_text(200, "text/plain", std::string(1001, 'x'));
+  client.write(get("/3"));
+  run_for(kShortly);
+  CHECK(held.exchanges.size() == 2);
+  held.answer(0);
+  run_for(kShortly);
+  CHECK(held.exchanges.size() == 3);
+}
+
+TEST_CASE("a client that does not read its answers gets nothing else started") {
+  SideBySideServer held(options_with_body_limit(1024));
+  auto connected = parse_endpoint(kAddress);
+  REQUIRE(connected.has_value());
+  GSocket* socket =
+      g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr);
+  GSocketAddress* at =
+      g_inet_socket_address_new_from_string(connected->host.c_str(), connected->port);
+  REQUIRE(g_socket_connect(socket, at, nullptr, nullptr) != FALSE);
+  g_object_unref(at);
+  const std::string first = get("/1");
+  g_socket_send(socket, first.data(), first.size(), nullptr, nullptr);
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 1);
+  held.exchanges[0]->respond_text(200, "text/plain", std::string(kLongAnswer, 'x'));
+  g_socket_send(socket, first.data(), first.size(), nullptr, nullptr);
+  run_for(kShortly);
+  CHECK(held.exchanges.size() == 1);
+  CHECK(held.server->connections() == 1);
+  g_object_unref(socket);
+  run_for(kShortly);
+  CHECK(held.server->connections() == 0);
+}
+
+TEST_CASE("nothing behind an answer that closes the connection runs or is answered") {
+  SideBySideServer held;
+  const RawClient client(get("/1") + get("/2", "Connection: close\r\n") + get("/3") + post("/4"));
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 2);
+  held.answer(1);
+  held.answer(0);
+  run_for(kShortly);
+  CHECK(held.exchanges.size() == 2);
+  CHECK(bodies(client.received()) == "</1></2>");
+  CHECK(client.ended());
+  CHECK(held.server->unfinished() == 0);
+}
+
+TEST_CASE("a request that cannot be read is refused in its turn") {
+  SideBySideServer held;
+  const RawClient client(get("/1") + "nonsense\r\n\r\n" + get("/3"));
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 1);
+  CHECK(client.received().empty());
+  held.answer(0);
+  run_for(kShortly);
+  CHECK(client.received().starts_with("HTTP/1.1 200"));
+  CHECK(client.received().find("HTTP/1.1 400") > client.received().find("</1>"));
+  CHECK(client.received().find("HTTP/1.1 400") != std::string::npos);
+  CHECK(client.ended());
+}
+
+TEST_CASE("a client that leaves cancels all its requests") {
+  SideBySideServer held;
+  RawClient client(get("/1") + get("/2") + get("/3"));
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 3);
+  held.answer(1);
+  client.close();
+  run_for(kShortly);
+  CHECK(held.gone == 2);
+}
+
+TEST_CASE("a stop with three requests under way answers all three, and closes with the last") {
+  SideBySideServer held;
+  RawClient client(get("/1") + get("/2") + get("/3") + post("/4"));
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 3);
+  held.server->announce_close();
+  held.server->close_idle();
+  client.write(get("/5"));
+  held.answer(0);
+  run_for(kShortly);
+  CHECK(client.received().find("Connection: close") == std::string::npos);
+  held.answer(2);
+  held.answer(1);
+  run_for(kShortly);
+  CHECK(held.exchanges.size() == 3);
+  CHECK(bodies(client.received()) == "</1></2></3>");
+  CHECK(client.received().find("Connection: close") > client.received().find("</2>"));
+  CHECK(client.ended());
+}
+
+TEST_CASE("the answer to an expectation does not overtake answers") {
+  SideBySideServer held;
+  RawClient client(get("/1") +
+                   "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                   "Expect: 100-continue\r\n\r\n");
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 1);
+  CHECK(client.received().empty());
+  held.answer(0);
+  run_for(kShortly);
+  CHECK(client.received().find("100 Continue") > client.received().find("</1>"));
+  CHECK(client.received().find("100 Continue") != std::string::npos);
+  client.write("ab");
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 2);
+  CHECK(held.exchanges[1]->body() == "ab");
+}
+
 }  // namespace
 }  // namespace planktray::transport
