--- a/test/platform/soak/clients.cpp
+++ b/test/platform/soak/clients.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "platform/names.hpp"
+#include "soak/pipeline.hpp"
 #include "transport/event_loop.hpp"
 
 namespace planktray::soak {
@@ -20,6 +21,12 @@
 constexpr std::size_t kMostAtOne = 64;
 constexpr double kUnsafeShare = 0.2;
 constexpr double kChangingShare = 0.5;
+/// Pipelines draw from a source of their own: what else a seed does is the same with and without.
+constexpr std::uint64_t kPipelineSeed = 1'000'000;
+/// Pipelines for each other request.
+constexpr double kPipelineShare = 0.02;
+/// More than a router works on at once for one connection.
+constexpr int kPipelineLength = 12;
 
 bool is_promise(unsigned status) {
   return status == platform::kStatusTooManyRequests || status == platform::kStatusUnavailable ||
@@ -39,6 +46,7 @@
       changes_(changes),
       promises_(promises),
       random_(seed),
+      pipeline_random_(seed + kPipelineSeed),
       client_({.connections_per_server =
                    std::clamp<std::size_t>(kMostConnections / processes.of(Role::kRouter).size(),
                                            kFewestConnections, kMostAtOne)}) {}
@@ -48,6 +56,9 @@
   for (int i = 0; i < count; ++i) {
     const std::size_t router = routers[common::uniform(random_, 0, routers.size() - 1)];
     const auto& routes = changes_.routes();
+    if (common::chance(pipeline_random_, kPipelineShare)) {
+      send_pipeline(now, router);
+    }
     if (!routes.empty() && common::chance(random_, kChangingShare)) {
       // Mostly the newest ones: what has just come, and what has just gone.
       constexpr std::size_t kNewest = 30;
@@ -83,16 +94,7 @@
                        std::optional<std::size_t> route,
                        const std::function<void(unsigned)>& done) {
   const Process& process = processes_.all()[router];
-  const std::string id = "q" + std::to_string(next_++);
-  Request record;
-  record.router = router;
-  record.router_pid = process.pid;
-  record.path = path;
-  record.safe = safe;
-  record.route = route;
-  record.sent = now;
-  requests_[id] = record;
-  ++counts_.sent;
+  const std::string id = remember(now, router, path, safe, route);
   transport::HttpRequest request;
   request.method = safe ? "GET" : "POST";
   request.address = process.address;
@@ -109,6 +111,38 @@
   });
 }
 
+std::string Clients::remember(TimePoint now, std::size_t router, const std::string& path, bool safe,
+                              std::optional<std::size_t> route) {
+  const std::string id = "q" + std::to_string(next_++);
+  Request record;
+  record.router = router;
+  record.router_pid = processes_.all()[router].pid;
+  record.path = path;
+  record.safe = safe;
+  record.route = route;
+  record.sent = now;
+  requests_[id] = record;
+  ++counts_.sent;
+  return id;
+}
+
+void Clients::send_pipeline(TimePoint now, std::size_t router) {
+  std::vector<PipelinedRequest> requests;
+  for (int i = 0; i < kPipelineLength; ++i) {
+    const bool safe = !common::chance(pipeline_random_, kUnsafeShare);
+    const std::string path = safe ? Operator::kSafePath : Operator::kUnsafePath;
+    const std::string id = remember(now, router, path, safe, std::nullopt);
+    counts_.pipelined += i > 0 ? 1 : 0;
+    const transport::HeaderList headers = {{"Host", Operator::kHost},
+                                           {platform::kRequestIdHeader, id},
+                                           {platform::kDeadlineHeader, "2000"}};
+    requests.push_back(
+        {id, transport::serialize_request(safe ? "GET" : "POST", path + "x", headers, ""),
+         [this, id](const transport::HttpResponse& response) { on_answer(id, response); }});
+  }
+  Pipeline::send(processes_.all()[router].address, std::move(requests), kAnswerTimeout);
+}
+
 void Clients::on_answer(const std::string& id, const transport::HttpResponse& response) {
   Request& request = requests_.at(id);
   const unsigned status = response.status;
--- a/test/platform/soak/clients.hpp
+++ b/test/platform/soak/clients.hpp
@@ -25,6 +25,7 @@
   std::uint64_t other = 0;         ///< other failures, or no answer
   std::uint64_t judged_added = 0;  ///< requests on routes that had to be in force
   std::uint64_t judged_removed = 0;
+  std::uint64_t pipelined = 0;       ///< sent on behind another without waiting for its answer
   std::uint64_t judged_leaving = 0;  ///< arrivals at targets that had been acknowledged as leaving
 };
 
@@ -61,6 +62,11 @@
 
   void send_one(TimePoint now, std::size_t router, const std::string& path, bool safe,
                 std::optional<std::size_t> route, const std::function<void(unsigned)>& done);
+  /// Sends several requests on one connection at once: safe ones, and now and then one that may run
+  /// once among them.
+  void send_pipeline(TimePoint now, std::size_t router);
+  std::string remember(TimePoint now, std::size_t router, const std::string& path, bool safe,
+                       std::optional<std::size_t> route);
   void on_answer(const std::string& id, const transport::HttpResponse& response);
   void judge_route(const std::string& id, const Request& request, unsigned status);
   void judge_cut(const std::string& id, const Request& request,
@@ -75,6 +81,7 @@
   const Operator& changes_;
   Promises promises_;
   common::RandomEngine random_;
+  common::RandomEngine pipeline_random_;
   transport::HttpClient client_;
   std::unordered_map<std::string, Request> requests_;
   std::uint64_t next_ = 0;
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -75,11 +75,11 @@
     const ClientCounts& counts = clients_.counts();
     std::cout << "seed " << seed << ": sent " << counts.sent << ", served " << counts.served
               << ", refused " << counts.refused << ", no route " << counts.not_there << ", other "
-              << counts.other << "; judged added " << counts.judged_added << ", removed "
-              << counts.judged_removed << ", leaving " << counts.judged_leaving << "; changes "
-              << operator_.acknowledged() << ", heartbeats " << targets_.heartbeats_acknowledged()
-              << ", leavings " << targets_.leavings_acknowledged() << ", troubles " << troubles_
-              << std::endl;
+              << counts.other << ", pipelined " << counts.pipelined << "; judged added "
+              << counts.judged_added << ", removed " << counts.judged_removed << ", leaving "
+              << counts.judged_leaving << "; changes " << operator_.acknowledged()
+              << ", heartbeats " << targets_.heartbeats_acknowledged() << ", leavings "
+              << targets_.leavings_acknowledged() << ", troubles " << troubles_ << std::endl;
   }
 
  private:
