--- a/test/platform/soak/clients.cpp
+++ b/test/platform/soak/clients.cpp
@@ -113,7 +113,7 @@
 
 std::string Clients::remember(TimePoint now, std::size_t router, const std::string& path, bool safe,
                               std::optional<std::size_t> route) {
-  const std::string id = "q" + std::to_string(next_++);
+  std::string id = "q" + std::to_string(next_++);
   Request record;
   record.router = router;
   record.router_pid = processes_.all()[router].pid;
