Links: large bodies are written and read in pieces at the link's pace

Cause: a body of 90 to 540 kB takes a link of 4.1 Mbit/s for 0.18 to 1.05 s each way, and answers, new connections and the control side wait behind it. LinkScheduler (no sockets) gives pieces of 14 ms of the link, shortest remaining body first, each fourth to the oldest; small messages pass at once and are counted. The core learns the backlog (note_link). Only where link-mbps is stated.

--- /dev/null
+++ b/src/link/link_scheduler.cpp
@@ -0,0 +1,134 @@
+#include "link/link_scheduler.hpp"
+
+#include <algorithm>
+
+namespace planktray::link {
+namespace {
+
+std::size_t piece_of(double rate) {
+  const double bytes = rate * std::chrono::duration<double>(kPieceTime).count();
+  return std::max(kLeastPiece, static_cast<std::size_t>(bytes));
+}
+
+}  // namespace
+
+LinkScheduler::LinkScheduler(double bytes_per_second, TimePoint now)
+    : rate_(bytes_per_second * kScheduledShare),
+      piece_(piece_of(rate_)),
+      tokens_(static_cast<double>(piece_)),
+      refilled_(now),
+      last_piece_(now) {}
+
+BodyId LinkScheduler::add(TimePoint now, std::size_t bytes) {
+  refill(now);
+  if (bodies_.empty()) {
+    last_piece_ = now;
+  }
+  const BodyId id = next_id_++;
+  bodies_[id].left = bytes;
+  left_ += bytes;
+  return id;
+}
+
+void LinkScheduler::extend(BodyId body, std::size_t bytes) {
+  const auto found = bodies_.find(body);
+  if (found != bodies_.end()) {
+    found->second.left += bytes;
+    left_ += bytes;
+  }
+}
+
+bool LinkScheduler::passed(BodyId body, std::size_t bytes) {
+  const auto found = bodies_.find(body);
+  if (found == bodies_.end()) {
+    return true;
+  }
+  const std::size_t taken = std::min(bytes, found->second.left);
+  found->second.left -= taken;
+  found->second.under_way -= std::min(taken, found->second.under_way);
+  left_ -= taken;
+  passed_ += taken;
+  if (found->second.left > 0) {
+    return false;
+  }
+  bodies_.erase(found);
+  return true;
+}
+
+void LinkScheduler::remove(BodyId body) {
+  const auto found = bodies_.find(body);
+  if (found == bodies_.end()) {
+    return;
+  }
+  left_ -= found->second.left;
+  tokens_ += static_cast<double>(found->second.under_way);
+  bodies_.erase(found);
+}
+
+void LinkScheduler::note_small(TimePoint now, std::size_t bytes) {
+  refill(now);
+  tokens_ = std::max(tokens_ - static_cast<double>(bytes), -static_cast<double>(piece_));
+}
+
+void LinkScheduler::refill(TimePoint now) {
+  if (now <= refilled_) {
+    return;
+  }
+  const double seconds = std::chrono::duration<double>(now - refilled_).count();
+  refilled_ = now;
+  tokens_ = std::min(tokens_ + seconds * rate_, 2.0 * static_cast<double>(piece_));
+}
+
+bool LinkScheduler::is_due(TimePoint now) const {
+  return tokens_ >= static_cast<double>(piece_) || now - last_piece_ >= kLongestPause;
+}
+
+std::map<BodyId, LinkScheduler::Body>::iterator LinkScheduler::choose() {
+  const bool oldest_first = pieces_ % kPiecesPerOldest == 0;
+  auto best = bodies_.end();
+  for (auto item = bodies_.begin(); item != bodies_.end(); ++item) {
+    if (item->second.under_way > 0) {
+      continue;
+    }
+    if (best == bodies_.end() || (!oldest_first && item->second.left < best->second.left)) {
+      best = item;
+    }
+  }
+  return best;
+}
+
+std::vector<Piece> LinkScheduler::take(TimePoint now) {
+  std::vector<Piece> pieces;
+  refill(now);
+  while (is_due(now)) {
+    const auto body = choose();
+    if (body == bodies_.end()) {
+      break;
+    }
+    const std::size_t bytes = std::min(piece_, body->second.left);
+    body->second.under_way = bytes;
+    tokens_ -= static_cast<double>(bytes);
+    last_piece_ = now;
+    ++pieces_;
+    pieces.push_back({body->first, bytes});
+  }
+  return pieces;
+}
+
+std::optional<TimePoint> LinkScheduler::next_due() const {
+  const bool waits = std::any_of(bodies_.begin(), bodies_.end(),
+                                 [](const auto& item) { return item.second.under_way == 0; });
+  if (!waits) {
+    return std::nullopt;
+  }
+  const double missing = std::max(0.0, static_cast<double>(piece_) - tokens_);
+  return std::min(refilled_ + time_for(missing), last_piece_ + kLongestPause);
+}
+
+Duration LinkScheduler::time_for(double bytes) const {
+  return std::chrono::ceil<Duration>(std::chrono::duration<double>(bytes / rate_));
+}
+
+Duration LinkScheduler::backlog() const { return time_for(static_cast<double>(left_)); }
+
+}  // namespace planktray::link
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -30,12 +30,14 @@
   return common::RandomEngine((static_cast<std::uint64_t>(device()) << 32U) | device());
 }
 
-transport::HttpClientOptions client_options(const RouterSettings& settings) {
+transport::HttpClientOptions client_options(const RouterSettings& settings,
+                                            transport::LinkPacer* pacer) {
   transport::HttpClientOptions options;
   options.connections_per_server = static_cast<std::size_t>(settings.connections_per_backend);
   options.connect_timeout = settings.connect_timeout;
   options.unacknowledged_timeout = settings.unacknowledged_timeout;
   options.limits.body_bytes = settings.maximum_body;
+  options.pacer = pacer;
   return options;
 }
 
@@ -50,10 +52,14 @@
                                           "Time from arrival to the caller's answer.")) {}
 
 common::Result<void> RouterProcess::start() {
+  const double link_rate = settings_.machine.link_bytes_per_second();
+  if (link_rate > 0) {
+    pacer_ = std::make_unique<transport::LinkPacer>(link_rate);
+  }
   if (auto listening = listen(); !listening) {
     return listening;
   }
-  client_ = std::make_unique<transport::HttpClient>(client_options(settings_));
+  client_ = std::make_unique<transport::HttpClient>(client_options(settings_, pacer_.get()));
   for (const std::string& address : settings_.controllers) {
     if (auto connected = connect_controller(address); !connected) {
       return connected;
@@ -64,8 +70,10 @@
 }
 
 common::Result<void> RouterProcess::listen() {
+  transport::HttpServerOptions options = transport::options_with_body_limit(settings_.maximum_body);
+  options.pacer = pacer_.get();
   auto server = transport::HttpServer::listen(
-      settings_.options.address, transport::options_with_body_limit(settings_.maximum_body),
+      settings_.options.address, options,
       [this](const transport::ExchangePointer& exchange) { on_http(exchange); });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
@@ -147,7 +155,14 @@
   return 0;
 }
 
+void RouterProcess::note_link() {
+  if (pacer_ != nullptr) {
+    core_.note_link(pacer_->backlog());
+  }
+}
+
 void RouterProcess::tick() {
+  note_link();
   core_.tick(boot_time_now());
   flush();
 }
@@ -251,6 +266,7 @@
     core_.on_caller_gone(handle);
     flush();
   });
+  note_link();
   core_.on_request(boot_time_now(), caller.read.request);
   flush();
 }
@@ -371,6 +387,7 @@
     request_log_.attempt_failed(now, caller->second.read, found->second.attempt, result, response);
     sent_.erase(found);
   }
+  note_link();
   core_.on_attempt_done(now, attempt, result);
   flush();
 }
@@ -443,7 +460,26 @@
   metrics_.set_counter("planktray_control_bytes_total", "ZeroMQ body bytes, both ways.", bytes);
   metrics_.set_counter("planktray_messages_refused_total",
                        "Damaged messages and foreign protocol versions.", refused);
+  add_link_metrics();
   return metrics_.serialize();
 }
 
+void RouterProcess::add_link_metrics() {
+  if (pacer_ == nullptr) {
+    return;
+  }
+  const auto add = [this](const std::string& direction, const link::LinkScheduler& scheduler) {
+    metrics_.set_counter("planktray_link_" + direction + "_paced_bytes_total",
+                         "Bytes of large bodies that passed at the link's pace.",
+                         scheduler.bytes_passed());
+    metrics_.set_gauge("planktray_link_" + direction + "_bodies_waiting", "Large bodies under way.",
+                       static_cast<double>(scheduler.waiting()));
+    metrics_.set_gauge("planktray_link_" + direction + "_backlog_seconds",
+                       "Time that the bytes of large bodies under way take to pass.",
+                       std::chrono::duration<double>(scheduler.backlog()).count());
+  };
+  add("inbound", pacer_->inbound().scheduler());
+  add("outbound", pacer_->outbound().scheduler());
+}
+
 }  // namespace planktray::router
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -15,6 +15,7 @@
 #include "transport/event_loop.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
+#include "transport/link_pacer.hpp"
 #include "transport/metrics.hpp"
 #include "transport/settings_watch.hpp"
 #include "transport/zmq_socket.hpp"
@@ -87,6 +88,9 @@
   void begin_drain();
   void continue_drain();
   std::string metrics_text();
+  void add_link_metrics();
+  /// Tells the core how far behind the link is, before it decides.
+  void note_link();
 
   RouterSettings settings_;
   std::unique_ptr<RequestDialect> dialect_;
@@ -97,6 +101,7 @@
   RouterCore core_;
   transport::Metrics metrics_;
   prometheus::Histogram& latency_;
+  std::unique_ptr<transport::LinkPacer> pacer_;  ///< none where the link's speed is not stated
   std::unique_ptr<transport::HttpServer> server_;
   std::unique_ptr<transport::HttpServer> status_server_;
   std::unique_ptr<transport::HttpClient> client_;
--- a/src/transport/descriptor_watch.cpp
+++ b/src/transport/descriptor_watch.cpp
@@ -70,6 +70,8 @@
     DescriptorWatch::Readiness readiness;
     readiness.readable = (watch.wanted_ & EPOLLIN) != 0 && ((events & EPOLLIN) != 0 || has_ended);
     readiness.writable = (watch.wanted_ & EPOLLOUT) != 0 && ((events & EPOLLOUT) != 0 || has_ended);
+    readiness.hung_up =
+        (watch.wanted_ & EPOLLRDHUP) != 0 && ((events & EPOLLRDHUP) != 0 || has_ended);
     const DescriptorWatch::Callback callback = watch.callback_;  // may destroy the watch
     callback(readiness);
   }
@@ -89,8 +91,9 @@
   DescriptorQueue::instance().remove(token_);
 }
 
-void DescriptorWatch::want(bool read, bool write) {
-  const std::uint32_t wanted = (read ? EPOLLIN : 0U) | (write ? EPOLLOUT : 0U);
+void DescriptorWatch::want(bool read, bool write, bool hang_up) {
+  const std::uint32_t wanted =
+      (read ? EPOLLIN : 0U) | (write ? EPOLLOUT : 0U) | (hang_up ? EPOLLRDHUP : 0U);
   if (wanted != wanted_) {
     DescriptorQueue::instance().change(*this, std::exchange(wanted_, wanted), wanted);
   }
--- a/src/transport/descriptor_watch.hpp
+++ b/src/transport/descriptor_watch.hpp
@@ -16,6 +16,8 @@
   struct Readiness {
     bool readable = false;  ///< also where the connection has ended
     bool writable = false;  ///< also where the connection has failed
+    /// The peer sends no more: what it has sent has come, or the connection has failed.
+    bool hung_up = false;
   };
   /// Called from the main loop; may destroy the watch.
   using Callback = std::function<void(Readiness readiness)>;
@@ -27,7 +29,8 @@
   ~DescriptorWatch();
 
   /// Calls back whenever the descriptor is ready for what is wanted.
-  void want(bool read, bool write);
+  /// @param hang_up also when the peer sends no more; for descriptors that are not read for now.
+  void want(bool read, bool write, bool hang_up = false);
 
  private:
   friend class DescriptorQueue;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -170,6 +170,8 @@
       }
       if (reader_.is_whole()) {
         take_message(bytes.empty());
+      } else {
+        stream_->expect(reader_.body_left(), HangUp::kReadOn);
       }
     }
   }
@@ -306,7 +308,8 @@
           id, {ErrorCode::kUnavailable, "connect", call.request.address, "no connection is free"});
       return id;
     }
-    auto stream = TcpStream::connect(call.request.address, options_.unacknowledged_timeout);
+    auto stream =
+        TcpStream::connect(call.request.address, options_.unacknowledged_timeout, options_.pacer);
     if (!stream.has_value()) {
       fail_later(id, stream.error());
       return id;
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -73,6 +73,8 @@
   /// Ends a connection whose sent bytes stay without an acknowledgement; 0: the system's time.
   common::Duration unacknowledged_timeout{0};
   HttpLimits limits{64 * 1024, 64 * 1024 * 1024};
+  /// Large bodies pass at its pace; outlives the client; none: no pace.
+  LinkPacer* pacer = nullptr;
 };
 
 class ClientConnection;
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -110,6 +110,13 @@
   }
 }
 
+std::size_t HttpReader::body_left() const {
+  constexpr std::uint64_t kNoLength = UINT64_MAX;
+  const bool stated = has_head_ && !skip_body_ && (parser_.flags & F_CHUNKED) == 0 &&
+                      parser_.content_length != kNoLength;
+  return stated && !whole_ ? parser_.content_length : 0;
+}
+
 HttpMessage HttpReader::take() {
   HttpMessage taken = std::move(message_);
   skip_body_ = false;
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -72,6 +72,8 @@
   /// True once a byte of the present message has come.
   bool has_begun() const { return begun_; }
   bool has_head() const { return has_head_; }
+  /// Body bytes that are still to come, as the head states them; 0 where it states no length.
+  std::size_t body_left() const;
   /// The message as far as it has come.
   const HttpMessage& message() const { return message_; }
   /// Hands out the whole message and gets ready for the next.
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -148,6 +148,7 @@
       return;
     }
     if (!reader_.is_whole()) {
+      stream_->expect(reader_.body_left(), HangUp::kEnds);
       if (!had_head && reader_.has_head()) {
         answer_expectation();
       }
@@ -341,7 +342,7 @@
   }
   const std::uint64_t id = next_id_++;
   auto connection = std::make_shared<ServerConnection>(
-      *this, id, TcpStream::adopt(socket, options_.unacknowledged_timeout));
+      *this, id, TcpStream::adopt(socket, options_.unacknowledged_timeout, options_.pacer));
   g_object_unref(socket);
   connections_[id] = connection;
   connection->start();
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -74,6 +74,8 @@
   common::Duration idle_timeout = std::chrono::seconds(60);
   /// Ends a connection whose sent bytes stay without an acknowledgement; 0: the system's time.
   common::Duration unacknowledged_timeout{0};
+  /// Large bodies pass at its pace; outlives the server; none: no pace.
+  LinkPacer* pacer = nullptr;
 };
 
 /// Options with a limit of body bytes and the other values at their defaults.
--- /dev/null
+++ b/src/transport/link_pacer.cpp
@@ -0,0 +1,57 @@
+#include "transport/link_pacer.hpp"
+
+#include <utility>
+
+namespace planktray::transport {
+
+PacedDirection::PacedDirection(double bytes_per_second)
+    : scheduler_(bytes_per_second, boot_time_now()), alarm_([this] { give(); }) {}
+
+link::BodyId PacedDirection::add(std::size_t bytes, Leave leave) {
+  const link::BodyId body = scheduler_.add(boot_time_now(), bytes);
+  waiting_[body] = std::move(leave);
+  set_alarm();
+  return body;
+}
+
+bool PacedDirection::passed(link::BodyId body, std::size_t bytes) {
+  const bool is_done = scheduler_.passed(body, bytes);
+  if (is_done) {
+    waiting_.erase(body);
+  }
+  set_alarm();
+  return is_done;
+}
+
+void PacedDirection::remove(link::BodyId body) {
+  scheduler_.remove(body);
+  waiting_.erase(body);
+  set_alarm();
+}
+
+void PacedDirection::give() {
+  giving_ = true;
+  for (const link::Piece& piece : scheduler_.take(boot_time_now())) {
+    const auto found = waiting_.find(piece.body);
+    if (found != waiting_.end()) {
+      const Leave leave = found->second;  // may remove itself
+      leave(piece.bytes);
+    }
+  }
+  giving_ = false;
+  set_alarm();
+}
+
+void PacedDirection::set_alarm() {
+  if (giving_) {
+    return;
+  }
+  const auto due = scheduler_.next_due();
+  if (due.has_value()) {
+    alarm_.set(*due);
+  } else {
+    alarm_.cancel();
+  }
+}
+
+}  // namespace planktray::transport
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -41,7 +42,7 @@
 }
 
 common::Result<std::shared_ptr<TcpStream>> TcpStream::connect(
-    const std::string& address, common::Duration unacknowledged_timeout) {
+    const std::string& address, common::Duration unacknowledged_timeout, LinkPacer* pacer) {
   const auto endpoint = parse_endpoint(address);
   if (!endpoint.has_value()) {
     return tl::unexpected(endpoint.error());
@@ -55,7 +56,7 @@
     return common::fail(common::ErrorCode::kIo, "make socket", address, message);
   }
   g_socket_set_blocking(socket, FALSE);
-  const std::shared_ptr<TcpStream> stream(new TcpStream(socket, false));
+  const std::shared_ptr<TcpStream> stream(new TcpStream(socket, false, pacer));
   stream->set_options(unacknowledged_timeout);
   GSocketAddress* to =
       g_inet_socket_address_new_from_string(endpoint->host.c_str(), endpoint->port);
@@ -71,10 +72,11 @@
 }
 
 std::shared_ptr<TcpStream> TcpStream::adopt(GSocket* socket,
-                                            common::Duration unacknowledged_timeout) {
+                                            common::Duration unacknowledged_timeout,
+                                            LinkPacer* pacer) {
   g_socket_set_blocking(socket, FALSE);
   std::shared_ptr<TcpStream> stream(
-      new TcpStream(static_cast<GSocket*>(g_object_ref(socket)), true));
+      new TcpStream(static_cast<GSocket*>(g_object_ref(socket)), true, pacer));
   stream->set_options(unacknowledged_timeout);
   return stream;
 }
@@ -105,7 +107,8 @@
 
 void TcpStream::watch() {
   if (watch_ != nullptr) {
-    watch_->want(connected_, !connected_ || !backlog_.empty());
+    const bool paused = is_read_paused();
+    watch_->want(connected_ && !paused, !connected_ || may_send() > 0, connected_ && paused);
   }
 }
 
@@ -114,16 +117,27 @@
   if (readiness.writable) {
     on_writable();
   }
+  if (readiness.hung_up && is_open()) {
+    on_hang_up();
+    return;
+  }
   if (readiness.readable && is_open()) {
     receive();
+    watch();
   }
 }
 
 void TcpStream::receive() {
+  if (is_read_paused()) {
+    return;
+  }
   std::array<char, kReadBytes> buffer;  // NOLINT: filled by the read
   GError* error = nullptr;
-  const gssize count = g_socket_receive(socket_, buffer.data(), buffer.size(), nullptr, &error);
+  const std::size_t most =
+      reading_.body == 0 ? buffer.size() : std::min(buffer.size(), reading_.leave);
+  const gssize count = g_socket_receive(socket_, buffer.data(), most, nullptr, &error);
   if (count > 0) {
+    note_received(static_cast<std::size_t>(count));
     handlers_.on_data({buffer.data(), static_cast<std::size_t>(count)});
     return;
   }
@@ -144,6 +158,7 @@
       return end(StreamEnd::kReset);
     }
     connected_ = true;
+    pace_writing(0);
     if (handlers_.on_connected) {
       handlers_.on_connected();
     }
@@ -158,8 +173,11 @@
   if (!is_open()) {
     return;
   }
-  const bool waits = !backlog_.empty() || !connected_;
+  const bool waits = is_writing() || !connected_;
   backlog_.append(bytes);
+  if (connected_) {
+    pace_writing(bytes.size());
+  }
   if (!waits) {
     send_backlog();
     watch();
@@ -167,9 +185,14 @@
 }
 
 void TcpStream::send_backlog() {
-  while (!backlog_.empty()) {
+  while (is_writing()) {
+    const std::size_t most = may_send();
+    if (most == 0) {
+      return;
+    }
     GError* error = nullptr;
-    const gssize count = g_socket_send(socket_, backlog_.data(), backlog_.size(), nullptr, &error);
+    const gssize count =
+        g_socket_send(socket_, backlog_.data() + backlog_sent_, most, nullptr, &error);
     if (count < 0) {
       if (!is_would_block(error)) {
         end(StreamEnd::kReset);
@@ -177,7 +200,7 @@
       return;
     }
     sent_ = true;
-    backlog_.erase(0, static_cast<std::size_t>(count));
+    note_sent(static_cast<std::size_t>(count));
   }
   if (finishing_) {
     g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
@@ -189,7 +212,7 @@
 
 void TcpStream::finish_writing() {
   finishing_ = true;
-  if (is_open() && backlog_.empty() && connected_) {
+  if (is_open() && !is_writing() && connected_) {
     g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
   }
 }
@@ -215,10 +238,107 @@
     return;
   }
   watch_.reset();
+  leave_pacer();
   g_socket_close(socket_, nullptr);
   g_clear_object(&socket_);
   backlog_.clear();
+  backlog_sent_ = 0;
   connected_ = false;
 }
 
+// ---------------------------------------------------------------- the link's pace
+
+std::size_t TcpStream::may_send() const {
+  return writing_.body == 0 ? unsent() : std::min(unsent(), writing_.leave);
+}
+
+void TcpStream::pace_writing(std::size_t added) {
+  if (pacer_ == nullptr) {
+    return;
+  }
+  if (writing_.body != 0) {
+    pacer_->outbound().extend(writing_.body, added);
+    return;
+  }
+  if (unsent() <= link::kLargeBodyBytes) {
+    return;
+  }
+  writing_.leave = 0;
+  writing_.body = pacer_->outbound().add(unsent(), [this](std::size_t bytes) {
+    const auto keep = shared_from_this();
+    writing_.leave += bytes;
+    send_backlog();
+    watch();
+  });
+}
+
+void TcpStream::note_sent(std::size_t bytes) {
+  backlog_sent_ += bytes;
+  if (!is_writing()) {
+    backlog_.clear();
+    backlog_sent_ = 0;
+  }
+  if (pacer_ == nullptr) {
+    return;
+  }
+  if (writing_.body == 0) {
+    return pacer_->outbound().note_small(bytes);
+  }
+  writing_.leave -= bytes;
+  if (pacer_->outbound().passed(writing_.body, bytes)) {
+    writing_ = {};
+  }
+}
+
+void TcpStream::expect(std::size_t bytes, HangUp hang_up) {
+  if (pacer_ == nullptr || !is_open() || reading_.body != 0 || bytes <= link::kLargeBodyBytes) {
+    return;
+  }
+  hang_up_ = hang_up;
+  reading_.leave = 0;
+  reading_.body = pacer_->inbound().add(bytes, [this](std::size_t leave) {
+    const auto keep = shared_from_this();
+    reading_.leave += leave;
+    receive();
+    watch();
+  });
+  watch();
+}
+
+void TcpStream::note_received(std::size_t bytes) {
+  if (pacer_ == nullptr) {
+    return;
+  }
+  if (reading_.body == 0) {
+    return pacer_->inbound().note_small(bytes);
+  }
+  reading_.leave -= std::min(bytes, reading_.leave);
+  if (pacer_->inbound().passed(reading_.body, bytes)) {
+    reading_ = {};
+  }
+}
+
+void TcpStream::on_hang_up() {
+  if (hang_up_ == HangUp::kEnds) {
+    return end(StreamEnd::kClosed);
+  }
+  // All that the peer sent is here: reading it slowly would spare the link nothing.
+  if (reading_.body != 0) {
+    pacer_->inbound().remove(reading_.body);
+    reading_ = {};
+  }
+  watch();
+}
+
+void TcpStream::leave_pacer() {
+  if (writing_.body != 0) {
+    pacer_->outbound().remove(writing_.body);
+  }
+  if (reading_.body != 0) {
+    pacer_->inbound().remove(reading_.body);
+  }
+  writing_ = {};
+  reading_ = {};
+}
+
 }  // namespace planktray::transport
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -12,6 +12,7 @@
 #include "common/error.hpp"
 #include "common/time.hpp"
 #include "transport/descriptor_watch.hpp"
+#include "transport/link_pacer.hpp"
 
 namespace planktray::transport {
 
@@ -27,6 +28,12 @@
   kReset,   ///< reset, timed out, or another failure
 };
 
+/// What it means that a peer hangs up while a body of its is held back.
+enum class HangUp : std::uint8_t {
+  kReadOn,  ///< it has sent all that it had to: the body may be whole
+  kEnds,    ///< it no longer wants what it asked for
+};
+
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
  public:
   /// Callbacks may close the stream; none comes after close().
@@ -41,17 +48,24 @@
 
   /// Starts connecting. @param unacknowledged_timeout ends the connection when sent bytes stay
   ///   without an acknowledgement for this long; 0 leaves the system's own time.
-  static common::Result<std::shared_ptr<TcpStream>> connect(
-      const std::string& address, common::Duration unacknowledged_timeout);
+  /// @param pacer gives leave to write and read large bodies; outlives the stream; none: no pace.
+  static common::Result<std::shared_ptr<TcpStream>> connect(const std::string& address,
+                                                            common::Duration unacknowledged_timeout,
+                                                            LinkPacer* pacer = nullptr);
   /// Takes over an accepted socket.
-  static std::shared_ptr<TcpStream> adopt(GSocket* socket, common::Duration unacknowledged_timeout);
+  static std::shared_ptr<TcpStream> adopt(GSocket* socket, common::Duration unacknowledged_timeout,
+                                          LinkPacer* pacer = nullptr);
   TcpStream(const TcpStream&) = delete;
   TcpStream& operator=(const TcpStream&) = delete;
   ~TcpStream();
 
   /// Sets the callbacks and begins to read.
   void start(Handlers handlers);
+  /// Many bytes (`link::kLargeBodyBytes`) leave at the pacer's pace, where there is one.
   void write(std::string_view bytes);
+  /// So many bytes of a body are still to come: many are read at the pacer's pace, which holds the
+  /// sender back. A peer that hangs up meanwhile is noticed at once.
+  void expect(std::size_t bytes, HangUp hang_up);
   /// Closes at once; bytes that the peer has not acknowledged may still reach it.
   void close();
   /// Ends the connection by a reset: bytes that are still under way reach nobody.
@@ -66,10 +80,26 @@
   /// True where bytes have come that were not handed out yet.
   bool has_unread() const;
   /// True while written bytes wait for the system to take them.
-  bool is_writing() const { return !backlog_.empty(); }
+  bool is_writing() const { return unsent() > 0; }
 
  private:
-  TcpStream(GSocket* socket, bool connected) : socket_(socket), connected_(connected) {}
+  /// A large body in one direction: the pacer's name for it, and what may pass of it now.
+  struct Paced {
+    link::BodyId body = 0;  ///< 0: none
+    std::size_t leave = 0;  ///< bytes
+  };
+
+  TcpStream(GSocket* socket, bool connected, LinkPacer* pacer)
+      : socket_(socket), connected_(connected), pacer_(pacer) {}
+  std::size_t unsent() const { return backlog_.size() - backlog_sent_; }
+  std::size_t may_send() const;
+  bool is_read_paused() const { return reading_.body != 0 && reading_.leave == 0; }
+  /// @param added bytes that were just put behind the others.
+  void pace_writing(std::size_t added);
+  void note_sent(std::size_t bytes);
+  void note_received(std::size_t bytes);
+  void on_hang_up();
+  void leave_pacer();
   void watch();
   void on_ready(DescriptorWatch::Readiness readiness);
   void on_writable();
@@ -83,7 +113,12 @@
   bool sent_ = false;
   bool finishing_ = false;
   Handlers handlers_;
-  std::string backlog_;
+  LinkPacer* pacer_;
+  Paced writing_;
+  Paced reading_;
+  HangUp hang_up_ = HangUp::kReadOn;
+  std::string backlog_;           ///< what was written
+  std::size_t backlog_sent_ = 0;  ///< bytes of it that the system has taken
   std::unique_ptr<DescriptorWatch> watch_;
 };
 
--- /dev/null
+++ b/test/link/link_scheduler_test.cpp
@@ -0,0 +1,181 @@
+#include "link/link_scheduler.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace planktray::link {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+/// Bytes a second of the links of small, larger and unbounded machines.
+constexpr std::array<double, 3> kLinks{4.1e6 / 8, 14e6 / 8, 1000e6 / 8};
+/// What a small message may wait behind large bodies.
+constexpr Duration kSmallWait = milliseconds(30);
+
+Duration time_on(double rate, double bytes) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bytes / rate));
+}
+
+/// Passes what the scheduler gives, one step of time after the other.
+struct Run {
+  explicit Run(double rate_of_link) : rate(rate_of_link), scheduler(rate_of_link, kStart) {}
+
+  /// @return the bytes that passed in this step.
+  std::size_t step(Duration length) {
+    now += length;
+    std::size_t bytes = 0;
+    for (const Piece& piece : scheduler.take(now)) {
+      bytes += piece.bytes;
+      passed[piece.body] += piece.bytes;
+      if (scheduler.passed(piece.body, piece.bytes)) {
+        ended[piece.body] = now;
+      }
+    }
+    return bytes;
+  }
+  void until(TimePoint end) {
+    while (now < end) {
+      step(milliseconds(1));
+    }
+  }
+
+  double rate;
+  LinkScheduler scheduler;
+  TimePoint now = kStart;
+  std::map<BodyId, std::size_t> passed;
+  std::map<BodyId, TimePoint> ended;
+};
+
+TEST_CASE("statements and uploads: a small message waits 30 ms at most at every size of router") {
+  for (const double rate : kLinks) {
+    CAPTURE(rate);
+    Run run(rate);
+    for (const std::size_t bytes : {540'000, 90'000, 360'000, 60'000, 90'000, 540'000}) {
+      run.scheduler.add(run.now, bytes);
+    }
+    // What the link itself has not sent yet: the wait of a message that is written now.
+    double queued = 0;
+    double longest = 0;
+    while (run.scheduler.waiting() > 0 && run.now < kStart + seconds(10)) {
+      queued += static_cast<double>(run.step(milliseconds(1)));
+      longest = std::max(longest, queued);
+      queued = std::max(0.0, queued - rate / 1000);
+    }
+    CHECK(run.scheduler.waiting() == 0);
+    CHECK(time_on(rate, longest) <= kSmallWait);
+  }
+}
+
+TEST_CASE("large bodies use the scheduled share of the link while they wait") {
+  for (const double rate : kLinks) {
+    CAPTURE(rate);
+    Run run(rate);
+    const auto bytes = static_cast<std::size_t>(rate * 3);
+    const BodyId body = run.scheduler.add(run.now, bytes);
+    CHECK(run.scheduler.backlog() >= seconds(3));
+    run.until(kStart + seconds(1));
+    const double share = static_cast<double>(run.passed[body]) / rate;
+    CHECK(share > kScheduledShare - 0.05);
+    CHECK(share < kScheduledShare + 0.05);
+  }
+}
+
+TEST_CASE("a router that froze passes one burst, not what it has missed") {
+  for (const double rate : kLinks) {
+    CAPTURE(rate);
+    Run run(rate);
+    for (int i = 0; i < 20; ++i) {
+      run.scheduler.add(run.now, static_cast<std::size_t>(rate));
+    }
+    run.until(kStart + milliseconds(200));
+    const std::size_t burst = run.step(seconds(5));
+    CHECK(time_on(rate, static_cast<double>(burst)) <= kSmallWait);
+  }
+}
+
+TEST_CASE("the shortest remaining body goes first, and the longest goes on under a steady stream") {
+  Run run(kLinks[0]);
+  const BodyId longest = run.scheduler.add(run.now, 540'000);
+  const BodyId shortest = run.scheduler.add(run.now, 30'000);
+  run.until(kStart + milliseconds(200));
+  CHECK(run.ended.contains(shortest));
+  CHECK_FALSE(run.ended.contains(longest));
+  // More than the link carries, in bodies that are all shorter.
+  while (!run.ended.contains(longest) && run.now < kStart + seconds(20)) {
+    run.scheduler.add(run.now, 30'000);
+    run.until(run.now + milliseconds(50));
+  }
+  REQUIRE(run.ended.contains(longest));
+  CHECK(run.ended[longest] - kStart < seconds(8));
+}
+
+TEST_CASE("small messages that fill the link hold large bodies up for a bounded time only") {
+  Run run(kLinks[0]);
+  const BodyId body = run.scheduler.add(run.now, 90'000);
+  Duration pause{0};
+  TimePoint last = run.now;
+  while (run.scheduler.waiting() > 0 && run.now < kStart + seconds(20)) {
+    run.scheduler.note_small(run.now, 2000);  // four times what the link carries
+    if (run.step(milliseconds(1)) > 0) {
+      pause = std::max(pause, run.now - last);
+      last = run.now;
+    }
+  }
+  CHECK(run.ended.contains(body));
+  CHECK(pause <= kLongestPause + milliseconds(1));
+}
+
+TEST_CASE("large bodies leave small messages their part of the link") {
+  Run run(kLinks[0]);
+  const BodyId body = run.scheduler.add(run.now, 2'000'000);
+  const double small = run.rate / 2;
+  while (run.now < kStart + seconds(1)) {
+    run.scheduler.note_small(run.now, static_cast<std::size_t>(small / 1000));
+    run.step(milliseconds(1));
+  }
+  const double both = static_cast<double>(run.passed[body]) + small;
+  CHECK(both < run.rate * (kScheduledShare + 0.05));
+  CHECK(both > run.rate * (kScheduledShare - 0.1));
+}
+
+TEST_CASE("a connection that ends within its body gives back what it was given") {
+  Run run(kLinks[0]);
+  const BodyId leaves = run.scheduler.add(run.now, 90'000);
+  const BodyId stays = run.scheduler.add(run.now, 540'000);
+  const auto pieces = run.scheduler.take(run.now);
+  REQUIRE(pieces.size() == 1);
+  CHECK(pieces[0].body == leaves);
+  CHECK(run.scheduler.take(run.now).empty());
+  run.scheduler.remove(leaves);
+  CHECK(run.scheduler.waiting() == 1);
+  CHECK(run.scheduler.backlog() < seconds(2));
+  const auto next = run.scheduler.take(run.now);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].body == stays);
+  CHECK(run.scheduler.passed(leaves, 10));  // forgotten
+}
+
+TEST_CASE("nothing is due while no large body waits for a piece") {
+  LinkScheduler scheduler(kLinks[0], kStart);
+  CHECK_FALSE(scheduler.next_due().has_value());
+  scheduler.note_small(kStart, 1000);
+  CHECK_FALSE(scheduler.next_due().has_value());
+  CHECK(scheduler.backlog() == Duration(0));
+  const BodyId body = scheduler.add(kStart, 90'000);
+  CHECK(scheduler.next_due().has_value());
+  const auto pieces = scheduler.take(kStart + milliseconds(3));  // the small message has passed
+  REQUIRE(pieces.size() == 1);
+  CHECK_FALSE(scheduler.next_due().has_value());  // its piece is under way
+  CHECK_FALSE(scheduler.passed(body, pieces[0].bytes));
+  REQUIRE(scheduler.next_due().has_value());
+  CHECK(*scheduler.next_due() > kStart + milliseconds(3));
+}
+
+}  // namespace
+}  // namespace planktray::link
--- /dev/null
+++ b/test/transport/link_pacer_test.cpp
@@ -0,0 +1,179 @@
+#include "transport/link_pacer.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "transport/event_loop.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+
+namespace planktray::transport {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kAddress = "127.0.0.1:19874";
+constexpr double kSlowLink = 4.1e6 / 8;  // bytes a second
+constexpr std::size_t kStatement = 90'000;
+
+/// Bytes that show where one is lost or out of place.
+std::string patterned(std::size_t bytes) {
+  std::string body(bytes, ' ');
+  for (std::size_t i = 0; i < bytes; ++i) {
+    body[i] = static_cast<char>('a' + (i * 7 + i / 251) % 26);
+  }
+  return body;
+}
+
+HttpServerOptions paced_server(LinkPacer& pacer) {
+  HttpServerOptions options = options_with_body_limit(1024 * 1024);
+  options.pacer = &pacer;
+  return options;
+}
+
+HttpClientOptions paced_client(LinkPacer& pacer) {
+  HttpClientOptions options;
+  options.pacer = &pacer;
+  return options;
+}
+
+HttpRequest upload(std::size_t bytes) {
+  HttpRequest request;
+  request.address = kAddress;
+  request.method = "POST";
+  request.body = patterned(bytes);
+  return request;
+}
+
+TEST_CASE("a large answer is written at the link's pace, and small ones pass it") {
+  LinkPacer pacer(kSlowLink);
+  auto server = HttpServer::listen(kAddress, paced_server(pacer), [](const ExchangePointer& it) {
+    it->respond_text(200, "text/plain", it->path() == "/large" ? patterned(kStatement) : "ok");
+  });
+  REQUIRE(server.has_value());
+  EventLoop loop;
+  HttpClient client{HttpClientOptions{}};
+  const common::TimePoint start = boot_time_now();
+  common::TimePoint small_at;
+  HttpResponse large;
+  HttpRequest request;
+  request.address = kAddress;
+  request.target = "/large";
+  client.send(request, [&](const HttpResponse& got) {
+    large = got;
+    loop.quit();
+  });
+  loop.after(milliseconds(40), [&] {
+    HttpRequest small;
+    small.address = kAddress;
+    client.send(small, [&](const HttpResponse& /*got*/) { small_at = boot_time_now(); });
+  });
+  loop.run();
+  const common::TimePoint end = boot_time_now();
+  CHECK(large.text() == patterned(kStatement));
+  CHECK(end - start >= milliseconds(150));  // 176 ms of the link, less what may pass at once
+  CHECK(small_at > start);
+  CHECK(small_at < end);
+  CHECK(pacer.outbound().scheduler().waiting() == 0);
+  CHECK(pacer.outbound().scheduler().bytes_passed() >= kStatement);
+}
+
+TEST_CASE("a large request is read at the link's pace and comes whole") {
+  LinkPacer pacer(kSlowLink);
+  std::string read;
+  auto server = HttpServer::listen(kAddress, paced_server(pacer), [&](const ExchangePointer& it) {
+    read = it->body();
+    it->respond_text(200, "text/plain", "ok");
+  });
+  REQUIRE(server.has_value());
+  EventLoop loop;
+  HttpClient client{HttpClientOptions{}};
+  const common::TimePoint start = boot_time_now();
+  client.send(upload(kStatement), [&](const HttpResponse& got) {
+    CHECK(got.status == 200);
+    loop.quit();
+  });
+  loop.run();
+  CHECK(read == patterned(kStatement));
+  CHECK(boot_time_now() - start >= milliseconds(100));  // less a first read that is not held back
+  CHECK(pacer.inbound().scheduler().waiting() == 0);
+}
+
+TEST_CASE("a large answer of a back end is read at the link's pace, also where its server closes") {
+  LinkPacer pacer(kSlowLink);
+  auto server =
+      HttpServer::listen(kAddress, options_with_body_limit(1024), [](const ExchangePointer& it) {
+        it->respond(200, {{"Connection", "close"}}, patterned(kStatement));
+      });
+  REQUIRE(server.has_value());
+  EventLoop loop;
+  HttpClient client(paced_client(pacer));
+  HttpResponse response;
+  HttpRequest request;
+  request.address = kAddress;
+  request.fresh_connection = true;
+  client.send(request, [&](const HttpResponse& got) {
+    response = got;
+    loop.quit();
+  });
+  loop.run();
+  CHECK(response.text() == patterned(kStatement));
+  CHECK(pacer.inbound().scheduler().waiting() == 0);
+}
+
+TEST_CASE(
+    "a client that leaves while its upload is held back is noticed, and its bytes given back") {
+  constexpr double kCrawl = 2000;  // bytes a second: the upload would take a minute
+  LinkPacer pacer(kCrawl);
+  bool handled = false;
+  auto server = HttpServer::listen(kAddress, paced_server(pacer), [&](const ExchangePointer& it) {
+    handled = true;
+    it->respond_text(200, "text/plain", "ok");
+  });
+  REQUIRE(server.has_value());
+  EventLoop loop;
+  HttpClient client{HttpClientOptions{}};
+  const std::uint64_t call = client.send(upload(kStatement), [](const HttpResponse& /*got*/) {});
+  std::size_t waiting = 0;
+  std::size_t unfinished = 0;
+  loop.after(milliseconds(100), [&] {
+    waiting = pacer.inbound().scheduler().waiting();
+    unfinished = (*server)->unfinished();
+    client.cancel(call);
+  });
+  loop.after(milliseconds(200), [&] { loop.quit(); });
+  loop.run();
+  CHECK(waiting == 1);
+  CHECK(unfinished == 1);
+  CHECK_FALSE(handled);
+  CHECK(pacer.inbound().scheduler().waiting() == 0);
+  CHECK((*server)->connections() == 0);
+}
+
+TEST_CASE("a client that leaves while its large answer is written is noticed") {
+  constexpr double kCrawl = 2000;
+  LinkPacer pacer(kCrawl);
+  auto server = HttpServer::listen(kAddress, paced_server(pacer), [](const ExchangePointer& it) {
+    it->respond_text(200, "text/plain", patterned(kStatement));
+  });
+  REQUIRE(server.has_value());
+  EventLoop loop;
+  HttpClient client{HttpClientOptions{}};
+  HttpRequest request;
+  request.address = kAddress;
+  const std::uint64_t call = client.send(request, [](const HttpResponse& /*got*/) {});
+  std::size_t unfinished = 0;
+  loop.after(milliseconds(100), [&] {
+    unfinished = (*server)->unfinished();
+    client.cancel(call);
+  });
+  loop.after(milliseconds(200), [&] { loop.quit(); });
+  loop.run();
+  CHECK(unfinished == 1);
+  CHECK(pacer.outbound().scheduler().waiting() == 0);
+  CHECK((*server)->connections() == 0);
+}
+
+}  // namespace
+}  // namespace planktray::transport
