--- a/src/transport/descriptor_watch.hpp
+++ b/src/transport/descriptor_watch.hpp
@@ -16,7 +16,8 @@
   struct Readiness {
     bool readable = false;  ///< also where the connection has ended
     bool writable = false;  ///< also where the connection has failed
-    bool hung_up = false;   ///< the peer has closed its sending side, or the connection has failed
+    /// The peer sends no more: what it has sent has come, or the connection has failed.
+    bool hung_up = false;
   };
   /// Called from the main loop; may destroy the watch.
   using Callback = std::function<void(Readiness readiness)>;
@@ -27,8 +28,8 @@
   DescriptorWatch& operator=(const DescriptorWatch&) = delete;
   ~DescriptorWatch();
 
-  /// Calls back whenever the descriptor is ready for what is wanted. @param hang_up the peer's end
-  /// is wanted by itself, also behind bytes that are not read.
+  /// Calls back whenever the descriptor is ready for what is wanted.
+  /// @param hang_up also when the peer sends no more; for descriptors that are not read for now.
   void want(bool read, bool write, bool hang_up = false);
 
  private:
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -233,10 +233,13 @@
       refuse(status_of_failure(reader_.failure()), "the request cannot be read");
     } else if (reader_.is_whole()) {
       append_request(reader_.take());
-    } else if (!had_head && reader_.has_head()) {
-      owes_continue_ =
-          equals_ignoring_case(find_header(reader_.message().headers, "Expect"), "100-continue");
-      answer_expectation();
+    } else {
+      stream_->expect(reader_.body_left(), HangUp::kEnds);
+      if (!had_head && reader_.has_head()) {
+        owes_continue_ =
+            equals_ignoring_case(find_header(reader_.message().headers, "Expect"), "100-continue");
+        answer_expectation();
+      }
     }
     return taken;
   }
@@ -509,7 +512,7 @@
   }
   const std::uint64_t id = next_id_++;
   auto connection = std::make_shared<ServerConnection>(
-      *this, id, TcpStream::adopt(socket, options_.unacknowledged_timeout));
+      *this, id, TcpStream::adopt(socket, options_.unacknowledged_timeout, options_.pacer));
   g_object_unref(socket);
   connections_[id] = connection;
   connection->start();
