Admission by rank: first tries, returns, less urgent and late requests each join queues of a length

Cause: a request was admitted whatever queue it met, and a route's priority was read by nobody: availability, the most urgent, was served worse than unlock on the same targets. Now a plain function decides at arrival and at each look by objective, time used before (the time that a caller states tells a return at any router), expected answer, more urgent routes in use, and gives a time to return. Ruled out, by the tables of the test: admitting every return while its caller waits. Late returns then keep an owner's queue long and no request is in time for seconds after a burst of two seconds; and giving one in eight of the less urgent the rank of the urgent, by which a burst of them takes half of the owner. A keyed owner that turns a request away is not asked again by the same attempt: its caller learns when to return.

--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -566,7 +566,8 @@
   }
 }
 
-void RouterCore::answer_not_run(const Request& request, NotRunReason reason, Duration retry_after) {
+void RouterCore::answer_not_run(const Request& request, NotRunReason reason, Duration retry_after,
+                                const std::optional<routing::AdmissionInput>& decided_by) {
   if (request.may_have_run && !options_.claim_not_run) {
     answer_unknown(request);  // an earlier attempt left no proof
     return;
@@ -575,7 +576,7 @@
   const bool never = reason == NotRunReason::kUnknownService;
   const RequestHandle handle = request.caller.handle;
   output_.answers.push_back({handle, Outcome::kNotRun, 0, reason, never, retry_after,
-                             service_name(request), request.sends, table_.index()});
+                             service_name(request), request.sends, table_.index(), decided_by});
   finish(handle);
 }
 
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -19,6 +19,8 @@
 
 #include "common/random.hpp"
 #include "common/time.hpp"
+#include "routing/admission.hpp"
+#include "routing/caller_time.hpp"
 #include "routing/cold_limit.hpp"
 #include "routing/leader_search.hpp"
 #include "routing/outcome.hpp"
@@ -28,6 +30,7 @@
 #include "routing/table_freshness.hpp"
 #include "routing/target_book.hpp"
 #include "routing/target_choice.hpp"
+#include "routing/urgency_levels.hpp"
 #include "routing/zone_subset.hpp"
 
 namespace planktray::router {
@@ -61,12 +64,7 @@
   /// The owner of a key in a zone that is being evacuated may get requests for this long after the
   /// router has learnt of it, so that its keys can be handed over first. 0: none.
   Duration evacuation_grace = std::chrono::milliseconds(2000);
-  /// A request that is not sent within this part of its objective is refused.
-  double patience = 0.2;
-  /// The same where its route states no objective.
-  Duration default_patience = std::chrono::milliseconds(60);
-  /// A request is refused where its answer is expected later than this part of the time it has.
-  double usable_time = 0.9;
+  routing::AdmissionOptions admission;
   /// A back end whose address another incarnation answers at gets nothing for this long, unless the
   /// table drops it before. It ends with certainty, but the sign of it may have been misread: then
   /// this is what the mistake costs. Leaders give up a holder within a hold (9 s at most), so a
@@ -158,6 +156,8 @@
   std::string service{};
   std::uint32_t attempts = 0;      ///< how often it was sent
   common::LogIndex table_index{};  ///< the table that decided it
+  /// Of a refusal by admission: what was known of the request and its target.
+  std::optional<routing::AdmissionInput> decided_by{};
 };
 
 struct AttemptResult {
@@ -197,6 +197,10 @@
   std::uint64_t leaders_named = 0;     ///< a new leader was named by itself or another controller
   std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
   std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
+  // Requests on routes.
+  std::uint64_t returned = 0;          ///< came from callers that had been refused before
+  std::uint64_t returned_refused = 0;  ///< of these, refused once more
+  std::uint64_t late_refused = 0;      ///< the queue of their target was too long for their rank
 };
 
 class RouterCore {
@@ -265,7 +269,14 @@
     std::uint32_t maximum_attempts = 1;
     bool repeat_owed = false;  ///< it has arrived: its next send is counted as a repeat
     TimePoint patience_until;  ///< it is refused where it cannot be sent before
-    TimePoint not_before;      ///< an owner that refused it is not asked again before
+    TimePoint arrived;
+    TimePoint caller_leaves;
+    Duration objective{0};         ///< 0: none stated
+    Duration used{0};              ///< of its objective before it came here
+    std::uint32_t priority = 0;    ///< 0 is the most urgent
+    double turn = 1;               ///< see AdmissionInput
+    Duration room_expected_in{0};  ///< after a target turned it away; 0: not known
+    TimePoint not_before;          ///< an owner that refused it is not asked again before
   };
   struct Attempt {
     RequestHandle handle;
@@ -278,6 +289,7 @@
         : targets(book), retries(window) {}
     routing::TargetBook targets;
     routing::RetryWindow retries;
+    routing::UrgencyLevels urgencies;
     /// Targets that take new work, and those of them that this router works with.
     std::vector<routing::ZonedTarget> available;
     std::vector<BackendId> subset;
@@ -310,11 +322,19 @@
   void on_route_request(TimePoint now, const CallerRequest& caller);
   void dispatch_routed(TimePoint now, Request& request);
   void send_routed(TimePoint now, Request& request, BackendId backend);
-  Duration retry_after(routing::NotRunReason reason);
+  /// What admission has to know of a request that would go to `target`; nothing: nobody takes it.
+  routing::AdmissionInput admission_input(TimePoint now, const Request& request,
+                                          std::optional<BackendId> target);
+  /// @param target that was considered; nothing: none could take it.
+  void refuse_routed(TimePoint now, Request& request, routing::NotRunReason reason,
+                     std::optional<BackendId> target = std::nullopt);
+  /// Told to callers whose key has no owner.
+  Duration ownerless_retry_after(const routing::AdmissionInput& input);
   void wait_routed(TimePoint now, Request& request, routing::NotRunReason reason);
   void on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
                               const AttemptResult& result);
   void retry_routed(TimePoint now, Request& request);
+  void on_owner_full(TimePoint now, Request& request, BackendId owner);
   /// The service that a request of this route goes to: parts take turns by their weights.
   const routing::RoutedTableService* choose_part(const config::Route& route);
   std::optional<BackendId> choose_target(TimePoint now, const Request& request,
@@ -338,7 +358,8 @@
   /// The parts of a Forward that do not depend on the kind of service.
   Forward begin_attempt(TimePoint now, Request& request, BackendId backend);
   std::string service_name(const Request& request) const;
-  void answer_not_run(const Request& request, routing::NotRunReason reason, Duration retry_after);
+  void answer_not_run(const Request& request, routing::NotRunReason reason, Duration retry_after,
+                      const std::optional<routing::AdmissionInput>& decided_by = std::nullopt);
   void answer_unknown(const Request& request);
   void finish(RequestHandle handle);
   void block(TimePoint now, BackendId backend);
@@ -406,6 +427,7 @@
   routing::ColdLimit cold_limit_;
   std::map<common::ZoneName, TimePoint> evacuations_;        ///< when this router learnt of each
   std::map<std::string, std::vector<double>> part_credits_;  ///< by route name
+  std::map<std::string, routing::CallerTime> caller_times_;  ///< by route name
   std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
   std::set<RequestHandle> routed_waiting_;
   TimePoint next_hello_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "router/core/router_core.hpp"
+#include "routing/room_view.hpp"
 
 namespace planktray::router {
 namespace {
@@ -16,8 +17,27 @@
 
 /// Told to callers whose request cannot run before a table is there.
 constexpr Duration kRetryAfterUnavailable = std::chrono::milliseconds(1000);
-/// A request that waits for a target looks again this often.
-constexpr Duration kLookAgain = std::chrono::milliseconds(20);
+/// A target that turns a request away is full: its slots have to end their work this often before
+/// one more, with a queue of the usual length before it, can be in time.
+constexpr int kRoundsOfFullTarget = 2;
+
+Duration milliseconds_of(std::uint32_t value) { return std::chrono::milliseconds(value); }
+
+/// What this router has seen of a target, as room there.
+routing::Room room_at(TimePoint now, const routing::TargetBook& book, BackendId id) {
+  routing::Room room;
+  room.expected = book.projected(now, id);
+  const routing::TargetView* target = book.find(id);
+  if (target == nullptr) {
+    return room;
+  }
+  room.slots = target->slots;
+  room.ahead = static_cast<double>(target->outstanding.size()) + target->usual_others;
+  const double behind = std::max(0.0, room.ahead + 1.0 - room.slots) / room.slots;
+  const double queued = static_cast<double>(room.expected.count()) * behind / (1.0 + behind);
+  room.slot_expected_in = Duration(static_cast<Duration::rep>(queued));
+  return room;
+}
 
 }  // namespace
 
@@ -130,12 +150,19 @@
   request.maximum_attempts = route->maximum_attempts;
   const std::uint32_t stated = caller.timeout_ms > 0 ? caller.timeout_ms : config::kMaxTimeoutMs;
   const std::uint32_t allowed = route->timeout_ms > 0 ? route->timeout_ms : stated;
-  request.deadline = now + std::chrono::milliseconds(std::min(stated, allowed));
-  const Duration objective = std::chrono::milliseconds(route->objective_ms);
-  const Duration patience =
-      route->objective_ms > 0 ? std::chrono::duration_cast<Duration>(objective * options_.patience)
-                              : options_.default_patience;
+  request.arrived = now;
+  request.deadline = now + milliseconds_of(std::min(stated, allowed));
+  request.caller_leaves = now + milliseconds_of(stated);
+  request.priority = route->priority;
+  request.turn = common::uniform_real(random_);
+  request.objective = milliseconds_of(route->objective_ms);
+  if (caller.timeout_ms > 0 && route->objective_ms > 0) {
+    request.used = caller_times_[route->name].used(now, milliseconds_of(stated));
+  }
+  counters_.returned += request.used.count() > 0 ? 1 : 0;
+  const Duration patience = routing::patience_of(options_.admission, request.objective);
   request.patience_until = std::min(now + patience, request.deadline);
+  routed_service(request.service).urgencies.note(now, request.priority, request.objective);
   routed_service(request.service).retries.on_request(now);
   if (request.keyed) {
     ++key_loads_[{request.service, request.key}];
@@ -184,12 +211,43 @@
                                              is_closed(now, *route, request.keyed));
     return wait_routed(now, request, ownerless ? NotRunReason::kNoOwner : NotRunReason::kNoTarget);
   }
-  const Duration left = request.deadline - now;
-  const Duration usable = std::chrono::duration_cast<Duration>(left * options_.usable_time);
-  if (routed_service(request.service).targets.projected(now, *target) > usable) {
-    return wait_routed(now, request, NotRunReason::kOverload);
+  const routing::AdmissionInput input = admission_input(now, request, target);
+  const auto decision =
+      routing::decide_admission(options_.admission, input, common::uniform_real(random_));
+  switch (decision.verdict) {
+    case routing::Admission::kAdmit:
+      return send_routed(now, request, *target);
+    case routing::Admission::kWait:
+      return wait_routed(now, request, NotRunReason::kOverload);
+    case routing::Admission::kRefuse:
+      ++counters_.late_refused;
+      return refuse_routed(now, request, NotRunReason::kOverload, target);
+  }
+}
+
+routing::AdmissionInput RouterCore::admission_input(TimePoint now, const Request& request,
+                                                    std::optional<BackendId> target) {
+  RoutedService& service = routed_service(request.service);
+  routing::AdmissionInput input;
+  input.priority = request.priority;
+  input.turn = request.turn;
+  input.objective = request.objective;
+  input.used = request.used;
+  input.time_left = request.deadline - now;
+  input.caller_left = request.caller_leaves - now;
+  input.waited = now - request.arrived;
+  input.returns = request.used.count() > 0;
+  input.urgent_objective = service.urgencies.more_urgent(now, request.priority);
+  input.has_room = target.has_value();
+  input.room_expected_in = request.room_expected_in;
+  if (target.has_value()) {
+    const routing::Room room = room_at(now, service.targets, *target);
+    input.expected = room.expected;
+    input.queue_wait = room.slot_expected_in;
+    input.has_room = !room.is_full;
+    input.room_expected_in = room.is_full ? room.room_expected_in : input.room_expected_in;
   }
-  send_routed(now, request, *target);
+  return input;
 }
 
 bool RouterCore::has_connection(const Request& request, BackendId backend,
@@ -259,20 +317,33 @@
   output_.forwards.push_back(std::move(effect));
 }
 
-Duration RouterCore::retry_after(NotRunReason reason) {
-  if (reason != NotRunReason::kNoOwner) {
-    return options_.short_retry_after;
-  }
+Duration RouterCore::ownerless_retry_after(const routing::AdmissionInput& input) {
   const Duration least = options_.ownerless_retry_after;
-  return least + std::chrono::duration_cast<Duration>(least * common::uniform_real(random_));
+  const Duration spread =
+      least + std::chrono::duration_cast<Duration>(least * common::uniform_real(random_));
+  const Duration heeded =
+      std::chrono::duration_cast<Duration>(input.caller_left * options_.admission.honoured);
+  return heeded >= least ? std::min(spread, heeded) : spread;
+}
+
+void RouterCore::refuse_routed(TimePoint now, Request& request, NotRunReason reason,
+                               std::optional<BackendId> target) {
+  const routing::AdmissionInput input = admission_input(now, request, target);
+  const Duration retry_after =
+      reason == NotRunReason::kNoOwner
+          ? ownerless_retry_after(input)
+          : routing::return_time(options_.admission, input, common::uniform_real(random_));
+  counters_.returned_refused += input.returns ? 1 : 0;
+  answer_not_run(request, reason, retry_after, input);
 }
 
 void RouterCore::wait_routed(TimePoint now, Request& request, NotRunReason reason) {
   if (now >= request.patience_until) {
-    return answer_not_run(request, reason, retry_after(reason));
+    return refuse_routed(now, request, reason);
   }
   routed_waiting_.insert(request.caller.handle);
-  retries_.insert({std::min(request.patience_until, now + kLookAgain), request.caller.handle});
+  retries_.insert({std::min(request.patience_until, now + options_.admission.look_again),
+                   request.caller.handle});
 }
 
 void RouterCore::on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
@@ -307,6 +378,9 @@
         note_ended(now, attempt.backend, !result.answered_by.value.empty());
       } else if (result.refusal == Refusal::kShed) {
         book.block(now, attempt.backend);
+        if (request.keyed) {
+          return on_owner_full(now, request, attempt.backend);
+        }
       }
       request.repeat_owed = true;
       return retry_routed(now, request);
@@ -327,15 +401,22 @@
   }
 }
 
+void RouterCore::on_owner_full(TimePoint now, Request& request, BackendId owner) {
+  const Duration work = room_at(now, routed_service(request.service).targets, owner).expected;
+  request.room_expected_in = work * kRoundsOfFullTarget;
+  // Nobody else may run it: its caller learns at once when there will be room.
+  refuse_routed(now, request, NotRunReason::kOverload);
+}
+
 void RouterCore::retry_routed(TimePoint now, Request& request) {
   if (request.attempts >= request.maximum_attempts) {
-    return answer_not_run(request, NotRunReason::kNoTarget, options_.short_retry_after);
+    return refuse_routed(now, request, NotRunReason::kNoTarget);
   }
   if (!request.keyed) {
     return dispatch_routed(now, request);
   }
   // The owner has refused: what it takes is a newer table, or a moment.
-  request.not_before = now + kLookAgain;
+  request.not_before = now + options_.admission.look_again;
   wait_routed(now, request, NotRunReason::kNoOwner);
 }
 
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -78,6 +78,7 @@
   if (!limit_.allows(now)) {
     return;
   }
+  const routing::AdmissionInput input = answer.decided_by.value_or(routing::AdmissionInput{});
   log_event("request_refused",
             {{"request", read.request_id},
              {"outcome", std::string(routing::to_string(answer.outcome))},
@@ -88,7 +89,15 @@
              {"took_ms", milliseconds_text(took)},
              {"retry_after_ms", milliseconds_text(answer.retry_after)},
              {"table_index", std::to_string(answer.table_index.value)},
-             {"table_age_ms", table_age.has_value() ? milliseconds_text(*table_age) : "unknown"}});
+             {"table_age_ms", table_age.has_value() ? milliseconds_text(*table_age) : "unknown"},
+             {"priority", std::to_string(input.priority)},
+             {"objective_ms", milliseconds_text(input.objective)},
+             {"used_ms", milliseconds_text(input.used)},
+             {"caller_left_ms", milliseconds_text(input.caller_left)},
+             {"expected_ms", milliseconds_text(input.expected)},
+             {"queue_wait_ms", milliseconds_text(input.queue_wait)},
+             {"room_expected_ms", milliseconds_text(input.room_expected_in)},
+             {"urgent_objective_ms", milliseconds_text(input.urgent_objective)}});
 }
 
 void RequestLog::table_late(const LateUpdate& late) {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -407,6 +407,14 @@
   metrics_.set_counter("planktray_stale_refusals_total",
                        "Requests on routes refused since the table was too old to decide with.",
                        counters.stale_refusals);
+  metrics_.set_counter("planktray_requests_returned_total",
+                       "Requests of callers that had been refused before.", counters.returned);
+  metrics_.set_counter("planktray_returned_refused_total",
+                       "Requests of such callers that were refused once more.",
+                       counters.returned_refused);
+  metrics_.set_counter("planktray_late_refused_total",
+                       "Requests refused since their target's queue was too long for their rank.",
+                       counters.late_refused);
   metrics_.set_counter("planktray_follower_updates_total",
                        "Updates of the table that followers brought.", counters.follower_updates);
   metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
