Owners of keys: a connection that does not come up is tried anew once; waiting requests go by urgency

Nothing was sent, so a second connection repeats nothing. Those who wait for one owner went in the order of their arrival; now the urgent go first, then those who were refused before, then those with the least time.

--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -1,6 +1,7 @@
 #include "router/core/router_core.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace planktray::router {
 namespace {
@@ -557,9 +558,19 @@
 }
 
 void RouterCore::dispatch_waiting(TimePoint now) {
-  const std::set<RequestHandle> waiting = routed_waiting_;
-  for (const RequestHandle handle : waiting) {
+  // The urgent first, of equals those who were refused before, then those whose time is shortest.
+  using Rank = std::tuple<std::uint32_t, bool, TimePoint, RequestHandle>;
+  std::vector<Rank> waiting;
+  for (const RequestHandle handle : routed_waiting_) {
     const auto found = requests_.find(handle);
+    if (found != requests_.end() && found->second.attempt == 0) {
+      const Request& request = found->second;
+      waiting.emplace_back(request.priority, request.used.count() == 0, request.deadline, handle);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const Rank& rank : waiting) {
+    const auto found = requests_.find(std::get<RequestHandle>(rank));
     if (found != requests_.end() && found->second.attempt == 0) {
       dispatch_routed(now, found->second);
     }
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -198,6 +198,7 @@
   std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
   std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
   // Requests on routes.
+  std::uint64_t connections_anew = 0;  ///< to owners, after one that did not come up
   std::uint64_t returned = 0;          ///< came from callers that had been refused before
   std::uint64_t returned_refused = 0;  ///< of these, refused once more
   std::uint64_t late_refused = 0;      ///< the queue of their target was too long for their rank
@@ -267,6 +268,7 @@
     std::uint32_t key = 0;
     std::uint32_t attempts = 0;  ///< targets it was sent to
     std::uint32_t maximum_attempts = 1;
+    std::uint32_t unsent = 0;  ///< its connections that did not come up
     bool repeat_owed = false;  ///< it has arrived: its next send is counted as a repeat
     TimePoint patience_until;  ///< it is refused where it cannot be sent before
     TimePoint arrived;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -21,6 +21,11 @@
 /// one more, with a queue of the usual length before it, can be in time.
 constexpr int kRoundsOfFullTarget = 2;
 
+/// A connection to the owner of a key that does not come up is tried anew this often, at once: a
+/// packet was lost, or a link is busy for a moment, and nobody else may run the request. Admission
+/// ends it where the answer would be late.
+constexpr std::uint32_t kConnectionsAnew = 1;
+
 Duration milliseconds_of(std::uint32_t value) { return std::chrono::milliseconds(value); }
 
 /// What this router has seen of a target, as room there.
@@ -385,8 +390,13 @@
       request.repeat_owed = true;
       return retry_routed(now, request);
     case AttemptEnd::kNotSent:
-      book.block(now, attempt.backend);
       --request.attempts;
+      if (request.keyed && request.unsent++ < kConnectionsAnew && request.objective.count() > 0) {
+        ++counters_.connections_anew;
+        request.refused_by.erase(attempt.backend);
+        return dispatch_routed(now, request);
+      }
+      book.block(now, attempt.backend);
       return retry_routed(now, request);  // it has not arrived: no repeat
     case AttemptEnd::kBroken:
     case AttemptEnd::kForeign:
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -407,6 +407,9 @@
   metrics_.set_counter("planktray_stale_refusals_total",
                        "Requests on routes refused since the table was too old to decide with.",
                        counters.stale_refusals);
+  metrics_.set_counter("planktray_owner_connections_anew_total",
+                       "Connections to owners of keys after one that did not come up.",
+                       counters.connections_anew);
   metrics_.set_counter("planktray_requests_returned_total",
                        "Requests of callers that had been refused before.", counters.returned);
   metrics_.set_counter("planktray_returned_refused_total",
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -503,5 +503,97 @@
   }
 }
 
+/// A keyed service behind two routes, of which one is more urgent.
+struct ShortageFixture : RoutedFixture {
+  explicit ShortageFixture(std::uint32_t connections = 0) : RoutedFixture(true) {
+    routing::TableDelta delta = next_delta();
+    config::RoutedService service;
+    service.name = common::ServiceName("album");
+    service.keyed = true;
+    service.connections = connections;
+    delta.routed_services.push_back({common::ServiceId(1), service});
+    for (const std::uint32_t priority : {0U, 1U}) {
+      config::Route route;
+      route.name = std::to_string(priority);
+      route.host = "album.example";
+      route.path_prefix = "/" + route.name + "/";
+      route.objective_ms = 800;
+      route.timeout_ms = 1200;
+      route.priority = priority;
+      route.maximum_attempts = 2;
+      route.parts.push_back({service.name, 1.0});
+      delta.routes.push_back(route);
+    }
+    delta.routes_version = 2;
+    install(at(2), delta);
+  }
+
+  RouterOutput ask(TimePoint now, std::uint32_t priority, std::uint32_t stated = 2000) {
+    CallerRequest caller;
+    caller.handle = next_handle++;
+    caller.method = "GET";
+    caller.timeout_ms = stated;
+    caller.route = RouteCall{"album.example", "/" + std::to_string(priority) + "/a", 7};
+    core.on_request(now, caller);
+    return core.take_output();
+  }
+
+  RouterOutput end(TimePoint now, AttemptId attempt, const AttemptResult& result) {
+    core.on_attempt_done(now, attempt, result);
+    return core.take_output();
+  }
+};
+
+TEST_CASE("callers of an owner that is full are told at once when to return, each another time") {
+  std::set<Duration> told;
+  for (std::int64_t i = 0; i < 10; ++i) {
+    ShortageFixture fixture;
+    for (std::int64_t j = 0; j < i; ++j) {
+      fixture.ask(at(5), 0, 2000);  // moves the random numbers on
+    }
+    const Forward forward = fixture.ask(at(10), 0).forwards.at(0);
+    const RouterOutput output = fixture.end(
+        at(15), forward.attempt, {routing::AttemptEnd::kRefused, routing::Refusal::kShed});
+    REQUIRE(output.answers.size() == 1);
+    CHECK(output.answers[0].outcome == routing::Outcome::kNotRun);
+    CHECK(output.answers[0].retry_after >= milliseconds(150));
+    CHECK(output.answers[0].retry_after <= milliseconds(2000 / 3));
+    told.insert(output.answers[0].retry_after);
+  }
+  CHECK(told.size() > 5);
+}
+
+TEST_CASE("a connection to an owner that does not come up is tried anew once") {
+  ShortageFixture fixture;
+  const Forward first = fixture.ask(at(10), 0).forwards.at(0);
+  const RouterOutput second =
+      fixture.end(at(160), first.attempt, {routing::AttemptEnd::kNotSent, {}});
+  REQUIRE(second.forwards.size() == 1);
+  CHECK(second.answers.empty());
+  const RouterOutput output =
+      fixture.end(at(310), second.forwards[0].attempt, {routing::AttemptEnd::kNotSent, {}});
+  CHECK(output.forwards.empty());
+  REQUIRE(output.answers.size() == 1);
+  CHECK(output.answers[0].outcome == routing::Outcome::kNotRun);
+  CHECK(fixture.core.counters().connections_anew == 1);
+}
+
+TEST_CASE("of those who wait for one owner the urgent go first, then who was refused before") {
+  ShortageFixture fixture(1);  // one connection: one request at a time
+  const Forward running = fixture.ask(at(10), 0).forwards.at(0);
+  CHECK(fixture.ask(at(20), 1).forwards.empty());        // handle 2
+  CHECK(fixture.ask(at(30), 0).forwards.empty());        // handle 3
+  CHECK(fixture.ask(at(40), 0, 1700).forwards.empty());  // handle 4, was refused before
+  const RouterOutput next =
+      fixture.end(at(50), running.attempt, {routing::AttemptEnd::kAnswered, {}});
+  REQUIRE(next.forwards.size() == 1);
+  CHECK(next.forwards[0].handle == 4);
+  const RouterOutput third =
+      fixture.end(at(60), next.forwards[0].attempt, {routing::AttemptEnd::kAnswered, {}});
+  REQUIRE(third.forwards.size() == 1);
+  CHECK(third.forwards[0].handle == 3);
+  CHECK(fixture.core.counters().returned == 1);
+}
+
 }  // namespace
 }  // namespace planktray::router
