--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -20,6 +20,7 @@
 #include "common/random.hpp"
 #include "common/time.hpp"
 #include "routing/admission.hpp"
+#include "routing/caller_shares.hpp"
 #include "routing/caller_time.hpp"
 #include "routing/cold_limit.hpp"
 #include "routing/leader_search.hpp"
@@ -123,6 +124,7 @@
   std::string method;
   std::uint32_t timeout_ms = 0;                   ///< 0: the service's or the route's default
   std::optional<RouteCall> route = std::nullopt;  ///< set: the service follows from it
+  std::string peer{};                             ///< address it came from; empty: not known
 };
 
 /// Effect: send the request to this back end.
@@ -201,6 +203,7 @@
   std::uint64_t connections_anew = 0;  ///< to owners, after one that did not come up
   std::uint64_t returned = 0;          ///< came from callers that had been refused before
   std::uint64_t returned_refused = 0;  ///< of these, refused once more
+  std::uint64_t greedy = 0;            ///< came from callers that took more than their share
   std::uint64_t late_refused = 0;      ///< the queue of their target was too long for their rank
 };
 
@@ -276,6 +279,7 @@
     Duration objective{0};         ///< 0: none stated
     Duration used{0};              ///< of its objective before it came here
     std::uint32_t priority = 0;    ///< 0 is the most urgent
+    bool is_greedy = false;        ///< its caller took more than its share of late
     double turn = 1;               ///< see AdmissionInput
     Duration room_expected_in{0};  ///< after a target turned it away; 0: not known
     TimePoint not_before;          ///< an owner that refused it is not asked again before
@@ -429,6 +433,7 @@
   routing::ColdLimit cold_limit_;
   std::map<common::ZoneName, TimePoint> evacuations_;        ///< when this router learnt of each
   std::map<std::string, std::vector<double>> part_credits_;  ///< by route name
+  routing::CallerShares caller_shares_;
   std::map<std::string, routing::CallerTime> caller_times_;  ///< by route name
   std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
   std::set<RequestHandle> routed_waiting_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -164,6 +164,8 @@
   if (caller.timeout_ms > 0 && route->objective_ms > 0) {
     request.used = caller_times_[route->name].used(now, milliseconds_of(stated));
   }
+  request.is_greedy = !caller.peer.empty() && caller_shares_.note(now, caller.peer);
+  counters_.greedy += request.is_greedy ? 1 : 0;
   counters_.returned += request.used.count() > 0 ? 1 : 0;
   const Duration patience = routing::patience_of(options_.admission, request.objective);
   request.patience_until = std::min(now + patience, request.deadline);
@@ -242,6 +244,7 @@
   input.caller_left = request.caller_leaves - now;
   input.waited = now - request.arrived;
   input.returns = request.used.count() > 0;
+  input.is_greedy = request.is_greedy;
   input.urgent_objective = service.urgencies.more_urgent(now, request.priority);
   input.has_room = target.has_value();
   input.room_expected_in = request.room_expected_in;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -245,6 +245,7 @@
   }
   const RequestHandle handle = next_handle_++;
   read->request.handle = handle;
+  read->request.peer = exchange->peer();
   const Caller& caller = callers_[handle] = {exchange, std::move(*read), boot_time_now()};
   exchange->on_gone([this, handle] {
     callers_.erase(handle);
@@ -415,6 +416,9 @@
   metrics_.set_counter("planktray_returned_refused_total",
                        "Requests of such callers that were refused once more.",
                        counters.returned_refused);
+  metrics_.set_counter("planktray_greedy_requests_total",
+                       "Requests of addresses that took more than their share of late.",
+                       counters.greedy);
   metrics_.set_counter("planktray_late_refused_total",
                        "Requests refused since their target's queue was too long for their rank.",
                        counters.late_refused);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -78,6 +78,14 @@
         reader_(HttpRole::kRequest, server.options().limits),
         since_(boot_time_now()) {}
 
+  /// Asked of the system once: a connection keeps its other side.
+  const std::string& peer_host() {
+    if (peer_host_.empty()) {
+      peer_host_ = stream_->peer_host();
+    }
+    return peer_host_;
+  }
+
   void start() {
     TcpStream::Handlers handlers;
     handlers.on_data = [this](std::string_view bytes) { on_data(bytes); };
@@ -212,6 +220,7 @@
   common::TimePoint since_;               ///< last answer, or first byte of the present request
   bool writing_ = false;
   bool closing_ = false;
+  std::string peer_host_;
 };
 
 // ---------------------------------------------------------------- exchange
@@ -225,6 +234,11 @@
   }
 }
 
+std::string HttpExchange::peer() const {
+  const auto connection = connection_.lock();
+  return connection == nullptr ? "" : connection->peer_host();
+}
+
 std::string HttpExchange::path() const {
   return request_.target.substr(0, request_.target.find('?'));
 }
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -36,6 +36,8 @@
   std::string_view method() const { return request_.method; }
   /// The path as it came, without the query.
   std::string path() const;
+  /// @return the client's IP address, without its port; "" where it has left.
+  std::string peer() const;
   /// Path and query as they came.
   const std::string& target() const { return request_.target; }
   /// @return the header's value, or "".
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -81,6 +81,20 @@
 
 TcpStream::~TcpStream() { close(); }
 
+std::string TcpStream::peer_host() const {
+  GSocketAddress* address =
+      socket_ != nullptr ? g_socket_get_remote_address(socket_, nullptr) : nullptr;
+  std::string host;
+  if (address != nullptr && G_IS_INET_SOCKET_ADDRESS(address)) {
+    gchar* text =
+        g_inet_address_to_string(g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(address)));
+    host = text;
+    g_free(text);
+  }
+  g_clear_object(&address);
+  return host;
+}
+
 void TcpStream::set_options(common::Duration unacknowledged_timeout) {
   g_socket_set_option(socket_, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   if (unacknowledged_timeout.count() > 0) {
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -59,6 +59,9 @@
   /// Sends what is left, then ends the sending side; reading goes on until the peer closes.
   void finish_writing();
 
+  /// @return the IP address of the other side, without its port; "" where it is not known.
+  std::string peer_host() const;
+
   bool is_open() const { return socket_ != nullptr; }
   bool is_connected() const { return connected_; }
   /// True once the system has taken a byte of what was written.
