Nobody is refused for a queue that nobody told of within a second

Cause: a router meets one owner every ten seconds or so. Rank decides where the queue is known; else only the time that is left, as before.

--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -28,16 +28,20 @@
 
 Duration milliseconds_of(std::uint32_t value) { return std::chrono::milliseconds(value); }
 
+/// A queue that a target told of longer ago has mostly been worked off, or is another: nobody is
+/// refused for it. What is usual there still counts in the expected time.
+constexpr Duration kQueueKnown = std::chrono::milliseconds(1000);
+
 /// What this router has seen of a target, as room there.
 routing::Room room_at(TimePoint now, const routing::TargetBook& book, BackendId id) {
   routing::Room room;
   room.expected = book.projected(now, id);
   const routing::TargetView* target = book.find(id);
-  if (target == nullptr) {
+  if (target == nullptr || now - target->reported_at > kQueueKnown) {
     return room;
   }
   room.slots = target->slots;
-  room.ahead = static_cast<double>(target->outstanding.size()) + target->usual_others;
+  room.ahead = static_cast<double>(target->outstanding.size()) + target->others;
   const double behind = std::max(0.0, room.ahead + 1.0 - room.slots) / room.slots;
   const double queued = static_cast<double>(room.expected.count()) * behind / (1.0 + behind);
   room.slot_expected_in = Duration(static_cast<Duration::rep>(queued));
