--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -211,6 +211,7 @@
     server_.forget(id_);
   }
 
+  std::string peer_host_;  ///< empty until it is asked for
   HttpServer& server_;
   std::uint64_t id_;
   std::shared_ptr<TcpStream> stream_;
@@ -220,7 +221,6 @@
   common::TimePoint since_;               ///< last answer, or first byte of the present request
   bool writing_ = false;
   bool closing_ = false;
-  std::string peer_host_;
 };
 
 // ---------------------------------------------------------------- exchange
