--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -55,6 +55,7 @@
   subscriber.view = {hello.router, hello.address, hello.table_index, hello.serving, now};
   subscriber.clock_us = hello.clock_us;
   subscriber.hello_pending = true;
+  rooms_.note(now, hello.rooms);
 }
 
 std::vector<OutgoingTable> TableDistributor::collect(common::TimePoint now,
@@ -97,6 +98,7 @@
 std::optional<OutgoingTable> TableDistributor::answer_as_follower(
     common::TimePoint now, common::TimePoint current_as_of, const ownership::CellState& state,
     common::Term term, const routing::RouterHello& hello) {
+  rooms_.note(now, hello.rooms);
   if (hello.table_index.value == 0 || hello.table_index > state.applied() ||
       !deltas_reach(hello.table_index, state)) {
     return std::nullopt;
@@ -109,6 +111,7 @@
   update.current_index = state.applied();
   update.as_of_clock_us = hello.clock_us + (current_as_of - now).count();
   update.deltas = deltas_after(hello.table_index);
+  update.rooms = rooms_.digest(now, options_.longest_hello_interval);
   return OutgoingTable{hello.router, std::move(update)};
 }
 
@@ -158,6 +161,9 @@
       ++*snapshots_counted_;
     }
   }
+  if (subscriber.hello_pending) {
+    update.rooms = rooms_.digest(now, hello_interval());
+  }
   if (!update.deltas.empty()) {
     subscriber.sent = update.current_index;
     subscriber.sent_at = now;
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "common/time.hpp"
+#include "controller/core/room_board.hpp"
 #include "ownership/cell_state.hpp"
 #include "routing/table_messages.hpp"
 
@@ -52,6 +53,7 @@
   std::size_t updates_per_sweep = 64;
   /// More deltas than this are replaced by a snapshot.
   std::size_t maximum_deltas = 512;
+  RoomBoardOptions rooms;
 };
 
 /// Time between two messages of one router where all together send or get `per_second`.
@@ -74,7 +76,7 @@
 class TableDistributor {
  public:
   TableDistributor(common::CellName cell, DistributorOptions options)
-      : cell_(std::move(cell)), options_(options) {}
+      : cell_(std::move(cell)), options_(options), rooms_(options.rooms) {}
 
   void begin_term(common::TimePoint now, common::Term term);
   /// Takes a change of the table; called on every replica.
@@ -86,6 +88,8 @@
     snapshot_index_ = common::LogIndex();
   }
   void on_hello(common::TimePoint now, const routing::RouterHello& hello);
+  /// The load of back ends, as routers reported it.
+  const RoomBoard& rooms() const { return rooms_; }
 
   /// Makes the updates that are due. Call only while the leader lease holds.
   std::vector<OutgoingTable> collect(common::TimePoint now, const ownership::CellState& state);
@@ -169,6 +173,7 @@
   Deltas snapshot_;
   /// What has been made up for updates since the last change, by where it leads on from.
   std::map<common::LogIndex, Deltas> made_;
+  RoomBoard rooms_;
 };
 
 }  // namespace planktray::controller
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -91,6 +91,8 @@
   int reports_per_hello = 4;
   /// Requests for the same key counted in one load report at most.
   std::size_t maximum_reported_keys = 400;
+  /// Owners of keys whose load one hello tells at most: 0.6 kB.
+  std::size_t maximum_reported_rooms = 64;
   routing::SubsetPolicy subset = routing::SubsetPolicy::kDeterministicAperture;
   routing::ChoicePolicy choice = routing::ChoicePolicy::kPowerOfTwoChoices;
   /// Targets a router uses at least, where a service has more.
@@ -197,6 +199,9 @@
   std::uint64_t leaders_named = 0;     ///< a new leader was named by itself or another controller
   std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
   std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
+  std::uint64_t rooms_told = 0;        ///< loads of owners told to controllers
+  std::uint64_t rooms_heard = 0;       ///< loads of owners that controllers told
+  std::uint64_t rooms_taken = 0;       ///< of these, younger than what was known
 };
 
 class RouterCore {
@@ -319,6 +324,8 @@
   const routing::RoutedTableService* choose_part(const config::Route& route);
   std::optional<BackendId> choose_target(TimePoint now, const Request& request,
                                          const routing::RoutedTableService& service);
+  /// True where the target's queue is known to take no more at this moment.
+  bool is_full(TimePoint now, common::ServiceId service, BackendId backend);
   bool has_connection(const Request& request, BackendId backend,
                       const routing::RoutedTableService& service);
   RoutedService& routed_service(common::ServiceId id);
@@ -334,6 +341,9 @@
   void drop_attempt(Request& request);
   void report_key_loads(routing::RouterHello& hello);
   void report_target_times(routing::RouterHello& hello);
+  /// Adds what owners of keys told in their answers after `since`.
+  void report_rooms(TimePoint now, TimePoint since, routing::RouterHello& hello) const;
+  void take_rooms(TimePoint now, const routing::TableUpdate& update);
 
   /// The parts of a Forward that do not depend on the kind of service.
   Forward begin_attempt(TimePoint now, Request& request, BackendId backend);
@@ -369,6 +379,8 @@
   void plan_inquiry(TimePoint now);
   /// What every hello says, without a report of loads.
   routing::RouterHello plain_hello(TimePoint now) const;
+  /// A question to others than the leader, with the loads of owners heard lately.
+  routing::RouterHello inquiring_hello(TimePoint now) const;
   /// Asks some controllers other than the silent leader whom they follow.
   void inquire(TimePoint now);
   void note_targets(TimePoint now);
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -184,6 +184,10 @@
                                              is_closed(now, *route, request.keyed));
     return wait_routed(now, request, ownerless ? NotRunReason::kNoOwner : NotRunReason::kNoTarget);
   }
+  if (request.keyed && is_full(now, request.service, *target)) {
+    // Its owner would turn it away, after a connection and a place in the budget of repeats.
+    return wait_routed(now, request, NotRunReason::kOverload);
+  }
   const Duration left = request.deadline - now;
   const Duration usable = std::chrono::duration_cast<Duration>(left * options_.usable_time);
   if (routed_service(request.service).targets.projected(now, *target) > usable) {
@@ -192,6 +196,11 @@
   send_routed(now, request, *target);
 }
 
+bool RouterCore::is_full(TimePoint now, common::ServiceId service, BackendId backend) {
+  const auto room = routed_service(service).targets.room(now, backend);
+  return room.has_value() && room->is_full;
+}
+
 bool RouterCore::has_connection(const Request& request, BackendId backend,
                                 const routing::RoutedTableService& service) {
   const std::uint32_t all = service.route.config.connections;
@@ -306,6 +315,7 @@
       if (result.refusal == Refusal::kWrongIncarnation) {
         note_ended(now, attempt.backend, !result.answered_by.value.empty());
       } else if (result.refusal == Refusal::kShed) {
+        book.on_turned_away(now, attempt.backend, result.load);
         book.block(now, attempt.backend);
       }
       request.repeat_owed = true;
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -70,6 +70,7 @@
     helper_ = from;
   }
   plan_inquiry(now);
+  take_rooms(now, update);
   const bool has_changes = installed && !update.deltas.empty();
   if (has_changes || ring_changed) {
     ++counters_.table_updates;
@@ -122,8 +123,8 @@
 }
 
 void RouterCore::make_hello(TimePoint now) {
+  const TimePoint last_hello = std::exchange(last_hello_, now);
   next_hello_ = now + hello_interval_;
-  last_hello_ = now;
   const bool leader_is_known =
       leader_heard_.has_value() && now - *leader_heard_ < kHellosWithoutAnswer * hello_interval_;
   // With a follower that keeps the table young, nobody else need be asked.
@@ -137,6 +138,8 @@
   }
   routing::RouterHello hello = plain_hello(now);
   report_ended(now, hello);
+  report_rooms(now, last_hello, hello);
+  counters_.rooms_told += hello.rooms.size();
   if (now >= next_load_) {
     next_load_ = now + options_.load_interval;
     for (const auto& [ref, count] : loads_) {
@@ -167,6 +170,13 @@
   return hello;
 }
 
+routing::RouterHello RouterCore::inquiring_hello(TimePoint now) const {
+  routing::RouterHello hello = plain_hello(now);
+  // The leader, which was told of these, is silent; a follower tells them to the other routers.
+  report_rooms(now, now - hello_interval_, hello);
+  return hello;
+}
+
 void RouterCore::inquire(TimePoint now) {
   next_inquiry_ = now + inquiry_interval_;
   inquiry_interval_ =
@@ -175,7 +185,7 @@
   output_.hello_to_all = false;
   if (!helper_.empty()) {
     // It has answered the last question; silence to this one has all asked again.
-    output_.hello = plain_hello(now);
+    output_.hello = inquiring_hello(now);
     output_.hello_to = {std::exchange(helper_, "")};
     ++counters_.inquiries;
     return;
@@ -190,7 +200,7 @@
   const auto first = common::uniform(random_, 0, others.size() - 1);
   std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(first), others.end());
   others.resize(std::min(others.size(), options_.leader_search.inquired_controllers));
-  output_.hello = plain_hello(now);
+  output_.hello = inquiring_hello(now);
   output_.hello_to = std::move(others);
 }
 
@@ -213,6 +223,34 @@
   }
 }
 
+void RouterCore::report_rooms(TimePoint now, TimePoint since, routing::RouterHello& hello) const {
+  for (const auto& [id, service] : routed_) {
+    const auto* route = table_.routes().find_service(id);
+    if (route == nullptr || !route->route.config.keyed) {
+      continue;  // elsewhere a router chooses by what it sees itself
+    }
+    const std::size_t left = options_.maximum_reported_rooms - hello.rooms.size();
+    const auto rooms = service.targets.rooms_since(now, since, left);
+    hello.rooms.insert(hello.rooms.end(), rooms.begin(), rooms.end());
+  }
+}
+
+void RouterCore::take_rooms(TimePoint now, const routing::TableUpdate& update) {
+  for (const routing::RoomReport& report : update.rooms) {
+    const routing::BackendRoute* backend = table_.find_backend(report.backend);
+    if (backend == nullptr) {
+      continue;
+    }
+    const auto* service = table_.routes().find_service(common::ServiceName(backend->pool.value));
+    if (service == nullptr || !service->route.config.keyed) {
+      continue;
+    }
+    ++counters_.rooms_heard;
+    const bool is_younger = routed_service(service->route.id).targets.take_room(now, report);
+    counters_.rooms_taken += is_younger ? 1 : 0;
+  }
+}
+
 void RouterCore::report_target_times(routing::RouterHello& hello) {
   for (auto& [id, service] : routed_) {
     const auto* route = table_.routes().find_service(id);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -409,6 +409,13 @@
                        counters.stale_refusals);
   metrics_.set_counter("planktray_follower_updates_total",
                        "Updates of the table that followers brought.", counters.follower_updates);
+  metrics_.set_counter("planktray_rooms_told_total", "Loads of owners told to controllers.",
+                       counters.rooms_told);
+  metrics_.set_counter("planktray_rooms_heard_total", "Loads of owners that controllers told.",
+                       counters.rooms_heard);
+  metrics_.set_counter("planktray_rooms_taken_total",
+                       "Loads of owners that controllers told, younger than what was known.",
+                       counters.rooms_taken);
   metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
   metrics_.set_counter("planktray_ended_backends_total",
                        "Back ends found to have ended by another incarnation's answer.",
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -11,6 +11,7 @@
 #include "common/ids.hpp"
 #include "config/declaration.hpp"
 #include "config/route_configuration.hpp"
+#include "routing/room_report.hpp"
 #include "routing/shared_list.hpp"
 
 namespace planktray::routing {
@@ -158,9 +159,10 @@
   std::vector<TargetTime> target_times;
   /// Back ends at whose address another incarnation has answered, and named itself.
   std::vector<BackendId> ended;
-  bool lacks_update = false;  ///< an update has come that does not lead on from this table
+  bool lacks_update = false;        ///< an update has come that does not lead on from this table
+  std::vector<RoomReport> rooms{};  ///< of owners of keys, heard since the last hello
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
-                       target_times, ended, lacks_update)
+                       target_times, ended, lacks_update, rooms)
 };
 
 /// Controller to router: confirmation that the table is current, and what changed.
@@ -181,8 +183,10 @@
   /// table lease: `router_rank`, `router_count`, `hello_interval_ms` and `echo_clock_us` say
   /// nothing.
   bool by_follower = false;
+  /// What other routers heard of owners of keys lately; with answers to hellos only.
+  SharedList<RoomReport> rooms{};
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
-                       router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower)
+                       router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower, rooms)
 };
 
 /// Follower to router, in place of an answer to its hello: where the controllers of the cell are.
--- a/src/routing/target_book.cpp
+++ b/src/routing/target_book.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace planktray::routing {
 namespace {
@@ -57,8 +58,7 @@
 
 void TargetBook::take_report(TimePoint now, TargetView& target, const LoadReport& report) {
   constexpr double kPercent = 100.0;
-  const double seen = static_cast<double>(report.running) + report.waiting;
-  target.others = std::max(0.0, seen - static_cast<double>(target.outstanding.size()));
+  note_load(now, target, report.running, report.waiting);
   target.usual_others += 2 * options_.weight * (target.others - target.usual_others);
   target.pace = std::max(report.work_time_percent.value_or(100U), 1U) / kPercent;
   target.reported_at = now;
@@ -67,11 +67,86 @@
   typical_.pace += options_.weight / 4 * (target.pace - typical_.pace);
 }
 
+void TargetBook::note_load(TimePoint heard, TargetView& target, std::uint32_t running,
+                           std::uint32_t waiting) {
+  // What was sent after the word is not in it, and counts beside it.
+  const auto sent_before = static_cast<double>(
+      std::distance(target.outstanding.begin(), target.outstanding.upper_bound(heard)));
+  target.others = std::max(0.0, static_cast<double>(running) + waiting - sent_before);
+  target.running = running;
+  target.waiting = waiting;
+  target.load_at = heard;
+  longest_queue_ = std::max(longest_queue_, waiting);
+}
+
+bool TargetBook::take_room(TimePoint now, const RoomReport& report) {
+  const auto found = targets_.find(report.backend);
+  const TimePoint heard = now - report.age();
+  if (found == targets_.end() || report.age() > kRoomLifetime || heard <= found->second.load_at) {
+    return false;
+  }
+  note_load(heard, found->second, report.running, report.waiting);
+  return true;
+}
+
+void TargetBook::on_turned_away(TimePoint now, BackendId id,
+                                const std::optional<LoadReport>& report) {
+  TargetView& target = targets_[id];
+  if (report.has_value()) {
+    note_load(now, target, report->running, report->waiting);
+  }
+  const std::uint32_t waiting = report.has_value() ? report->waiting : longest_queue_;
+  if (waiting > 0) {
+    queue_limit_ = waiting;
+  }
+}
+
+std::vector<RoomReport> TargetBook::rooms_since(TimePoint now, TimePoint since,
+                                                std::size_t most) const {
+  std::vector<RoomReport> rooms;
+  for (const auto& [id, target] : targets_) {
+    if (target.reported_at > since && target.reported_at == target.load_at) {
+      RoomReport report{id, target.running, target.waiting};
+      report.set_age(now - target.load_at);
+      rooms.push_back(report);
+    }
+  }
+  std::sort(rooms.begin(), rooms.end(),
+            [](const RoomReport& a, const RoomReport& b) { return a.age_10ms < b.age_10ms; });
+  rooms.resize(std::min(rooms.size(), most));
+  return rooms;
+}
+
+std::optional<Room> TargetBook::room(TimePoint now, BackendId id) const {
+  const auto found = targets_.find(id);
+  if (found == targets_.end() || now - found->second.load_at > kRoomLifetime) {
+    return std::nullopt;
+  }
+  const TargetView& target = found->second;
+  const Belief present = belief(now, target);
+  const double turnover_us = service_time_us(now, target) * present.pace / target.slots;
+  const auto time_for = [&](double departures) {
+    return Duration(static_cast<Duration::rep>(std::max(0.0, departures) * turnover_us));
+  };
+  Room room;
+  room.slots = target.slots;
+  room.ahead = static_cast<double>(target.outstanding.size()) + present.others;
+  room.expected = projected(now, id);
+  room.slot_expected_in = time_for(room.ahead + 1 - target.slots);
+  if (queue_limit_.has_value()) {
+    const double most = static_cast<double>(target.slots) + *queue_limit_;
+    room.is_full = room.ahead + 1 > most;
+    room.room_expected_in = time_for(room.ahead + 1 - most);
+  }
+  return room;
+}
+
 TargetBook::Belief TargetBook::belief(TimePoint now, const TargetView& target) const {
-  const double half_lives = to_us(now - target.reported_at) / to_us(options_.report_half);
-  const double kept = std::exp2(-half_lives);
-  return {typical_.others + kept * (target.others - typical_.others),
-          typical_.pace + kept * (target.pace - typical_.pace)};
+  const auto kept = [&](TimePoint heard) {
+    return std::exp2(-to_us(now - heard) / to_us(options_.report_half));
+  };
+  return {typical_.others + kept(target.load_at) * (target.others - typical_.others),
+          typical_.pace + kept(target.reported_at) * (target.pace - typical_.pace)};
 }
 
 void TargetBook::on_ended(BackendId id, TimePoint sent) {
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -7,9 +7,12 @@
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
+#include "routing/room_report.hpp"
+#include "routing/room_view.hpp"
 
 namespace planktray::routing {
 
@@ -54,13 +57,17 @@
   std::uint32_t slots = 1;
   std::multiset<TimePoint> outstanding;  ///< when each was sent
   double time_us = 0;                    ///< smoothed time of work at its usual pace, 0: none seen
-  double others = 0;                     ///< requests of other routers there, by its last report
+  double others = 0;                     ///< requests of other routers there, at `load_at`
   /// The same, smoothed. Owners of keys are compared by work times that are freed of this, not of
   /// the last report: that would make an owner which is behind look fast, and bring it more keys.
   double usual_others = 0;
   double pace = 1;        ///< work time there / its usual one, by its last report
   TimePoint reported_at;  ///< when that came
-  TimePoint learnt_at;    ///< when time_us last changed
+  /// Its load at `load_at`, by its last answer here or to another router.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  TimePoint load_at;
+  TimePoint learnt_at;  ///< when time_us last changed
   bool is_cold = false;
   TimePoint blocked_until;
   Duration block{0};
@@ -91,6 +98,17 @@
   void block(TimePoint now, BackendId id);
 
   bool is_blocked(TimePoint now, BackendId id) const;
+  /// Takes what another router heard of a target, unless what is known is younger.
+  /// @return true where it was taken.
+  bool take_room(TimePoint now, const RoomReport& report);
+  /// The target has turned a request away for want of room.
+  void on_turned_away(TimePoint now, BackendId id, const std::optional<LoadReport>& report);
+  /// What its own answers told this router after `since`, the youngest first.
+  std::vector<RoomReport> rooms_since(TimePoint now, TimePoint since, std::size_t most) const;
+  /// What is expected of a target at this moment; nothing where nothing was heard of it within
+  /// kRoomLifetime.
+  std::optional<Room> room(TimePoint now, BackendId id) const;
+
   std::size_t outstanding(BackendId id) const;
   /// Expected time until an answer to a request sent now.
   Duration projected(TimePoint now, BackendId id) const;
@@ -113,12 +131,17 @@
   };
   Belief belief(TimePoint now, const TargetView& target) const;
   void take_report(TimePoint now, TargetView& target, const LoadReport& report);
+  void note_load(TimePoint heard, TargetView& target, std::uint32_t running, std::uint32_t waiting);
   double service_time_us(TimePoint now, const TargetView& target) const;
 
   TargetBookOptions options_;
   std::unordered_map<BackendId, TargetView> targets_;
   double typical_us_ = 0;  ///< smoothed time over all targets of the book
   Belief typical_;         ///< smoothed over all reports
+  /// Requests that waited at a target which turned one away; nothing until one did. The targets of
+  /// a service have queues of one length.
+  std::optional<std::uint32_t> queue_limit_;
+  std::uint32_t longest_queue_ = 0;  ///< requests heard to wait at any target
 };
 
 }  // namespace planktray::routing
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -441,6 +441,72 @@
   CHECK(fixture.receivers(at(31), 50).count("1") > 5);
 }
 
+/// The word of other routers that the owner has a queue of `waiting` behind its three slots.
+routing::TableUpdate told_queue(std::uint32_t waiting) {
+  routing::TableUpdate update;
+  update.term = common::Term(1);
+  update.base_index = common::LogIndex(5);
+  update.current_index = common::LogIndex(5);
+  update.rooms = {routing::RoomReport{common::BackendId(1), 3, waiting}};
+  return update;
+}
+
+/// The owner turns a request away: its queue of eight is full.
+void turn_away(RoutedFixture& fixture, TimePoint now) {
+  CallerRequest caller;
+  caller.handle = fixture.next_handle++;
+  caller.method = "GET";
+  caller.timeout_ms = 1000;
+  caller.route = RouteCall{"album.example", "/a", 7U};
+  fixture.core.on_request(now, caller);
+  const RouterOutput output = fixture.core.take_output();
+  REQUIRE(output.forwards.size() == 1);
+  AttemptResult result{routing::AttemptEnd::kRefused, routing::Refusal::kShed};
+  result.load = routing::LoadReport{3, 8, 3};
+  fixture.core.on_attempt_done(now, output.forwards.front().attempt, result);
+  fixture.core.on_caller_gone(caller.handle);
+  (void)fixture.core.take_output();
+}
+
+TEST_CASE("nothing is sent to an owner that other routers found full, for a second at most") {
+  RoutedFixture fixture(true);
+  turn_away(fixture, at(10));
+  CHECK(fixture.receivers(at(4000), 1).count("1") == 1);
+  fixture.core.on_table_update(at(5000), told_queue(9));
+  CHECK(fixture.receivers(at(5001), 5).empty());
+  CHECK(fixture.receivers(at(6100), 5).count("1") == 5);
+  fixture.core.on_table_update(at(7000), told_queue(1));
+  CHECK(fixture.receivers(at(7001), 5).count("1") == 5);
+  CHECK(fixture.core.counters().rooms_heard == 2);
+}
+
+TEST_CASE("hellos tell what owners of keys said of themselves, once, and of no other service") {
+  for (const bool keyed : {true, false}) {
+    CAPTURE(keyed);
+    RoutedFixture fixture(keyed);
+    CallerRequest caller;
+    caller.handle = fixture.next_handle++;
+    caller.method = "GET";
+    caller.timeout_ms = 1000;
+    caller.route = RouteCall{"album.example", "/a", 7U};
+    fixture.core.on_request(at(2000), caller);
+    const RouterOutput sent = fixture.core.take_output();
+    REQUIRE(sent.forwards.size() == 1);
+    fixture.core.tick(at(2050));
+    (void)fixture.core.take_output();
+    AttemptResult result{routing::AttemptEnd::kAnswered};
+    result.load = routing::LoadReport{3, 5, 3};
+    fixture.core.on_attempt_done(at(2100), sent.forwards.front().attempt, result);
+    std::size_t told = 0;
+    for (std::int64_t time = 2101; time < 4000; time += 100) {
+      fixture.core.tick(at(time));
+      const RouterOutput output = fixture.core.take_output();
+      told += output.hello.has_value() ? output.hello->rooms.size() : 0;
+    }
+    CHECK(told == (keyed ? 1 : 0));
+  }
+}
+
 TEST_CASE("where every zone is evacuated, callers are refused") {
   RoutedFixture fixture(false);
   fixture.evacuate(at(10), "north", true);
--- a/test/transport/decoders_test.cpp
+++ b/test/transport/decoders_test.cpp
@@ -33,6 +33,7 @@
   hello.router = common::RouterName(*rc::gen::arbitrary<std::string>());
   hello.clock_us = *rc::gen::arbitrary<std::int64_t>();
   hello.loads = {{common::ServiceId(1), common::ShardNumber(2), 3}};
+  hello.rooms = {{common::BackendId(4), 5, *rc::gen::arbitrary<std::uint32_t>(), 6}};
   return hello;
 }
 
