--- a/src/controller/core/room_board.cpp
+++ b/src/controller/core/room_board.cpp
@@ -19,7 +19,8 @@
   }
 }
 
-const RoomBoard::Digest& RoomBoard::digest(common::TimePoint now, common::Duration interval) {
+const RoomBoard::Digest& RoomBoard::digest(common::TimePoint now, common::Duration interval,
+                                           std::size_t routers) {
   if (now < remake_at_) {
     return digest_;
   }
@@ -34,7 +35,7 @@
       fresh.emplace_back(entry.heard, report);
     }
   }
-  const std::size_t kept = std::min(fresh.size(), most_entries(interval));
+  const std::size_t kept = std::min(fresh.size(), most_entries(interval, routers));
   std::partial_sort(fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(kept), fresh.end(),
                     [](const auto& a, const auto& b) { return a.first > b.first; });
   std::vector<routing::RoomReport> reports;
@@ -56,8 +57,10 @@
                 [&](const auto& item) { return now - item.second.heard > routing::kRoomLifetime; });
 }
 
-std::size_t RoomBoard::most_entries(common::Duration interval) const {
-  const std::size_t each_second = options_.bytes_per_second / routing::kRoomReportBytes;
+std::size_t RoomBoard::most_entries(common::Duration interval, std::size_t routers) const {
+  const std::size_t share = options_.bytes_per_second_to_all / std::max<std::size_t>(1, routers);
+  const std::size_t each_second =
+      std::min(options_.bytes_per_second, share) / routing::kRoomReportBytes;
   const auto interval_us = static_cast<std::size_t>(interval.count());
   const auto second_us =
       static_cast<std::size_t>(common::Duration(std::chrono::seconds(1)).count());
--- a/src/controller/core/room_board.hpp
+++ b/src/controller/core/room_board.hpp
@@ -23,6 +23,9 @@
   /// Of all digests to one router in a second: a seventieth of a link of 4 Mbit/s, which its
   /// callers share.
   std::size_t bytes_per_second = 6000;
+  /// Of all digests to all routers in a second, which get equal shares: what one controller sends
+  /// beside the table itself, a sixtieth of a link of 1 Gbit/s.
+  std::size_t bytes_per_second_to_all = 2'000'000;
   /// A digest serves all updates of this time; ages in it are too low by this much at most, a
   /// twentieth of the time for which they count.
   common::Duration remake_interval = std::chrono::milliseconds(50);
@@ -42,7 +45,8 @@
 
   /// What came since the routers' last updates, the youngest first.
   /// @param interval between two updates of one router; the bound in bytes is shared out by it.
-  const Digest& digest(common::TimePoint now, common::Duration interval);
+  /// @param routers that get digests.
+  const Digest& digest(common::TimePoint now, common::Duration interval, std::size_t routers);
 
   void clear();
   std::size_t size() const { return entries_.size(); }
@@ -55,7 +59,7 @@
     common::TimePoint received;  ///< here
   };
   void drop_old(common::TimePoint now);
-  std::size_t most_entries(common::Duration interval) const;
+  std::size_t most_entries(common::Duration interval, std::size_t routers) const;
 
   RoomBoardOptions options_;
   std::unordered_map<common::BackendId, Entry> entries_;
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -111,7 +111,7 @@
   update.current_index = state.applied();
   update.as_of_clock_us = hello.clock_us + (current_as_of - now).count();
   update.deltas = deltas_after(hello.table_index);
-  update.rooms = rooms_.digest(now, options_.longest_hello_interval);
+  update.rooms = rooms_.digest(now, options_.longest_hello_interval, 1);
   return OutgoingTable{hello.router, std::move(update)};
 }
 
@@ -162,7 +162,7 @@
     }
   }
   if (subscriber.hello_pending) {
-    update.rooms = rooms_.digest(now, hello_interval());
+    update.rooms = rooms_.digest(now, hello_interval(), subscribers_.size());
   }
   if (!update.deltas.empty()) {
     subscriber.sent = update.current_index;
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -57,6 +57,9 @@
   /// For requests on routes.
   routing::RetryWindowOptions retry_window;
   routing::TargetBookOptions targets;
+  /// After this time what is known of the queue of a key's owner counts half. Its keys cannot go
+  /// elsewhere: a queue of four rounds of work lasts for as many work times at least, of 0.3 s.
+  Duration owner_queue_half = std::chrono::milliseconds(1200);
   routing::ColdLimitOptions cold_limit;
   /// The owner of a key in a zone that is being evacuated may get requests for this long after the
   /// router has learnt of it, so that its keys can be handed over first. 0: none.
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -22,7 +22,16 @@
 }  // namespace
 
 RouterCore::RoutedService& RouterCore::routed_service(common::ServiceId id) {
-  return routed_.try_emplace(id, options_.targets, options_.retry_window).first->second;
+  const auto found = routed_.find(id);
+  if (found != routed_.end()) {
+    return found->second;
+  }
+  routing::TargetBookOptions targets = options_.targets;
+  const routing::RoutedTableService* service = table_.routes().find_service(id);
+  if (service != nullptr && service->route.config.keyed) {
+    targets.queue_half = options_.owner_queue_half;
+  }
+  return routed_.try_emplace(id, targets, options_.retry_window).first->second;
 }
 
 void RouterCore::note_routed_targets(TimePoint now) {
--- a/src/routing/target_book.cpp
+++ b/src/routing/target_book.cpp
@@ -10,6 +10,10 @@
 /// A request that is outstanding for this many times its expected time speaks for a slower target.
 constexpr double kOverdueFactor = 2.0;
 
+/// A queue that is expected to be longer than this part of what it holds counts as full: what is
+/// known is some hundreds of milliseconds old, and other routers send there, too.
+constexpr double kUsableQueue = 0.75;
+
 double to_us(Duration value) { return static_cast<double>(value.count()); }
 
 /// How many times longer than its work a request takes where `ahead` others are at the target.
@@ -134,7 +138,7 @@
   room.expected = projected(now, id);
   room.slot_expected_in = time_for(room.ahead + 1 - target.slots);
   if (queue_limit_.has_value()) {
-    const double most = static_cast<double>(target.slots) + *queue_limit_;
+    const double most = static_cast<double>(target.slots) + kUsableQueue * *queue_limit_;
     room.is_full = room.ahead + 1 > most;
     room.room_expected_in = time_for(room.ahead + 1 - most);
   }
@@ -142,11 +146,13 @@
 }
 
 TargetBook::Belief TargetBook::belief(TimePoint now, const TargetView& target) const {
-  const auto kept = [&](TimePoint heard) {
-    return std::exp2(-to_us(now - heard) / to_us(options_.report_half));
+  const auto kept = [&](TimePoint heard, Duration half) {
+    return std::exp2(-to_us(now - heard) / to_us(half));
   };
-  return {typical_.others + kept(target.load_at) * (target.others - typical_.others),
-          typical_.pace + kept(target.reported_at) * (target.pace - typical_.pace)};
+  const double kept_others = kept(target.load_at, options_.queue_half);
+  const double kept_pace = kept(target.reported_at, options_.report_half);
+  return {typical_.others + kept_others * (target.others - typical_.others),
+          typical_.pace + kept_pace * (target.pace - typical_.pace)};
 }
 
 void TargetBook::on_ended(BackendId id, TimePoint sent) {
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -40,6 +40,8 @@
   /// After this time a load report counts half against what is usual at the book's targets. Work
   /// takes some hundreds of milliseconds, and how fast it goes changes several times a second.
   Duration report_half = std::chrono::milliseconds(400);
+  /// The same for what a report says of the queue.
+  Duration queue_half = std::chrono::milliseconds(400);
   /// A target is avoided this long after a failure; doubles with each more, up to the maximum.
   Duration minimum_block = std::chrono::milliseconds(100);
   Duration maximum_block = std::chrono::milliseconds(1600);
--- a/test/controller/room_board_test.cpp
+++ b/test/controller/room_board_test.cpp
@@ -34,9 +34,9 @@
   RoomBoard board{RoomBoardOptions()};
   board.note(at(0), {report(1, 7, 100)});
   board.note(at(10), {report(1, 2, 400)});  // heard before the first
-  CHECK(listed(board.digest(at(10), kInterval)).front().waiting == 7);
+  CHECK(listed(board.digest(at(10), kInterval, 1)).front().waiting == 7);
   board.note(at(70), {report(1, 3, 0)});
-  const auto digest = listed(board.digest(at(90), kInterval));
+  const auto digest = listed(board.digest(at(90), kInterval, 1));
   REQUIRE(digest.size() == 1);
   CHECK(digest.front().waiting == 3);
   CHECK(digest.front().age() == milliseconds(20));
@@ -46,17 +46,17 @@
   RoomBoard board{RoomBoardOptions()};
   board.note(at(0), {report(1, 16, 1200), report(2, 16, 300)});
   CHECK(board.size() == 1);
-  CHECK(board.digest(at(0), milliseconds(5000)).size() == 1);
-  CHECK(board.digest(at(800), milliseconds(5000)).empty());
+  CHECK(board.digest(at(0), milliseconds(5000), 1).size() == 1);
+  CHECK(board.digest(at(800), milliseconds(5000), 1).empty());
   CHECK(board.size() == 0);
 }
 
 TEST_CASE("what came before the routers' last updates is not told again") {
   RoomBoard board{RoomBoardOptions()};
   board.note(at(0), {report(1, 16, 0)});
-  CHECK(board.digest(at(0), milliseconds(100)).size() == 1);
-  CHECK(board.digest(at(100), milliseconds(100)).size() == 1);
-  CHECK(board.digest(at(160), milliseconds(100)).empty());
+  CHECK(board.digest(at(0), milliseconds(100), 1).size() == 1);
+  CHECK(board.digest(at(100), milliseconds(100), 1).size() == 1);
+  CHECK(board.digest(at(160), milliseconds(100), 1).empty());
 }
 
 TEST_CASE("digests keep within their bytes a second, and the oldest words are left out") {
@@ -71,7 +71,7 @@
     reports.push_back(made);
   }
   board.note(at(0), reports);
-  const auto digest = board.digest(at(0), kInterval);
+  const auto digest = board.digest(at(0), kInterval, 1);
   CHECK(digest.size() > 100);
   CHECK(common::encode(digest).size() <= options.bytes_per_second * 6 / 10);
   for (const RoomReport& told : digest) {
@@ -79,13 +79,27 @@
   }
 }
 
+TEST_CASE("thousands of routers share what a controller sends to all") {
+  const RoomBoardOptions options;
+  RoomBoard board{options};
+  std::vector<RoomReport> reports;
+  for (std::uint64_t id = 1; id <= 1000; ++id) {
+    reports.push_back(report(id, 1, 0));
+  }
+  board.note(at(0), reports);
+  constexpr std::size_t kRouters = 3000;
+  const auto& digest = board.digest(at(0), milliseconds(1000), kRouters);
+  CHECK_FALSE(digest.empty());
+  CHECK(common::encode(digest).size() * kRouters <= options.bytes_per_second_to_all);
+}
+
 TEST_CASE("routers that are answered within a moment get the same list, encoded once") {
   RoomBoard board{RoomBoardOptions()};
   board.note(at(0), {report(1, 3, 0)});
-  const RoomReport* first = &board.digest(at(0), kInterval).front();
+  const RoomReport* first = &board.digest(at(0), kInterval, 1).front();
   board.note(at(20), {report(1, 5, 0)});
-  CHECK(&board.digest(at(49), kInterval).front() == first);
-  CHECK(board.digest(at(50), kInterval).front().waiting == 5);
+  CHECK(&board.digest(at(49), kInterval, 1).front() == first);
+  CHECK(board.digest(at(50), kInterval, 1).front().waiting == 5);
 }
 
 TEST_CASE("a bounded number of back ends is kept") {
@@ -97,7 +111,7 @@
   }
   CHECK(board.size() == 3);
   board.note(at(10), {report(1, 9, 0)});  // a known one is still taken
-  const auto digest = listed(board.digest(at(10), kInterval));
+  const auto digest = listed(board.digest(at(10), kInterval, 1));
   CHECK(std::any_of(digest.begin(), digest.end(),
                     [](const RoomReport& told) { return told.waiting == 9; }));
 }
