Room: a report takes thirteen bytes at most, and small fleets miss nothing between two hellos

Two were faults: the stated bound of a report was a byte too low, so digests passed their 6 kB a second by 8% with the largest ids; and with two routers, hellos are paced 16 ms apart on paper but 100 ms in fact, so a word of 100 ms ago was left out.

--- a/src/controller/core/room_board.cpp
+++ b/src/controller/core/room_board.cpp
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace planktray::controller {
+namespace {
+
+/// Routers say hello no more often than this, however few they are; what came between two hellos of
+/// a router must not be missed.
+constexpr common::Duration kShortestInterval = std::chrono::milliseconds(100);
+
+}  // namespace
 
 void RoomBoard::note(common::TimePoint now, const std::vector<routing::RoomReport>& reports) {
   for (const routing::RoomReport& report : reports) {
@@ -26,7 +33,8 @@
   }
   remake_at_ = now + options_.remake_interval;
   drop_old(now);
-  const common::TimePoint since = now - interval - options_.remake_interval;
+  const common::TimePoint since =
+      now - std::max(interval, kShortestInterval) - options_.remake_interval;
   std::vector<std::pair<common::TimePoint, routing::RoomReport>> fresh;
   for (const auto& [id, entry] : entries_) {
     if (entry.received >= since) {
--- a/src/routing/room_report.hpp
+++ b/src/routing/room_report.hpp
@@ -14,9 +14,9 @@
 /// What is older says nothing: a queue of some ten requests has come and gone by then.
 inline constexpr common::Duration kRoomLifetime = std::chrono::milliseconds(1000);
 
-/// Upper bound of the encoded size of a RoomReport: back end, running, waiting and age of one,
-/// five, two, two and one bytes, and its head.
-inline constexpr std::size_t kRoomReportBytes = 12;
+/// Upper bound of the encoded size of a RoomReport: back end, running, waiting and age of five,
+/// three, three and one bytes, and its head.
+inline constexpr std::size_t kRoomReportBytes = 13;
 
 /// The load of one back end at a moment, as its own answer told it.
 struct RoomReport {
