--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -467,6 +467,9 @@
              {"grants_open", std::to_string(orders_ == nullptr ? 0 : orders_->grants_open())},
              {"releases_open", std::to_string(orders_ == nullptr ? 0 : orders_->releases_open())},
              {"ranges", std::to_string(core_->ranges().grants().holdings())},
+             {"hot_rises", std::to_string(core_->ranges().counters().rises)},
+             {"hot_falls", std::to_string(core_->ranges().counters().falls)},
+             {"hot_plans", std::to_string(core_->ranges().counters().hot_plans)},
              {"behind_ms", ms(laggard.has_value() ? laggard->age : common::Duration(0))},
              {"behind_router", laggard.has_value() ? laggard->router.value : ""}});
 }
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -63,7 +63,7 @@
   ++counters_.hellos;
   distributor_.on_hello(now, hello);
   loads_.add(hello.loads);
-  ranges_.note_loads(hello);
+  ranges_.note_loads(now, hello);
   for (const common::BackendId id : hello.ended) {
     mark_ended(now, id);
   }
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -41,18 +41,23 @@
       grants_(options.grant),
       planner_(with_noise_of(options.planner, options.load_half_life)),
       loads_(options.load_half_life),
+      hot_keys_(options.hot_keys),
       times_(options.speed_sample_weight) {}
 
 void RangeController::begin_term(TimePoint now, const CellState& state) {
   heartbeats_.begin_term(now);
   grants_.begin_term(now, state);
   loads_.clear();
+  hot_keys_.clear();
+  hot_.clear();
   times_.clear();
   capacities_ = {};
   rested_at_ = now;
   planned_state_ = common::LogIndex();
   next_plan_ = now;
   next_balance_ = now + options_.balance_interval;
+  next_hot_look_ = options_.hot_keys_interval > Duration(0) ? now + options_.hot_keys_interval
+                                                            : TimePoint::max();
   next_join_ = now + options_.join_interval;
   joined_.clear();
   next_warmth_ = now + options_.warmth_interval;
@@ -171,11 +176,26 @@
   return gone;
 }
 
+void RangeController::look_for_hot_keys(TimePoint now) {
+  if (now < next_hot_look_) {
+    return;
+  }
+  next_hot_look_ = now + options_.hot_keys_interval;
+  for (const ownership::KeyJump& jump : hot_keys_.find(now, loads_)) {
+    loads_.replace(jump.service, jump.keys, jump.rates);
+    ++(jump.is_rise ? counters_.rises : counters_.falls);
+    if (jump.is_rise) {
+      hot_.push_back({jump.service, jump.keys});
+    }
+  }
+}
+
 ownership::ApplyRangePlan RangeController::plan(TimePoint now, const CellState& state) {
+  look_for_hot_keys(now);
   const bool fold = now >= next_balance_;
   const bool balance = fold && !grants_.is_busy();
   const bool changed = state.applied() != planned_state_;
-  if (!fold && !changed && now < next_plan_) {
+  if (!fold && !changed && hot_.empty() && now < next_plan_) {
     return {};
   }
   if (!fold && now < rested_at_) {
@@ -186,7 +206,7 @@
   if (fold) {
     next_balance_ = now + options_.balance_interval;
     loads_.fold(now);
-    capacities_ = times_.capacities(state);
+    capacities_ = times_.capacities(state, options_.speed_exponent);
   }
   planned_state_ = state.applied();
   ownership::RangePlannerInput input{state, loads_, {},      {},
@@ -212,6 +232,8 @@
   input.can_be_told = [&](common::BackendId id) {
     return answers_.is_kept(id) || !ownership::is_told_by_answers(state, id);
   };
+  counters_.hot_plans += hot_.empty() ? 0 : 1;
+  input.hot = std::exchange(hot_, {});
   if (input.join) {
     next_join_ = now + options_.join_interval;
   }
@@ -232,7 +254,8 @@
 }
 
 TimePoint RangeController::next_due() const {
-  return std::min({next_plan_, next_balance_, grants_.next_due(), answers_.next_due()});
+  return std::min(
+      {next_plan_, next_balance_, next_hot_look_, grants_.next_due(), answers_.next_due()});
 }
 
 }  // namespace planktray::controller
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -12,6 +12,7 @@
 #include "membership/heartbeat_monitor.hpp"
 #include "ownership/cell_state.hpp"
 #include "ownership/grant_manager.hpp"
+#include "ownership/hot_keys.hpp"
 #include "ownership/key_loads.hpp"
 #include "ownership/range_planner.hpp"
 #include "ownership/target_times.hpp"
@@ -31,6 +32,13 @@
   double speed_sample_weight = 0.04;
   /// How often loads are folded and keys may be moved for balance.
   Duration balance_interval = std::chrono::milliseconds(300);
+  /// How often keys that have become hot are looked for. 0: never.
+  Duration hot_keys_interval{0};
+  ownership::HotKeysOptions hot_keys;
+  /// A target that is slower than a typical one by a factor s gets a share smaller by s to this
+  /// power. 1: all are used alike. Above, slow ones are used less: work takes longer there, so that
+  /// less of what a caller may wait is left for waiting.
+  double speed_exponent = 1.0;
   /// Neighbouring ranges of one owner become one this often.
   Duration join_interval = std::chrono::milliseconds(2500);
   /// The first owners of a service are chosen when no back end has joined it for this long.
@@ -60,9 +68,12 @@
     return answers_.abandon();
   }
 
-  void note_loads(const routing::RouterHello& hello) {
+  void note_loads(TimePoint now, const routing::RouterHello& hello) {
     loads_.add(hello.key_loads);
     times_.add(hello.target_times);
+    if (options_.hot_keys_interval > Duration(0)) {
+      hot_keys_.add(now, hello.key_loads);
+    }
   }
   /// @return false for a late heartbeat that says nothing about now.
   bool note_heartbeat(TimePoint now, const common::Incarnation& incarnation, std::uint64_t sequence,
@@ -114,12 +125,20 @@
   /// When there is something to do, if nothing happens before.
   TimePoint next_due() const;
   const ownership::GrantManager& grants() const { return grants_; }
+  struct Counters {
+    std::uint64_t rises = 0;      ///< stretches of keys that became hot
+    std::uint64_t falls = 0;      ///< such that were hot no longer
+    std::uint64_t hot_plans = 0;  ///< plans made for hot keys before the next balance
+  };
+  const Counters& counters() const { return counters_; }
   /// True where the back end was not heard for so long that it gets no keys.
   bool is_silent(TimePoint now, const common::Incarnation& incarnation) const {
     return heartbeats_.is_silent(now, incarnation);
   }
 
  private:
+  /// Takes over the rates of keys that have jumped, and notes those to split.
+  void look_for_hot_keys(TimePoint now);
   /// Services most of whose targets are warm, by name: there, cold ones own no keys.
   std::set<common::PoolName> mostly_warm(const ownership::CellState& state) const;
   bool is_eligible(TimePoint now, const ownership::CellState& state,
@@ -138,12 +157,16 @@
   HolderAnswers answers_;
   ownership::RangePlanner planner_;
   ownership::KeyLoads loads_;
+  ownership::HotKeys hot_keys_;
+  std::vector<ownership::HotRange> hot_;  ///< found and not planned for
+  Counters counters_;
   ownership::TargetTimes times_;
   ownership::Capacities capacities_;  ///< as of the last fold of loads
   common::LogIndex planned_state_;
   TimePoint next_plan_;
   TimePoint rested_at_;  ///< no plan before, but for balance
   TimePoint next_balance_;
+  TimePoint next_hot_look_;
   TimePoint next_join_;
   TimePoint next_warmth_;
   TimePoint term_began_;
--- a/src/controller/settings.cpp
+++ b/src/controller/settings.cpp
@@ -53,6 +53,12 @@
                  "Weight of one measured request in the smoothed speed of a target")
       ->default_val(ranges.speed_sample_weight)
       ->check(CLI::Range(0.0001, 1.0));
+  app.add_option("--speed-exponent", ranges.speed_exponent,
+                 "A target slower by a factor gets a share smaller by that factor to this power")
+      ->default_val(ranges.speed_exponent)
+      ->check(CLI::Range(0.0, 4.0));
+  add_milliseconds(app, "--hot-keys-interval-ms", ranges.hot_keys_interval, 0, 60'000,
+                   "How often keys that have become hot are looked for; 0: never");
   app.add_option("--snapshot-entries", options.snapshot_entries,
                  "A snapshot is taken after this many entries")
       ->default_val(options.snapshot_entries)
--- a/src/ownership/key_loads.cpp
+++ b/src/ownership/key_loads.cpp
@@ -47,6 +47,17 @@
   }
 }
 
+void KeyLoads::replace(common::ServiceId service, const KeyRange& keys,
+                       const std::vector<KeyRate>& rates) {
+  auto& known = services_[service].rates;
+  known.erase(known.lower_bound(keys.first), known.upper_bound(keys.last));
+  for (const KeyRate& rate : rates) {
+    if (keys.contains({rate.key, rate.key}) && rate.rate >= kSmallestRate) {
+      known[rate.key] = static_cast<float>(rate.rate);
+    }
+  }
+}
+
 void KeyLoads::clear() { services_.clear(); }
 
 KeyRate KeyLoads::hottest(common::ServiceId service) const {
--- a/src/ownership/key_loads.hpp
+++ b/src/ownership/key_loads.hpp
@@ -24,6 +24,8 @@
   void add(const std::vector<routing::KeyLoad>& loads);
   /// Takes what was added since the last call into the smoothed rates.
   void fold(common::TimePoint now);
+  /// Takes these rates for the keys of a range, in place of the smoothed ones: they have jumped.
+  void replace(common::ServiceId service, const KeyRange& keys, const std::vector<KeyRate>& rates);
   void clear();
   /// Requests a second for one key.
   double rate(common::ServiceId service, std::uint32_t key) const;
--- a/src/ownership/range_planner.cpp
+++ b/src/ownership/range_planner.cpp
@@ -14,18 +14,24 @@
     if (service.retired || service.ranges.records().empty()) {
       continue;
     }
-    if (!input.balance && !input.join && !has_work(input, service)) {
+    const bool is_hot =
+        std::any_of(input.hot.begin(), input.hot.end(),
+                    [id = id](const HotRange& range) { return range.service == id; });
+    if (!input.balance && !input.join && !is_hot && !has_work(input, service)) {
       continue;
     }
     Workspace work(input, service);
     if (work.targets().empty()) {
       continue;
     }
-    if (input.balance) {
+    if (input.balance || is_hot) {
       isolate_dominant(work, plan);
     }
     assign_free(work, plan);
     empty_leaving(work, plan);
+    if (is_hot) {
+      split_hot(work, plan);
+    }
     if (input.balance) {
       balance(work, plan);
     }
@@ -193,12 +199,21 @@
   }
 }
 
+double RangePlanner::limit_of(const Workspace& work) const {
+  const double level = work.level();
+  const double noise = options_.noise_factor * std::sqrt(level * options_.noise_rate);
+  return level + std::max(level * (options_.max_imbalance - 1.0), noise);
+}
+
 void RangePlanner::balance(Workspace& work, ApplyRangePlan& plan) const {
   const double level = work.level();
   const double noise = options_.noise_factor * std::sqrt(level * options_.noise_rate);
-  const double limit = level + std::max(level * (options_.max_imbalance - 1.0), noise);
+  const double limit = limit_of(work);
   const std::size_t most_ranges = options_.ranges_per_target * work.targets().size();
-  while (work.moving() < options_.concurrent_moves && work.targets().size() > 1 &&
+  const auto targets = static_cast<double>(work.targets().size());
+  const auto most_moves = std::max(options_.concurrent_moves,
+                                   static_cast<std::uint32_t>(options_.moves_per_target * targets));
+  while (work.moving() < most_moves && work.targets().size() > 1 &&
          work.service().ranges.records().size() + work.moving() < most_ranges) {
     const auto heaviest = work.heaviest();
     if (heaviest == work.targets().end()) {
@@ -218,7 +233,8 @@
     }
     const auto part = work.part_of(heaviest->first, wanted);
     if (!part.has_value()) {
-      return;
+      heaviest->second.may_give_up = false;  // what it has fits nowhere; the next may have better
+      continue;
     }
     work.move(plan, part->keys, part->fence, heaviest->first, lightest->first);
   }
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -30,10 +30,25 @@
   double faster_by = 1.2;
   /// Ranges that may be moving at once in one service for balance to move more.
   std::uint32_t concurrent_moves = 16;
+  /// Where targets are many, balance may move so many ranges for each of them at once: with a fixed
+  /// number, evening out would take longer the more targets there are.
+  double moves_per_target = 0;
+  /// The same for keys that have become hot. Each is an order to its next owner, some 0.3 ms of a
+  /// leader's processor time: all of them within half a second on a tenth of a core.
+  std::uint32_t concurrent_hot_moves = 128;
+  /// Hot keys are cut into pieces of this part of a target's share, or single keys: small enough
+  /// that the targets which get one beside their other keys stay about even.
+  double hot_piece = 0.5;
   /// Ranges for each target beyond which balance splits no more: each costs renewals.
   std::uint32_t ranges_per_target = 4;
 };
 
+/// Keys whose requests have just risen far above what they were.
+struct HotRange {
+  ServiceId service;
+  KeyRange keys;
+};
+
 struct RangePlannerInput {
   const CellState& state;
   const KeyLoads& loads;
@@ -50,6 +65,8 @@
   /// Whether an owner can be told of a move at once. Keys move for balance only from those: from
   /// the others they would lie still until they can be told. Unset: all can.
   std::function<bool(BackendId)> can_be_told{};
+  /// Keys to be split over targets with room in this call; `loads` has their present rates.
+  std::vector<HotRange> hot{};
 };
 
 class RangePlanner {
@@ -70,7 +87,11 @@
   void isolate_dominant(Workspace& work, ApplyRangePlan& plan) const;
   /// Moves all keys but `key` off the target that hosts it.
   void empty_host(Workspace& work, ApplyRangePlan& plan, BackendId host, const KeyRange& key) const;
+  /// Splits hot keys over targets with room, the heaviest pieces first (range_planner_hot.cpp).
+  void split_hot(Workspace& work, ApplyRangePlan& plan) const;
   void balance(Workspace& work, ApplyRangePlan& plan) const;
+  /// Load of a target of capacity 1 above which keys are moved off it.
+  double limit_of(const Workspace& work) const;
   /// Gives idle keys between two ranges of one owner to that owner, so that all become one range.
   void close_gaps(Workspace& work, ApplyRangePlan& plan) const;
   /// Fewer ranges cost fewer renewals.
--- a/src/ownership/range_workspace.cpp
+++ b/src/ownership/range_workspace.cpp
@@ -81,6 +81,29 @@
   return found == targets_.end() || found->second.may_give_up;
 }
 
+BackendId RangePlanner::Workspace::roomiest(double load, BackendId owner) const {
+  const auto use_with = [&](const auto& item) {
+    const double more = item.first == owner ? 0 : load;
+    return (item.second.load + more) / item.second.capacity;
+  };
+  const auto best =
+      std::min_element(targets_.begin(), targets_.end(),
+                       [&](const auto& a, const auto& b) { return use_with(a) < use_with(b); });
+  return best == targets_.end() ? owner : best->first;
+}
+
+std::vector<KeyRange> RangePlanner::Workspace::cut(KeyRange keys, double load) const {
+  std::vector<KeyRange> pieces;
+  while (true) {
+    const KeyRange piece = beginning(keys, load);
+    pieces.push_back(piece);
+    if (piece.last >= keys.last) {
+      return pieces;
+    }
+    keys.first = piece.last + 1;
+  }
+}
+
 void RangePlanner::Workspace::reserve(BackendId id, const KeyRange& keys) {
   const auto found = targets_.find(id);
   total_ = std::max(total_ - load(keys), idle_rate_ * config::kKeyCount);
--- a/src/ownership/range_workspace.hpp
+++ b/src/ownership/range_workspace.hpp
@@ -45,6 +45,10 @@
   /// The heaviest that may give keys up, or the end where none may.
   Targets::iterator heaviest();
   bool may_give_up(BackendId id) const;
+  /// The target that is used least once it carries `load` more; `owner`, where it has it already.
+  BackendId roomiest(double load, BackendId owner) const;
+  /// Pieces of about this load, in the order of their keys; one key at least in each.
+  std::vector<KeyRange> cut(KeyRange keys, double load) const;
 
   /// Takes a target and the keys that it is there for out of the balance.
   void reserve(BackendId id, const KeyRange& keys);
--- a/src/ownership/target_times.hpp
+++ b/src/ownership/target_times.hpp
@@ -30,14 +30,22 @@
 
   void add(const std::vector<routing::TargetTime>& times);
   void clear() { times_.clear(); }
-  /// Within [1 / kMostSpread, kMostSpread].
-  Capacities capacities(const CellState& state) const;
+  /// Within [1 / kMostSpread, kMostSpread], speeds to the power of `exponent`.
+  Capacities capacities(const CellState& state, double exponent = 1.0) const;
 
  private:
   static constexpr double kMostSpread = 4.0;
 
+  struct Measured {
+    double time_us = 0;  ///< smoothed
+    double samples = 0;  ///< so far
+  };
+
+  /// The measured time, drawn towards the typical one while samples are few.
+  static double typical_or(const Measured& measured, double typical);
+
   double sample_weight_;
-  std::map<common::BackendId, double> times_;  ///< smoothed, in microseconds
+  std::map<common::BackendId, Measured> times_;
 };
 
 }  // namespace planktray::ownership
--- a/test/ownership/range_planner_test.cpp
+++ b/test/ownership/range_planner_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 
@@ -59,6 +61,9 @@
     apply(plan);
   }
   ApplyRangePlan plan(bool balance, bool join = false) const {
+    return planner.plan(planner_input(balance, join));
+  }
+  RangePlannerInput planner_input(bool balance, bool join) const {
     RangePlannerInput input{state, loads, {}, {}, {}, {}, balance, join};
     input.must_be_emptied = [](const BackendRecord& backend) { return backend.leaving; };
     input.is_eligible = [&](const BackendRecord& backend) {
@@ -69,7 +74,7 @@
       return GrantManager::Verdict{true, ""};
     };
     input.can_be_told = [&](BackendId id) { return !out_of_hearing.contains(id); };
-    return planner.plan(input);
+    return input;
   }
   /// Plans and applies, as if every release were answered at once, until nothing changes.
   void settle(bool balance, int rounds = 20) {
@@ -305,5 +310,117 @@
   CHECK_FALSE(cell.plan(true).moves.empty());
 }
 
+/// A service of many targets in use, and keys of one of them that become hot.
+struct Spell : Fixture {
+  KeyRange hot_keys;
+
+  Spell(int count, std::uint32_t keys, double rate) : Fixture(count) {
+    settle(false);
+    for (int i = 0; i < 5; ++i) {
+      for (std::uint32_t key = 0; key < config::kKeyCount; key += 64) {
+        report(key, key, 1);
+      }
+      fold();
+    }
+    const KeyRange whole = std::next(ranges().begin(), count / 2)->second.keys;
+    hot_keys = {whole.first + 10, whole.first + 9 + keys};
+    begin(rate);
+  }
+  void begin(double rate) {
+    std::vector<KeyRate> rates;
+    for (std::uint32_t key = hot_keys.first; key <= hot_keys.last; ++key) {
+      rates.push_back({key, rate / hot_keys.size()});
+    }
+    loads.replace(service, hot_keys, rates);
+  }
+  ApplyRangePlan plan_hot() const {
+    RangePlannerInput input = planner_input(false, false);
+    input.hot.push_back({service, hot_keys});
+    return planner.plan(input);
+  }
+  double heaviest() const {
+    double most = 0;
+    for (const BackendId target : targets) {
+      most = std::max(most, load_of(target) / capacities.at(target));
+    }
+    return most;
+  }
+  double mean() const {
+    return loads.rate(service, KeyRange()) / static_cast<double>(targets.size());
+  }
+};
+
+TEST_CASE("hot keys are split over targets with room in one plan") {
+  for (const std::uint32_t keys : {60U, 200U}) {
+    Spell spell(232, keys, 400);
+    const double before = spell.heaviest();
+    const ApplyRangePlan plan = spell.plan_hot();
+    CHECK(plan.moves.size() > 30);
+    CHECK(plan.moves.size() <= RangePlannerOptions().concurrent_hot_moves);
+    spell.apply(plan);
+    spell.settle(false);
+    CHECK(before > 50 * spell.mean());
+    CHECK(spell.heaviest() < 3 * spell.mean());
+    // Its owner keeps no more than others have.
+    CHECK(spell.load_of(spell.targets[116]) < 3 * spell.mean());
+  }
+}
+
+TEST_CASE("hot keys go to fast targets first") {
+  Spell spell(40, 20, 30);
+  for (std::size_t i = 0; i < 10; ++i) {
+    spell.capacities[spell.targets[i]] = 2.0;
+  }
+  std::size_t to_fast = 0;
+  const ApplyRangePlan plan = spell.plan_hot();
+  REQUIRE_FALSE(plan.moves.empty());
+  for (const RangeMove& move : plan.moves) {
+    to_fast += spell.capacities.at(move.to) > 1.0 ? 1 : 0;
+  }
+  CHECK(to_fast == plan.moves.size());
+}
+
+TEST_CASE("keys that are hot, but not too many requests for their owner, stay where they are") {
+  Spell spell(4, 60, 5);
+  CHECK(spell.plan_hot().empty());
+}
+
+TEST_CASE("when a spell is over its keys stay where they are, and idle ones are joined in time") {
+  Spell spell(232, 60, 400);
+  spell.apply(spell.plan_hot());
+  spell.settle(false);
+  spell.begin(0);
+  const ApplyRangePlan plan = spell.plan(true);
+  for (const RangeMove& move : plan.moves) {
+    CHECK_FALSE(move.keys.overlaps(spell.hot_keys));
+  }
+}
+
+TEST_CASE("a target whose keys fit nowhere keeps no other from being relieved") {
+  Fixture cell(8);
+  cell.settle(false);
+  const std::uint32_t single = std::next(cell.ranges().begin(), 1)->first;
+  const std::uint32_t spread = std::next(cell.ranges().begin(), 5)->first;
+  for (int i = 0; i < 20; ++i) {
+    for (std::uint32_t key = 0; key < config::kKeyCount; key += 128) {
+      cell.report(key, key, 2);
+    }
+    cell.report(single, single, 180);
+    cell.report(spread, spread + 120, 1);
+    cell.fold();
+  }
+  const BackendId heavy =
+      cell.state.routed_services().at(cell.service).ranges.record_of(spread).owner;
+  const ApplyRangePlan plan = cell.plan(true);
+  const bool is_relieved =
+      std::any_of(plan.moves.begin(), plan.moves.end(), [&](const RangeMove& move) {
+        return cell.state.routed_services()
+                   .at(cell.service)
+                   .ranges.record_of(move.keys.first)
+                   .owner == heavy;
+      });
+  CHECK(is_relieved);
+}
+
 }  // namespace
 }  // namespace planktray::ownership
