Found by a reader who is new to the code: time-outs of requests that the router itself holds back, and wording

Cause, by reading: a large request read at the link's pace, or one whose "100 Continue" waits its turn, could be answered 408 after the time-out though this side held it; small messages paid back what a piece took in spite of them; a back end that had hung up was put back to the pace at each read; a connection resumed in the same turn as its peer's close was ended; a link of nearly 0 Mbit/s was accepted and its times overflow. Comments that claimed more than the code does.

Ruled out: adding the time to write an answer to the decision what a stopping router takes (said in its comment instead).

The 408 cases have no test of their own yet.

--- a/src/config/machine_limits.hpp
+++ b/src/config/machine_limits.hpp
@@ -6,7 +6,7 @@
 
 namespace planktray::config {
 
-/// 0 in a field: not stated, and nothing is bounded by it.
+/// Limits as stated in the settings; 0: not stated. Only the link is enforced so far.
 struct MachineLimits {
   double link_bits_per_second = 0;  ///< each way
   double processor_share = 0;       ///< of one core
--- a/src/link/link_scheduler.cpp
+++ b/src/link/link_scheduler.cpp
@@ -67,7 +67,9 @@
 
 void LinkScheduler::note_small(TimePoint now, std::size_t bytes) {
   refill(now);
-  tokens_ = std::max(tokens_ - static_cast<double>(bytes), -static_cast<double>(piece_));
+  // Below that, where a piece passed in spite of small messages, it stays: nothing is given back.
+  const double least = std::min(tokens_, -static_cast<double>(piece_));
+  tokens_ = std::max(tokens_ - static_cast<double>(bytes), least);
 }
 
 void LinkScheduler::refill(TimePoint now) {
--- a/src/link/link_scheduler.hpp
+++ b/src/link/link_scheduler.hpp
@@ -32,7 +32,7 @@
 /// what is not counted: packet headers, new connections, the control side.
 inline constexpr double kScheduledShare = 0.85;
 /// A piece takes the link for this long: two of them stay below the 30 ms that a small message may
-/// wait, a twentieth of the shortest objectives of callers.
+/// wait, a twentieth of the shortest objectives of callers. Below 2.2 Mbit/s `kLeastPiece` decides.
 inline constexpr Duration kPieceTime = std::chrono::milliseconds(14);
 /// Smaller pieces would spend more on system calls than on bytes.
 inline constexpr std::size_t kLeastPiece = 4096;
--- a/src/router/drain_plan.hpp
+++ b/src/router/drain_plan.hpp
@@ -12,9 +12,9 @@
 
 namespace planktray::router {
 
-/// From the moment a process is told to stop until its loop acts on it, and from a caller's sending
-/// until the request is read: some ten turns of a full loop. Who sent a request before the platform
-/// could notice the stop is known only by this much.
+/// Allowance for the handling of the signal and for a request's way until it is read: who sent one
+/// before the platform could notice the stop is known only by this much. Below any time for which
+/// connections are taken at a stop; chosen, not measured.
 constexpr common::Duration kDrainReaction = std::chrono::milliseconds(150);
 
 struct DrainPlan {
@@ -28,8 +28,8 @@
     return {now + std::min(accept, drain), now + drain};
   }
 
-  /// Whether a request that comes now is taken: it ends within the time that is left whatever its
-  /// back end does, or its caller could not have known of the stop.
+  /// Whether a request that comes now is taken: its time is up before the process ends, or its
+  /// caller could not have known of the stop. The time to write a large answer is not included.
   /// @param longest the longest it may be under way; nothing: it has no bound.
   bool takes(common::TimePoint now, std::optional<common::Duration> longest) const {
     const bool is_early = now + kDrainReaction < accept_until;
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -11,20 +11,26 @@
 /// What the machine gives this process; what is not stated bounds nothing.
 void add_machine_limits(CLI::App& app, config::MachineLimits& machine) {
   constexpr double kBitsPerMegabit = 1e6;
-  constexpr std::size_t kBytesPerMegabyte = std::size_t{1} << 20U;
+  constexpr std::size_t kBytesPerMebibyte = std::size_t{1} << 20U;
+  /// Of each kind far beyond any machine's; a smaller link than 0.1 Mbit/s carries no request.
+  constexpr double kMost = 1e6;
+  constexpr double kNarrowestLink = 0.1;
   const auto add = [&app](const std::string& name, const std::string& help, auto take) {
-    app.add_option_function<double>(name, std::move(take), help)->check(CLI::Range(0.0, 1e9));
+    return app.add_option_function<double>(name, std::move(take), help);
   };
   add("--link-mbps", "What the machine's link carries each way, in Mbit/s; 0: not stated",
-      [&machine](double value) { machine.link_bits_per_second = value * kBitsPerMegabit; });
-  add("--memory-mb", "Memory that the process may take, in MiB; 0: not stated",
+      [&machine](double value) { machine.link_bits_per_second = value * kBitsPerMegabit; })
+      ->check(CLI::Range(kNarrowestLink, kMost) | CLI::Range(0.0, 0.0));
+  add("--memory-mb", "Memory that the process may take, in MiB; not enforced yet",
       [&machine](double value) {
-        machine.memory_bytes = static_cast<std::size_t>(value * kBytesPerMegabyte);
-      });
-  add("--processor-share", "Share of a core that the process gets; 0: not stated",
-      [&machine](double value) { machine.processor_share = value; });
+        machine.memory_bytes = static_cast<std::size_t>(value * kBytesPerMebibyte);
+      })
+      ->check(CLI::Range(0.0, kMost));
+  add("--processor-share", "Share of a core that the process gets; not enforced yet",
+      [&machine](double value) { machine.processor_share = value; })
+      ->check(CLI::Range(0.0, kMost));
   app.add_option("--descriptors", machine.descriptors,
-                 "File descriptors that the process may open; 0: not stated");
+                 "File descriptors that the process may open; not enforced yet");
 }
 
 }  // namespace
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -78,6 +78,8 @@
   const HttpMessage& message() const { return message_; }
   /// Hands out the whole message and gets ready for the next.
   HttpMessage take();
+  /// Gives up the present message, whole or not, and gets ready for the next.
+  void discard() { static_cast<void>(take()); }
 
  private:
   static int on_url(http_parser* parser, const char* at, std::size_t length);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -121,8 +121,9 @@
   }
   void sweep(common::TimePoint now) {
     const HttpServerOptions& options = server_.options();
-    if (!has_last_request_ && !may_read()) {
-      return;  // what is missing may have come, and waits to be read
+    const bool is_held = stream_->is_read_paused() || owes_continue_;
+    if (is_held || (!has_last_request_ && !may_read())) {
+      return;  // what is missing may have come, or is held back by this side
     }
     if (reader_.has_begun() && now - since_ > options.request_timeout) {
       const auto keep = shared_from_this();
@@ -227,6 +228,9 @@
       since_ = boot_time_now();
       reader_.set_limits(server_.options().limits);
     }
+    if (stream_->is_paced()) {
+      since_ = boot_time_now();  // the pace is this side's: the client only has to go on sending
+    }
     const bool had_head = reader_.has_head();
     const std::size_t taken = reader_.feed(bytes);
     if (reader_.has_failed()) {
@@ -248,6 +252,7 @@
   void answer_expectation() {
     if (owes_continue_ && pipeline_.empty() && !writing_) {
       owes_continue_ = false;
+      since_ = boot_time_now();  // the client could not send its body before
       stream_->write(kContinue);
     }
   }
@@ -288,7 +293,7 @@
     refused.number = next_number_++;
     refused.closes = true;
     has_last_request_ = true;
-    static_cast<void>(reader_.take());
+    reader_.discard();
     pipeline_.push_back(std::move(refused));
     hold(pipeline_.back(), {status,
                             {{"Content-Type", "application/json"}},
@@ -337,7 +342,7 @@
     pipeline_.clear();
     waiting_.clear();
     if (reader_.has_begun()) {
-      static_cast<void>(reader_.take());
+      reader_.discard();
     }
   }
 
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -2,8 +2,8 @@
 /// HTTP/1.1 server on GIO sockets and the http-parser library. Handlers may answer later.
 ///
 /// Invariants:
-///  - A handler gets whole requests only. Requests of one connection run side by side where all of
-///    them are said to bear it (`run_side_by_side`); any other waits until those before it are
+///  - A handler gets whole requests only. Requests of one connection run side by side where the
+///    classifier (`run_side_by_side`) allows all of them; any other waits until those before it are
 ///    answered, and nothing behind it is read before it is answered.
 ///  - Answers leave in the order of their requests. Nothing behind an answer that closes the
 ///    connection has been handed out.
@@ -80,11 +80,12 @@
   common::Duration request_timeout = std::chrono::seconds(30);
   /// A connection without a request is closed after this time.
   common::Duration idle_timeout = std::chrono::seconds(60);
-  /// Requests of one connection under way at once; with more, the connection is not read. Two back
-  /// ends of the usual size are full with it, so one client takes no more than that of a service.
+  /// Requests of one connection under way at once; with so many, the connection is not read, so
+  /// that one client cannot fill a service. Chosen, not measured.
   std::size_t requests_side_by_side = 8;
-  /// Bytes of answers that wait for their turn; with more, nothing else of the connection is
-  /// started. Some hundred answers of the usual size: it bounds what a slow one at the front holds.
+  /// While answers that wait for their turn hold more bytes, no further request of the connection
+  /// is started: some hundred answers of the usual size. Those that were started may still add
+  /// theirs.
   std::size_t held_answer_bytes = 256 * 1024;
   /// Ends a connection whose sent bytes stay without an acknowledgement; 0: the system's time.
   common::Duration unacknowledged_timeout{0};
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -127,7 +127,7 @@
   if (readiness.writable) {
     on_writable();
   }
-  if (readiness.hung_up && is_open()) {
+  if (readiness.hung_up && is_open() && is_read_paused()) {
     on_hang_up();
     return;
   }
@@ -301,7 +301,8 @@
 }
 
 void TcpStream::expect(std::size_t bytes, HangUp hang_up) {
-  if (pacer_ == nullptr || !is_open() || reading_.body != 0 || bytes <= link::kLargeBodyBytes) {
+  const bool is_small = bytes <= link::kLargeBodyBytes;
+  if (pacer_ == nullptr || !is_open() || peer_finished_ || reading_.body != 0 || is_small) {
     return;
   }
   hang_up_ = hang_up;
@@ -333,6 +334,7 @@
     return end(StreamEnd::kClosed);
   }
   // All that the peer sent is here: reading it slowly would spare the link nothing.
+  peer_finished_ = true;
   if (reading_.body != 0) {
     pacer_->inbound().remove(reading_.body);
     reading_ = {};
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -84,6 +84,10 @@
   bool has_sent() const { return sent_; }
   /// True where bytes have come that were not handed out yet.
   bool has_unread() const;
+  /// True while nothing is read: by pause_reading(), or until the pacer gives leave.
+  bool is_read_paused() const { return paused_ || (reading_.body != 0 && reading_.leave == 0); }
+  /// True while a large body is read at the pacer's pace.
+  bool is_paced() const { return reading_.body != 0; }
   /// True while written bytes wait for the system to take them.
   bool is_writing() const { return unsent() > 0; }
 
@@ -98,7 +102,6 @@
       : socket_(socket), connected_(connected), pacer_(pacer) {}
   std::size_t unsent() const { return backlog_.size() - backlog_sent_; }
   std::size_t may_send() const;
-  bool is_read_paused() const { return paused_ || (reading_.body != 0 && reading_.leave == 0); }
   /// @param added bytes that were just put behind the others.
   void pace_writing(std::size_t added);
   void note_sent(std::size_t bytes);
@@ -117,7 +120,8 @@
   bool connected_;
   bool sent_ = false;
   bool finishing_ = false;
-  bool paused_ = false;  ///< by pause_reading()
+  bool peer_finished_ = false;  ///< it has hung up, and all that it sent is here
+  bool paused_ = false;         ///< by pause_reading()
   Handlers handlers_;
   LinkPacer* pacer_;
   Paced writing_;
--- a/test/link/link_scheduler_test.cpp
+++ b/test/link/link_scheduler_test.cpp
@@ -52,7 +52,8 @@
   std::map<BodyId, TimePoint> ended;
 };
 
-TEST_CASE("statements and uploads: a small message waits 30 ms at most at every size of router") {
+TEST_CASE(
+    "a small message waits 30 ms at most behind large bodies, on links of every speed tested") {
   for (const double rate : kLinks) {
     CAPTURE(rate);
     Run run(rate);
@@ -72,6 +73,28 @@
   }
 }
 
+TEST_CASE("small messages do not pay back what large bodies took in spite of them") {
+  constexpr double kRate = 500'000;
+  const auto bytes_in = [](bool small_ones) {
+    LinkScheduler scheduler(kRate, kStart);
+    scheduler.add(kStart, 10'000'000);
+    std::size_t passed = 0;
+    for (TimePoint now = kStart; now < kStart + seconds(5); now += milliseconds(1)) {
+      if (small_ones) {
+        scheduler.note_small(now, 1000);  // twice what the link carries
+      }
+      for (const Piece& piece : scheduler.take(now)) {
+        passed += piece.bytes;
+        scheduler.passed(piece.body, piece.bytes);
+      }
+    }
+    return passed;
+  };
+  // A piece each 100 ms: 14 ms of the link's time, and no more.
+  CHECK(bytes_in(true) <= bytes_in(false) / 5);
+  CHECK(bytes_in(true) > 0);
+}
+
 TEST_CASE("large bodies use the scheduled share of the link while they wait") {
   for (const double rate : kLinks) {
     CAPTURE(rate);
