The backlog of a link is no longer told to a core that does not read it

Cause: RouterProcess worked out the backlog of both directions before each request, tick and ended attempt, and gave it to RouterCore, where nothing reads it: admission, for which it was meant, did not land.

Ruled out: keeping it for the part on admission.

Behaviour is as before: no decision read it, and the metrics of the backlog come from the scheduler as they did.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -19,7 +19,6 @@
 
 #include "common/random.hpp"
 #include "common/time.hpp"
-#include "link/link_backlog.hpp"
 #include "routing/cold_limit.hpp"
 #include "routing/leader_search.hpp"
 #include "routing/outcome.hpp"
@@ -213,9 +212,6 @@
                        const std::string& from = "");
   void on_controller_list(TimePoint now, const routing::ControllerList& list);
   void on_request(TimePoint now, const CallerRequest& request);
-  /// What waits for this router's link, as of now; kept until it is told anew.
-  void note_link(const link::LinkBacklog& backlog) { link_backlog_ = backlog; }
-  const link::LinkBacklog& link_backlog() const { return link_backlog_; }
   void on_attempt_done(TimePoint now, AttemptId attempt, const AttemptResult& result);
   /// The caller went away; its attempt is cancelled.
   void on_caller_gone(RequestHandle handle);
@@ -408,7 +404,6 @@
   std::map<common::ShardRef, std::uint32_t> loads_;
   std::map<common::ServiceId, RoutedService> routed_;
   routing::ColdLimit cold_limit_;
-  link::LinkBacklog link_backlog_;
   std::map<common::ZoneName, TimePoint> evacuations_;        ///< when this router learnt of each
   std::map<std::string, std::vector<double>> part_credits_;  ///< by route name
   std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -158,14 +158,7 @@
   return 0;
 }
 
-void RouterProcess::note_link() {
-  if (pacer_ != nullptr) {
-    core_.note_link(pacer_->backlog());
-  }
-}
-
 void RouterProcess::tick() {
-  note_link();
   core_.tick(boot_time_now());
   flush();
 }
@@ -271,7 +264,6 @@
     core_.on_caller_gone(handle);
     flush();
   });
-  note_link();
   core_.on_request(boot_time_now(), caller.read.request);
   flush();
 }
@@ -433,7 +425,6 @@
     request_log_.attempt_failed(now, caller->second.read, found->second.attempt, result, response);
     sent_.erase(found);
   }
-  note_link();
   core_.on_attempt_done(now, attempt, result);
   flush();
 }
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -98,8 +98,6 @@
   void continue_drain();
   std::string metrics_text();
   void add_link_metrics();
-  /// Tells the core how far behind the link is, before it decides.
-  void note_link();
 
   RouterSettings settings_;
   std::unique_ptr<RequestDialect> dialect_;
--- a/src/transport/link_pacer.hpp
+++ b/src/transport/link_pacer.hpp
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 
-#include "link/link_backlog.hpp"
 #include "link/link_scheduler.hpp"
 #include "transport/event_loop.hpp"
 
@@ -49,9 +48,6 @@
       : inbound_(bytes_per_second), outbound_(bytes_per_second) {}
   PacedDirection& inbound() { return inbound_; }
   PacedDirection& outbound() { return outbound_; }
-  link::LinkBacklog backlog() const {
-    return {inbound_.scheduler().backlog(), outbound_.scheduler().backlog()};
-  }
 
  private:
   PacedDirection inbound_;
