--- a/test/platform/soak/processes.cpp
+++ b/test/platform/soak/processes.cpp
@@ -79,6 +79,11 @@
 
 void Processes::start_all(TimePoint now) {
   std::filesystem::create_directories(data_);
+  // Disks of an earlier run hold its configuration: the first change of this one would be refused.
+  for (const Process& process : processes_) {
+    std::filesystem::remove_all(data_ / process.name);
+    std::filesystem::remove(data_ / (process.name + ".log"));
+  }
   for (std::size_t i = 0; i < processes_.size(); ++i) {
     start(now, i);
   }
