Sight: headers of back ends that nothing reads are counted and told once by name

Headers that begin with the platform's prefix or with Server- and that no code reads now count in planktray_headers_unread_total and have one line a name (header_unread). No decision changes. Before: 0 lines; the unit test shows the two headers of an answer handed on.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -160,6 +160,12 @@
   common::LogIndex table_index{};  ///< the table that decided it
 };
 
+/// A header of an answer that says something of the back end, and that nothing here reads.
+struct UnreadHeader {
+  std::string name;
+  std::string value;
+};
+
 struct AttemptResult {
   routing::AttemptEnd end = routing::AttemptEnd::kBroken;
   routing::Refusal refusal = routing::Refusal::kShed;
@@ -167,6 +173,7 @@
   std::optional<routing::LoadReport> load = std::nullopt;
   common::Incarnation answered_by{};  ///< who refused, where the answer names it
   std::string unread_load{};  ///< the load report as it came, where not all of it could be read
+  std::vector<UnreadHeader> unread_headers{};
 };
 
 struct RouterOutput {
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -73,6 +73,23 @@
                             {"total", std::to_string(unread_loads_)}});
 }
 
+void RequestLog::header_unread(common::TimePoint now, const SentAttempt& attempt,
+                               const UnreadHeader& header) {
+  constexpr std::size_t kMostNames = 32;
+  ++unread_headers_;
+  const bool is_new = unread_names_.size() < kMostNames && unread_names_.insert(header.name).second;
+  if (!is_new && !load_limit_.allows(now)) {
+    return;
+  }
+  constexpr std::size_t kLongest = 64;
+  log_event("header_unread", {{"service", attempt.service},
+                              {"peer", attempt.address},
+                              {"instance", attempt.incarnation.value},
+                              {"name", header.name.substr(0, kLongest)},
+                              {"text", header.value.substr(0, kLongest)},
+                              {"total", std::to_string(unread_headers_)}});
+}
+
 void RequestLog::refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
                          common::Duration took, std::optional<common::Duration> table_age) {
   if (!limit_.allows(now)) {
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "router/core/router_core.hpp"
@@ -43,6 +44,9 @@
   /// A back end tells its load in a form that could not be read whole.
   void load_unread(common::TimePoint now, const SentAttempt& attempt, const std::string& text);
   std::uint64_t unread_loads() const { return unread_loads_; }
+  /// A back end says something that nothing here reads: one line for each new name, a few again.
+  void header_unread(common::TimePoint now, const SentAttempt& attempt, const UnreadHeader& header);
+  std::uint64_t unread_headers() const { return unread_headers_; }
   /// The request ends without a back end's answer. @param table_age time since the table was known
   /// to be up to date; nothing where it never was.
   void refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
@@ -55,6 +59,8 @@
   /// Every answer of a back end may carry such a report: a line now and then is enough to see it.
   transport::LineLimit load_limit_{{.lines_per_second = 0.1, .burst = 5}};
   std::uint64_t unread_loads_ = 0;
+  std::set<std::string> unread_names_;  ///< of headers; bounded, as back ends choose them
+  std::uint64_t unread_headers_ = 0;
 };
 
 }  // namespace planktray::router
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -419,6 +419,9 @@
   if (!result.unread_load.empty()) {
     request_log_.load_unread(now, found->second.attempt, result.unread_load);
   }
+  for (const UnreadHeader& header : result.unread_headers) {
+    request_log_.header_unread(now, found->second.attempt, header);
+  }
   if (result.end == routing::AttemptEnd::kAnswered) {
     found->second.response = std::move(response);
   } else {
@@ -479,6 +482,9 @@
   metrics_.set_counter("planktray_load_reports_unread_total",
                        "Load reports of back ends that could not be read whole.",
                        request_log_.unread_loads());
+  metrics_.set_counter("planktray_headers_unread_total",
+                       "Headers of back ends' answers that nothing here reads.",
+                       request_log_.unread_headers());
   metrics_.set_gauge("planktray_table_index", "Log index of the table served.",
                      static_cast<double>(core_.table().index().value));
   const auto age = core_.freshness().age(boot_time_now());
--- a/test/platform/request_dialect_test.cpp
+++ b/test/platform/request_dialect_test.cpp
@@ -75,6 +75,20 @@
   CHECK(refusal("i-2") == Refusal::kWrongIncarnation);
 }
 
+TEST_CASE("what a target says in words that nobody reads is handed on to be told") {
+  const PlatformDialect dialect;
+  const auto result = dialect.judge({}, {},
+                                    response(200, {{kSealHeader, "s"},
+                                                   {"Content-Type", "text/plain"},
+                                                   {"x-planktray-server-mood", "low"},
+                                                   {"Server-Mood", "high"},
+                                                   {kLoadHeader, "1,0,3"}}));
+  REQUIRE(result.unread_headers.size() == 2);
+  CHECK(result.unread_headers[0].name == "x-planktray-server-mood");
+  CHECK(result.unread_headers[0].value == "low");
+  CHECK(result.unread_headers[1].name == "Server-Mood");
+}
+
 TEST_CASE("the load a target tells is read, and nothing else is taken for it") {
   const PlatformDialect dialect;
   const auto load = [&](const char* text) {
