Limits that back ends name are kept by all routers together

Cause: the adapter read three headers of an answer and dropped the rest in silence, so no router heard the word. Behind it a second one: an owner of keys cannot be passed by, and the leader, which alone can move keys, knew no limits. Class: a word of the wire that nobody decodes; and promises for the whole fleet that each router keeps by itself.

Ruled out: each router taking the whole limit (by reading: the name stood nowhere); planned stops and changes of the configuration (the rates of the two back ends do not change at them).

Change: the limit is read, kept in routing/limited_targets, reported in hellos, told to all routers with the admitted part of demand, and the planner gives limited owners keys for 0.4 of their limit. Equal parts without messages (routing/rate_share, now also for cold back ends) where the leader has not spoken. Parts are worked out from the largest fleet of the last 6 s: a new leader counts routers from one.

Not shown: which of the two spellings of the header the users' back ends use; both are read.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "leader_load.hpp"
+#include "limits.hpp"
 #include "slopes.hpp"
 
 int main(int argc, char** argv) {
@@ -22,7 +23,22 @@
   leader->add_option("--replaced", load.replaced, "Back ends replaced a second")
       ->check(CLI::Range(0, 1000));
   leader->add_option("--seconds", load.seconds, "Simulated seconds measured");
+  CLI::App* limits =
+      app.add_subcommand("limits", "What routers send to a back end that names a limit");
+  std::uint32_t limit_seconds = 4000;
+  limits->add_option("--seconds", limit_seconds, "Simulated seconds of each run")
+      ->check(CLI::PositiveNumber);
   CLI11_PARSE(app, argc, argv);
+  if (limits->parsed()) {
+    for (const planktray::bench::LimitRun& run : planktray::bench::measure_limits(limit_seconds)) {
+      std::printf(
+          "%3u routers, limit %4.1f/s, demand %5.1f/s, %s: sent %6.2f/s, refused %.3f, "
+          "most in 4 s %2u of %5.1f\n",
+          run.routers, run.limit, run.demand, run.admission ? "admission  " : "equal parts",
+          run.used, run.refused, run.most, run.most_allowed);
+    }
+    return 0;
+  }
   if (leader->parsed()) {
     const auto cost = planktray::bench::measure_leader(load);
     std::printf(
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -64,6 +64,9 @@
   distributor_.on_hello(now, hello);
   loads_.add(hello.loads);
   ranges_.note_loads(hello);
+  if (auto limits = ranges_.note_limits(now, state_, hello)) {
+    distributor_.set_limits(std::move(*limits));
+  }
   for (const common::BackendId id : hello.ended) {
     mark_ended(now, id);
   }
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -41,13 +41,16 @@
       grants_(options.grant),
       planner_(with_noise_of(options.planner, options.load_half_life)),
       loads_(options.load_half_life),
-      times_(options.speed_sample_weight) {}
+      times_(options.speed_sample_weight),
+      limits_(options.limits) {}
 
 void RangeController::begin_term(TimePoint now, const CellState& state) {
   heartbeats_.begin_term(now);
   grants_.begin_term(now, state);
-  loads_.clear();
+  loads_.clear(now);
   times_.clear();
+  limits_.begin_term();
+  next_limits_ = now;
   capacities_ = {};
   rested_at_ = now;
   planned_state_ = common::LogIndex();
@@ -90,6 +93,41 @@
          !state.is_evacuated(backend) && !heartbeats_.is_silent(now, backend.incarnation);
 }
 
+double RangeController::demand(const CellState& state, common::BackendId owner) const {
+  double sum = 0;
+  for (const auto& [id, service] : state.routed_services()) {
+    for (const auto& [first, range] : service.ranges.records()) {
+      sum += range.owner == owner ? loads_.demand(id, range.keys) : 0;
+    }
+  }
+  return sum;
+}
+
+std::optional<FleetLimits::Told> RangeController::note_limits(TimePoint now, const CellState& state,
+                                                              const routing::RouterHello& hello) {
+  limits_.take(now, hello.limits);
+  if (now < next_limits_) {
+    return std::nullopt;
+  }
+  next_limits_ = now + options_.limits_interval;
+  return limits_told(state);
+}
+
+FleetLimits::Told RangeController::limits_told(const CellState& state) const {
+  if (limits_.empty()) {
+    return {};
+  }
+  return limits_.told([&](common::BackendId id, double per_second) -> std::optional<double> {
+    const BackendRecord* backend = state.find_backend(id);
+    if (backend == nullptr || !state.owns_keys(id) || loads_.covered() < options_.demand_time) {
+      return std::nullopt;
+    }
+    const double planned = std::max(options_.admitted_share * per_second, options_.least_admitted);
+    const double wanted = demand(state, id);
+    return wanted > planned ? planned / wanted : 1.0;
+  });
+}
+
 std::set<common::PoolName> RangeController::mostly_warm(const CellState& state) const {
   std::map<common::PoolName, std::pair<std::size_t, std::size_t>> counts;  // cold, all
   for (const auto& [id, backend] : state.backends()) {
@@ -187,10 +225,15 @@
     next_balance_ = now + options_.balance_interval;
     loads_.fold(now);
     capacities_ = times_.capacities(state);
+    limits_.expire(now, [&](common::BackendId id) { return state.find_backend(id) != nullptr; });
   }
   planned_state_ = state.applied();
   ownership::RangePlannerInput input{state, loads_, {},      {},
                                      {},    {},     balance, balance && now >= next_join_};
+  input.most_load = [&](const BackendRecord& backend) -> std::optional<double> {
+    const auto limit = limits_.of(backend.id);
+    return limit.has_value() ? std::optional(*limit * options_.limit_share) : std::nullopt;
+  };
   const std::set<common::PoolName> warm = mostly_warm(state);
   const auto is_spared = [&](const BackendRecord& backend) {
     return backend.cold && warm.contains(backend.pool);
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <vector>
 
+#include "controller/core/fleet_limits.hpp"
 #include "controller/core/holder_answers.hpp"
 #include "membership/heartbeat_monitor.hpp"
 #include "ownership/cell_state.hpp"
@@ -47,6 +48,19 @@
   /// was elected, does not show that its sender is warm: followers report heartbeats up to 250 ms
   /// after they came.
   Duration warmth_settle = std::chrono::milliseconds(400);
+  FleetLimitsOptions limits;
+  /// Part of a limit that all routers together plan to send.
+  double admitted_share = 0.5;
+  /// Part of a limit that its back end is given keys for. Below what is admitted, so that demand
+  /// may vary by a quarter before callers are refused.
+  double limit_share = 0.4;
+  /// Least rate that is admitted, in requests a second: the end of a limit of 0 has to be heard.
+  double least_admitted = 0.1;
+  /// What is admitted is worked out anew this often: a fifth of the time in which routers have to
+  /// have heard of a limit, and a look at all keys of limited owners each time.
+  Duration limits_interval = std::chrono::milliseconds(200);
+  /// Demand is known when loads cover this time; a shorter one holds too few requests of a target.
+  Duration demand_time = std::chrono::milliseconds(1000);
 };
 
 class RangeController {
@@ -64,6 +78,10 @@
     loads_.add(hello.key_loads);
     times_.add(hello.target_times);
   }
+  /// Takes what a router has heard of limits that back ends name.
+  /// @return what routers are to be told of limits, where it is time to work that out anew.
+  std::optional<FleetLimits::Told> note_limits(TimePoint now, const ownership::CellState& state,
+                                               const routing::RouterHello& hello);
   /// @return false for a late heartbeat that says nothing about now.
   bool note_heartbeat(TimePoint now, const common::Incarnation& incarnation, std::uint64_t sequence,
                       Duration cold_for) {
@@ -124,6 +142,9 @@
   std::set<common::PoolName> mostly_warm(const ownership::CellState& state) const;
   bool is_eligible(TimePoint now, const ownership::CellState& state,
                    const ownership::BackendRecord& backend) const;
+  /// Requests a second for the keys that the back end owns.
+  double demand(const ownership::CellState& state, common::BackendId owner) const;
+  FleetLimits::Told limits_told(const ownership::CellState& state) const;
   bool is_settled(TimePoint now, const ownership::CellState& state,
                   const ownership::RoutedServiceRecord& service);
   /// True where it has not been heard for so long that it may be dropped.
@@ -139,6 +160,7 @@
   ownership::RangePlanner planner_;
   ownership::KeyLoads loads_;
   ownership::TargetTimes times_;
+  FleetLimits limits_;
   ownership::Capacities capacities_;  ///< as of the last fold of loads
   common::LogIndex planned_state_;
   TimePoint next_plan_;
@@ -146,6 +168,7 @@
   TimePoint next_balance_;
   TimePoint next_join_;
   TimePoint next_warmth_;
+  TimePoint next_limits_;
   TimePoint term_began_;
   std::map<common::ZoneName, TimePoint> zones_returned_;  ///< in this term
   struct Joined {
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -20,6 +20,7 @@
   term_ = term;
   term_began_ = now;
   subscribers_.clear();
+  limits_ = {{}, false};
 }
 
 void TableDistributor::on_delta(routing::TableDelta delta) {
@@ -134,6 +135,8 @@
   update.echo_clock_us = subscriber.clock_us;
   update.current_index = state.applied();
   update.as_of_clock_us = as_of_clock_us(subscriber, now);
+  update.limits = limits_.limits;
+  update.limits_are_whole = limits_.is_whole;
   update.router_rank = rank;
   update.router_count = static_cast<std::uint32_t>(subscribers_.size());
   update.hello_interval_ms = static_cast<std::uint32_t>(
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "common/time.hpp"
+#include "controller/core/fleet_limits.hpp"
 #include "ownership/cell_state.hpp"
 #include "routing/table_messages.hpp"
 
@@ -86,6 +87,8 @@
     snapshot_index_ = common::LogIndex();
   }
   void on_hello(common::TimePoint now, const routing::RouterHello& hello);
+  /// What every update says of limits that back ends name, from now on.
+  void set_limits(FleetLimits::Told limits) { limits_ = std::move(limits); }
 
   /// Makes the updates that are due. Call only while the leader lease holds.
   std::vector<OutgoingTable> collect(common::TimePoint now, const ownership::CellState& state);
@@ -152,6 +155,7 @@
 
   common::CellName cell_;
   DistributorOptions options_;
+  FleetLimits::Told limits_;
   common::Term term_;
   common::TimePoint term_began_;
   std::map<common::RouterName, Subscriber> subscribers_;
--- a/src/ownership/key_loads.cpp
+++ b/src/ownership/key_loads.cpp
@@ -1,6 +1,8 @@
 #include "ownership/key_loads.hpp"
 
+#include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace planktray::ownership {
 namespace {
@@ -26,6 +28,7 @@
   if (seconds <= 0) {
     return;
   }
+  last_seconds_ = seconds;
   const double half_lives = seconds / std::chrono::duration<double>(half_life_).count();
   const auto kept = static_cast<float>(std::exp2(-half_lives));
   const auto taken = static_cast<float>((1.0 - kept) / seconds);
@@ -42,12 +45,16 @@
     for (const auto& [key, count] : service.counted) {
       service.rates[key] += count * taken;
     }
-    service.counted.clear();
+    service.last = std::exchange(service.counted, {});
     std::erase_if(service.rates, [](const auto& item) { return item.second < kSmallestRate; });
   }
 }
 
-void KeyLoads::clear() { services_.clear(); }
+void KeyLoads::clear(common::TimePoint now) {
+  services_.clear();
+  folded_at_ = now;
+  cleared_at_ = now;
+}
 
 KeyRate KeyLoads::hottest(common::ServiceId service) const {
   const auto found = services_.find(service);
@@ -75,6 +82,23 @@
   return sum;
 }
 
+double KeyLoads::demand(common::ServiceId service, const KeyRange& keys) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || covered().count() <= 0) {
+    return 0;
+  }
+  const double half_lives = std::chrono::duration<double>(covered()) / half_life_;
+  const double smoothed = rate(service, keys) / (1.0 - std::exp2(-half_lives));
+  double counted = 0;
+  const auto& last = found->second.last;
+  for (auto item = last.lower_bound(keys.first); item != last.end() && item->first <= keys.last;
+       ++item) {
+    counted += item->second;
+  }
+  const double present = counted >= kTellingCount ? counted / last_seconds_ : 0;
+  return std::max(smoothed, present);
+}
+
 std::vector<KeyRate> KeyLoads::busy_keys(common::ServiceId service, const KeyRange& keys) const {
   std::vector<KeyRate> busy;
   const auto found = services_.find(service);
--- a/src/ownership/key_loads.hpp
+++ b/src/ownership/key_loads.hpp
@@ -24,11 +24,17 @@
   void add(const std::vector<routing::KeyLoad>& loads);
   /// Takes what was added since the last call into the smoothed rates.
   void fold(common::TimePoint now);
-  void clear();
+  /// Begins anew, with what is added from now on.
+  void clear(common::TimePoint now);
   /// Requests a second for one key.
   double rate(common::ServiceId service, std::uint32_t key) const;
   /// Requests a second for a range of keys.
   double rate(common::ServiceId service, const KeyRange& keys) const;
+  /// Requests a second for a range of keys, not low while little was seen yet: freed of the time
+  /// before clear(), and at once as high as the last fold where that is no chance.
+  double demand(common::ServiceId service, const KeyRange& keys) const;
+  /// Time since clear() that the rates cover.
+  common::Duration covered() const { return folded_at_ - cleared_at_; }
   /// The busiest key, by what was seen since the last fold where that is enough to tell, by its
   /// smoothed rate otherwise; rate 0 where there is none.
   KeyRate hottest(common::ServiceId service) const;
@@ -39,11 +45,14 @@
   struct ServiceLoads {
     std::map<std::uint32_t, float> counted;  ///< since the last fold
     std::map<std::uint32_t, float> rates;    ///< keys with a rate worth keeping
+    std::map<std::uint32_t, float> last;     ///< counted between the last two folds
     KeyRate burst;                           ///< the busiest key between the last two folds
   };
 
   common::Duration half_life_;
   common::TimePoint folded_at_;
+  common::TimePoint cleared_at_;
+  double last_seconds_ = 1;  ///< between the last two folds
   std::map<common::ServiceId, ServiceLoads> services_;
 };
 
--- a/src/ownership/range_planner.cpp
+++ b/src/ownership/range_planner.cpp
@@ -213,10 +213,17 @@
     const double excess = heaviest->second.load - level * heaviest->second.capacity;
     const double room = level * lightest->second.capacity - lightest->second.load;
     const double wanted = std::min(excess, room);
-    if (wanted <= options_.smallest_gain * level) {
-      return;
+    const bool is_bounded = heaviest->second.most_load.has_value();
+    const double least = options_.smallest_gain * level *
+                         (is_bounded ? std::min(1.0, heaviest->second.capacity) : 1.0);
+    auto part = wanted > least ? work.part_of(heaviest->first, wanted) : std::nullopt;
+    if (!part.has_value() && is_bounded && wanted > least) {
+      part = work.part_of(heaviest->first, heaviest->second.load);  // one key is too much for it
+    }
+    if (!part.has_value() && is_bounded) {
+      work.leave(heaviest->first);  // the others are balanced all the same
+      continue;
     }
-    const auto part = work.part_of(heaviest->first, wanted);
     if (!part.has_value()) {
       return;
     }
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "ownership/cell_state.hpp"
@@ -50,6 +51,8 @@
   /// Whether an owner can be told of a move at once. Keys move for balance only from those: from
   /// the others they would lie still until they can be told. Unset: all can.
   std::function<bool(BackendId)> can_be_told{};
+  /// Requests a second that a target may be given at most. Unset, or nothing: no bound.
+  std::function<std::optional<double>(const BackendRecord&)> most_load{};
 };
 
 class RangePlanner {
--- a/src/ownership/range_workspace.cpp
+++ b/src/ownership/range_workspace.cpp
@@ -16,6 +16,11 @@
 constexpr double kDenseFactor = 5.0;
 /// A part carries at least this much of what is wanted.
 constexpr double kSmallestPart = 0.3;
+/// Capacity of a target that may be given next to nothing: it stays above 0, as loads are divided
+/// by it, and low enough to be worth one busy key at most.
+constexpr double kLeastCapacity = 0.01;
+/// The level rises as capacities are bounded, and with it what a bound is compared with.
+constexpr int kBoundingRounds = 3;
 
 }  // namespace
 
@@ -34,9 +39,11 @@
     if (backend.pool.value == service.config.name.value && input.is_eligible(backend)) {
       targets_[id].capacity = input.capacity(backend);
       targets_[id].may_give_up = !input.can_be_told || input.can_be_told(id);
+      targets_[id].most_load = input.most_load ? input.most_load(backend) : std::nullopt;
       total_capacity_ += targets_[id].capacity;
     }
   }
+  bound_capacities();
   for (const auto& [first, range] : service.ranges.records()) {
     carry(range.moving ? range.move_to : range.owner, load(range.keys));
     moving_ += range.moving ? 1 : 0;
@@ -46,6 +53,20 @@
   }
 }
 
+void RangePlanner::Workspace::bound_capacities() {
+  for (int round = 0; round < kBoundingRounds; ++round) {
+    const double present = level();
+    total_capacity_ = 0;
+    for (auto& [id, target] : targets_) {
+      if (target.most_load.has_value()) {
+        const double bounded = std::max(*target.most_load / present, kLeastCapacity);
+        target.capacity = std::min(target.capacity, bounded);
+      }
+      total_capacity_ += target.capacity;
+    }
+  }
+}
+
 double RangePlanner::Workspace::load(const KeyRange& keys) const {
   const double seen = sums_[first_busy(keys.last + 1)] - sums_[first_busy(keys.first)];
   return seen + idle_rate_ * keys.size();
--- a/src/ownership/range_workspace.hpp
+++ b/src/ownership/range_workspace.hpp
@@ -24,6 +24,8 @@
     double capacity = 1.0;
     double load = 0;          ///< requests a second, with what the plan adds
     bool may_give_up = true;  ///< keys may move off it for balance now
+    /// Requests a second that it may be given at most; its capacity is no more than that.
+    std::optional<double> most_load;
 
     double utilization() const { return load / capacity; }
   };
@@ -45,6 +47,8 @@
   /// The heaviest that may give keys up, or the end where none may.
   Targets::iterator heaviest();
   bool may_give_up(BackendId id) const;
+  /// Moves no more off the target in this plan.
+  void leave(BackendId id) { targets_.at(id).may_give_up = false; }
 
   /// Takes a target and the keys that it is there for out of the balance.
   void reserve(BackendId id, const KeyRange& keys);
@@ -77,6 +81,8 @@
   /// What is left of a range is worth a range of its own from this part of a target's share.
   static constexpr double kSmallRest = 0.15;
 
+  /// Lowers the capacities of targets with a bound to what the bound is, compared with the level.
+  void bound_capacities();
   /// The longest beginning of `keys` whose load stays within `room`, one key at least.
   KeyRange beginning(const KeyRange& keys, double room) const;
   /// The narrowest run of busy keys that carries most of `wanted` without much exceeding it.
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -26,6 +26,8 @@
       budget_(options_.retry_budget),
       confirmed_until_(now),
       cold_limit_(options_.cold_limit),
+      limited_(options_.limited_targets),
+      fleet_size_(options_.fleet_size_memory),
       next_hello_(now),
       last_hello_(now),
       hello_interval_(options_.hello_interval),
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -19,9 +19,11 @@
 
 #include "common/random.hpp"
 #include "common/time.hpp"
-#include "routing/cold_limit.hpp"
+#include "routing/fleet_size.hpp"
 #include "routing/leader_search.hpp"
+#include "routing/limited_targets.hpp"
 #include "routing/outcome.hpp"
+#include "routing/rate_share.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/retry_window.hpp"
 #include "routing/table.hpp"
@@ -57,7 +59,11 @@
   /// For requests on routes.
   routing::RetryWindowOptions retry_window;
   routing::TargetBookOptions targets;
-  routing::ColdLimitOptions cold_limit;
+  routing::RateShareOptions cold_limit;
+  routing::LimitedTargetsOptions limited_targets;
+  /// For how long a larger count of routers is kept. Beyond the table lease, within which a new
+  /// leader has heard of every router that serves.
+  Duration fleet_size_memory = std::chrono::milliseconds(6000);
   /// The owner of a key in a zone that is being evacuated may get requests for this long after the
   /// router has learnt of it, so that its keys can be handed over first. 0: none.
   Duration evacuation_grace = std::chrono::milliseconds(2000);
@@ -172,21 +178,31 @@
   bool is_failure = false;  ///< answered, but by a failure of the back end
   std::optional<routing::LoadReport> load = std::nullopt;
   common::Incarnation answered_by{};  ///< who refused, where the answer names it
+  routing::LimitWord limit{};
   std::string unread_load{};  ///< the load report as it came, where not all of it could be read
   std::vector<UnreadHeader> unread_headers{};
 };
 
+/// Effect, for logs: an answer of a back end has changed what this router knows of its limit.
+struct LimitChange {
+  std::string address;
+  common::Incarnation incarnation;
+  std::optional<double> per_second;  ///< none: it names no limit any more
+};
+
 struct RouterOutput {
   std::vector<Forward> forwards;
   std::vector<AttemptId> cancels;
   std::vector<Answer> answers;
+  std::vector<LimitChange> limit_changes;
   std::optional<routing::RouterHello> hello;
   bool hello_to_all = false;          ///< to every controller
   std::vector<std::string> hello_to;  ///< else to these addresses
 
   /// True where there is nothing to carry out.
   bool empty() const {
-    return forwards.empty() && cancels.empty() && answers.empty() && !hello.has_value();
+    return forwards.empty() && cancels.empty() && answers.empty() && limit_changes.empty() &&
+           !hello.has_value();
   }
 };
 
@@ -202,6 +218,7 @@
   std::uint64_t cancelled = 0;
   std::uint64_t inquiries = 0;         ///< the leader was silent, others were asked
   std::uint64_t leaders_named = 0;     ///< a new leader was named by itself or another controller
+  std::uint64_t limit_refusals = 0;    ///< refused since the target's limit left no room
   std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
   std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
 };
@@ -243,6 +260,8 @@
   const routing::RoutingTable& table() const { return table_; }
   const routing::TableFreshness& freshness() const { return freshness_; }
   const RouterCounters& counters() const { return counters_; }
+  /// Targets that name a limit, as far as this router knows.
+  std::size_t limited_targets() const { return limited_.count(); }
   std::size_t in_flight() const { return attempts_.size(); }
   std::size_t waiting() const { return requests_.size() - attempts_.size(); }
   const RouterOptions& options() const { return options_; }
@@ -273,6 +292,12 @@
     bool repeat_owed = false;  ///< it has arrived: its next send is counted as a repeat
     TimePoint patience_until;  ///< it is refused where it cannot be sent before
     TimePoint not_before;      ///< an owner that refused it is not asked again before
+    /// Whether the limit of this owner leaves room for it; decided once for each owner.
+    struct Admission {
+      BackendId owner;
+      bool admitted = true;
+    };
+    std::optional<Admission> admission;
   };
   struct Attempt {
     RequestHandle handle;
@@ -324,7 +349,7 @@
   void retry_routed(TimePoint now, Request& request);
   /// The service that a request of this route goes to: parts take turns by their weights.
   const routing::RoutedTableService* choose_part(const config::Route& route);
-  std::optional<BackendId> choose_target(TimePoint now, const Request& request,
+  std::optional<BackendId> choose_target(TimePoint now, Request& request,
                                          const routing::RoutedTableService& service);
   bool has_connection(const Request& request, BackendId backend,
                       const routing::RoutedTableService& service);
@@ -336,6 +361,12 @@
   /// True where the back end is not cold, or bears one more request of this router.
   bool bears(TimePoint now, const routing::BackendRoute& backend,
              const routing::RoutedTableService& service);
+  /// True where the limit that the owner of the request's key names, if any, leaves room for it.
+  bool is_admitted(TimePoint now, Request& request, BackendId owner);
+  /// True where only limits that targets name keep the request from being sent.
+  bool is_held_by_limits(TimePoint now, const Request& request,
+                         const routing::RoutedTableService& service) const;
+  void note_limit(TimePoint now, BackendId target, const AttemptResult& result);
   void draw_zone_subset(const routing::RoutedTableService& service);
   void dispatch_waiting(TimePoint now);
   void drop_attempt(Request& request);
@@ -375,7 +406,7 @@
   /// Ends or goes on with the questions to other controllers, by how old the table is.
   void plan_inquiry(TimePoint now);
   /// What every hello says, without a report of loads.
-  routing::RouterHello plain_hello(TimePoint now) const;
+  routing::RouterHello plain_hello(TimePoint now);
   /// Asks some controllers other than the silent leader whom they follow.
   void inquire(TimePoint now);
   void note_targets(TimePoint now);
@@ -410,7 +441,9 @@
   std::unordered_map<common::ServiceId, std::vector<routing::WeightedTarget>> subsets_;
   std::map<common::ShardRef, std::uint32_t> loads_;
   std::map<common::ServiceId, RoutedService> routed_;
-  routing::ColdLimit cold_limit_;
+  routing::RateShare cold_limit_;
+  routing::LimitedTargets limited_;
+  routing::FleetSize fleet_size_;
   std::map<common::ZoneName, TimePoint> evacuations_;        ///< when this router learnt of each
   std::map<std::string, std::vector<double>> part_credits_;  ///< by route name
   std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -41,6 +41,7 @@
     const routing::BackendRoute* backend = table_.find_backend(id);
     return backend != nullptr && backend->cold;
   });
+  limited_.keep_only(now, [this](BackendId id) { return table_.find_backend(id) != nullptr; });
   for (auto& [id, service] : routed_) {
     service.targets.drop_unless(
         [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
@@ -67,7 +68,48 @@
 bool RouterCore::bears(TimePoint now, const routing::BackendRoute& backend,
                        const routing::RoutedTableService& service) {
   return !backend.cold || cold_limit_.allows(now, backend.id, service.route.config.cold_rate,
-                                             router_count_, random_);
+                                             fleet_size_.largest(), random_);
+}
+
+bool RouterCore::is_admitted(TimePoint now, Request& request, BackendId owner) {
+  if (request.admission.has_value() && request.admission->owner == owner) {
+    return request.admission->admitted;
+  }
+  const std::optional<bool> admitted = limited_.admits(now, owner, random_);
+  if (!admitted.has_value()) {
+    return limited_.has_part(now, owner, fleet_size_.largest(), random_);
+  }
+  request.admission = {owner, *admitted};
+  return *admitted;
+}
+
+bool RouterCore::is_held_by_limits(TimePoint now, const Request& request,
+                                   const routing::RoutedTableService& service) const {
+  const auto holds = [&](BackendId id) {
+    const routing::BackendRoute* backend = table_.find_backend(id);
+    const bool takes_work = backend != nullptr && !has_ended(now, id) &&
+                            !is_closed(now, *backend, request.keyed) &&
+                            (request.keyed || !backend->draining);
+    return !takes_work || limited_.is_limited(id);
+  };
+  if (request.keyed) {
+    const BackendId owner = table_.routes().owner_of(request.service, request.key);
+    return limited_.is_limited(owner) && !request.refused_by.contains(owner);
+  }
+  return std::all_of(service.targets.begin(), service.targets.end(), holds) &&
+         std::any_of(service.targets.begin(), service.targets.end(),
+                     [this](BackendId id) { return limited_.is_limited(id); });
+}
+
+void RouterCore::note_limit(TimePoint now, BackendId target, const AttemptResult& result) {
+  if (!limited_.on_answer(now, target, result.limit)) {
+    return;
+  }
+  hasten_hello(now);  // the leader moves keys and tells all routers
+  if (const routing::BackendRoute* backend = table_.find_backend(target); backend != nullptr) {
+    output_.limit_changes.push_back(
+        {backend->address, backend->incarnation, result.limit.per_second});
+  }
 }
 
 void RouterCore::draw_zone_subset(const routing::RoutedTableService& service) {
@@ -182,6 +224,11 @@
     const routing::BackendRoute* route = table_.find_backend(owner);
     const bool ownerless = request.keyed && (route == nullptr || has_ended(now, owner) ||
                                              is_closed(now, *route, request.keyed));
+    if (!ownerless && is_held_by_limits(now, request, *service)) {
+      ++counters_.limit_refusals;
+      return answer_not_run(request, NotRunReason::kTargetLimit,
+                            retry_after(NotRunReason::kTargetLimit));
+    }
     return wait_routed(now, request, ownerless ? NotRunReason::kNoOwner : NotRunReason::kNoTarget);
   }
   const Duration left = request.deadline - now;
@@ -198,11 +245,11 @@
   if (all == 0) {
     return true;
   }
-  const std::uint32_t share = std::max<std::uint32_t>(1, all / router_count_);
+  const std::uint32_t share = std::max<std::uint32_t>(1, all / fleet_size_.largest());
   return routed_service(request.service).targets.outstanding(backend) < share;
 }
 
-std::optional<BackendId> RouterCore::choose_target(TimePoint now, const Request& request,
+std::optional<BackendId> RouterCore::choose_target(TimePoint now, Request& request,
                                                    const routing::RoutedTableService& service) {
   const routing::TargetBook& book = routed_service(request.service).targets;
   const auto is_usable = [&](BackendId id) {
@@ -214,14 +261,17 @@
   if (request.keyed) {
     const BackendId owner = table_.routes().owner_of(request.service, request.key);
     const bool refuses = request.refused_by.contains(owner) && now < request.not_before;
-    return owner.value != 0 && !refuses && is_usable(owner) ? std::optional(owner) : std::nullopt;
+    const bool takes_it =
+        owner.value != 0 && !refuses && is_usable(owner) && is_admitted(now, request, owner);
+    return takes_it ? std::optional(owner) : std::nullopt;
   }
   const auto cheapest_of = [&](const std::vector<BackendId>& candidates) {
     std::optional<BackendId> best;
     double best_cost = 0;
     for (const BackendId id : candidates) {
       const routing::BackendRoute* route = table_.find_backend(id);
-      if (!is_usable(id) || route->draining || request.refused_by.contains(id)) {
+      if (!is_usable(id) || route->draining || request.refused_by.contains(id) ||
+          !limited_.has_part(now, id, fleet_size_.largest(), random_)) {
         continue;
       }
       constexpr double kNoise = 0.2;
@@ -241,7 +291,7 @@
 
 void RouterCore::send_routed(TimePoint now, Request& request, BackendId backend) {
   RoutedService& service = routed_service(request.service);
-  if (request.repeat_owed && !service.retries.take(now, router_count_)) {
+  if (request.repeat_owed && !service.retries.take(now, fleet_size_.largest())) {
     return answer_not_run(request, NotRunReason::kBudgetSpent, options_.short_retry_after);
   }
   counters_.retries += request.repeat_owed ? 1 : 0;
@@ -251,16 +301,20 @@
   service.targets.on_sent(now, backend);
   if (table_.find_backend(backend)->cold) {
     const auto* routed = table_.routes().find_service(request.service);
-    cold_limit_.on_sent(now, backend, routed->route.config.cold_rate, router_count_);
+    cold_limit_.on_sent(now, backend, routed->route.config.cold_rate, fleet_size_.largest());
   }
+  limited_.on_sent(now, backend, fleet_size_.largest());
   if (effect.number > 1) {
-    effect.budget = service.retries.usage(now, router_count_);
+    effect.budget = service.retries.usage(now, fleet_size_.largest());
   }
   output_.forwards.push_back(std::move(effect));
 }
 
 Duration RouterCore::retry_after(NotRunReason reason) {
-  if (reason != NotRunReason::kNoOwner) {
+  // Room at a limited target comes as its keys move on, too.
+  const bool waits_for_keys =
+      reason == NotRunReason::kNoOwner || reason == NotRunReason::kTargetLimit;
+  if (!waits_for_keys) {
     return options_.short_retry_after;
   }
   const Duration least = options_.ownerless_retry_after;
@@ -279,12 +333,13 @@
                                         const AttemptResult& result) {
   Request& request = requests_.at(attempt.handle);
   request.attempt = 0;
+  note_limit(now, attempt.backend, result);
   routing::TargetBook& book = routed_service(request.service).targets;
   if (result.end == AttemptEnd::kAnswered) {
     book.on_answered(now, attempt.backend, attempt.sent, result.load);
     const bool again =
         result.is_failure && request.repeatable && request.attempts < request.maximum_attempts;
-    if (again && routed_service(request.service).retries.take(now, router_count_)) {
+    if (again && routed_service(request.service).retries.take(now, fleet_size_.largest())) {
       request.may_have_run = true;
       request.refused_by.insert(attempt.backend);
       ++counters_.retries;
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -95,6 +95,11 @@
                                        std::chrono::milliseconds(update.hello_interval_ms));
   const std::uint32_t count = std::max<std::uint32_t>(1, update.router_count);
   const bool changed = update.router_rank != router_rank_ || count != router_count_;
+  fleet_size_.on_told(now, count);
+  if (update.echo_clock_us > 0) {
+    limited_.on_told(now, common::from_microseconds(update.echo_clock_us), update.limits,
+                     update.limits_are_whole);
+  }
   router_rank_ = update.router_rank;
   router_count_ = count;
   return changed;
@@ -155,7 +160,7 @@
   output_.hello = std::move(hello);
 }
 
-routing::RouterHello RouterCore::plain_hello(TimePoint now) const {
+routing::RouterHello RouterCore::plain_hello(TimePoint now) {
   routing::RouterHello hello;
   hello.cell = options_.cell;
   hello.router = options_.name;
@@ -164,6 +169,7 @@
   hello.table_index = table_.index();
   hello.serving = is_serving(now);
   hello.lacks_update = lacks_update_;
+  hello.limits = limited_.reports(now, routing::kMostLimits);
   return hello;
 }
 
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -90,6 +90,17 @@
                               {"total", std::to_string(unread_headers_)}});
 }
 
+void RequestLog::limit_changed(common::TimePoint now, const LimitChange& change) {
+  if (!limit_.allows(now)) {
+    return;
+  }
+  log_event("limit_changed",
+            {{"peer", change.address},
+             {"instance", change.incarnation.value},
+             {"per_second",
+              change.per_second.has_value() ? std::to_string(*change.per_second) : "none"}});
+}
+
 void RequestLog::refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
                          common::Duration took, std::optional<common::Duration> table_age) {
   if (!limit_.allows(now)) {
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -47,6 +47,8 @@
   /// A back end says something that nothing here reads: one line for each new name, a few again.
   void header_unread(common::TimePoint now, const SentAttempt& attempt, const UnreadHeader& header);
   std::uint64_t unread_headers() const { return unread_headers_; }
+  /// A back end names another limit than before, or none any more.
+  void limit_changed(common::TimePoint now, const LimitChange& change);
   /// The request ends without a back end's answer. @param table_age time since the table was known
   /// to be up to date; nothing where it never was.
   void refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -333,6 +333,9 @@
       }
     }
   }
+  for (const LimitChange& change : output.limit_changes) {
+    request_log_.limit_changed(boot_time_now(), change);
+  }
   for (const AttemptId attempt : output.cancels) {
     const auto found = sent_.find(attempt);
     if (found != sent_.end()) {
@@ -464,6 +467,12 @@
   metrics_.set_counter("planktray_stale_refusals_total",
                        "Requests on routes refused since the table was too old to decide with.",
                        counters.stale_refusals);
+  metrics_.set_counter("planktray_limit_refusals_total",
+                       "Requests on routes refused since limits that back ends name left no room.",
+                       counters.limit_refusals);
+  metrics_.set_gauge("planktray_limited_backends",
+                     "Back ends that name how many requests a second they take.",
+                     static_cast<double>(core_.limited_targets()));
   metrics_.set_counter("planktray_follower_updates_total",
                        "Updates of the table that followers brought.", counters.follower_updates);
   metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -28,6 +28,7 @@
   kNoOwner,       ///< the key has no owner at present
   kOverload,      ///< it could not be answered in time
   kTableTooOld,   ///< the table may not show what was acknowledged since
+  kTargetLimit,   ///< the targets that could run it name limits, which leave no room now
 };
 
 /// A back end's refusal with proof that nothing ran (`Planktray-Not-Run`).
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -137,6 +137,29 @@
   MSGPACK_DEFINE_ARRAY(backend, time_us, samples)
 };
 
+/// Limits named in one hello or update at most.
+inline constexpr std::size_t kMostLimits = 256;
+
+/// What a back end has told one router of its limit: so many requests a second from all routers
+/// together, or that it names none any more.
+struct LimitReport {
+  BackendId backend;
+  bool holds = false;
+  double per_second = 0;
+  std::uint64_t age_us = 0;  ///< since an answer said so
+  MSGPACK_DEFINE_ARRAY(backend, holds, per_second, age_us)
+};
+
+/// A limit that a back end names, as the leader knows it from all routers.
+struct TargetLimit {
+  BackendId backend;
+  double per_second = 0;
+  bool has_admission = false;
+  /// Part of the requests for its keys that each router may send.
+  double admission = 1;
+  MSGPACK_DEFINE_ARRAY(backend, per_second, has_admission, admission)
+};
+
 /// Requests that a router saw for one shard since its last report.
 struct ShardLoad {
   ServiceId service;
@@ -159,8 +182,9 @@
   /// Back ends at whose address another incarnation has answered, and named itself.
   std::vector<BackendId> ended;
   bool lacks_update = false;  ///< an update has come that does not lead on from this table
+  std::vector<LimitReport> limits;
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
-                       target_times, ended, lacks_update)
+                       target_times, ended, lacks_update, limits)
 };
 
 /// Controller to router: confirmation that the table is current, and what changed.
@@ -181,8 +205,12 @@
   /// table lease: `router_rank`, `router_count`, `hello_interval_ms` and `echo_clock_us` say
   /// nothing.
   bool by_follower = false;
+  std::vector<TargetLimit> limits;
+  /// True where `limits` holds all that the leader knows; never from followers.
+  bool limits_are_whole = false;
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
-                       router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower)
+                       router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower, limits,
+                       limits_are_whole)
 };
 
 /// Follower to router, in place of an answer to its hello: where the controllers of the cell are.
--- a/src/sim/route_world.cpp
+++ b/src/sim/route_world.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <utility>
 
+#include "sim/limit_audit.hpp"
 #include "sim/repeat_audit.hpp"
 
 namespace planktray::sim {
@@ -41,6 +42,8 @@
 constexpr std::uint32_t kRangeKeys = config::kKeyCount / kRanges;
 constexpr std::size_t kQueue = 12;
 constexpr std::uint32_t kSlots = 3;
+/// Sets the random numbers of limits apart from those of a run's seed.
+constexpr std::uint64_t kLimitStream = 1'000'003;
 
 enum ServiceNumber : std::size_t { kKeyed, kSmall, kPlain, kServices };
 constexpr std::array<std::size_t, kServices> kTargets = {24, 8, 12};
@@ -56,13 +59,17 @@
   std::string address;
   std::size_t service = 0;
   std::size_t running = 0;
-  TimePoint granted;  ///< it holds its keys from then on
+  TimePoint granted;                           ///< it holds its keys from then on
+  std::optional<double> limit = std::nullopt;  ///< requests a second that it names
 };
 
 class RouteWorld {
  public:
   explicit RouteWorld(const RouteWorldOptions& options)
-      : options_(options), random_(options.seed), audit_(options.router.retry_window, kServices) {
+      : options_(options),
+        random_(options.seed),
+        limit_random_(options.seed + kLimitStream),
+        audit_(options.router.retry_window, kServices) {
     for (std::size_t service = 0; service < kServices; ++service) {
       for (std::size_t i = 0; i < kTargets[service]; ++i) {
         start_process(service, new_address());
@@ -81,6 +88,7 @@
       now_ += kStep;
       run_events();
       make_trouble();
+      name_limits();
       send_tables();
       ask();
       for (Node& node : nodes_) {
@@ -90,6 +98,7 @@
     }
     audit_.judge([this](const std::string& text) { violate(text); });
     result_.repeats = audit_.repeats();
+    result_.limited = limits_.counted();
     return result_;
   }
 
@@ -277,6 +286,31 @@
     }
   }
 
+  /// A fifth of the back ends name a limit for some seconds. Drawn apart from the other troubles,
+  /// which so stay those of their seeds.
+  void name_limits() {
+    if (now_ < next_limits_ || !has(RouteFault::kLimits)) {
+      return;
+    }
+    next_limits_ = now_ + milliseconds(common::uniform(limit_random_, 4000, 9000));
+    constexpr std::array<double, 5> kLimits = {0, 0.5, 1, 4.8, 20};
+    for (auto& [address, process] : at_address_) {
+      if (process.limit.has_value() || !common::chance(limit_random_, 0.2)) {
+        continue;
+      }
+      process.limit = kLimits[common::uniform(limit_random_, 0, kLimits.size() - 1)];
+      limits_.on_named(process.id, process.limit);
+      const Duration length = milliseconds(common::uniform(limit_random_, 5000, 15'000));
+      after(length, [this, address = address, id = process.id] {
+        const auto found = at_address_.find(address);
+        limits_.on_named(id, std::nullopt);
+        if (found != at_address_.end() && found->second.id == id) {
+          found->second.limit.reset();
+        }
+      });
+    }
+  }
+
   void make_trouble() {
     if (now_ < next_trouble_) {
       return;
@@ -288,11 +322,15 @@
       end_owners();
     } else if (turn == RouteFault::kCutRouters && has(turn)) {
       for (Node& cut : nodes_) {
-        cut.cut_until = common::chance(random_, 0.4) ? now_ + between(2000, 7000) : cut.cut_until;
+        if (common::chance(random_, 0.4)) {
+          cut.cut_until = now_ + between(2000, 7000);
+          limits_.excuse(static_cast<std::size_t>(&cut - nodes_.data()));
+        }
       }
     } else if (turn == RouteFault::kLostAnswers && has(turn)) {
       answers_lost_until_ = now_ + between(2000, 7000);
     } else if (turn == RouteFault::kRestartedRouters && has(turn)) {
+      limits_.excuse(static_cast<std::size_t>(&node - nodes_.data()));
       start_router(node);
     }
   }
@@ -430,6 +468,7 @@
       ++result_.misdirected;
       return reply({}, place, life, forward.attempt, refusal(Refusal::kWrongIncarnation, process));
     }
+    limits_.on_arrival(now_, process.id, place, [this](const std::string& text) { violate(text); });
     if (forward.keyed && now_ < process.granted) {
       return reply({}, place, life, forward.attempt, refusal(Refusal::kNotOwner, process));
     }
@@ -458,7 +497,15 @@
     AttemptResult result;
     result.end = lost ? AttemptEnd::kBroken : AttemptEnd::kAnswered;
     result.is_failure = !lost && common::chance(random_, 0.005);
+    result.limit = {!lost, lost ? std::nullopt : process.limit};
     const BackendId id = process.id;
+    if (result.limit.per_second.has_value()) {
+      after(work + kOneWay, [this, id, place, life] {
+        if (nodes_[place].life == life) {
+          limits_.on_told(now_, id, place);
+        }
+      });
+    }
     after(work, [this, address = process.address, id] {
       const auto present = at_address_.find(address);
       if (present != at_address_.end() && present->second.id == id) {
@@ -470,10 +517,13 @@
 
   RouteWorldOptions options_;
   common::RandomEngine random_;
+  common::RandomEngine limit_random_;
   RepeatAudit audit_;
+  LimitAudit limits_;
   RouteWorldResult result_;
   TimePoint now_ = TimePoint(std::chrono::seconds(100));
   TimePoint next_trouble_ = now_ + milliseconds(3000);
+  TimePoint next_limits_ = now_ + milliseconds(2000);
   TimePoint next_tables_;
   TimePoint answers_lost_until_;
   std::multimap<TimePoint, std::function<void()>> events_;
@@ -503,6 +553,10 @@
        [](router::RouterOptions& options) { options.retry_window.spent_share = 20; }},
       {"unknown-called-not-run", "what may have run is never called not run",
        [](router::RouterOptions& options) { options.claim_not_run = true; }},
+      {"limits-not-kept", "all routers together keep to the limits that back ends name",
+       [](router::RouterOptions& options) { options.limited_targets.holds = false; }},
+      {"limit-for-each-router", "each router takes its part of a limit, not the whole",
+       [](router::RouterOptions& options) { options.limited_targets.share = 6; }},
   };
   return kMutants;
 }
--- a/src/sim/route_world.hpp
+++ b/src/sim/route_world.hpp
@@ -15,10 +15,11 @@
 namespace planktray::sim {
 
 enum class RouteFault : std::uint8_t {
-  kReusedAddresses,  ///< owners of keys end, their addresses pass to another service
-  kCutRouters,       ///< routers lose the leader for some seconds
-  kLostAnswers,      ///< for some seconds, half of what runs loses its answer
-  kRestartedRouters  ///< a router forgets all it knows, its retry window too
+  kReusedAddresses,   ///< owners of keys end, their addresses pass to another service
+  kCutRouters,        ///< routers lose the leader for some seconds
+  kLostAnswers,       ///< for some seconds, half of what runs loses its answer
+  kRestartedRouters,  ///< a router forgets all it knows, its retry window too
+  kLimits             ///< a few back ends name how many requests a second they take
 };
 
 struct RouteWorldOptions {
@@ -30,7 +31,8 @@
   double requests_per_second = 900;
   router::RouterOptions router;
   std::vector<RouteFault> faults = {RouteFault::kReusedAddresses, RouteFault::kCutRouters,
-                                    RouteFault::kLostAnswers, RouteFault::kRestartedRouters};
+                                    RouteFault::kLostAnswers, RouteFault::kRestartedRouters,
+                                    RouteFault::kLimits};
 };
 
 struct RouteWorldResult {
@@ -40,6 +42,7 @@
   std::uint64_t repeats = 0;       ///< arrivals at a service beyond the first of their request
   std::uint64_t misdirected = 0;   ///< arrivals at another incarnation than was asked
   std::uint64_t ended_owners = 0;  ///< whose addresses were taken over
+  std::uint64_t limited = 0;       ///< arrivals that limits counted
 };
 
 RouteWorldResult run_route_world(const RouteWorldOptions& options);
--- a/test/ownership/range_planner_test.cpp
+++ b/test/ownership/range_planner_test.cpp
@@ -18,6 +18,7 @@
   std::map<BackendId, double> capacities;
   std::set<BackendId> ineligible;
   std::set<BackendId> out_of_hearing;
+  std::map<BackendId, double> bounds;  ///< requests a second that a target may be given
   std::vector<BackendId> targets;
   std::uint64_t index = 0;
   ServiceId service;
@@ -69,6 +70,10 @@
       return GrantManager::Verdict{true, ""};
     };
     input.can_be_told = [&](BackendId id) { return !out_of_hearing.contains(id); };
+    input.most_load = [&](const BackendRecord& backend) {
+      const auto found = bounds.find(backend.id);
+      return found == bounds.end() ? std::nullopt : std::optional(found->second);
+    };
     return planner.plan(input);
   }
   /// Plans and applies, as if every release were answered at once, until nothing changes.
@@ -305,5 +310,78 @@
   CHECK_FALSE(cell.plan(true).moves.empty());
 }
 
+/// Four owners with a quarter of the keys each, all keys alike.
+void share_alike(Fixture& fixture, std::uint32_t rate) {
+  constexpr std::uint32_t kQuarter = config::kKeyCount / 4;
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    fixture.assign({i * kQuarter, (i + 1) * kQuarter - 1}, fixture.targets[i]);
+  }
+  for (int second = 0; second < 5; ++second) {
+    for (std::uint32_t key = 0; key < config::kKeyCount; key += 512) {
+      fixture.report(key, key, rate);
+    }
+    fixture.fold();
+  }
+}
+
+TEST_CASE("an owner that may be given few requests keeps keys for no more") {
+  Fixture fixture(4);
+  share_alike(fixture, 1);  // 32 a second each
+  fixture.bounds[fixture.targets[0]] = 2;
+  fixture.settle(true);
+  CHECK(fixture.load_of(fixture.targets[0]) <= 2.5);
+  CHECK(fixture.load_of(fixture.targets[0]) > 0);  // it is asked now and then
+  for (std::size_t i = 1; i < 4; ++i) {
+    CHECK(fixture.load_of(fixture.targets[i]) < 1.4 * 128 / 3);
+  }
+}
+
+TEST_CASE("a bound that one key exceeds does not keep others from being balanced") {
+  Fixture fixture(4);
+  share_alike(fixture, 1);
+  for (int second = 0; second < 5; ++second) {
+    fixture.report(3, 3, 6);  // at the bounded target
+    fixture.report(40'000, 40'000, 1);
+    for (std::uint32_t key = 49'152; key < config::kKeyCount; key += 512) {
+      fixture.report(key, key, 4);  // the last target is overloaded
+    }
+    fixture.fold();
+  }
+  fixture.bounds[fixture.targets[0]] = 1;
+  fixture.settle(true);
+  CHECK(fixture.load_of(fixture.targets[0]) <= 6.5);
+  CHECK(fixture.load_of(fixture.targets[3]) < 100);
+}
+
+TEST_CASE("where all owners are bounded, all keep keys") {
+  Fixture fixture(4);
+  share_alike(fixture, 1);
+  for (const BackendId target : fixture.targets) {
+    fixture.bounds[target] = 3;
+  }
+  fixture.settle(true);
+  for (const BackendId target : fixture.targets) {
+    CHECK(fixture.load_of(target) == doctest::Approx(32).epsilon(0.45));
+  }
+}
+
+TEST_CASE("demand is not low while loads are young, and follows a jump at once") {
+  KeyLoads loads(std::chrono::milliseconds(3000));
+  const ServiceId service(1);
+  loads.clear(at(0));
+  CHECK(loads.demand(service, KeyRange()) == 0);
+  const auto fold = [&](std::int64_t time, std::uint32_t requests) {
+    loads.add({{service, 7, requests}});
+    loads.fold(at(time));
+  };
+  fold(500, 5);
+  fold(1000, 5);
+  CHECK(loads.covered() == std::chrono::milliseconds(1000));
+  CHECK(loads.demand(service, KeyRange()) == doctest::Approx(10).epsilon(0.15));
+  fold(1300, 30);
+  CHECK(loads.demand(service, KeyRange()) == doctest::Approx(100).epsilon(0.01));
+  CHECK(loads.demand(service, KeyRange{8, 9}) == 0);
+}
+
 }  // namespace
 }  // namespace planktray::ownership
--- a/test/platform/request_dialect_test.cpp
+++ b/test/platform/request_dialect_test.cpp
@@ -105,6 +105,50 @@
   }
 }
 
+TEST_CASE("the limit a target names is read, and what cannot be read is told") {
+  const PlatformDialect dialect;
+  const auto judged = [&](transport::HeaderList headers) {
+    headers.emplace_back(kSealHeader, "s");
+    return dialect.judge({}, {}, response(200, headers));
+  };
+  for (const auto& [text, value] : {std::pair("4.8", 4.8), std::pair("0", 0.0),
+                                    std::pair("0.25", 0.25), std::pair("1e12", 1e12)}) {
+    CAPTURE(text);
+    const auto result = judged({{kLimitHeader, text}});
+    CHECK(result.limit.is_told);
+    CHECK(result.limit.per_second == value);
+    CHECK(result.unread_headers.empty());
+  }
+  CHECK(judged({{"server-limit", "3"}}).limit.per_second == 3.0);
+  CHECK(judged({{kLimitHeader, "7"}, {kLimitHeader, "2"}}).limit.per_second == 2.0);
+  // A word that nobody can read neither sets a limit nor ends one.
+  for (const char* text : {"", "-1", "many", "nan", "inf", "4.8 a second", "1,5"}) {
+    CAPTURE(text);
+    const auto result = judged({{kLimitHeader, text}});
+    CHECK_FALSE(result.limit.is_told);
+    REQUIRE(result.unread_headers.size() == 1);
+    CHECK(result.unread_headers[0].value == text);
+  }
+  CHECK(judged({}).limit.is_told);
+  CHECK_FALSE(judged({}).limit.per_second.has_value());
+}
+
+TEST_CASE("only answers of the target itself say that it names no limit any more") {
+  const PlatformDialect dialect;
+  const auto refused = dialect.judge({}, {}, response(503, {{kNotExecutedHeader, "1"}}));
+  CHECK_FALSE(refused.limit.is_told);
+  const auto limited =
+      dialect.judge({}, {}, response(503, {{kNotExecutedHeader, "1"}, {kLimitHeader, "2"}}));
+  CHECK(limited.limit.per_second == 2.0);
+  HttpResponse broken;
+  broken.was_sent = true;
+  CHECK_FALSE(dialect.judge({}, {}, broken).limit.is_told);
+  const auto other = dialect.judge(
+      {}, common::Incarnation("i-1"),
+      response(421, {{kInstanceHeader, "i-2"}, {kNotExecutedHeader, "1"}, {kLimitHeader, "2"}}));
+  CHECK_FALSE(other.limit.is_told);  // another process speaks of itself
+}
+
 TEST_CASE("a load report that grew is used as far as it can be read, and said so") {
   const PlatformDialect dialect;
   const auto judged = [&](const char* text) {
--- a/test/sim/route_world_test.cpp
+++ b/test/sim/route_world_test.cpp
@@ -31,6 +31,7 @@
   CHECK(result.repeats > 100);
   CHECK(result.misdirected > 20);
   CHECK(result.ended_owners > 10);
+  CHECK(result.limited > 20);
 }
 
 TEST_CASE("each safeguard of requests on routes taken away is caught") {
