Requests that crash their targets are refused by all routers after three crashes in a row

Cause: nothing knew them; a request that comes again crashed one target after the other, at any router.

Change: a digest of what a request is (made only after an end, or while suspects are known), a crash where a connection ends under a request and nobody listens at the target right after, proof by three crashes at different targets, one after the other, without a good answer in between. Routers report in hellos, the leader's list comes back in every update; nothing is replicated, a new leader is told again.

What an address stands for was ruled out by a trial: callers' paths are all different (entry, scratch copy).

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -229,6 +229,10 @@
                                   {"draining", backend.draining ? "yes" : "no"},
                                   {"ended", backend.ended ? "yes" : "no"}});
   }
+  for (const routing::CrashSuspect& blocked : output.blocked_requests) {
+    log_event("request_blocked", {{"digest", std::to_string(blocked.digest)},
+                                  {"crashes", std::to_string(blocked.crashes)}});
+  }
   for (const Completion& completion : output.completions) {
     api_->complete(completion);
     if (control_ != nullptr) {
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -31,6 +31,7 @@
       leases_(options_.cell, options_.lease),
       planner_(options_.planner),
       distributor_(options_.cell, options_.distributor),
+      suspects_(options_.crash_ledger),
       ranges_(options_.ranges),
       next_balance_(now),
       next_join_(now),
@@ -67,6 +68,10 @@
   if (auto limits = ranges_.note_limits(now, state_, hello)) {
     distributor_.set_limits(std::move(*limits));
   }
+  for (const routing::CrashSuspect& blocked : suspects_.take(now, hello)) {
+    output_.blocked_requests.push_back(blocked);
+  }
+  distributor_.set_suspects(suspects_.told(now));
   for (const common::BackendId id : hello.ended) {
     mark_ended(now, id);
   }
@@ -165,7 +170,7 @@
   return peer_messages.empty() && !join.has_value() && !heard.has_value() && persist.empty() &&
          leases.empty() && releases.empty() && grants.empty() && key_releases.empty() &&
          tables.empty() && controllers.empty() && !announcement.has_value() &&
-         completions.empty() && changed_backends.empty();
+         completions.empty() && changed_backends.empty() && blocked_requests.empty();
 }
 
 // ---------------------------------------------------------------- the log
@@ -271,6 +276,7 @@
     planner_.begin_term();
     loads_.clear();
     distributor_.begin_term(now, raft_.term());
+    suspects_.begin_term();
     registering_.clear();
     marking_.clear();
     ending_.clear();
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -14,6 +14,7 @@
 #include "common/error.hpp"
 #include "consensus/join.hpp"
 #include "consensus/raft.hpp"
+#include "controller/core/fleet_suspects.hpp"
 #include "controller/core/range_controller.hpp"
 #include "controller/core/table_distributor.hpp"
 #include "membership/heartbeat_report.hpp"
@@ -38,6 +39,7 @@
   ownership::LeaseOptions lease;
   ownership::PlannerOptions planner;
   DistributorOptions distributor;
+  routing::CrashLedgerOptions crash_ledger;
   RangeOptions ranges;
   /// As routers have it.
   routing::LeaderSearchOptions leader_search;
@@ -119,6 +121,8 @@
   std::optional<routing::ControllerList> announcement;
   std::vector<Completion> completions;
   std::vector<routing::BackendRoute> changed_backends;  ///< of a leader, for its log
+  /// Requests that a leader has routers refuse from now on, for its log.
+  std::vector<routing::CrashSuspect> blocked_requests;
 
   /// True where there is nothing to carry out.
   bool empty() const;
@@ -290,6 +294,7 @@
   ownership::Planner planner_;
   ownership::LoadView loads_;
   TableDistributor distributor_;
+  FleetSuspects suspects_;
   RangeController ranges_;
   membership::MachineList machines_;
 
--- /dev/null
+++ b/src/controller/core/fleet_suspects.cpp
@@ -0,0 +1,68 @@
+#include "controller/core/fleet_suspects.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace planktray::controller {
+namespace {
+
+/// Reports of the same hello come in the order in which the crashes were seen; older ages than this
+/// are of no leader's memory, or damaged.
+constexpr std::uint64_t kOldestUs = 3'600'000'000;
+
+common::TimePoint before(common::TimePoint now, std::uint64_t age_us) {
+  return now - common::Duration(static_cast<common::Duration::rep>(age_us));
+}
+
+}  // namespace
+
+std::vector<routing::CrashSuspect> FleetSuspects::take(common::TimePoint now,
+                                                       const routing::RouterHello& hello) {
+  ledger_.expire(now);
+  std::vector<routing::CrashSuspect> blocked;
+  for (const routing::CrashReport& report : hello.crashes) {
+    if (report.sent_age_us > kOldestUs || report.ended_age_us > report.sent_age_us) {
+      continue;
+    }
+    const bool is_news =
+        ledger_.take({report.digest, report.backend, before(now, report.sent_age_us),
+                      before(now, report.ended_age_us)});
+    if (is_news) {
+      blocked.push_back({report.digest, 0, {}});
+    }
+  }
+  for (const routing::AnsweredSuspect& answered : hello.suspects_answered) {
+    if (answered.age_us <= kOldestUs) {
+      ledger_.forgive(answered.digest, before(now, answered.age_us));
+    }
+  }
+  for (routing::CrashSuspect& suspect : blocked) {
+    const auto suspects = ledger_.suspects();
+    const auto found = std::find_if(
+        suspects.begin(), suspects.end(),
+        [&](const routing::CrashSuspect& other) { return other.digest == suspect.digest; });
+    suspect = found == suspects.end() ? suspect : *found;
+  }
+  return blocked;
+}
+
+std::vector<routing::SuspectRequest> FleetSuspects::told(common::TimePoint now) const {
+  std::vector<routing::CrashSuspect> suspects = ledger_.suspects();
+  if (suspects.size() > routing::kMostSuspects) {
+    std::partial_sort(
+        suspects.begin(), suspects.begin() + routing::kMostSuspects, suspects.end(),
+        [](const auto& a, const auto& b) { return a.blocked_until > b.blocked_until; });
+    suspects.resize(routing::kMostSuspects);
+  }
+  std::vector<routing::SuspectRequest> told;
+  for (const routing::CrashSuspect& suspect : suspects) {
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(suspect.blocked_until - now).count();
+    const auto bounded =
+        std::clamp<std::int64_t>(left, 0, std::numeric_limits<std::uint32_t>::max());
+    told.push_back({suspect.digest, static_cast<std::uint32_t>(bounded)});
+  }
+  return told;
+}
+
+}  // namespace planktray::controller
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -21,6 +21,7 @@
   term_began_ = now;
   subscribers_.clear();
   limits_ = {{}, false};
+  suspects_.clear();
 }
 
 void TableDistributor::on_delta(routing::TableDelta delta) {
@@ -137,6 +138,7 @@
   update.as_of_clock_us = as_of_clock_us(subscriber, now);
   update.limits = limits_.limits;
   update.limits_are_whole = limits_.is_whole;
+  update.suspects = suspects_;
   update.router_rank = rank;
   update.router_count = static_cast<std::uint32_t>(subscribers_.size());
   update.hello_interval_ms = static_cast<std::uint32_t>(
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -89,6 +89,10 @@
   void on_hello(common::TimePoint now, const routing::RouterHello& hello);
   /// What every update says of limits that back ends name, from now on.
   void set_limits(FleetLimits::Told limits) { limits_ = std::move(limits); }
+  /// What every update says of requests that crash their targets, from now on.
+  void set_suspects(std::vector<routing::SuspectRequest> suspects) {
+    suspects_ = std::move(suspects);
+  }
 
   /// Makes the updates that are due. Call only while the leader lease holds.
   std::vector<OutgoingTable> collect(common::TimePoint now, const ownership::CellState& state);
@@ -156,6 +160,7 @@
   common::CellName cell_;
   DistributorOptions options_;
   FleetLimits::Told limits_;
+  std::vector<routing::SuspectRequest> suspects_;
   common::Term term_;
   common::TimePoint term_began_;
   std::map<common::RouterName, Subscriber> subscribers_;
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -19,6 +19,7 @@
 
 #include "common/random.hpp"
 #include "common/time.hpp"
+#include "routing/crash_suspects.hpp"
 #include "routing/fleet_size.hpp"
 #include "routing/leader_search.hpp"
 #include "routing/limited_targets.hpp"
@@ -61,6 +62,9 @@
   routing::TargetBookOptions targets;
   routing::RateShareOptions cold_limit;
   routing::LimitedTargetsOptions limited_targets;
+  routing::CrashSuspectsOptions crash_suspects;
+  /// Told to callers whose request crashes its targets: nothing gets better soon.
+  Duration crashing_retry_after = std::chrono::seconds(60);
   /// For how long a larger count of routers is kept. Beyond the table lease, within which a new
   /// leader has heard of every router that serves.
   Duration fleet_size_memory = std::chrono::milliseconds(6000);
@@ -131,6 +135,7 @@
   std::string method;
   std::uint32_t timeout_ms = 0;                   ///< 0: the service's or the route's default
   std::optional<RouteCall> route = std::nullopt;  ///< set: the service follows from it
+  routing::RequestDigest digest = 0;              ///< 0: not known; see RouterCore::needs_digests
 };
 
 /// Effect: send the request to this back end.
@@ -179,10 +184,18 @@
   std::optional<routing::LoadReport> load = std::nullopt;
   common::Incarnation answered_by{};  ///< who refused, where the answer names it
   routing::LimitWord limit{};
+  bool connection_ended = false;      ///< broken, since the connection was closed or reset
+  routing::RequestDigest digest = 0;  ///< of the request; 0: not known
   std::string unread_load{};  ///< the load report as it came, where not all of it could be read
   std::vector<UnreadHeader> unread_headers{};
 };
 
+/// Effect: find out whether anybody listens at the back end's address, and tell on_reach_checked().
+struct ReachInquiry {
+  common::BackendId backend;
+  std::string address;
+};
+
 /// Effect, for logs: an answer of a back end has changed what this router knows of its limit.
 struct LimitChange {
   std::string address;
@@ -195,6 +208,7 @@
   std::vector<AttemptId> cancels;
   std::vector<Answer> answers;
   std::vector<LimitChange> limit_changes;
+  std::vector<ReachInquiry> reach_inquiries;
   std::optional<routing::RouterHello> hello;
   bool hello_to_all = false;          ///< to every controller
   std::vector<std::string> hello_to;  ///< else to these addresses
@@ -202,7 +216,7 @@
   /// True where there is nothing to carry out.
   bool empty() const {
     return forwards.empty() && cancels.empty() && answers.empty() && limit_changes.empty() &&
-           !hello.has_value();
+           reach_inquiries.empty() && !hello.has_value();
   }
 };
 
@@ -218,6 +232,8 @@
   std::uint64_t cancelled = 0;
   std::uint64_t inquiries = 0;         ///< the leader was silent, others were asked
   std::uint64_t leaders_named = 0;     ///< a new leader was named by itself or another controller
+  std::uint64_t crash_refusals = 0;    ///< refused since it crashes its targets
+  std::uint64_t crashes_seen = 0;      ///< back ends found to have ended with requests under way
   std::uint64_t limit_refusals = 0;    ///< refused since the target's limit left no room
   std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
   std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
@@ -237,6 +253,8 @@
   void on_controller_list(TimePoint now, const routing::ControllerList& list);
   void on_request(TimePoint now, const CallerRequest& request);
   void on_attempt_done(TimePoint now, AttemptId attempt, const AttemptResult& result);
+  /// Whether anybody listens at a back end's address; nothing where that cannot be said.
+  void on_reach_checked(TimePoint now, BackendId backend, std::optional<bool> listens);
   /// The caller went away; its attempt is cancelled.
   void on_caller_gone(RequestHandle handle);
   /// Takes no new requests; those in flight finish.
@@ -260,6 +278,10 @@
   const routing::RoutingTable& table() const { return table_; }
   const routing::TableFreshness& freshness() const { return freshness_; }
   const RouterCounters& counters() const { return counters_; }
+  /// True where arriving requests and answers are to come with digests. What ended a connection
+  /// always is.
+  bool needs_digests() const { return suspects_.any(); }
+  std::size_t blocked_requests(TimePoint now) const { return suspects_.blocked(now); }
   /// Targets that name a limit, as far as this router knows.
   std::size_t limited_targets() const { return limited_.count(); }
   std::size_t in_flight() const { return attempts_.size(); }
@@ -366,6 +388,7 @@
   /// True where only limits that targets name keep the request from being sent.
   bool is_held_by_limits(TimePoint now, const Request& request,
                          const routing::RoutedTableService& service) const;
+  void note_crash(TimePoint now, const Attempt& attempt, const AttemptResult& result);
   void note_limit(TimePoint now, BackendId target, const AttemptResult& result);
   void draw_zone_subset(const routing::RoutedTableService& service);
   void dispatch_waiting(TimePoint now);
@@ -443,6 +466,7 @@
   std::map<common::ServiceId, RoutedService> routed_;
   routing::RateShare cold_limit_;
   routing::LimitedTargets limited_;
+  routing::CrashSuspects suspects_;
   routing::FleetSize fleet_size_;
   std::map<common::ZoneName, TimePoint> evacuations_;        ///< when this router learnt of each
   std::map<std::string, std::vector<double>> part_credits_;  ///< by route name
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -101,6 +101,31 @@
                      [this](BackendId id) { return limited_.is_limited(id); });
 }
 
+void RouterCore::note_crash(TimePoint now, const Attempt& attempt, const AttemptResult& result) {
+  if (result.end == AttemptEnd::kAnswered && result.digest != 0) {
+    suspects_.on_answered(now, result.digest);
+  }
+  if (!result.connection_ended) {
+    return;
+  }
+  if (suspects_.on_connection_ended({result.digest, attempt.backend, attempt.sent, now})) {
+    const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
+    if (backend != nullptr) {
+      output_.reach_inquiries.push_back({attempt.backend, backend->address});
+    }
+  }
+}
+
+void RouterCore::on_reach_checked(TimePoint now, BackendId backend, std::optional<bool> listens) {
+  if (listens.value_or(true)) {
+    return suspects_.on_alive(backend);
+  }
+  ++counters_.crashes_seen;
+  if (suspects_.on_gone(now, backend)) {
+    hasten_hello(now);
+  }
+}
+
 void RouterCore::note_limit(TimePoint now, BackendId target, const AttemptResult& result) {
   if (!limited_.on_answer(now, target, result.limit)) {
     return;
@@ -154,6 +179,10 @@
     return is_final ? refuse(NotRunReason::kUnknownRoute, true, Duration(0))
                     : refuse(NotRunReason::kTableTooOld, false, kRetryAfterUnavailable);
   }
+  if (suspects_.is_blocked(now, caller.digest)) {
+    ++counters_.crash_refusals;
+    return refuse(NotRunReason::kCrashesTargets, false, options_.crashing_retry_after);
+  }
   const routing::RoutedTableService* service = choose_part(*route);
   if (service == nullptr) {
     return refuse(NotRunReason::kNoTarget, false, kRetryAfterUnavailable);
@@ -334,6 +363,7 @@
   Request& request = requests_.at(attempt.handle);
   request.attempt = 0;
   note_limit(now, attempt.backend, result);
+  note_crash(now, attempt, result);
   routing::TargetBook& book = routed_service(request.service).targets;
   if (result.end == AttemptEnd::kAnswered) {
     book.on_answered(now, attempt.backend, attempt.sent, result.load);
@@ -374,7 +404,7 @@
     case AttemptEnd::kAnswered:
       book.block(now, attempt.backend);
       request.may_have_run = true;
-      if (!request.repeatable) {
+      if (!request.repeatable || suspects_.may_be_suspect(result.digest)) {
         return answer_unknown(request);
       }
       request.repeat_owed = true;
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -99,6 +99,8 @@
   if (update.echo_clock_us > 0) {
     limited_.on_told(now, common::from_microseconds(update.echo_clock_us), update.limits,
                      update.limits_are_whole);
+    suspects_.on_told(now, common::from_microseconds(update.echo_clock_us), update.term,
+                      update.suspects);
   }
   router_rank_ = update.router_rank;
   router_count_ = count;
@@ -170,6 +172,7 @@
   hello.serving = is_serving(now);
   hello.lacks_update = lacks_update_;
   hello.limits = limited_.reports(now, routing::kMostLimits);
+  suspects_.report(now, routing::kMostSuspects, hello);
   return hello;
 }
 
--- a/src/router/request_dialect.hpp
+++ b/src/router/request_dialect.hpp
@@ -32,6 +32,11 @@
   virtual transport::HttpRequest to_backend(const transport::HttpExchange& exchange,
                                             const ReadRequest& read,
                                             const Forward& forward) const = 0;
+  /// A digest of what the request is: the same for each try of the same request, by any router.
+  /// @return 0 where the dialect makes none.
+  virtual routing::RequestDigest digest(const transport::HttpExchange& /*exchange*/) const {
+    return 0;
+  }
   /// What a response, or the lack of one, says of the attempt. @param expected the incarnation
   /// that the request was sent to.
   virtual AttemptResult judge(const ReadRequest& read, const common::Incarnation& expected,
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -22,6 +22,13 @@
 /// trip between controllers and routers, and a fifth of the shortest promised time.
 constexpr common::Duration kLateUpdate = std::chrono::milliseconds(400);
 
+/// Whether a back end still listens is looked at this long after its connection ended: a process
+/// that ends closes its connections first. Chosen: some fifty times what a process took here to
+/// end.
+constexpr common::Duration kReachDelay = std::chrono::milliseconds(50);
+/// A machine that lives refuses at once; ten times the way there and back.
+constexpr common::Duration kReachTimeout = std::chrono::milliseconds(300);
+
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -49,7 +56,8 @@
       alarm_([this] { tick(); }),
       core_(settings_.options, seeded_engine(), boot_time_now()),
       latency_(metrics_.latency_histogram("planktray_request_seconds",
-                                          "Time from arrival to the caller's answer.")) {}
+                                          "Time from arrival to the caller's answer.")),
+      reach_checker_(kReachDelay, kReachTimeout) {}
 
 common::Result<void> RouterProcess::start() {
   const double link_rate = settings_.machine.link_bytes_per_second();
@@ -258,6 +266,9 @@
   }
   const RequestHandle handle = next_handle_++;
   read->request.handle = handle;
+  if (core_.needs_digests()) {
+    read->request.digest = dialect_->digest(*exchange);
+  }
   const Caller& caller = callers_[handle] = {exchange, std::move(*read), boot_time_now()};
   exchange->on_gone([this, handle] {
     callers_.erase(handle);
@@ -336,6 +347,9 @@
   for (const LimitChange& change : output.limit_changes) {
     request_log_.limit_changed(boot_time_now(), change);
   }
+  for (const ReachInquiry& inquiry : output.reach_inquiries) {
+    check_reach(inquiry);
+  }
   for (const AttemptId attempt : output.cancels) {
     const auto found = sent_.find(attempt);
     if (found != sent_.end()) {
@@ -351,6 +365,17 @@
   }
 }
 
+void RouterProcess::check_reach(const ReachInquiry& inquiry) {
+  reach_checker_.check(inquiry.address, [this, backend = inquiry.backend](transport::Reach reach) {
+    std::optional<bool> listens;
+    if (reach != transport::Reach::kUnknown) {
+      listens = reach == transport::Reach::kListens;
+    }
+    core_.on_reach_checked(boot_time_now(), backend, listens);
+    flush();
+  });
+}
+
 void RouterProcess::note_changes() {
   const bool serving = core_.is_serving(boot_time_now());
   if (serving != was_serving_) {
@@ -416,8 +441,11 @@
     sent_.erase(found);
     return;
   }
-  const AttemptResult result =
+  AttemptResult result =
       dialect_->judge(caller->second.read, found->second.attempt.incarnation, response);
+  if (result.connection_ended || core_.needs_digests()) {
+    result.digest = dialect_->digest(*caller->second.exchange);
+  }
   const common::TimePoint now = boot_time_now();
   if (!result.unread_load.empty()) {
     request_log_.load_unread(now, found->second.attempt, result.unread_load);
@@ -467,6 +495,14 @@
   metrics_.set_counter("planktray_stale_refusals_total",
                        "Requests on routes refused since the table was too old to decide with.",
                        counters.stale_refusals);
+  metrics_.set_counter("planktray_crash_refusals_total",
+                       "Requests refused since they crash their targets.", counters.crash_refusals);
+  metrics_.set_counter("planktray_crashes_seen_total",
+                       "Back ends found to have ended with requests under way.",
+                       counters.crashes_seen);
+  metrics_.set_gauge("planktray_blocked_requests",
+                     "Different requests that are refused since they crash their targets.",
+                     static_cast<double>(core_.blocked_requests(boot_time_now())));
   metrics_.set_counter("planktray_limit_refusals_total",
                        "Requests on routes refused since limits that back ends name left no room.",
                        counters.limit_refusals);
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -18,6 +18,7 @@
 #include "transport/http_server.hpp"
 #include "transport/link_pacer.hpp"
 #include "transport/metrics.hpp"
+#include "transport/reach_check.hpp"
 #include "transport/settings_watch.hpp"
 #include "transport/zmq_socket.hpp"
 
@@ -88,6 +89,7 @@
   bool is_ready() const;
   void flush();
   void carry_out(const RouterOutput& output);
+  void check_reach(const ReachInquiry& inquiry);
   void note_changes();
   void adopt_limits();
   void send_forward(const Forward& forward);
@@ -112,6 +114,7 @@
   std::unique_ptr<transport::HttpServer> server_;
   std::unique_ptr<transport::HttpServer> status_server_;
   std::unique_ptr<transport::HttpClient> client_;
+  transport::ReachChecker reach_checker_;
   std::map<std::string, std::unique_ptr<transport::ZmqSocket>> controllers_;  ///< by endpoint
   std::unordered_map<RequestHandle, Caller> callers_;
   std::unordered_map<AttemptId, Sent> sent_;
--- /dev/null
+++ b/src/routing/crash_ledger.hpp
@@ -0,0 +1,101 @@
+#pragma once
+/// Tells requests that crash each target which begins to run them from those that only shared a
+/// target's end, or lost their answer.
+///
+/// A request is known by a digest of what it is, since it comes again in new tries at any router.
+/// It counts a crash where a connection ended while the request waited for its answer there, and
+/// nobody listens at the target right after. One crash proves nothing: all that was under way at a
+/// target ends with it. What is taken as proof is a row of `threshold` crashes
+///  - at different targets: a target that fails all its requests proves nothing of one of them;
+///  - one after the other, each sent after the one before had ended: targets that all end at one
+///    moment take every request that is under way with them;
+///  - without a good answer to the same digest in between: a request that crashes its targets never
+///    has one, and a common request that is innocent has one soon.
+///
+/// Where a fifth of the targets crash by themselves once while a request is under way there, a row
+/// of three has a probability of 0.008 for a request whose caller repeats it each time at once, and
+/// costs that request alone.
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "common/ids.hpp"
+#include "common/time.hpp"
+
+namespace planktray::routing {
+
+/// What a request is, apart from the try: equal for two tries of the same request. 0: not known.
+using RequestDigest = std::uint64_t;
+
+/// A connection to `backend` ended while the request waited for its answer, since the target ended.
+struct CrashEvent {
+  RequestDigest digest = 0;
+  common::BackendId backend;
+  common::TimePoint sent;
+  common::TimePoint ended;
+};
+
+struct CrashLedgerOptions {
+  /// Crashes in a row after which a request is refused. Two would take innocent requests that
+  /// met the same crashing request again at their second target: one in 14 at a service of 14
+  /// targets, for each of the few that share a target.
+  std::uint32_t threshold = 3;
+  /// A crash is forgotten after this time.
+  common::Duration memory = std::chrono::minutes(10);
+  /// For how long a request is refused at first; twice as long after each further crash. Then it is
+  /// let through once more: its targets may be mended.
+  common::Duration first_block = std::chrono::minutes(2);
+  common::Duration longest_block = std::chrono::hours(1);
+  /// A request counts as sent after an earlier end also where it was sent this much before: times
+  /// from several routers are compared by their ages, which differ by the ways of their messages.
+  common::Duration overlap = std::chrono::milliseconds(50);
+  /// Crashes of one digest that are kept at most; they come in any order from several routers.
+  std::size_t most_events = 16;
+  /// Digests that are kept at most; the one whose last crash is oldest goes first.
+  std::size_t most = 512;
+  /// Safeguard; off only in mutants.
+  bool in_sequence = true;
+};
+
+/// A request that crashed targets.
+struct CrashSuspect {
+  RequestDigest digest = 0;
+  std::uint32_t crashes = 0;
+  common::TimePoint blocked_until;
+};
+
+class CrashLedger {
+ public:
+  explicit CrashLedger(CrashLedgerOptions options) : options_(options) {}
+
+  void clear() { entries_.clear(); }
+  /// @return true where the request is refused from now on, and was not before.
+  bool take(const CrashEvent& event);
+  /// The request had a good answer at this moment. @return true where it was a suspect.
+  bool forgive(RequestDigest digest, common::TimePoint answered);
+  bool is_blocked(common::TimePoint now, RequestDigest digest) const;
+  /// True where one crash more has it refused.
+  bool is_suspect(RequestDigest digest) const;
+  /// Those of which one crash more would have them refused, and those that are.
+  std::vector<CrashSuspect> suspects() const;
+  void expire(common::TimePoint now);
+
+ private:
+  struct Entry {
+    std::vector<CrashEvent> events;  ///< by their ends; one for each target
+    std::uint32_t row = 0;           ///< longest that follow each other
+    common::TimePoint last_end;
+    common::TimePoint forgiven;  ///< a good answer came then
+    common::TimePoint blocked_until;
+    common::Duration block{0};
+  };
+  std::uint32_t longest_row(const Entry& entry) const;
+  bool is_suspect(const Entry& entry) const { return entry.row + 1 >= options_.threshold; }
+  void make_room();
+
+  CrashLedgerOptions options_;
+  std::map<RequestDigest, Entry> entries_;
+};
+
+}  // namespace planktray::routing
--- /dev/null
+++ b/src/routing/crash_suspects.cpp
@@ -0,0 +1,178 @@
+#include "routing/crash_suspects.hpp"
+
+#include <algorithm>
+
+namespace planktray::routing {
+namespace {
+
+CrashLedgerOptions own_options(const CrashSuspectsOptions& options) {
+  CrashLedgerOptions own = options.ledger;
+  own.first_block = options.own_block;
+  own.longest_block = options.own_block;
+  return own;
+}
+
+std::uint64_t age_us(common::TimePoint now, common::TimePoint then) {
+  return static_cast<std::uint64_t>(std::max<common::Duration::rep>((now - then).count(), 0));
+}
+
+}  // namespace
+
+CrashSuspects::CrashSuspects(CrashSuspectsOptions options)
+    : options_(options), ledger_(own_options(options)) {}
+
+bool CrashSuspects::on_connection_ended(const CrashEvent& event) {
+  if (event.digest == 0 || !options_.holds) {
+    return false;
+  }
+  std::erase_if(pending_, [&](const auto& item) {
+    return event.ended - item.second.front().ended > options_.pending_memory;
+  });
+  std::vector<CrashEvent>& events = pending_[event.backend];
+  if (events.size() < options_.most_kept) {
+    events.push_back(event);
+  }
+  if (!options_.asks_whether_gone) {
+    on_gone(event.ended, event.backend);
+    return false;
+  }
+  return events.size() == 1;
+}
+
+bool CrashSuspects::on_gone(common::TimePoint now, common::BackendId target) {
+  const auto found = pending_.find(target);
+  if (found == pending_.end()) {
+    return false;
+  }
+  const std::vector<CrashEvent> events = std::move(found->second);
+  pending_.erase(found);
+  forget_old(now);
+  bool completes = false;
+  for (const CrashEvent& event : events) {
+    ledger_.take(event);
+    own_.push_back({event, {}, false});
+    completes = completes || is_suspect(event.digest);
+  }
+  while (own_.size() > options_.most_kept) {
+    own_.pop_front();
+  }
+  return completes;
+}
+
+bool CrashSuspects::may_be_suspect(RequestDigest digest) const {
+  if (is_suspect(digest)) {
+    return true;
+  }
+  const auto is_pending = [digest](const auto& item) {
+    return std::any_of(item.second.begin(), item.second.end(),
+                       [digest](const CrashEvent& event) { return event.digest == digest; });
+  };
+  return options_.holds && std::count_if(pending_.begin(), pending_.end(), is_pending) > 1;
+}
+
+void CrashSuspects::on_answered(common::TimePoint now, RequestDigest digest) {
+  const bool was_own = ledger_.forgive(digest, now);
+  if (!was_own && !listed_.contains(digest)) {
+    return;
+  }
+  listed_.erase(digest);
+  answered_.push_back({{digest, now}, {}, false});
+  if (answered_.size() > options_.most_kept) {
+    answered_.pop_front();
+  }
+}
+
+void CrashSuspects::on_told(common::TimePoint now, common::TimePoint asked_at, common::Term term,
+                            const std::vector<SuspectRequest>& listed) {
+  if (term != term_) {
+    term_ = term;
+    report_again(own_);
+    report_again(answered_);
+  }
+  acknowledge(own_, asked_at);
+  acknowledge(answered_, asked_at);
+  forget_old(now);
+  listed_.clear();
+  for (const SuspectRequest& suspect : listed) {
+    const bool is_answered =
+        std::any_of(answered_.begin(), answered_.end(), [&](const Kept<Answered>& kept) {
+          return kept.what.digest == suspect.digest && !kept.acknowledged;
+        });
+    if (!is_answered) {  // else the list is older than its good answer here
+      listed_[suspect.digest] = now + std::chrono::milliseconds(suspect.blocked_for_ms);
+    }
+  }
+}
+
+template <typename What>
+void CrashSuspects::acknowledge(std::deque<Kept<What>>& kept, common::TimePoint asked_at) {
+  for (Kept<What>& item : kept) {
+    const bool was_read = item.reported != common::TimePoint() && item.reported <= asked_at;
+    item.acknowledged = item.acknowledged || was_read;
+  }
+}
+
+template <typename What>
+void CrashSuspects::report_again(std::deque<Kept<What>>& kept) {
+  for (Kept<What>& item : kept) {
+    item.reported = common::TimePoint();
+    item.acknowledged = false;
+  }
+}
+
+void CrashSuspects::forget_old(common::TimePoint now) {
+  while (!own_.empty() && now - own_.front().what.ended > options_.ledger.memory) {
+    own_.pop_front();
+  }
+  while (!answered_.empty() && now - answered_.front().what.at > options_.ledger.memory) {
+    answered_.pop_front();
+  }
+  ledger_.expire(now);
+}
+
+bool CrashSuspects::is_blocked(common::TimePoint now, RequestDigest digest) const {
+  if (digest == 0 || !options_.holds) {
+    return false;
+  }
+  const auto found = listed_.find(digest);
+  return ledger_.is_blocked(now, digest) || (found != listed_.end() && now < found->second);
+}
+
+bool CrashSuspects::is_suspect(RequestDigest digest) const {
+  return options_.holds && (ledger_.is_suspect(digest) || listed_.contains(digest));
+}
+
+template <typename What, typename Add>
+void CrashSuspects::report_each(common::TimePoint now, std::size_t most,
+                                std::deque<Kept<What>>& kept, const Add& add) {
+  for (Kept<What>& item : kept) {
+    if (most == 0) {
+      return;
+    }
+    if (item.acknowledged) {
+      continue;
+    }
+    if (item.reported == common::TimePoint()) {
+      item.reported = now;
+    }
+    add(item.what);
+    --most;
+  }
+}
+
+void CrashSuspects::report(common::TimePoint now, std::size_t most, RouterHello& hello) {
+  report_each(now, most, own_, [&](const CrashEvent& event) {
+    hello.crashes.push_back(
+        {event.digest, event.backend, age_us(now, event.sent), age_us(now, event.ended)});
+  });
+  report_each(now, most, answered_, [&](const Answered& answer) {
+    hello.suspects_answered.push_back({answer.digest, age_us(now, answer.at)});
+  });
+}
+
+std::size_t CrashSuspects::blocked(common::TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      listed_.begin(), listed_.end(), [now](const auto& item) { return now < item.second; }));
+}
+
+}  // namespace planktray::routing
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -51,6 +51,8 @@
       return "overload";
     case NotRunReason::kTableTooOld:
       return "table-too-old";
+    case NotRunReason::kCrashesTargets:
+      return "crashes-targets";
     case NotRunReason::kTargetLimit:
       return "target-limit";
   }
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -24,11 +24,12 @@
   kDeadline,     ///< it could not be sent in time
   kBudgetSpent,  ///< a retry was possible, but retries are limited
   kDrainingRouter,
-  kUnknownRoute,  ///< no route for this host and path
-  kNoOwner,       ///< the key has no owner at present
-  kOverload,      ///< it could not be answered in time
-  kTableTooOld,   ///< the table may not show what was acknowledged since
-  kTargetLimit,   ///< the targets that could run it name limits, which leave no room now
+  kUnknownRoute,    ///< no route for this host and path
+  kNoOwner,         ///< the key has no owner at present
+  kOverload,        ///< it could not be answered in time
+  kTableTooOld,     ///< the table may not show what was acknowledged since
+  kCrashesTargets,  ///< targets that began to run it have ended, one after the other
+  kTargetLimit,     ///< the targets that could run it name limits, which leave no room now
 };
 
 /// A back end's refusal with proof that nothing ran (`Planktray-Not-Run`).
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -160,6 +160,32 @@
   MSGPACK_DEFINE_ARRAY(backend, per_second, has_admission, admission)
 };
 
+/// Requests that crash their targets named in one update, and crashes in one hello, at most.
+inline constexpr std::size_t kMostSuspects = 64;
+
+/// A connection to a back end ended while a request waited there for its answer.
+struct CrashReport {
+  std::uint64_t digest = 0;  ///< of the request: see RequestDigest
+  BackendId backend;
+  std::uint64_t sent_age_us = 0;   ///< since it was sent there
+  std::uint64_t ended_age_us = 0;  ///< since the connection ended
+  MSGPACK_DEFINE_ARRAY(digest, backend, sent_age_us, ended_age_us)
+};
+
+/// A request that was listed as crashing its targets has had a good answer.
+struct AnsweredSuspect {
+  std::uint64_t digest = 0;
+  std::uint64_t age_us = 0;  ///< since the answer
+  MSGPACK_DEFINE_ARRAY(digest, age_us)
+};
+
+/// A request that has crashed targets; to be refused for `blocked_for_ms` (0: only watched).
+struct SuspectRequest {
+  std::uint64_t digest = 0;
+  std::uint32_t blocked_for_ms = 0;
+  MSGPACK_DEFINE_ARRAY(digest, blocked_for_ms)
+};
+
 /// Requests that a router saw for one shard since its last report.
 struct ShardLoad {
   ServiceId service;
@@ -183,8 +209,10 @@
   std::vector<BackendId> ended;
   bool lacks_update = false;  ///< an update has come that does not lead on from this table
   std::vector<LimitReport> limits;
+  std::vector<CrashReport> crashes;
+  std::vector<AnsweredSuspect> suspects_answered;
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
-                       target_times, ended, lacks_update, limits)
+                       target_times, ended, lacks_update, limits, crashes, suspects_answered)
 };
 
 /// Controller to router: confirmation that the table is current, and what changed.
@@ -208,9 +236,11 @@
   std::vector<TargetLimit> limits;
   /// True where `limits` holds all that the leader knows; never from followers.
   bool limits_are_whole = false;
+  /// Not from followers.
+  std::vector<SuspectRequest> suspects;
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
                        router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower, limits,
-                       limits_are_whole)
+                       limits_are_whole, suspects)
 };
 
 /// Follower to router, in place of an answer to its hello: where the controllers of the cell are.
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -436,7 +436,7 @@
   RouteWorldOptions options;
   for (const RouteMutant& mutant : all_route_mutants()) {
     if (arguments.only == mutant.name) {
-      mutant.apply(options.router);
+      mutant.apply(options);
     }
   }
   RouteWorldResult sum;
--- a/src/sim/route_world.hpp
+++ b/src/sim/route_world.hpp
@@ -19,6 +19,7 @@
   kCutRouters,        ///< routers lose the leader for some seconds
   kLostAnswers,       ///< for some seconds, half of what runs loses its answer
   kRestartedRouters,  ///< a router forgets all it knows, its retry window too
+  kCrashingRequests,  ///< requests that end each back end which begins to run them come again
   kLimits             ///< a few back ends name how many requests a second they take
 };
 
@@ -30,19 +31,23 @@
   /// the addresses of its back ends.
   double requests_per_second = 900;
   router::RouterOptions router;
-  std::vector<RouteFault> faults = {RouteFault::kReusedAddresses, RouteFault::kCutRouters,
-                                    RouteFault::kLostAnswers, RouteFault::kRestartedRouters,
-                                    RouteFault::kLimits};
+  routing::CrashLedgerOptions crash_ledger;  ///< of the leader
+  std::vector<RouteFault> faults = {RouteFault::kReusedAddresses,  RouteFault::kCutRouters,
+                                    RouteFault::kLostAnswers,      RouteFault::kRestartedRouters,
+                                    RouteFault::kCrashingRequests, RouteFault::kLimits};
 };
 
 struct RouteWorldResult {
   std::vector<std::string> violations;  ///< empty: the promises were kept
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
-  std::uint64_t repeats = 0;       ///< arrivals at a service beyond the first of their request
-  std::uint64_t misdirected = 0;   ///< arrivals at another incarnation than was asked
-  std::uint64_t ended_owners = 0;  ///< whose addresses were taken over
-  std::uint64_t limited = 0;       ///< arrivals that limits counted
+  std::uint64_t repeats = 0;          ///< arrivals at a service beyond the first of their request
+  std::uint64_t misdirected = 0;      ///< arrivals at another incarnation than was asked
+  std::uint64_t ended_owners = 0;     ///< whose addresses were taken over
+  std::uint64_t crashes = 0;          ///< of back ends, by requests that crash them
+  std::uint64_t crashing = 0;         ///< different requests that have crashed three or more
+  std::uint64_t wrongly_refused = 0;  ///< other requests that were refused as crashing
+  std::uint64_t limited = 0;          ///< arrivals that limits counted
 };
 
 RouteWorldResult run_route_world(const RouteWorldOptions& options);
@@ -51,7 +56,7 @@
 struct RouteMutant {
   const char* name;
   const char* safeguard;
-  void (*apply)(router::RouterOptions& options);
+  void (*apply)(RouteWorldOptions& options);
 };
 
 const std::vector<RouteMutant>& all_route_mutants();
--- /dev/null
+++ b/src/transport/reach_check.hpp
@@ -0,0 +1,61 @@
+#pragma once
+/// Finds out whether anybody listens at an address, by a connection that carries nothing.
+
+#include <glib.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "common/time.hpp"
+#include "transport/tcp_stream.hpp"
+
+namespace planktray::transport {
+
+enum class Reach : std::uint8_t {
+  kListens,  ///< a connection came up
+  kRefused,  ///< the machine says that nobody listens there
+  kUnknown,  ///< no word in time
+};
+
+class ReachChecker {
+ public:
+  using Callback = std::function<void(Reach reach)>;
+
+  /// @param delay before the connection is tried: a process that ends closes its connections a
+  ///   moment before it stops listening.
+  /// @param timeout without a word.
+  ReachChecker(common::Duration delay, common::Duration timeout)
+      : delay_(delay), timeout_(timeout) {}
+  ReachChecker(const ReachChecker&) = delete;
+  ReachChecker& operator=(const ReachChecker&) = delete;
+  ~ReachChecker();
+
+  /// Calls back exactly once, never within this call, unless the checker ends before.
+  void check(const std::string& address, Callback callback);
+
+ private:
+  struct Check {
+    ReachChecker* owner = nullptr;
+    std::uint64_t id = 0;
+    std::string address;
+    Callback callback;
+    std::shared_ptr<TcpStream> stream;
+    guint timer = 0;
+  };
+
+  static gboolean on_begin(gpointer data);
+  static gboolean on_timeout(gpointer data);
+  static gboolean on_release(gpointer data);
+  static guint set_timer(common::Duration wait, GSourceFunc function, Check* check);
+  void begin(Check& check);
+  void finish(std::uint64_t id, Reach reach);
+
+  common::Duration delay_;
+  common::Duration timeout_;
+  std::uint64_t next_id_ = 1;
+  std::map<std::uint64_t, std::unique_ptr<Check>> checks_;
+};
+
+}  // namespace planktray::transport
--- /dev/null
+++ b/test/routing/crash_ledger_test.cpp
@@ -0,0 +1,188 @@
+/// Requests that crash their targets, told from those that only shared a target's end.
+
+#include "routing/crash_ledger.hpp"
+
+#include <doctest/doctest.h>
+
+#include "controller/core/fleet_suspects.hpp"
+#include "routing/crash_suspects.hpp"
+
+namespace planktray::routing {
+namespace {
+
+using common::BackendId;
+using common::Term;
+using common::TimePoint;
+using std::chrono::milliseconds;
+
+constexpr RequestDigest kBad = 77;
+constexpr RequestDigest kGood = 5;
+
+TimePoint at(std::int64_t value) { return common::from_microseconds((100'000 + value) * 1000); }
+
+/// Sent `ran` ms before it ended with its target.
+CrashEvent crash(RequestDigest digest, std::uint64_t backend, std::int64_t ended,
+                 std::int64_t ran = 20) {
+  return {digest, BackendId(backend), at(ended - ran), at(ended)};
+}
+
+TEST_CASE("three targets crashed one after the other have the request refused for a while") {
+  CrashLedger ledger{CrashLedgerOptions()};
+  CHECK_FALSE(ledger.take(crash(kBad, 1, 0)));
+  CHECK_FALSE(ledger.is_suspect(kBad));
+  CHECK_FALSE(ledger.take(crash(kBad, 2, 500)));
+  CHECK(ledger.is_suspect(kBad));
+  CHECK_FALSE(ledger.is_blocked(at(600), kBad));
+  CHECK(ledger.take(crash(kBad, 3, 1000)));
+  CHECK(ledger.is_blocked(at(1001), kBad));
+  CHECK(ledger.is_blocked(at(120'000), kBad));
+  CHECK_FALSE(ledger.is_blocked(at(122'000), kBad));  // its targets may be mended
+  CHECK(ledger.take(crash(kBad, 4, 123'000)));        // one more is enough
+  CHECK(ledger.is_blocked(at(123'000 + 239'000), kBad));
+  CHECK_FALSE(ledger.take(crash(0, 9, 0)));
+}
+
+TEST_CASE("reports that come in any order make the same row") {
+  CrashLedger ledger{CrashLedgerOptions()};
+  ledger.take(crash(kBad, 3, 1000));
+  ledger.take(crash(kBad, 1, 0));
+  CHECK(ledger.take(crash(kBad, 2, 500)));
+}
+
+TEST_CASE("targets that end together take what is under way with them, and prove nothing") {
+  CrashLedger ledger{CrashLedgerOptions()};
+  for (std::uint64_t target = 1; target <= 9; ++target) {
+    CHECK_FALSE(ledger.take(crash(kGood, target, 1000 + static_cast<std::int64_t>(target), 80)));
+  }
+  CHECK_FALSE(ledger.is_suspect(kGood));
+}
+
+TEST_CASE("one target that ends again and again proves nothing of a request") {
+  CrashLedger ledger{CrashLedgerOptions()};
+  for (std::int64_t time = 0; time < 10'000; time += 1000) {
+    CHECK_FALSE(ledger.take(crash(kGood, 1, time)));
+  }
+  CHECK_FALSE(ledger.is_suspect(kGood));
+}
+
+TEST_CASE("a good answer clears a request, also one that is refused") {
+  CrashLedger ledger{CrashLedgerOptions()};
+  ledger.take(crash(kBad, 1, 0));
+  ledger.take(crash(kBad, 2, 500));
+  CHECK(ledger.forgive(kBad, at(700)));
+  CHECK_FALSE(ledger.take(crash(kBad, 3, 600)));  // it ended before the answer
+  CHECK_FALSE(ledger.take(crash(kBad, 4, 900)));
+  CHECK_FALSE(ledger.take(crash(kBad, 5, 1400)));
+  CHECK(ledger.take(crash(kBad, 6, 1900)));
+  CHECK(ledger.forgive(kBad, at(2000)));
+  CHECK_FALSE(ledger.is_blocked(at(2001), kBad));
+}
+
+TEST_CASE("what is kept is bounded, and the oldest goes first") {
+  CrashLedgerOptions options;
+  options.most = 3;
+  CrashLedger ledger(options);
+  for (std::uint64_t target = 1; target <= 3; ++target) {
+    ledger.take(crash(kBad, target, static_cast<std::int64_t>(target) * 500));
+  }
+  for (RequestDigest digest = 100; digest < 120; ++digest) {
+    ledger.take(crash(digest, 1, 2000 + static_cast<std::int64_t>(digest)));
+  }
+  CHECK(ledger.is_blocked(at(3000), kBad));  // refused for two minutes: the youngest of all
+  ledger.expire(at(3'600'000));
+  CHECK_FALSE(ledger.is_suspect(kBad));
+}
+
+/// One router whose targets are gone when their connections end.
+struct Router {
+  CrashSuspects suspects{CrashSuspectsOptions()};
+  void see(RequestDigest digest, std::uint64_t backend, std::int64_t ended) {
+    if (suspects.on_connection_ended(crash(digest, backend, ended))) {
+      suspects.on_gone(at(ended + 50), BackendId(backend));
+    }
+  }
+  RouterHello hello(std::int64_t time) {
+    RouterHello made;
+    suspects.report(at(time), kMostSuspects, made);
+    return made;
+  }
+};
+
+TEST_CASE("crashes seen by three routers have all of them refuse the request") {
+  std::vector<Router> routers(5);
+  controller::FleetSuspects leader{CrashLedgerOptions()};
+  routers[0].see(kBad, 1, 0);
+  routers[1].see(kBad, 2, 400);
+  routers[2].see(kBad, 3, 800);
+  CHECK(leader.take(at(900), routers[1].hello(900)).empty());
+  CHECK(leader.take(at(901), routers[0].hello(901)).empty());
+  const auto blocked = leader.take(at(902), routers[2].hello(902));
+  REQUIRE(blocked.size() == 1);
+  CHECK(blocked[0].digest == kBad);
+  CHECK(blocked[0].crashes == 3);
+  for (Router& router : routers) {
+    router.suspects.on_told(at(1000), at(902), Term(1), leader.told(at(1000)));
+    CHECK(router.suspects.is_blocked(at(1001), kBad));
+    CHECK_FALSE(router.suspects.is_blocked(at(1001), kGood));
+  }
+  CHECK(routers[0].hello(1100).crashes.size() == 1);  // to the leader that it has just heard of
+  routers[0].suspects.on_told(at(1200), at(1100), Term(1), leader.told(at(1200)));
+  CHECK(routers[0].hello(1300).crashes.empty());  // this one has read it
+
+  // A new leader knows nothing, and is told again.
+  controller::FleetSuspects next{CrashLedgerOptions()};
+  for (Router& router : routers) {
+    router.suspects.on_told(at(2000), at(1100), Term(2), next.told(at(2000)));
+    next.take(at(2100), router.hello(2100));
+  }
+  CHECK(next.told(at(2200)).size() == 1);
+  CHECK(next.told(at(2200))[0].blocked_for_ms > 100'000);
+}
+
+TEST_CASE("an end of a connection whose target lives is no crash") {
+  CrashSuspects suspects{CrashSuspectsOptions()};
+  for (std::uint64_t target = 1; target <= 9; ++target) {
+    const auto ended = static_cast<std::int64_t>(target) * 500;
+    CHECK(suspects.on_connection_ended(crash(kGood, target, ended)));
+    CHECK_FALSE(suspects.on_connection_ended(crash(kGood, target, ended)));  // one look for both
+    suspects.on_alive(BackendId(target));
+    CHECK_FALSE(suspects.on_gone(at(ended + 100), BackendId(target)));
+  }
+  CHECK_FALSE(suspects.any());
+  CHECK_FALSE(suspects.is_blocked(at(5000), kGood));
+}
+
+TEST_CASE("a good answer at one router clears the request for all") {
+  Router router;
+  controller::FleetSuspects leader{CrashLedgerOptions()};
+  leader.take(at(0), {});
+  Router other;
+  other.see(kGood, 1, 0);
+  other.see(kGood, 2, 500);
+  other.see(kGood, 3, 1000);
+  leader.take(at(1100), other.hello(1100));
+  router.suspects.on_told(at(1200), at(1150), Term(1), leader.told(at(1200)));
+  CHECK(router.suspects.is_blocked(at(1201), kGood));
+  router.suspects.on_answered(at(1300), kGood);  // it had begun before
+  CHECK_FALSE(router.suspects.is_blocked(at(1301), kGood));
+  router.suspects.on_told(at(1320), at(1310), Term(1), leader.told(at(1320)));  // an older list
+  CHECK_FALSE(router.suspects.is_blocked(at(1321), kGood));
+  leader.take(at(1400), router.hello(1400));
+  CHECK(leader.told(at(1500)).empty());
+}
+
+TEST_CASE("damaged reports cost themselves alone") {
+  controller::FleetSuspects leader{CrashLedgerOptions()};
+  RouterHello hello;
+  hello.crashes = {{kBad, BackendId(1), 10, 20},  // ended before it was sent
+                   {kBad, BackendId(2), ~0ULL, ~0ULL},
+                   {0, BackendId(3), 20, 10},
+                   {kBad, BackendId(4), 2'000'000, 1'900'000},
+                   {kBad, BackendId(5), 1'500'000, 1'400'000},
+                   {kBad, BackendId(6), 1'000'000, 900'000}};
+  hello.suspects_answered = {{kBad, ~0ULL}};
+  CHECK(leader.take(at(5000), hello).size() == 1);
+}
+
+}  // namespace
+}  // namespace planktray::routing
