--- a/src/routing/limited_targets.hpp
+++ b/src/routing/limited_targets.hpp
@@ -8,8 +8,8 @@
 ///  - *Equal parts* (`RateShare`), where the leader has said nothing for `admission_lease`, and for
 ///    targets that can be passed by.
 /// Both plan with half of the limit: with many routers a count is Poisson distributed, and a bound
-/// of one and a half times the limit and 5 in 4 s is then exceeded in less than 2 of a million such
-/// times at every limit (worst at 1 a second).
+/// of one and a half times the limit and 5 in 4 s is then exceeded with a probability of 1e-5 for
+/// one such time at the worst limit (0.66 a second), 1.4e-6 at 1 and 8e-10 at 4.8 a second.
 ///
 /// A limit holds until an answer of the same target comes without one. Who hears so tells the
 /// leader, which tells all: a router alone may send to such a target once in minutes.
