--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -575,19 +575,38 @@
     return;
   }
   ++counters_.not_run;
-  const bool never = reason == NotRunReason::kUnknownService;
-  const RequestHandle handle = request.caller.handle;
-  output_.answers.push_back({handle, Outcome::kNotRun, 0, reason, never, retry_after,
-                             service_name(request), request.sends, table_.index()});
-  finish(handle);
+  ++ends_of(request).not_run;
+  Answer answer = own_answer(request, Outcome::kNotRun);
+  answer.reason = reason;
+  answer.can_never_run = reason == NotRunReason::kUnknownService;
+  answer.retry_after = retry_after;
+  output_.answers.push_back(std::move(answer));
+  finish(request.caller.handle);
 }
 
 void RouterCore::answer_unknown(const Request& request) {
   ++counters_.unknown;
-  const RequestHandle handle = request.caller.handle;
-  output_.answers.push_back({handle, Outcome::kUnknown, 0, NotRunReason::kNone, false, Duration(0),
-                             service_name(request), request.sends, table_.index()});
-  finish(handle);
+  ++ends_of(request).unknown;
+  output_.answers.push_back(own_answer(request, Outcome::kUnknown));
+  finish(request.caller.handle);
+}
+
+Answer RouterCore::own_answer(const Request& request, Outcome outcome) const {
+  Answer answer;
+  answer.handle = request.caller.handle;
+  answer.outcome = outcome;
+  answer.service = service_name(request);
+  answer.attempts = request.sends;
+  answer.table_index = table_.index();
+  answer.route = request.route;
+  answer.expected = request.expected;
+  return answer;
+}
+
+RequestEnds& RouterCore::ends_of(const Request& request) {
+  const auto* found =
+      std::lower_bound(kTimeClasses.begin(), kTimeClasses.end(), request.time_brought);
+  return counters_.ends_by_time[static_cast<std::size_t>(found - kTimeClasses.begin())];
 }
 
 void RouterCore::finish(RequestHandle handle) {
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -7,6 +7,7 @@
 ///  - "Not run" is told only where no attempt may have run.
 ///  - Once the outcome is decided it is told at once.
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -169,6 +170,9 @@
   std::string service{};
   std::uint32_t attempts = 0;      ///< how often it was sent
   common::LogIndex table_index{};  ///< the table that decided it
+  std::string route{};
+  /// When an answer was expected, from the moment at which this was last looked at.
+  std::optional<Duration> expected{};
 };
 
 /// A header of an answer that says something of the back end, and that nothing here reads.
@@ -220,6 +224,19 @@
   }
 };
 
+/// How requests on routes have ended.
+struct RequestEnds {
+  std::uint64_t answered = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+};
+
+/// Upper ends of the classes in which requests on routes are counted by the time that they bring:
+/// the lesser of what their caller states and their route's timeout. One more class lies above.
+inline constexpr std::array<Duration, 4> kTimeClasses = {
+    std::chrono::milliseconds(500), std::chrono::milliseconds(1000),
+    std::chrono::milliseconds(2000), std::chrono::milliseconds(5000)};
+
 struct RouterCounters {
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
@@ -237,6 +254,7 @@
   std::uint64_t limit_refusals = 0;    ///< refused since the target's limit left no room
   std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
   std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
+  std::array<RequestEnds, kTimeClasses.size() + 1> ends_by_time{};
 };
 
 class RouterCore {
@@ -308,6 +326,9 @@
     Duration backoff{0};
     // Requests on routes only.
     bool routed = false;
+    std::string route;
+    Duration time_brought{0};
+    std::optional<Duration> expected;  ///< time until its answer, when last looked at
     std::uint32_t key = 0;
     std::uint32_t attempts = 0;  ///< targets it was sent to
     std::uint32_t maximum_attempts = 1;
@@ -401,6 +422,9 @@
   std::string service_name(const Request& request) const;
   void answer_not_run(const Request& request, routing::NotRunReason reason, Duration retry_after);
   void answer_unknown(const Request& request);
+  /// The parts of an answer that is not a back end's, for logs.
+  Answer own_answer(const Request& request, routing::Outcome outcome) const;
+  RequestEnds& ends_of(const Request& request);
   void finish(RequestHandle handle);
   void block(TimePoint now, BackendId backend);
   /// Notes that another incarnation answers at the back end's address. @param is_named it said
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -157,10 +157,12 @@
 }
 
 void RouterCore::on_route_request(TimePoint now, const CallerRequest& caller) {
+  std::string route_name;
   const auto refuse = [&](NotRunReason reason, bool never, Duration retry_after) {
     ++counters_.not_run;
     Answer answer{caller.handle, Outcome::kNotRun, 0, reason, never, retry_after};
     answer.table_index = table_.index();
+    answer.route = route_name;
     output_.answers.push_back(std::move(answer));
   };
   if (!has_routes()) {
@@ -179,6 +181,7 @@
     return is_final ? refuse(NotRunReason::kUnknownRoute, true, Duration(0))
                     : refuse(NotRunReason::kTableTooOld, false, kRetryAfterUnavailable);
   }
+  route_name = route->name;
   if (suspects_.is_blocked(now, caller.digest)) {
     ++counters_.crash_refusals;
     return refuse(NotRunReason::kCrashesTargets, false, options_.crashing_retry_after);
@@ -201,7 +204,9 @@
   request.maximum_attempts = route->maximum_attempts;
   const std::uint32_t stated = caller.timeout_ms > 0 ? caller.timeout_ms : config::kMaxTimeoutMs;
   const std::uint32_t allowed = route->timeout_ms > 0 ? route->timeout_ms : stated;
-  request.deadline = now + std::chrono::milliseconds(std::min(stated, allowed));
+  request.route = std::move(route_name);
+  request.time_brought = std::chrono::milliseconds(std::min(stated, allowed));
+  request.deadline = now + request.time_brought;
   const Duration objective = std::chrono::milliseconds(route->objective_ms);
   const Duration patience =
       route->objective_ms > 0 ? std::chrono::duration_cast<Duration>(objective * options_.patience)
@@ -262,7 +267,8 @@
   }
   const Duration left = request.deadline - now;
   const Duration usable = std::chrono::duration_cast<Duration>(left * options_.usable_time);
-  if (routed_service(request.service).targets.projected(now, *target) > usable) {
+  request.expected = routed_service(request.service).targets.projected(now, *target);
+  if (*request.expected > usable) {
     return wait_routed(now, request, NotRunReason::kOverload);
   }
   send_routed(now, request, *target);
@@ -376,6 +382,7 @@
       return dispatch_routed(now, request);
     }
     ++counters_.answered;
+    ++ends_of(request).answered;
     output_.answers.push_back(
         {attempt.handle, Outcome::kAnswered, id, NotRunReason::kNone, false, Duration(0)});
     return finish(attempt.handle);
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -102,7 +102,7 @@
 }
 
 void RequestLog::refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
-                         common::Duration took, std::optional<common::Duration> table_age) {
+                         const RefusalTimes& times) {
   if (!limit_.allows(now)) {
     return;
   }
@@ -113,10 +113,16 @@
              {"service", answer.service},
              {"key", key_text(read)},
              {"attempts", std::to_string(answer.attempts)},
-             {"took_ms", milliseconds_text(took)},
+             {"took_ms", milliseconds_text(times.took)},
+             {"route", answer.route},
+             {"stated_ms", std::to_string(read.request.timeout_ms)},
+             {"unread_ms", milliseconds_text(times.unread)},
+             {"expected_ms",
+              answer.expected.has_value() ? milliseconds_text(*answer.expected) : "unknown"},
              {"retry_after_ms", milliseconds_text(answer.retry_after)},
              {"table_index", std::to_string(answer.table_index.value)},
-             {"table_age_ms", table_age.has_value() ? milliseconds_text(*table_age) : "unknown"}});
+             {"table_age_ms",
+              times.table_age.has_value() ? milliseconds_text(*times.table_age) : "unknown"}});
 }
 
 void RequestLog::table_late(const LateUpdate& late) {
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -33,6 +33,14 @@
   common::Duration longest_turn{0};  ///< of this router's main loop since the line before
 };
 
+/// Times of a request that ends without a back end's answer.
+struct RefusalTimes {
+  common::Duration took{0};    ///< since it was read
+  common::Duration unread{0};  ///< from its first byte until it was read
+  /// Since the table was known to be up to date; nothing where it never was.
+  std::optional<common::Duration> table_age;
+};
+
 class RequestLog {
  public:
   /// Tells a late sender or way (`delay` is long, `longest_turn` short) from a late router.
@@ -49,10 +57,9 @@
   std::uint64_t unread_headers() const { return unread_headers_; }
   /// A back end names another limit than before, or none any more.
   void limit_changed(common::TimePoint now, const LimitChange& change);
-  /// The request ends without a back end's answer. @param table_age time since the table was known
-  /// to be up to date; nothing where it never was.
+  /// The request ends without a back end's answer.
   void refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
-               common::Duration took, std::optional<common::Duration> table_age);
+               const RefusalTimes& times);
 
  private:
   transport::LineLimit limit_;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -57,6 +57,8 @@
       core_(settings_.options, seeded_engine(), boot_time_now()),
       latency_(metrics_.latency_histogram("planktray_request_seconds",
                                           "Time from arrival to the caller's answer.")),
+      unread_(metrics_.latency_histogram(
+          "planktray_unread_seconds", "Time from a request's first byte until it has been read.")),
       reach_checker_(kReachDelay, kReachTimeout) {}
 
 common::Result<void> RouterProcess::start() {
@@ -275,6 +277,7 @@
     core_.on_caller_gone(handle);
     flush();
   });
+  unread_.Observe(std::chrono::duration<double>(caller.arrived - exchange->first_byte()).count());
   core_.on_request(boot_time_now(), caller.read.request);
   flush();
 }
@@ -479,7 +482,8 @@
     sent_.erase(sent);
     return;
   }
-  request_log_.refused(now, caller.read, answer, took, core_.freshness().age(now));
+  const common::Duration unread = caller.arrived - caller.exchange->first_byte();
+  request_log_.refused(now, caller.read, answer, {took, unread, core_.freshness().age(now)});
   dialect_->answer(*caller.exchange, caller.read, answer);
 }
 
@@ -552,9 +556,28 @@
   metrics_.set_counter("planktray_messages_refused_total",
                        "Damaged messages and foreign protocol versions.", refused);
   add_link_metrics();
+  add_time_metrics();
   return metrics_.serialize();
 }
 
+void RouterProcess::add_time_metrics() {
+  const auto& classes = core_.counters().ends_by_time;
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    const std::string name =
+        i < kTimeClasses.size()
+            ? "up_to_" + std::to_string(kTimeClasses.at(i) / std::chrono::milliseconds(1)) + "ms"
+            : "above";
+    const auto add = [&](const std::string& end, std::uint64_t total) {
+      metrics_.set_counter("planktray_time_brought_" + name + "_" + end + "_total",
+                           "Requests on routes by the time that they brought, and how they ended.",
+                           total);
+    };
+    add("answered", classes.at(i).answered);
+    add("not_run", classes.at(i).not_run);
+    add("unknown", classes.at(i).unknown);
+  }
+}
+
 void RouterProcess::add_link_metrics() {
   if (pacer_ == nullptr) {
     return;
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -100,6 +100,7 @@
   void continue_drain();
   std::string metrics_text();
   void add_link_metrics();
+  void add_time_metrics();
 
   RouterSettings settings_;
   std::unique_ptr<RequestDialect> dialect_;
@@ -110,6 +111,7 @@
   RouterCore core_;
   transport::Metrics metrics_;
   prometheus::Histogram& latency_;
+  prometheus::Histogram& unread_;
   std::unique_ptr<transport::LinkPacer> pacer_;  ///< none where the link's speed is not stated
   std::unique_ptr<transport::HttpServer> server_;
   std::unique_ptr<transport::HttpServer> status_server_;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -146,6 +146,7 @@
   /// A request that has come whole and whose answer was not written.
   struct PipelinedRequest {
     std::uint64_t number = 0;
+    common::TimePoint first_byte{};
     bool runs_beside_others = false;
     bool closes = false;  ///< its answer is the connection's last
     std::optional<HttpMessage> unstarted{};
@@ -158,7 +159,10 @@
     if (has_last_request_) {
       return;  // bytes behind the connection's last request count as not read
     }
-    const std::size_t taken = waiting_.empty() && may_read() ? read(bytes) : 0;
+    const std::size_t taken = waiting_.empty() && may_read() ? read(bytes, boot_time_now()) : 0;
+    if (waiting_.empty()) {
+      waiting_since_ = boot_time_now();
+    }
     waiting_.append(bytes.substr(taken));
     advance();
   }
@@ -215,17 +219,19 @@
       return false;
     }
     const std::string bytes = std::exchange(waiting_, {});
-    const std::size_t taken = read(bytes);
+    const std::size_t taken = read(bytes, waiting_since_);
     if (!has_last_request_) {
       waiting_.append(bytes, taken, std::string::npos);
     }
     return taken > 0;
   }
 
-  /// Reads up to the end of the present request. @return the bytes taken.
-  std::size_t read(std::string_view bytes) {
+  /// Reads up to the end of the present request. @param came when the bytes came.
+  /// @return the bytes taken.
+  std::size_t read(std::string_view bytes, common::TimePoint came) {
     if (!reader_.has_begun()) {
       since_ = boot_time_now();
+      first_byte_ = came;
       reader_.set_limits(server_.options().limits);
     }
     if (stream_->is_paced()) {
@@ -261,6 +267,7 @@
     owes_continue_ = false;
     PipelinedRequest next;
     next.number = next_number_++;
+    next.first_byte = first_byte_;
     next.closes = !request.keep_alive;
     next.runs_beside_others = server_.runs_beside_others_ && server_.runs_beside_others_(request);
     next.unstarted = std::move(request);
@@ -278,8 +285,8 @@
     if (!is_first && (!next.runs_beside_others || server_.closing_)) {
       return false;
     }
-    const auto exchange =
-        std::make_shared<HttpExchange>(weak_from_this(), next.number, std::move(*next.unstarted));
+    const auto exchange = std::make_shared<HttpExchange>(
+        weak_from_this(), next.number, std::move(*next.unstarted), next.first_byte);
     next.unstarted.reset();
     next.exchange = exchange;
     server_.handler_(exchange);
@@ -378,9 +385,11 @@
   HttpReader reader_;
   std::deque<PipelinedRequest> pipeline_;  ///< in the order in which they came
   std::uint64_t next_number_ = 1;
-  std::string waiting_;         ///< bytes of later requests; no more than one read of the socket
-  std::size_t held_bytes_ = 0;  ///< of answers that wait for those before them
-  common::TimePoint since_;     ///< last answer, or first byte of the present request
+  std::string waiting_;           ///< bytes of later requests; no more than one read of the socket
+  std::size_t held_bytes_ = 0;    ///< of answers that wait for those before them
+  common::TimePoint since_;       ///< last answer, or first byte of the present request
+  common::TimePoint first_byte_;  ///< of the request that is being read
+  common::TimePoint waiting_since_;  ///< when the first of the waiting bytes came
   bool advancing_ = false;
   bool writing_ = false;
   bool is_paused_ = false;
@@ -392,8 +401,11 @@
 // ---------------------------------------------------------------- exchange
 
 HttpExchange::HttpExchange(std::weak_ptr<ServerConnection> connection, std::uint64_t number,
-                           HttpMessage request)
-    : connection_(std::move(connection)), number_(number), request_(std::move(request)) {}
+                           HttpMessage request, common::TimePoint first_byte)
+    : connection_(std::move(connection)),
+      number_(number),
+      request_(std::move(request)),
+      first_byte_(first_byte) {}
 
 HttpExchange::~HttpExchange() {
   if (!answered_) {
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -33,8 +33,9 @@
 class HttpExchange {
  public:
   /// @param number place among the requests of its connection.
+  /// @param first_byte when its first byte came, or had to wait on the connection.
   HttpExchange(std::weak_ptr<ServerConnection> connection, std::uint64_t number,
-               HttpMessage request);
+               HttpMessage request, common::TimePoint first_byte);
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
   /// A handler that drops an exchange without an answer has failed: the client is told 500.
@@ -51,6 +52,8 @@
   }
   std::string_view body() const { return request_.body; }
   const HeaderList& headers() const { return request_.headers; }
+  /// When the request's first byte came. It may have waited unread behind others since then.
+  common::TimePoint first_byte() const { return first_byte_; }
 
   /// Answers; the length is stated here, `Connection` where it is needed.
   void respond(unsigned status, const HeaderList& headers, std::string_view body);
@@ -68,6 +71,7 @@
   std::weak_ptr<ServerConnection> connection_;
   std::uint64_t number_;
   HttpMessage request_;
+  common::TimePoint first_byte_;
   std::function<void()> gone_;
   bool answered_ = false;
 };
