--- /dev/null
+++ b/test/sim/overload_world_test.cpp
@@ -0,0 +1,59 @@
+/// What callers get of a service whose demand is above its room, by the time that they bring.
+
+#include "sim/overload_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace planktray::sim {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Callers of the first routes, callers who wait longer, and the few of a route that was added,
+/// who bring little time. All could be answered in time: work takes 240 ms on average.
+std::vector<CallerKind> kinds_by_time() {
+  return {{"first", 0.65, milliseconds(2000), 1200, 800, true},
+          {"patient", 0.30, milliseconds(3000), 2000, 1200, false},
+          {"added", 0.05, milliseconds(1000), 1200, 800, true}};
+}
+
+/// Equal within a fifth: what chance makes of some hundreds of requests.
+constexpr double kEqualShare = 0.8;
+
+void check_shares(const OverloadOptions& options) {
+  CAPTURE(options.routers);
+  CAPTURE(options.keyed);
+  CAPTURE(options.demand);
+  CAPTURE(options.skew);
+  const OverloadResult result = run_overload_world(options);
+  double most = 0;
+  for (const auto& [name, kind] : result.kinds) {
+    most = std::max(most, kind.share());
+  }
+  for (const auto& [name, kind] : result.kinds) {
+    CAPTURE(name);
+    CHECK(kind.share() >= kEqualShare * most);
+  }
+}
+
+// Guards against owners' queues that only callers with much time can bear: routes whose callers
+// bring little are not served.
+TEST_CASE("callers with little time get as much of a crowded service as those with more") {
+  for (const bool keyed : {true, false}) {
+    for (const std::size_t routers : {4U, 12U, 78U}) {
+      for (const double demand : {1.5, 3.0}) {
+        OverloadOptions options;
+        options.kinds = kinds_by_time();
+        options.keyed = keyed;
+        options.routers = routers;
+        options.demand = demand;
+        check_shares(options);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace planktray::sim
