Queues are bounded for all callers alike: by the leader at owners of keys, by routers elsewhere

What callers saw: routes that were added, whose callers bring about a second, were served 17 times of 238 where the first routes were 6921 times of 15741.

Cause: a request was sent wherever its answer was expected within 0.9 of its own time. At a service above its room, each owner's queue so grows until only those who bring the most time can bear it; they keep it full, and whoever brings less is refused or runs out of time. The class: admission to something shared that is judged by each caller's own patience.

Elsewhere, and without the leader's word, nothing is sent where an answer is expected after 0.65 of the shortest objective of the service's routes, and all requests of a service wait for a target equally long. A router that has not heard of queues for 3 s takes them for shrinking, or it would refuse for good. Time limits of a request itself stand as before.

Kept: the leader's bound for owners of keys, the common one elsewhere.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -8,6 +8,7 @@
 
 #include "leader_load.hpp"
 #include "limits.hpp"
+#include "overload.hpp"
 #include "slopes.hpp"
 
 int main(int argc, char** argv) {
@@ -28,7 +29,22 @@
   std::uint32_t limit_seconds = 4000;
   limits->add_option("--seconds", limit_seconds, "Simulated seconds of each run")
       ->check(CLI::PositiveNumber);
+  CLI::App* overload =
+      app.add_subcommand("overload", "What callers get of a service above its room");
+  planktray::bench::OverloadSize size;
+  overload->add_option("--routers", size.routers, "Routers")->check(CLI::PositiveNumber);
+  overload->add_option("--backends", size.backends, "Back ends")->check(CLI::PositiveNumber);
+  overload->add_option("--demand", size.demand, "Demand relative to room")
+      ->check(CLI::PositiveNumber);
+  overload->add_option("--skew", size.skew, "Requests at half of the owners relative to the rest")
+      ->check(CLI::PositiveNumber);
+  overload->add_option("--seconds", size.seconds, "Simulated seconds that count")
+      ->check(CLI::PositiveNumber);
   CLI11_PARSE(app, argc, argv);
+  if (overload->parsed()) {
+    planktray::bench::print_overload(size);
+    return 0;
+  }
   if (limits->parsed()) {
     for (const planktray::bench::LimitRun& run : planktray::bench::measure_limits(limit_seconds)) {
       std::printf(
--- /dev/null
+++ b/bench/overload.cpp
@@ -0,0 +1,64 @@
+#include "overload.hpp"
+
+#include <array>
+#include <cstdio>
+
+#include "sim/overload_world.hpp"
+
+namespace planktray::bench {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Way {
+  const char* name;
+  void (*apply)(sim::OverloadOptions& options);
+};
+
+constexpr std::array kWays = {
+    Way{"own time",
+        [](sim::OverloadOptions& options) {
+          options.router.queue_bound = 0;
+          options.router.crowded_owners.holds = false;
+        }},
+    Way{"common bound",
+        [](sim::OverloadOptions& options) { options.router.crowded_owners.holds = false; }},
+    Way{"leader", [](sim::OverloadOptions& /*options*/) {}},
+};
+
+void print_run(const char* way, const sim::OverloadOptions& options) {
+  const sim::OverloadResult result = sim::run_overload_world(options);
+  std::printf("%-14s %2zu routers %s demand %.1f skew %.1f: used %.2f, turned away %5llu", way,
+              options.routers, options.keyed ? "keys   " : "no keys", options.demand, options.skew,
+              result.used, static_cast<unsigned long long>(result.turned_away));
+  for (const auto& [name, kind] : result.kinds) {
+    const auto requests = static_cast<double>(kind.requests);
+    std::printf(" | %s %.2f + %.2f (%.2f)", name.c_str(), kind.share(),
+                static_cast<double>(kind.returned) / requests,
+                static_cast<double>(kind.in_objective) / requests);
+  }
+  std::printf("\n");
+}
+
+}  // namespace
+
+void print_overload(const OverloadSize& size) {
+  for (const bool keyed : {true, false}) {
+    for (const Way& way : kWays) {
+      sim::OverloadOptions options;
+      options.kinds = {{"first", 0.60, milliseconds(2000), 1200, 800, true},
+                       {"patient", 0.30, milliseconds(3000), 2000, 1200, false},
+                       {"added", 0.10, milliseconds(1000), 1200, 800, true}};
+      options.keyed = keyed;
+      options.routers = size.routers;
+      options.backends = size.backends;
+      options.demand = size.demand;
+      options.skew = keyed ? size.skew : 1.0;
+      options.length = std::chrono::seconds(size.seconds);
+      way.apply(options);
+      print_run(way.name, options);
+    }
+  }
+}
+
+}  // namespace planktray::bench
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -64,7 +64,10 @@
   ++counters_.hellos;
   distributor_.on_hello(now, hello);
   loads_.add(hello.loads);
-  ranges_.note_loads(hello);
+  ranges_.note_loads(now, hello);
+  if (auto crowded = ranges_.take_crowded()) {
+    distributor_.set_crowded(std::move(*crowded));
+  }
   if (auto limits = ranges_.note_limits(now, state_, hello)) {
     distributor_.set_limits(std::move(*limits));
   }
--- /dev/null
+++ b/src/controller/core/owner_admission.cpp
@@ -0,0 +1,79 @@
+#include "controller/core/owner_admission.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace planktray::controller {
+
+void OwnerAdmission::begin_term(common::TimePoint now) {
+  queues_.clear();
+  folded_at_ = now;
+}
+
+void OwnerAdmission::take(common::TimePoint now, const std::vector<routing::TargetTime>& times) {
+  for (const routing::TargetTime& report : times) {
+    Queue& queue = queues_[report.backend];
+    queue.answered += report.samples;
+    queue.reports += report.reports;
+    queue.waiting += report.waiting;
+    queue.heard = now;
+  }
+}
+
+void OwnerAdmission::fold(common::TimePoint now,
+                          const std::function<Owner(common::BackendId)>& owner_of) {
+  const double seconds = std::chrono::duration<double>(now - folded_at_).count();
+  if (seconds <= 0) {
+    return;
+  }
+  folded_at_ = now;
+  std::erase_if(queues_,
+                [&](const auto& item) { return now - item.second.heard > options_.memory; });
+  for (auto& [id, queue] : queues_) {
+    fold_queue(queue, seconds, owner_of(id));
+  }
+}
+
+void OwnerAdmission::fold_queue(Queue& queue, double seconds, const Owner& owner) const {
+  const double half_lives = seconds / std::chrono::duration<double>(options_.half_life).count();
+  const double taken = 1.0 - std::exp2(-half_lives);
+  if (queue.reports > 0) {
+    queue.length += taken * (static_cast<double>(queue.waiting) / queue.reports - queue.length);
+  }
+  queue.rate += taken * (queue.answered / seconds - queue.rate);
+  // With an empty queue the rate tells what was admitted, not what the owner can answer.
+  const bool is_busy = queue.length >= options_.busy_per_slot * owner.slots;
+  queue.capacity = is_busy ? queue.rate : std::max(queue.capacity, queue.rate);
+  queue.answered = 0;
+  queue.reports = 0;
+  queue.waiting = 0;
+  queue.is_crowded = queue.is_crowded || queue.length >= options_.crowded_per_slot * owner.slots;
+  if (!queue.is_crowded || owner.demand <= 0) {
+    queue.part = 1;
+    queue.is_crowded = false;
+    return;
+  }
+  const double excess = queue.length - options_.queue_per_slot * owner.slots;
+  const double settle_seconds = std::chrono::duration<double>(options_.settle_time).count();
+  const double wanted = queue.capacity - excess / settle_seconds;
+  queue.part = std::clamp(wanted / owner.demand, options_.least_part, 1.0);
+  queue.is_crowded = queue.part < 1.0 || excess > 0;
+}
+
+std::vector<routing::AdmittedPart> OwnerAdmission::told() const {
+  constexpr double kPermille = 1000.0;
+  std::vector<routing::AdmittedPart> parts;
+  for (const auto& [id, queue] : queues_) {
+    if (queue.part < 1.0) {
+      parts.push_back({id, static_cast<std::uint32_t>(std::lround(queue.part * kPermille))});
+    }
+  }
+  if (parts.size() > options_.most_told) {
+    std::sort(parts.begin(), parts.end(),
+              [](const auto& a, const auto& b) { return a.permille < b.permille; });
+    parts.resize(options_.most_told);
+  }
+  return parts;
+}
+
+}  // namespace planktray::controller
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -42,7 +42,8 @@
       planner_(with_noise_of(options.planner, options.load_half_life)),
       loads_(options.load_half_life),
       times_(options.speed_sample_weight),
-      limits_(options.limits) {}
+      limits_(options.limits),
+      admission_(options.admission) {}
 
 void RangeController::begin_term(TimePoint now, const CellState& state) {
   heartbeats_.begin_term(now);
@@ -50,6 +51,8 @@
   loads_.clear(now);
   times_.clear();
   limits_.begin_term();
+  admission_.begin_term(now);
+  crowded_.reset();
   next_limits_ = now;
   capacities_ = {};
   rested_at_ = now;
@@ -128,6 +131,26 @@
   });
 }
 
+void RangeController::fold_admission(TimePoint now, const CellState& state) {
+  std::map<common::BackendId, double> demands;
+  for (const auto& [id, service] : state.routed_services()) {
+    for (const auto& [first, range] : service.ranges.records()) {
+      demands[range.owner] += loads_.rate(id, range.keys);
+    }
+  }
+  admission_.fold(now, [&](common::BackendId id) -> OwnerAdmission::Owner {
+    const BackendRecord* backend = state.find_backend(id);
+    const auto demand = demands.find(id);
+    if (backend == nullptr || demand == demands.end()) {
+      return {};
+    }
+    return {demand->second, std::max<std::uint32_t>(1, backend->slots)};
+  });
+  if (loads_.covered() >= options_.demand_time) {
+    crowded_ = admission_.told();
+  }
+}
+
 std::set<common::PoolName> RangeController::mostly_warm(const CellState& state) const {
   std::map<common::PoolName, std::pair<std::size_t, std::size_t>> counts;  // cold, all
   for (const auto& [id, backend] : state.backends()) {
@@ -225,6 +248,7 @@
     next_balance_ = now + options_.balance_interval;
     loads_.fold(now);
     capacities_ = times_.capacities(state);
+    fold_admission(now, state);
     limits_.expire(now, [&](common::BackendId id) { return state.find_backend(id) != nullptr; });
   }
   planned_state_ = state.applied();
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -10,6 +10,7 @@
 
 #include "controller/core/fleet_limits.hpp"
 #include "controller/core/holder_answers.hpp"
+#include "controller/core/owner_admission.hpp"
 #include "membership/heartbeat_monitor.hpp"
 #include "ownership/cell_state.hpp"
 #include "ownership/grant_manager.hpp"
@@ -49,6 +50,7 @@
   /// after they came.
   Duration warmth_settle = std::chrono::milliseconds(400);
   FleetLimitsOptions limits;
+  OwnerAdmissionOptions admission;
   /// Part of a limit that all routers together plan to send.
   double admitted_share = 0.5;
   /// Part of a limit that its back end is given keys for. Below what is admitted, so that demand
@@ -74,9 +76,14 @@
     return answers_.abandon();
   }
 
-  void note_loads(const routing::RouterHello& hello) {
+  void note_loads(TimePoint now, const routing::RouterHello& hello) {
     loads_.add(hello.key_loads);
     times_.add(hello.target_times);
+    admission_.take(now, hello.target_times);
+  }
+  /// Owners whose queues are too long, where that was worked out anew since the last call.
+  std::optional<std::vector<routing::AdmittedPart>> take_crowded() {
+    return std::exchange(crowded_, std::nullopt);
   }
   /// Takes what a router has heard of limits that back ends name.
   /// @return what routers are to be told of limits, where it is time to work that out anew.
@@ -144,6 +151,8 @@
                    const ownership::BackendRecord& backend) const;
   /// Requests a second for the keys that the back end owns.
   double demand(const ownership::CellState& state, common::BackendId owner) const;
+  /// Works out anew which owners are crowded.
+  void fold_admission(TimePoint now, const ownership::CellState& state);
   FleetLimits::Told limits_told(const ownership::CellState& state) const;
   bool is_settled(TimePoint now, const ownership::CellState& state,
                   const ownership::RoutedServiceRecord& service);
@@ -161,6 +170,8 @@
   ownership::KeyLoads loads_;
   ownership::TargetTimes times_;
   FleetLimits limits_;
+  OwnerAdmission admission_;
+  std::optional<std::vector<routing::AdmittedPart>> crowded_;
   ownership::Capacities capacities_;  ///< as of the last fold of loads
   common::LogIndex planned_state_;
   TimePoint next_plan_;
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -22,6 +22,7 @@
   subscribers_.clear();
   limits_ = {{}, false};
   suspects_.clear();
+  crowded_.reset();
 }
 
 void TableDistributor::on_delta(routing::TableDelta delta) {
@@ -139,6 +140,10 @@
   update.limits = limits_.limits;
   update.limits_are_whole = limits_.is_whole;
   update.suspects = suspects_;
+  update.queues_are_known = crowded_.has_value();
+  if (crowded_.has_value()) {
+    update.crowded = *crowded_;
+  }
   update.router_rank = rank;
   update.router_count = static_cast<std::uint32_t>(subscribers_.size());
   update.hello_interval_ms = static_cast<std::uint32_t>(
--- a/src/ownership/target_times.cpp
+++ b/src/ownership/target_times.cpp
@@ -12,6 +12,9 @@
 
 void TargetTimes::add(const std::vector<routing::TargetTime>& times) {
   for (const routing::TargetTime& report : times) {
+    if (report.samples == 0) {
+      continue;
+    }
     const auto [found, is_new] = times_.try_emplace(report.backend, report.time_us);
     if (!is_new) {
       const double weight = std::min(kMostWeight, sample_weight_ * report.samples);
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -21,6 +21,7 @@
 #include "common/random.hpp"
 #include "common/time.hpp"
 #include "routing/crash_suspects.hpp"
+#include "routing/crowded_owners.hpp"
 #include "routing/fleet_size.hpp"
 #include "routing/leader_search.hpp"
 #include "routing/limited_targets.hpp"
@@ -63,6 +64,7 @@
   routing::TargetBookOptions targets;
   routing::RateShareOptions cold_limit;
   routing::LimitedTargetsOptions limited_targets;
+  routing::CrowdedOwnersOptions crowded_owners;
   routing::CrashSuspectsOptions crash_suspects;
   /// Told to callers whose request crashes its targets: nothing gets better soon.
   Duration crashing_retry_after = std::chrono::seconds(60);
@@ -78,6 +80,12 @@
   Duration default_patience = std::chrono::milliseconds(60);
   /// A request is refused where its answer is expected later than this part of the time it has.
   double usable_time = 0.9;
+  /// Nothing is sent where an answer is expected later than this part of the shortest objective
+  /// among the routes of the service: longer queues would serve only those callers who bring the
+  /// most time. 0: no such bound.
+  double queue_bound = 0.65;
+  /// A queue is not bounded below this many times the usual work time of its service.
+  double shortest_queue = 2.0;
   /// A back end whose address another incarnation answers at gets nothing for this long, unless the
   /// table drops it before. It ends with certainty, but the sign of it may have been misread: then
   /// this is what the mistake costs. Leaders give up a holder within a hold (9 s at most), so a
@@ -252,6 +260,7 @@
   std::uint64_t crash_refusals = 0;    ///< refused since it crashes its targets
   std::uint64_t crashes_seen = 0;      ///< back ends found to have ended with requests under way
   std::uint64_t limit_refusals = 0;    ///< refused since the target's limit left no room
+  std::uint64_t crowd_refusals = 0;    ///< refused since the owner's queue is too long
   std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
   std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
   std::array<RequestEnds, kTimeClasses.size() + 1> ends_by_time{};
@@ -302,6 +311,8 @@
   std::size_t blocked_requests(TimePoint now) const { return suspects_.blocked(now); }
   /// Targets that name a limit, as far as this router knows.
   std::size_t limited_targets() const { return limited_.count(); }
+  /// Owners of keys whose queues are too long, as the leader tells.
+  std::size_t crowded_owners(TimePoint now) const { return crowded_.count(now); }
   std::size_t in_flight() const { return attempts_.size(); }
   std::size_t waiting() const { return requests_.size() - attempts_.size(); }
   const RouterOptions& options() const { return options_; }
@@ -335,10 +346,12 @@
     bool repeat_owed = false;  ///< it has arrived: its next send is counted as a repeat
     TimePoint patience_until;  ///< it is refused where it cannot be sent before
     TimePoint not_before;      ///< an owner that refused it is not asked again before
-    /// Whether the limit of this owner leaves room for it; decided once for each owner.
+    /// Whether the limit and the queue of this owner leave room for it; decided once for each
+    /// owner.
     struct Admission {
       BackendId owner;
       bool admitted = true;
+      bool is_crowded = false;  ///< not admitted for the queue
     };
     std::optional<Admission> admission;
   };
@@ -385,6 +398,11 @@
   void on_route_request(TimePoint now, const CallerRequest& caller);
   void dispatch_routed(TimePoint now, Request& request);
   void send_routed(TimePoint now, Request& request, BackendId backend);
+  /// How long a request may wait for a target; the same for all requests of a service.
+  Duration patience(const config::Route& route, const routing::RoutedTableService& service) const;
+  /// The latest that an answer may be expected for a request to be sent.
+  Duration usable_time(TimePoint now, const Request& request,
+                       const routing::RoutedTableService& service);
   Duration retry_after(routing::NotRunReason reason);
   void wait_routed(TimePoint now, Request& request, routing::NotRunReason reason);
   void on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
@@ -404,7 +422,8 @@
   /// True where the back end is not cold, or bears one more request of this router.
   bool bears(TimePoint now, const routing::BackendRoute& backend,
              const routing::RoutedTableService& service);
-  /// True where the limit that the owner of the request's key names, if any, leaves room for it.
+  /// True where the owner of the request's key has room for it: by the limit that it names, if any,
+  /// and by its queue.
   bool is_admitted(TimePoint now, Request& request, BackendId owner);
   /// True where only limits that targets name keep the request from being sent.
   bool is_held_by_limits(TimePoint now, const Request& request,
@@ -490,6 +509,7 @@
   std::map<common::ServiceId, RoutedService> routed_;
   routing::RateShare cold_limit_;
   routing::LimitedTargets limited_;
+  routing::CrowdedOwners crowded_;
   routing::CrashSuspects suspects_;
   routing::FleetSize fleet_size_;
   std::map<common::ZoneName, TimePoint> evacuations_;        ///< when this router learnt of each
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -75,6 +75,10 @@
   if (request.admission.has_value() && request.admission->owner == owner) {
     return request.admission->admitted;
   }
+  if (!crowded_.admits(now, owner, random_)) {
+    request.admission = {owner, false, true};
+    return false;
+  }
   const std::optional<bool> admitted = limited_.admits(now, owner, random_);
   if (!admitted.has_value()) {
     return limited_.has_part(now, owner, fleet_size_.largest(), random_);
@@ -207,11 +211,7 @@
   request.route = std::move(route_name);
   request.time_brought = std::chrono::milliseconds(std::min(stated, allowed));
   request.deadline = now + request.time_brought;
-  const Duration objective = std::chrono::milliseconds(route->objective_ms);
-  const Duration patience =
-      route->objective_ms > 0 ? std::chrono::duration_cast<Duration>(objective * options_.patience)
-                              : options_.default_patience;
-  request.patience_until = std::min(now + patience, request.deadline);
+  request.patience_until = std::min(now + patience(*route, *service), request.deadline);
   routed_service(request.service).retries.on_request(now);
   if (request.keyed) {
     ++key_loads_[{request.service, request.key}];
@@ -258,6 +258,10 @@
     const routing::BackendRoute* route = table_.find_backend(owner);
     const bool ownerless = request.keyed && (route == nullptr || has_ended(now, owner) ||
                                              is_closed(now, *route, request.keyed));
+    if (!ownerless && request.admission.has_value() && request.admission->is_crowded) {
+      ++counters_.crowd_refusals;
+      return answer_not_run(request, NotRunReason::kOverload, retry_after(NotRunReason::kOverload));
+    }
     if (!ownerless && is_held_by_limits(now, request, *service)) {
       ++counters_.limit_refusals;
       return answer_not_run(request, NotRunReason::kTargetLimit,
@@ -265,15 +269,42 @@
     }
     return wait_routed(now, request, ownerless ? NotRunReason::kNoOwner : NotRunReason::kNoTarget);
   }
-  const Duration left = request.deadline - now;
-  const Duration usable = std::chrono::duration_cast<Duration>(left * options_.usable_time);
   request.expected = routed_service(request.service).targets.projected(now, *target);
-  if (*request.expected > usable) {
+  if (*request.expected > usable_time(now, request, *service)) {
     return wait_routed(now, request, NotRunReason::kOverload);
   }
   send_routed(now, request, *target);
 }
 
+Duration RouterCore::patience(const config::Route& route,
+                              const routing::RoutedTableService& service) const {
+  std::optional<Duration> objective = service.shortest_objective;
+  if (options_.queue_bound <= 0) {
+    const Duration own = std::chrono::milliseconds(route.objective_ms);
+    objective = own.count() > 0 ? std::optional(own) : std::nullopt;
+  }
+  return objective.has_value()
+             ? std::chrono::duration_cast<Duration>(*objective * options_.patience)
+             : options_.default_patience;
+}
+
+Duration RouterCore::usable_time(TimePoint now, const Request& request,
+                                 const routing::RoutedTableService& service) {
+  const auto part = [](Duration whole, double share) {
+    return std::chrono::duration_cast<Duration>(whole * share);
+  };
+  const Duration own = part(request.deadline - now, options_.usable_time);
+  const bool is_bounded_by_leader = request.keyed && crowded_.is_told(now);
+  if (options_.queue_bound <= 0 || is_bounded_by_leader ||
+      !service.shortest_objective.has_value()) {
+    return own;
+  }
+  const Duration least =
+      part(routed_service(request.service).targets.typical_time(), options_.shortest_queue);
+  const Duration common = part(*service.shortest_objective, options_.queue_bound);
+  return std::min(own, std::max(common, least));
+}
+
 bool RouterCore::has_connection(const Request& request, BackendId backend,
                                 const routing::RoutedTableService& service) {
   const std::uint32_t all = service.route.config.connections;
@@ -392,6 +423,9 @@
   switch (result.end) {
     case AttemptEnd::kRefused:
       ++counters_.refusals;
+      if (result.load.has_value() && result.refusal != Refusal::kWrongIncarnation) {
+        book.on_refused(attempt.backend, *result.load);
+      }
       if (result.refusal == Refusal::kExpired) {
         return answer_not_run(request, NotRunReason::kDeadline, Duration(0));
       }
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -99,6 +99,9 @@
   if (update.echo_clock_us > 0) {
     limited_.on_told(now, common::from_microseconds(update.echo_clock_us), update.limits,
                      update.limits_are_whole);
+    if (update.queues_are_known) {
+      crowded_.on_told(now, update.crowded);
+    }
     suspects_.on_told(now, common::from_microseconds(update.echo_clock_us), update.term,
                       update.suspects);
   }
@@ -229,8 +232,9 @@
       continue;  // only owners of keys are chosen by the leader
     }
     service.targets.take_samples([&](BackendId backend, const routing::WorkSamples& samples) {
-      hello.target_times.push_back(
-          {backend, static_cast<std::uint32_t>(samples.sum_us / samples.count), samples.count});
+      const double mean_us = samples.count > 0 ? samples.sum_us / samples.count : 0;
+      hello.target_times.push_back({backend, static_cast<std::uint32_t>(mean_us), samples.count,
+                                    samples.reports, samples.waiting});
     });
   }
 }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -507,6 +507,12 @@
   metrics_.set_gauge("planktray_blocked_requests",
                      "Different requests that are refused since they crash their targets.",
                      static_cast<double>(core_.blocked_requests(boot_time_now())));
+  metrics_.set_counter("planktray_crowd_refusals_total",
+                       "Requests on routes refused since the queue of their key's owner is long.",
+                       counters.crowd_refusals);
+  metrics_.set_gauge("planktray_crowded_owners",
+                     "Owners of keys of whose requests only a part is sent.",
+                     static_cast<double>(core_.crowded_owners(boot_time_now())));
   metrics_.set_counter("planktray_limit_refusals_total",
                        "Requests on routes refused since limits that back ends name left no room.",
                        counters.limit_refusals);
@@ -563,18 +569,20 @@
 void RouterProcess::add_time_metrics() {
   const auto& classes = core_.counters().ends_by_time;
   for (std::size_t i = 0; i < classes.size(); ++i) {
-    const std::string name =
-        i < kTimeClasses.size()
-            ? "up_to_" + std::to_string(kTimeClasses.at(i) / std::chrono::milliseconds(1)) + "ms"
-            : "above";
-    const auto add = [&](const std::string& end, std::uint64_t total) {
-      metrics_.set_counter("planktray_time_brought_" + name + "_" + end + "_total",
+    std::string name = "planktray_time_brought_above_";
+    if (i < kTimeClasses.size()) {
+      name = "planktray_time_brought_up_to_";
+      name += std::to_string(kTimeClasses.at(i) / std::chrono::milliseconds(1));
+      name += "ms_";
+    }
+    const auto add = [&](const char* end, std::uint64_t total) {
+      metrics_.set_counter(name + end,
                            "Requests on routes by the time that they brought, and how they ended.",
                            total);
     };
-    add("answered", classes.at(i).answered);
-    add("not_run", classes.at(i).not_run);
-    add("unknown", classes.at(i).unknown);
+    add("answered_total", classes.at(i).answered);
+    add("not_run_total", classes.at(i).not_run);
+    add("unknown_total", classes.at(i).unknown);
   }
 }
 
--- /dev/null
+++ b/src/routing/crowded_owners.cpp
@@ -0,0 +1,31 @@
+#include "routing/crowded_owners.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace planktray::routing {
+
+void CrowdedOwners::on_told(common::TimePoint now, const std::vector<AdmittedPart>& parts) {
+  constexpr double kPermille = 1000.0;
+  told_until_ = now + options_.lease;
+  std::unordered_map<BackendId, Owner> before = std::exchange(owners_, {});
+  for (const AdmittedPart& told : parts) {
+    Owner& owner = owners_[told.backend];
+    owner = before[told.backend];
+    owner.part = std::min(1.0, told.permille / kPermille);
+  }
+}
+
+bool CrowdedOwners::is_crowded(common::TimePoint now, BackendId owner) const {
+  return is_told(now) && owners_.contains(owner);
+}
+
+bool CrowdedOwners::admits(common::TimePoint now, BackendId owner, common::RandomEngine& random) {
+  const auto found = owners_.find(owner);
+  if (!is_told(now) || found == owners_.end()) {
+    return true;
+  }
+  return found->second.admitted.admits(found->second.part, random);
+}
+
+}  // namespace planktray::routing
--- a/src/routing/limited_targets.cpp
+++ b/src/routing/limited_targets.cpp
@@ -73,14 +73,10 @@
   }
   Target& target = targets_.at(owner);
   if (now >= target.admission_until) {
-    target.credit.reset();
+    target.admitted.reset();
     return std::nullopt;
   }
-  // One in every 1 / admission, from a random one on: as even as it can be, and routers differ.
-  target.credit = target.credit.value_or(common::uniform_real(random)) + target.admission;
-  const bool admitted = *target.credit >= 1;
-  *target.credit -= admitted ? 1 : 0;
-  return admitted;
+  return target.admitted.admits(target.admission, random);
 }
 
 bool LimitedTargets::has_part(common::TimePoint now, BackendId target, std::uint32_t routers,
--- a/src/routing/limited_targets.hpp
+++ b/src/routing/limited_targets.hpp
@@ -22,6 +22,7 @@
 #include "common/ids.hpp"
 #include "common/random.hpp"
 #include "common/time.hpp"
+#include "routing/even_share.hpp"
 #include "routing/rate_share.hpp"
 #include "routing/table_messages.hpp"
 
@@ -88,7 +89,7 @@
     std::optional<common::TimePoint> reported;  ///< since when hellos say what holds now
     double admission = 1;
     common::TimePoint admission_until;
-    std::optional<double> credit;  ///< parts of requests admitted and not sent yet, below 1
+    EvenShare admitted;
   };
 
   double planned_rate(const Target& target) const;
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -86,6 +86,31 @@
   if (targets_changed) {
     list_targets(backends);
   }
+  const bool routes_changed = delta.is_snapshot || !delta.routes.empty() ||
+                              !delta.removed_routes.empty() || !delta.routed_services.empty();
+  if (routes_changed) {
+    find_shortest_objectives();
+  }
+}
+
+void RouteTable::find_shortest_objectives() {
+  for (auto& [id, service] : services_) {
+    service.shortest_objective.reset();
+  }
+  for (const auto& [name, route] : routes_) {
+    const std::uint32_t stated_ms = route.objective_ms > 0 ? route.objective_ms : route.timeout_ms;
+    if (stated_ms == 0) {
+      continue;
+    }
+    const common::Duration stated = std::chrono::milliseconds(stated_ms);
+    for (const config::RoutePart& part : route.parts) {
+      const auto service = service_ids_.find(part.service.value);
+      if (service != service_ids_.end()) {
+        auto& shortest = services_.at(service->second).shortest_objective;
+        shortest = std::min(shortest.value_or(stated), stated);
+      }
+    }
+  }
 }
 
 void RouteTable::remove_route(const std::string& name) {
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "common/time.hpp"
 #include "routing/table_messages.hpp"
 
 namespace planktray::routing {
@@ -18,6 +20,9 @@
 struct RoutedTableService {
   RoutedServiceRoute route;
   std::vector<BackendId> targets;  ///< in the order of their ids
+  /// The shortest objective of the routes that lead here, the timeout of those without one;
+  /// nothing where none has either.
+  std::optional<common::Duration> shortest_objective;
 };
 
 /// The owners of a service's keys, as disjoint ranges.
@@ -57,6 +62,7 @@
   void remove_route(const std::string& name);
   void put_route(const config::Route& route);
   void list_targets(const std::unordered_map<BackendId, BackendRoute>& backends);
+  void find_shortest_objectives();
 
   std::map<std::string, config::Route> routes_;  ///< by name
   /// Route names of one host by path prefix. Hosts that differ in case or port only may hold the
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -129,12 +129,15 @@
   MSGPACK_DEFINE_ARRAY(service, key, requests)
 };
 
-/// How long a router's requests took at one back end since its last report, without waiting there.
+/// How long a router's requests took at one back end since its last report, without waiting there,
+/// and what the back end said of its queue meanwhile.
 struct TargetTime {
   BackendId backend;
-  std::uint32_t time_us = 0;  ///< mean
-  std::uint32_t samples = 0;
-  MSGPACK_DEFINE_ARRAY(backend, time_us, samples)
+  std::uint32_t time_us = 0;  ///< mean; 0 where nothing was answered
+  std::uint32_t samples = 0;  ///< answered requests
+  std::uint32_t reports = 0;  ///< answers and refusals that told the queue
+  std::uint32_t waiting = 0;  ///< sum over the reports of requests that waited there
+  MSGPACK_DEFINE_ARRAY(backend, time_us, samples, reports, waiting)
 };
 
 /// Limits named in one hello or update at most.
@@ -160,6 +163,17 @@
   MSGPACK_DEFINE_ARRAY(backend, per_second, has_admission, admission)
 };
 
+/// Crowded owners named in one update at most.
+inline constexpr std::size_t kMostCrowded = 256;
+
+/// An owner of keys whose queue is too long: the part of the requests for its keys that each router
+/// may send.
+struct AdmittedPart {
+  BackendId backend;
+  std::uint32_t permille = 1000;
+  MSGPACK_DEFINE_ARRAY(backend, permille)
+};
+
 /// Requests that crash their targets named in one update, and crashes in one hello, at most.
 inline constexpr std::size_t kMostSuspects = 64;
 
@@ -241,9 +255,12 @@
   bool limits_are_whole = false;
   /// Not from followers.
   std::vector<SuspectRequest> suspects;
+  /// All other owners are not crowded, where queues are known; never from followers.
+  std::vector<AdmittedPart> crowded;
+  bool queues_are_known = false;
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
                        router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower, limits,
-                       limits_are_whole, suspects)
+                       limits_are_whole, suspects, crowded, queues_are_known)
 };
 
 /// Follower to router, in place of an answer to its hello: where the controllers of the cell are.
--- a/src/routing/target_book.cpp
+++ b/src/routing/target_book.cpp
@@ -62,16 +62,29 @@
   target.usual_others += 2 * options_.weight * (target.others - target.usual_others);
   target.pace = std::max(report.work_time_percent.value_or(100U), 1U) / kPercent;
   target.reported_at = now;
+  ++target.samples.reports;
+  target.samples.waiting += report.waiting;
   target.slots = report.slots > 0 ? report.slots : target.slots;
   typical_.others += options_.weight / 4 * (target.others - typical_.others);
   typical_.pace += options_.weight / 4 * (target.pace - typical_.pace);
+  typical_at_ = now;
+}
+
+void TargetBook::on_refused(BackendId id, const LoadReport& report) {
+  WorkSamples& samples = targets_[id].samples;
+  ++samples.reports;
+  samples.waiting += report.waiting;
 }
 
 TargetBook::Belief TargetBook::belief(TimePoint now, const TargetView& target) const {
   const double half_lives = to_us(now - target.reported_at) / to_us(options_.report_half);
   const double kept = std::exp2(-half_lives);
-  return {typical_.others + kept * (target.others - typical_.others),
-          typical_.pace + kept * (target.pace - typical_.pace)};
+  const Duration unheard =
+      std::max<Duration>(Duration(0), now - typical_at_ - options_.typical_hold);
+  const double heard = std::exp2(-to_us(unheard) / to_us(options_.typical_half));
+  const Belief usual{typical_.others * heard, 1.0 + (typical_.pace - 1.0) * heard};
+  return {usual.others + kept * (target.others - usual.others),
+          usual.pace + kept * (target.pace - usual.pace)};
 }
 
 void TargetBook::on_ended(BackendId id, TimePoint sent) {
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -37,6 +37,11 @@
   /// After this time a load report counts half against what is usual at the book's targets. Work
   /// takes some hundreds of milliseconds, and how fast it goes changes several times a second.
   Duration report_half = std::chrono::milliseconds(400);
+  /// Without any report for `typical_hold`, what is usual at the book's targets counts half after
+  /// each `typical_half` more: a router that sends nothing since all seem full would never hear
+  /// that they are not.
+  Duration typical_hold = std::chrono::milliseconds(3000);
+  Duration typical_half = std::chrono::milliseconds(1000);
   /// A target is avoided this long after a failure; doubles with each more, up to the maximum.
   Duration minimum_block = std::chrono::milliseconds(100);
   Duration maximum_block = std::chrono::milliseconds(1600);
@@ -44,10 +49,14 @@
   double cold_factor = 2.0;
 };
 
-/// Work times since the last report.
+/// Work times and queues since the last report.
 struct WorkSamples {
   double sum_us = 0;
   std::uint32_t count = 0;
+  std::uint32_t reports = 0;  ///< that told the queue
+  std::uint32_t waiting = 0;  ///< sum over these
+
+  bool empty() const { return count == 0 && reports == 0; }
 };
 
 struct TargetView {
@@ -85,6 +94,8 @@
   /// The request sent at `sent` was answered; `report` where the answer carried one.
   void on_answered(TimePoint now, BackendId id, TimePoint sent,
                    const std::optional<LoadReport>& report);
+  /// A refusal of the target told its load.
+  void on_refused(BackendId id, const LoadReport& report);
   /// The request has ended without an answer that tells the target's speed.
   void on_ended(BackendId id, TimePoint sent);
   /// The target failed: it is avoided for a while.
@@ -95,11 +106,16 @@
   /// Expected time until an answer to a request sent now.
   Duration projected(TimePoint now, BackendId id) const;
   const TargetView* find(BackendId id) const;
+  /// How long work usually takes at the book's targets.
+  Duration typical_time() const {
+    return typical_us_ > 0 ? Duration(static_cast<Duration::rep>(typical_us_))
+                           : options_.initial_time;
+  }
   /// Hands out the work times since the last call, by `take(id, samples)`.
   template <typename Take>
   void take_samples(const Take& take) {
     for (auto& [id, target] : targets_) {
-      if (target.samples.count > 0) {
+      if (!target.samples.empty()) {
         take(id, std::exchange(target.samples, {}));
       }
     }
@@ -119,6 +135,7 @@
   std::unordered_map<BackendId, TargetView> targets_;
   double typical_us_ = 0;  ///< smoothed time over all targets of the book
   Belief typical_;         ///< smoothed over all reports
+  TimePoint typical_at_;   ///< of the last of them
 };
 
 }  // namespace planktray::routing
--- /dev/null
+++ b/test/controller/owner_admission_test.cpp
@@ -0,0 +1,103 @@
+/// Which part of the requests for an owner's keys the leader lets routers send.
+
+#include "controller/core/owner_admission.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace planktray::controller {
+namespace {
+
+using common::BackendId;
+using common::TimePoint;
+using std::chrono::milliseconds;
+
+const BackendId kOwner{7};
+constexpr std::uint32_t kSlots = 4;
+
+TimePoint at(int ms) { return TimePoint(std::chrono::seconds(100)) + milliseconds(ms); }
+
+/// An owner that answers up to `capacity` requests a second, and whose queue holds the rest.
+class Owner {
+ public:
+  Owner(double demand, double capacity) : demand_(demand), capacity_(capacity) {}
+
+  /// Runs in folds of 300 ms. @param limit of the queue.
+  void run(int folds, double limit = 16) {
+    constexpr double kFold = 0.3;
+    for (int i = 0; i < folds; ++i) {
+      now_ms_ += 300;
+      const double sent = demand_ * part();
+      const double answered = std::min(capacity_, sent + queue_ / kFold);
+      queue_ = std::clamp(queue_ + (sent - answered) * kFold, 0.0, limit);
+      routing::TargetTime time{kOwner, 100'000};
+      time.samples = static_cast<std::uint32_t>(std::lround(answered * kFold));
+      time.reports = time.samples;
+      time.waiting = static_cast<std::uint32_t>(std::lround(queue_ * time.reports));
+      admission_.take(at(now_ms_), {time});
+      admission_.fold(at(now_ms_), [this](BackendId /*id*/) {
+        return OwnerAdmission::Owner{demand_, kSlots};
+      });
+    }
+  }
+  double part() const {
+    const auto told = admission_.told();
+    return told.empty() ? 1.0 : told.front().permille / 1000.0;
+  }
+  double queue() const { return queue_; }
+  void set_demand(double demand) { demand_ = demand; }
+
+ private:
+  OwnerAdmission admission_{OwnerAdmissionOptions()};
+  double demand_;
+  double capacity_;
+  double queue_ = 0;
+  int now_ms_ = 0;
+};
+
+TEST_CASE("an owner that keeps up gets everything") {
+  Owner owner(15, 16);
+  owner.run(30);
+  CHECK(owner.part() == 1.0);
+}
+
+// Guards against a queue that stays full for as long as demand lasts.
+TEST_CASE("the queue of a crowded owner comes down and the owner stays busy") {
+  Owner owner(32, 16);
+  owner.run(40);
+  CHECK(owner.queue() <= 2.0 * kSlots);
+  CHECK(owner.queue() > 0);
+  CHECK(owner.part() == doctest::Approx(0.5).epsilon(0.2));
+}
+
+TEST_CASE("a crowded owner gets everything again once demand has fallen") {
+  Owner owner(48, 16);
+  owner.run(30);
+  CHECK(owner.part() < 0.6);
+  owner.set_demand(8);
+  owner.run(20);
+  CHECK(owner.part() == 1.0);
+}
+
+TEST_CASE("some requests are admitted however long the queue is") {
+  Owner owner(1000, 1);
+  owner.run(30, 400);
+  CHECK(owner.part() >= OwnerAdmissionOptions().least_part);
+}
+
+TEST_CASE("an owner that nobody hears of is forgotten") {
+  OwnerAdmission admission{OwnerAdmissionOptions()};
+  const auto owner_of = [](BackendId /*id*/) { return OwnerAdmission::Owner{40, kSlots}; };
+  for (int ms = 300; ms <= 3000; ms += 300) {
+    admission.take(at(ms), {{kOwner, 100'000, 4, 4, 64}});
+    admission.fold(at(ms), owner_of);
+  }
+  CHECK(admission.told().size() == 1);
+  admission.fold(at(8000), owner_of);
+  CHECK(admission.told().empty());
+}
+
+}  // namespace
+}  // namespace planktray::controller
--- a/test/routing/target_book_test.cpp
+++ b/test/routing/target_book_test.cpp
@@ -52,6 +52,17 @@
   CHECK(fixture.projected(11'000, fixture.near) < fixture.projected(11'000, fixture.far) * 3 / 2);
 }
 
+// Guards against routers that send nothing for good since all targets once seemed full.
+TEST_CASE("queues that nobody has heard of for long are taken for gone") {
+  Fixture fixture;
+  for (int i = 0; i < 200; ++i) {
+    fixture.answer(i * 10, fixture.near, LoadReport{kSlots, 30, kSlots});
+    fixture.answer(i * 10, fixture.far, LoadReport{kSlots, 30, kSlots});
+  }
+  CHECK(fixture.projected(2000, fixture.near) > milliseconds(90));
+  CHECK(fixture.projected(12'000, fixture.near) < milliseconds(30));
+}
+
 TEST_CASE("what a target does not tell is taken as usual") {
   Fixture fixture;
   fixture.answer(0, fixture.near, std::nullopt);
