A comment stands again above the function that it speaks of

Found when reading the change once more: set_crowded had been put between set_suspects and its comment. Nothing else is changed; the tests build, and those on crowded owners, hellos and updates pass.

--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -89,9 +89,9 @@
   void on_hello(common::TimePoint now, const routing::RouterHello& hello);
   /// What every update says of limits that back ends name, from now on.
   void set_limits(FleetLimits::Told limits) { limits_ = std::move(limits); }
-  /// What every update says of requests that crash their targets, from now on.
   /// The same for owners whose queues are too long; in this term it is known from now on.
   void set_crowded(std::vector<routing::AdmittedPart> crowded) { crowded_ = std::move(crowded); }
+  /// What every update says of requests that crash their targets, from now on.
   void set_suspects(std::vector<routing::SuspectRequest> suspects) {
     suspects_ = std::move(suspects);
   }
