--- a/src/sim/route_world.cpp
+++ b/src/sim/route_world.cpp
@@ -126,7 +126,8 @@
     std::unique_ptr<router::RouterCore> core;
     TimePoint cut_until;
     TimePoint in_touch_since;
-    std::uint64_t life = 0;  ///< replies to an earlier life are lost
+    std::uint64_t life = 0;          ///< replies to an earlier life are lost
+    std::int64_t read_clock_us = 0;  ///< of its newest hello that the present leader has read
   };
   /// What was seen of one request.
   struct Story {
@@ -373,6 +374,7 @@
     node.core = std::make_unique<router::RouterCore>(
         options, common::RandomEngine(options_.seed + ++lives_), now_);
     node.life = lives_;
+    node.read_clock_us = 0;
     node.in_touch_since = now_;
   }
 
@@ -388,7 +390,7 @@
       }
       routing::TableUpdate update;
       update.cell = options_.router.cell;
-      update.echo_clock_us = common::to_microseconds(now_);
+      update.echo_clock_us = node.read_clock_us;
       update.router_rank = static_cast<std::uint32_t>(i);
       update.router_count = static_cast<std::uint32_t>(nodes_.size());
       update.term = common::Term(term_);
@@ -412,6 +414,9 @@
     next_leader_ = now_ + milliseconds(common::uniform(crash_random_, 8000, 20'000));
     ++term_;
     suspects_.begin_term();
+    for (Node& node : nodes_) {
+      node.read_clock_us = 0;
+    }
     next_tables_ = now_ + milliseconds(common::uniform(crash_random_, 400, 1200));
     leader_since_ = next_tables_;
   }
@@ -515,7 +520,10 @@
         after(kOneWay, [this, place, life = node.life, forward] { arrive(place, life, forward); });
       }
       if (output.hello.has_value() && now_ >= node.cut_until) {
-        after(kOneWay, [this, hello = *output.hello] { (void)suspects_.take(now_, hello); });
+        after(kOneWay, [this, &node, life = node.life, hello = *output.hello] {
+          (void)suspects_.take(now_, hello);
+          node.read_clock_us = node.life == life ? hello.clock_us : node.read_clock_us;
+        });
         for (const BackendId id : output.hello->ended) {
           after(kCommitTime, [this, id] { drop_owner(id); });
         }
