--- a/src/ownership/target_times.hpp
+++ b/src/ownership/target_times.hpp
@@ -36,8 +36,16 @@
  private:
   static constexpr double kMostSpread = 4.0;
 
+  struct Measured {
+    double time_us = 0;  ///< smoothed
+    double samples = 0;  ///< so far
+  };
+
+  /// The measured time, drawn towards the typical one while samples are few.
+  static double drawn_to(const Measured& measured, double typical);
+
   double sample_weight_;
-  std::map<common::BackendId, double> times_;  ///< smoothed, in microseconds
+  std::map<common::BackendId, Measured> times_;
 };
 
 }  // namespace planktray::ownership
