--- a/src/ownership/range_planner.cpp
+++ b/src/ownership/range_planner.cpp
@@ -94,7 +94,8 @@
   const auto segment =
       std::find_if(work.segments().begin(), work.segments().end(),
                    [&](const Segment& candidate) { return candidate.keys.contains(key); });
-  if (hottest.rate <= options_.dominant_share * work.level() || segment == work.segments().end() ||
+  const double least = std::max(options_.dominant_share * work.level(), telling_load());
+  if (hottest.rate <= least || segment == work.segments().end() ||
       !work.is_target(segment->owner)) {
     return;
   }
@@ -214,8 +215,9 @@
     const double room = level * lightest->second.capacity - lightest->second.load;
     const double wanted = std::min(excess, room);
     const bool is_bounded = heaviest->second.most_load.has_value();
-    const double least = options_.smallest_gain * level *
-                         (is_bounded ? std::min(1.0, heaviest->second.capacity) : 1.0);
+    const double gain = options_.smallest_gain * level *
+                        (is_bounded ? std::min(1.0, heaviest->second.capacity) : 1.0);
+    const double least = std::max(gain, telling_load());
     auto part = wanted > least ? work.part_of(heaviest->first, wanted) : std::nullopt;
     if (!part.has_value() && is_bounded && wanted > least) {
       part = work.part_of(heaviest->first, heaviest->second.load);  // one key is too much for it
--- a/src/ownership/range_planner.hpp
+++ b/src/ownership/range_planner.hpp
@@ -25,6 +25,10 @@
   double noise_rate = 0.43;
   /// A move must shift at least this part of a target's share.
   double smallest_gain = 0.15;
+  /// Nor less than what so many requests weigh in the smoothed loads, nor is a key with less
+  /// dominant: with fewer, a move follows chance, and costs the time in which its keys have no
+  /// owner.
+  double telling_requests = 4.0;
   /// A key with this many times a target's share is dominant: it gets a target for itself.
   double dominant_share = 1.6;
   /// A dominant key moves to a target that is faster by this factor.
@@ -79,6 +83,10 @@
   /// Fewer ranges cost fewer renewals.
   void join_neighbours(const Workspace& work, ApplyRangePlan& plan) const;
 
+  /// The least load that is no chance, in requests a second. One request adds twice the variance
+  /// per load to a load that is smoothed by a half-life.
+  double telling_load() const { return options_.telling_requests * 2 * options_.noise_rate; }
+
   RangePlannerOptions options_;
 };
 
--- a/test/ownership/range_planner_test.cpp
+++ b/test/ownership/range_planner_test.cpp
@@ -156,6 +156,24 @@
   CHECK(fixture.plan(true).empty());
 }
 
+// Guards against moves that follow chance: in the first moments of a leader's loads each key was
+// asked for once at most, and dozens of single keys moved, each without an owner for a while.
+TEST_CASE("keys that were asked for once are no reason to move them") {
+  Fixture fixture(8);
+  fixture.settle(false);
+  const std::map<std::uint32_t, RangeRecord> before = fixture.ranges();
+  const KeyRange first = before.begin()->second.keys;
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    fixture.report(first.first + 100 * i, first.first + 100 * i, 1);
+  }
+  fixture.time += 300;
+  fixture.loads.fold(at(fixture.time));
+  CHECK(fixture.plan(true).moves.empty());
+  fixture.report(first.first, first.first + 99, 2);
+  fixture.fold();
+  CHECK_FALSE(fixture.plan(true).moves.empty());
+}
+
 TEST_CASE("a dense cluster of busy keys is spread, and few keys move") {
   Fixture fixture(10);
   fixture.settle(false);
