After a start of all machines: connections are tried anew after 250 ms, callers are told times of their own

Cause: routers served 1.008 s after their own start, all of them, though a leader stood 0.3 s before: the first connection to a controller whose machine is not up gets no answer, the system repeats its opening packet after a second, and the attempt was given up after 700 ms only. Callers refused meanwhile were told 1,000 ms, all the same. Now 250 ms, and 500 to 1,000 ms. A CallerRequest has a header of its own, which router_core.hpp no longer holds.

--- /dev/null
+++ b/src/router/core/caller_request.hpp
@@ -0,0 +1,32 @@
+#pragma once
+/// A caller's request as the router's shell hands it to the router's decisions.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "common/ids.hpp"
+#include "routing/crash_ledger.hpp"
+
+namespace planktray::router {
+
+/// Identity of a request inside this router.
+using RequestHandle = std::uint64_t;
+/// Where a request on a route wants to go.
+struct RouteCall {
+  std::string host;
+  std::string path;                  ///< without the query
+  std::optional<std::uint32_t> key;  ///< for services divided by key
+};
+
+struct CallerRequest {
+  RequestHandle handle = 0;
+  common::ServiceKey service;
+  std::string key;  ///< empty: none given
+  std::string method;
+  std::uint32_t timeout_ms = 0;                   ///< 0: the service's or the route's default
+  std::optional<RouteCall> route = std::nullopt;  ///< set: the service follows from it
+  routing::RequestDigest digest = 0;              ///< 0: not known; see RouterCore::needs_digests
+};
+
+}  // namespace planktray::router
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -20,6 +20,7 @@
 
 #include "common/random.hpp"
 #include "common/time.hpp"
+#include "router/core/caller_request.hpp"
 #include "routing/crash_suspects.hpp"
 #include "routing/crowded_owners.hpp"
 #include "routing/fleet_size.hpp"
@@ -98,6 +99,10 @@
   /// Each caller is told a time of its own between this and twice as much, so that they do not come
   /// back together.
   Duration ownerless_retry_after = std::chrono::milliseconds(300);
+  /// Told to callers who come before a table is there. Where all machines start at once, a leader
+  /// is elected within this time, and routers hear of it; each caller is told a time of its own
+  /// between this and twice as much, so that they do not come back together.
+  Duration unavailable_retry_after = std::chrono::milliseconds(500);
   /// A target in another zone counts as slower by this part.
   double other_zone_cost = 0.05;
   /// Ended back ends named in one hello at most.
@@ -125,28 +130,9 @@
   bool keep_off_evacuated = true;   ///< send nothing to the back ends of an evacuated zone
 };
 
-/// Identity of a request inside this router.
-using RequestHandle = std::uint64_t;
 /// Identity of one attempt inside this router.
 using AttemptId = std::uint64_t;
 
-/// Where a request on a route wants to go.
-struct RouteCall {
-  std::string host;
-  std::string path;                  ///< without the query
-  std::optional<std::uint32_t> key;  ///< for services divided by key
-};
-
-struct CallerRequest {
-  RequestHandle handle = 0;
-  common::ServiceKey service;
-  std::string key;  ///< empty: none given
-  std::string method;
-  std::uint32_t timeout_ms = 0;                   ///< 0: the service's or the route's default
-  std::optional<RouteCall> route = std::nullopt;  ///< set: the service follows from it
-  routing::RequestDigest digest = 0;              ///< 0: not known; see RouterCore::needs_digests
-};
-
 /// Effect: send the request to this back end.
 struct Forward {
   AttemptId attempt = 0;
@@ -404,6 +390,8 @@
   Duration usable_time(TimePoint now, const Request& request,
                        const routing::RoutedTableService& service);
   Duration retry_after(routing::NotRunReason reason);
+  /// A time from `least` to twice as much, so that callers do not come back together.
+  Duration spread(Duration least);
   void wait_routed(TimePoint now, Request& request, routing::NotRunReason reason);
   void on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
                               const AttemptResult& result);
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -170,7 +170,7 @@
     output_.answers.push_back(std::move(answer));
   };
   if (!has_routes()) {
-    return refuse(NotRunReason::kNotServing, false, kRetryAfterUnavailable);
+    return refuse(NotRunReason::kNotServing, false, spread(options_.unavailable_retry_after));
   }
   const TableStanding standing = freshness_.standing(now);
   if (standing == TableStanding::kTooOld) {
@@ -380,10 +380,10 @@
   // Room at a limited target comes as its keys move on, too.
   const bool waits_for_keys =
       reason == NotRunReason::kNoOwner || reason == NotRunReason::kTargetLimit;
-  if (!waits_for_keys) {
-    return options_.short_retry_after;
-  }
-  const Duration least = options_.ownerless_retry_after;
+  return waits_for_keys ? spread(options_.ownerless_retry_after) : options_.short_retry_after;
+}
+
+Duration RouterCore::spread(Duration least) {
   return least + std::chrono::duration_cast<Duration>(least * common::uniform_real(random_));
 }
 
--- a/src/transport/zmq_socket.cpp
+++ b/src/transport/zmq_socket.cpp
@@ -15,8 +15,10 @@
 constexpr std::int64_t kMaxMessageBytes = 64 * 1024 * 1024;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 500;
-/// A machine that is gone says nothing: what hangs on it must end by itself.
-constexpr int kConnectTimeoutMs = 700;
+/// A machine that is gone says nothing: what hangs on it must end by itself. Where all machines
+/// start at once, some are not up for the first attempt, and the system repeats its opening packet
+/// only after a second: a new attempt is sooner.
+constexpr int kConnectTimeoutMs = 250;
 constexpr int kHandshakeMs = 1000;
 constexpr int kUnacknowledgedMs = 1200;
 std::string_view view(const zmq::message_t& frame) {
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -320,6 +320,29 @@
   CHECK(told.size() == kCallers);
 }
 
+// Guards against a wave of returns: all callers that came before the first table were told the same
+// second, and came back together.
+TEST_CASE("callers who come before the first table are told times of their own to come back") {
+  RouterCore core(Fixture::options(), common::RandomEngine(1), at(0));
+  constexpr std::size_t kCallers = 20;
+  std::set<Duration> told;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    CallerRequest caller;
+    caller.handle = i + 1;
+    caller.method = "GET";
+    caller.route = RouteCall{"album.example", "/a", std::nullopt};
+    core.on_request(at(3), caller);
+    for (const Answer& answer : core.take_output().answers) {
+      CHECK(answer.outcome == routing::Outcome::kNotRun);
+      CHECK(answer.reason == routing::NotRunReason::kNotServing);
+      CHECK(answer.retry_after >= core.options().unavailable_retry_after);
+      CHECK(answer.retry_after < 2 * core.options().unavailable_retry_after);
+      told.insert(answer.retry_after);
+    }
+  }
+  CHECK(told.size() == kCallers);
+}
+
 /// A router of a zone with back ends there and elsewhere, and a service with or without keys.
 struct RoutedFixture {
   RouterCore core;
