--- a/src/router/core/caller_request.hpp
+++ b/src/router/core/caller_request.hpp
@@ -12,6 +12,7 @@
 
 /// Identity of a request inside this router.
 using RequestHandle = std::uint64_t;
+
 /// Where a request on a route wants to go.
 struct RouteCall {
   std::string host;
@@ -19,6 +20,7 @@
   std::optional<std::uint32_t> key;  ///< for services divided by key
 };
 
+/// One try of a caller: a request for a native service, or on a route where `route` is set.
 struct CallerRequest {
   RequestHandle handle = 0;
   common::ServiceKey service;
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -99,9 +99,8 @@
   /// Each caller is told a time of its own between this and twice as much, so that they do not come
   /// back together.
   Duration ownerless_retry_after = std::chrono::milliseconds(300);
-  /// Told to callers who come before a table is there. Where all machines start at once, a leader
-  /// is elected within this time, and routers hear of it; each caller is told a time of its own
-  /// between this and twice as much, so that they do not come back together.
+  /// Told to callers who come before a table is there; each is told a time of its own between this
+  /// and twice as much, so that they do not come back together.
   Duration unavailable_retry_after = std::chrono::milliseconds(500);
   /// A target in another zone counts as slower by this part.
   double other_zone_cost = 0.05;
