Sight for DRAIN: when requests were chosen, begun and written, and what is unwritten when a back end leaves

Cause under search: a request reached a back end 2,226 ms after its leaving was acknowledged. Logs could not tell an old table from a slow body or from a router that thought itself cut off.

Now the HTTP client tells each stage of a request (connection up, first byte and last byte taken by the system). Routers count late writes, keep histograms of the table's age at the choice and of the time to the first and the last byte, and write two bounded lines: `written_late` (both at once: table age at the choice and each stage) and `leaving_while_written` (what is unwritten when the table says that a back end leaves). No decision changes.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -200,11 +200,21 @@
   std::optional<double> per_second;  ///< none: it names no limit any more
 };
 
+/// Effect, for logs: the table says that a back end takes no new work from now on.
+struct Departure {
+  std::string address;
+  common::Incarnation incarnation;
+  /// Age of the last table that said otherwise; nothing where it was never confirmed.
+  std::optional<Duration> known_before;
+  common::LogIndex table_index;
+};
+
 struct RouterOutput {
   std::vector<Forward> forwards;
   std::vector<AttemptId> cancels;
   std::vector<Answer> answers;
   std::vector<LimitChange> limit_changes;
+  std::vector<Departure> departures;
   std::vector<ReachInquiry> reach_inquiries;
   std::optional<routing::RouterHello> hello;
   bool hello_to_all = false;          ///< to every controller
@@ -213,7 +223,7 @@
   /// True where there is nothing to carry out.
   bool empty() const {
     return forwards.empty() && cancels.empty() && answers.empty() && limit_changes.empty() &&
-           reach_inquiries.empty() && !hello.has_value();
+           departures.empty() && reach_inquiries.empty() && !hello.has_value();
   }
 };
 
@@ -463,6 +473,8 @@
   /// Asks some controllers other than the silent leader whom they follow.
   void inquire(TimePoint now);
   void note_targets(TimePoint now);
+  /// Back ends that the table has now, and that an update says are leaving or gone.
+  std::vector<Departure> departures_in(TimePoint now, const routing::TableUpdate& update) const;
   const std::vector<routing::WeightedTarget>& subset_of(const routing::TableService& service);
 
   RouterOptions options_;
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -54,6 +54,7 @@
   }
   freshness_.on_answered();
   const bool ring_changed = !update.by_follower && take_leaders_word(now, update, from);
+  std::vector<Departure> departures = departures_in(now, update);
   const bool installed = table_.apply(update);
   const bool is_up_to_date = table_.index() >= update.current_index;
   if (is_up_to_date && update.echo_clock_us > 0) {
@@ -80,10 +81,34 @@
     report_lacks(now, has_changes && update.deltas.front().is_snapshot, update.current_index);
   }
   if (has_changes) {
+    output_.departures = std::move(departures);
     redispatch_all(now);
   }
 }
 
+std::vector<Departure> RouterCore::departures_in(TimePoint now,
+                                                 const routing::TableUpdate& update) const {
+  std::vector<Departure> departures;
+  const auto add = [&](BackendId id) {
+    const routing::BackendRoute* present = table_.find_backend(id);
+    if (present != nullptr && !present->draining && !present->ended) {
+      departures.push_back(
+          {present->address, present->incarnation, freshness_.age(now), update.current_index});
+    }
+  };
+  for (const routing::TableDelta& delta : update.deltas) {
+    for (const routing::BackendRoute& backend : delta.backends) {
+      if (backend.draining || backend.ended) {
+        add(backend.id);
+      }
+    }
+    for (const BackendId id : delta.removed_backends) {
+      add(id);
+    }
+  }
+  return departures;
+}
+
 bool RouterCore::take_leaders_word(TimePoint now, const routing::TableUpdate& update,
                                    const std::string& from) {
   if (update.term >= leader_term_) {
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -11,6 +11,10 @@
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
+std::string milliseconds_text(const std::optional<common::Duration>& value) {
+  return value.has_value() ? milliseconds_text(*value) : "none";
+}
+
 std::string key_text(const ReadRequest& read) {
   const auto& route = read.request.route;
   if (!route.has_value()) {
@@ -59,6 +63,39 @@
              {"error", response.error.message}});
 }
 
+void RequestLog::written_late(common::TimePoint now, const ReadRequest& read,
+                              const SentAttempt& attempt) {
+  ++late_writes_;
+  if (!write_limit_.allows(now)) {
+    return;
+  }
+  log_event("written_late", {{"request", read.request_id},
+                             {"attempt", std::to_string(attempt.number)},
+                             {"service", attempt.service},
+                             {"peer", attempt.address},
+                             {"instance", attempt.incarnation.value},
+                             {"bytes", std::to_string(attempt.bytes)},
+                             {"table_age_ms", milliseconds_text(attempt.table_age)},
+                             {"connected_ms", milliseconds_text(attempt.connected)},
+                             {"begun_ms", milliseconds_text(attempt.begun)},
+                             {"written_ms", milliseconds_text(attempt.written)}});
+}
+
+void RequestLog::leaving_while_written(common::TimePoint now, const Departure& departure,
+                                       const UnwrittenAttempts& unwritten) {
+  if (!write_limit_.allows(now)) {
+    return;
+  }
+  log_event("leaving_while_written",
+            {{"peer", departure.address},
+             {"instance", departure.incarnation.value},
+             {"known_before_ms", milliseconds_text(departure.known_before)},
+             {"table_index", std::to_string(departure.table_index.value)},
+             {"attempts", std::to_string(unwritten.attempts)},
+             {"begun", std::to_string(unwritten.begun)},
+             {"bytes", std::to_string(unwritten.bytes)}});
+}
+
 void RequestLog::load_unread(common::TimePoint now, const SentAttempt& attempt,
                              const std::string& text) {
   ++unread_loads_;
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -20,7 +20,21 @@
   common::Incarnation incarnation;
   std::string service;
   std::uint32_t number = 1;
-  common::TimePoint sent;
+  common::TimePoint sent;  ///< when its back end was chosen
+  std::size_t bytes = 0;   ///< of its body
+  /// Of the table that chose the back end; nothing where it was never confirmed.
+  std::optional<common::Duration> table_age;
+  // Each since `sent`; nothing before it is reached.
+  std::optional<common::Duration> connected;  ///< never for a connection that was used before
+  std::optional<common::Duration> begun;      ///< the system had taken its first byte
+  std::optional<common::Duration> written;    ///< the system had taken all of it
+};
+
+/// What was still on its way to a back end when the table said that it is leaving or gone.
+struct UnwrittenAttempts {
+  std::size_t attempts = 0;
+  std::size_t begun = 0;  ///< of these
+  std::size_t bytes = 0;  ///< of their bodies
 };
 
 /// An update of the table that came late.
@@ -49,6 +63,13 @@
   void repeated(common::TimePoint now, const ReadRequest& read, const Forward& forward);
   void attempt_failed(common::TimePoint now, const ReadRequest& read, const SentAttempt& attempt,
                       const AttemptResult& result, const transport::HttpResponse& response);
+  /// The last byte of an attempt was handed to the system long after what its back end was chosen
+  /// by was known to be so.
+  void written_late(common::TimePoint now, const ReadRequest& read, const SentAttempt& attempt);
+  std::uint64_t late_writes() const { return late_writes_; }
+  /// The table says that a back end is leaving or gone, and requests are still being written to it.
+  void leaving_while_written(common::TimePoint now, const Departure& departure,
+                             const UnwrittenAttempts& unwritten);
   /// A back end tells its load in a form that could not be read whole.
   void load_unread(common::TimePoint now, const SentAttempt& attempt, const std::string& text);
   std::uint64_t unread_loads() const { return unread_loads_; }
@@ -67,6 +88,9 @@
   transport::LineLimit late_limit_{{.lines_per_second = 1, .burst = 5}};
   /// Every answer of a back end may carry such a report: a line now and then is enough to see it.
   transport::LineLimit load_limit_{{.lines_per_second = 0.1, .burst = 5}};
+  /// A full link makes them by the dozen.
+  transport::LineLimit write_limit_{{.lines_per_second = 2, .burst = 10}};
+  std::uint64_t late_writes_ = 0;
   std::uint64_t unread_loads_ = 0;
   std::set<std::string> unread_names_;  ///< of headers; bounded, as back ends choose them
   std::uint64_t unread_headers_ = 0;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -22,6 +22,10 @@
 /// trip between controllers and routers, and a fifth of the shortest promised time.
 constexpr common::Duration kLateUpdate = std::chrono::milliseconds(400);
 
+/// A request whose last byte leaves this long after its back end was known to take it is worth a
+/// line: half of the time after which a back end that leaves gets nothing more.
+constexpr common::Duration kLateWrite = std::chrono::milliseconds(1000);
+
 /// Whether a back end still listens is looked at this long after its connection ended: a process
 /// that ends closes its connections first. Chosen: some fifty times what a process took here to
 /// end.
@@ -59,6 +63,14 @@
                                           "Time from arrival to the caller's answer.")),
       unread_(metrics_.latency_histogram(
           "planktray_unread_seconds", "Time from a request's first byte until it has been read.")),
+      table_age_(metrics_.latency_histogram("planktray_choice_table_age_seconds",
+                                            "Age of the table by which back ends were chosen.")),
+      write_begun_(metrics_.latency_histogram(
+          "planktray_write_begun_seconds",
+          "Time from the choice of a back end until the system had taken a request's first byte.")),
+      write_done_(metrics_.latency_histogram(
+          "planktray_write_done_seconds",
+          "Time from the choice of a back end until the system had taken a request's last byte.")),
       reach_checker_(kReachDelay, kReachTimeout) {}
 
 common::Result<void> RouterProcess::start() {
@@ -350,6 +362,9 @@
   for (const LimitChange& change : output.limit_changes) {
     request_log_.limit_changed(boot_time_now(), change);
   }
+  for (const Departure& departure : output.departures) {
+    note_departure(departure);
+  }
   for (const ReachInquiry& inquiry : output.reach_inquiries) {
     check_reach(inquiry);
   }
@@ -426,11 +441,66 @@
   if (forward.number > 1) {
     request_log_.repeated(now, caller.read, forward);
   }
-  Sent& sent = sent_[attempt];
-  sent.attempt = {forward.address, forward.incarnation, forward.service, forward.number, now};
-  sent.call = client_->send(std::move(request), [this, attempt](transport::HttpResponse& response) {
-    on_response(attempt, response);
-  });
+  SentAttempt& chosen = sent_[attempt].attempt;
+  chosen.address = forward.address;
+  chosen.incarnation = forward.incarnation;
+  chosen.service = forward.service;
+  chosen.number = forward.number;
+  chosen.sent = now;
+  chosen.bytes = request.body.size();
+  chosen.table_age = core_.freshness().age(now);
+  if (chosen.table_age.has_value()) {
+    table_age_.Observe(std::chrono::duration<double>(*chosen.table_age).count());
+  }
+  sent_[attempt].call = client_->send(
+      std::move(request),
+      [this, attempt](transport::HttpResponse& response) { on_response(attempt, response); },
+      [this, attempt](transport::SendStage stage) { on_progress(attempt, stage); });
+}
+
+void RouterProcess::on_progress(AttemptId attempt, transport::SendStage stage) {
+  const auto found = sent_.find(attempt);
+  if (found == sent_.end()) {
+    return;
+  }
+  const common::TimePoint now = boot_time_now();
+  SentAttempt& sent = found->second.attempt;
+  const common::Duration took = now - sent.sent;
+  if (stage == transport::SendStage::kConnected) {
+    sent.connected = took;
+    return;
+  }
+  if (stage == transport::SendStage::kBegun) {
+    sent.begun = took;
+    write_begun_.Observe(std::chrono::duration<double>(took).count());
+    return;
+  }
+  sent.written = took;
+  write_done_.Observe(std::chrono::duration<double>(took).count());
+  if (sent.table_age.value_or(common::Duration(0)) + took < kLateWrite) {
+    return;
+  }
+  const auto handle = core_.handle_of(attempt);
+  const auto caller = handle.has_value() ? callers_.find(*handle) : callers_.end();
+  if (caller != callers_.end()) {
+    request_log_.written_late(now, caller->second.read, sent);
+  }
+}
+
+void RouterProcess::note_departure(const Departure& departure) {
+  UnwrittenAttempts unwritten;
+  for (const auto& [id, sent] : sent_) {
+    const bool is_unwritten =
+        sent.attempt.incarnation == departure.incarnation && !sent.attempt.written.has_value();
+    if (is_unwritten) {
+      ++unwritten.attempts;
+      unwritten.begun += sent.attempt.begun.has_value() ? 1 : 0;
+      unwritten.bytes += sent.attempt.bytes;
+    }
+  }
+  if (unwritten.attempts > 0) {
+    request_log_.leaving_while_written(boot_time_now(), departure, unwritten);
+  }
 }
 
 void RouterProcess::on_response(AttemptId attempt, transport::HttpResponse& response) {
@@ -540,6 +610,9 @@
   metrics_.set_counter("planktray_headers_unread_total",
                        "Headers of back ends' answers that nothing here reads.",
                        request_log_.unread_headers());
+  metrics_.set_counter("planktray_late_writes_total",
+                       "Requests written long after their back end was known to take them.",
+                       request_log_.late_writes());
   metrics_.set_gauge("planktray_table_index", "Log index of the table served.",
                      static_cast<double>(core_.table().index().value));
   const auto age = core_.freshness().age(boot_time_now());
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -94,6 +94,8 @@
   void adopt_limits();
   void send_forward(const Forward& forward);
   void on_response(AttemptId attempt, transport::HttpResponse& response);
+  void on_progress(AttemptId attempt, transport::SendStage stage);
+  void note_departure(const Departure& departure);
   void send_answer(const Answer& answer);
   void reload();
   void begin_drain();
@@ -112,6 +114,9 @@
   transport::Metrics metrics_;
   prometheus::Histogram& latency_;
   prometheus::Histogram& unread_;
+  prometheus::Histogram& table_age_;
+  prometheus::Histogram& write_begun_;
+  prometheus::Histogram& write_done_;
   std::unique_ptr<transport::LinkPacer> pacer_;  ///< none where the link's speed is not stated
   std::unique_ptr<transport::HttpServer> server_;
   std::unique_ptr<transport::HttpServer> status_server_;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -72,6 +72,8 @@
     connect_timer_ = g_timeout_add(static_cast<guint>(wait), on_connect_timeout, this);
     TcpStream::Handlers handlers;
     handlers.on_connected = [this] { on_connected(); };
+    handlers.on_sent = [this] { on_sent(); };
+    handlers.on_drained = [this] { on_drained(); };
     handlers.on_data = [this](std::string_view bytes) { on_data(bytes); };
     handlers.on_end = [this](StreamEnd end) { on_end(end); };
     stream_->start(std::move(handlers));
@@ -80,6 +82,8 @@
   /// Begins a call; the connection is new or rests.
   void carry(std::uint64_t call, const HttpRequest& request) {
     call_ = call;
+    has_begun_ = false;
+    is_written_ = false;
     used_before_ = calls_carried_++ > 0;
     fresh_only_ = request.fresh_connection;
     answer_header_ = request.answer_header;
@@ -150,12 +154,26 @@
 
   void on_connected() {
     stop_timer(connect_timer_);
+    client_.note(call_, SendStage::kConnected);
     if (!unsettled_.empty()) {
       const auto wait = std::chrono::ceil<std::chrono::milliseconds>(settle_time_).count();
       settle_timer_ = g_timeout_add(static_cast<guint>(wait), on_settled, this);
     }
   }
 
+  void on_sent() {
+    if (!std::exchange(has_begun_, true)) {
+      client_.note(call_, SendStage::kBegun);
+    }
+  }
+
+  void on_drained() {
+    // An open connection drains before its request is handed to it, where that waits.
+    if (has_begun_ && !std::exchange(is_written_, true)) {
+      client_.note(call_, SendStage::kWritten);
+    }
+  }
+
   void on_data(std::string_view bytes) {
     const auto keep = shared_from_this();
     if (call_ == 0) {
@@ -250,6 +268,8 @@
   std::uint64_t calls_carried_ = 0;
   std::string answer_header_;
   std::string answer_value_;
+  bool has_begun_ = false;   ///< the system has taken a byte of the present call
+  bool is_written_ = false;  ///< the system has taken all of it
   bool used_before_ = false;
   bool fresh_only_ = false;
   bool expects_no_body_ = false;
@@ -287,10 +307,11 @@
   }
 }
 
-std::uint64_t HttpClient::send(HttpRequest request, Callback callback) {
+std::uint64_t HttpClient::send(HttpRequest request, Callback callback, Progress progress) {
   const std::uint64_t id = next_id_++;
   Call& call = calls_[id];
   call.callback = std::move(callback);
+  call.progress = std::move(progress);
   call.request = std::move(request);
   if (call.request.timeout.count() > 0) {
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(call.request.timeout).count();
@@ -376,6 +397,13 @@
   call.callback(response);
 }
 
+void HttpClient::note(std::uint64_t id, SendStage stage) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end() && found->second.progress) {
+    found->second.progress(stage);
+  }
+}
+
 void HttpClient::cancel(std::uint64_t id) {
   auto node = calls_.extract(id);
   if (node.empty()) {
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -48,6 +48,13 @@
   std::string answer_value;
 };
 
+/// How far the bytes of a request have come.
+enum class SendStage : std::uint8_t {
+  kConnected,  ///< its new connection is up; not told for one that was used before
+  kBegun,      ///< the system has taken the first of them
+  kWritten,    ///< the system has taken all of them
+};
+
 /// How a request ended. Either `status` is set, or `error` tells why not.
 struct HttpResponse {
   unsigned status = 0;
@@ -82,6 +89,8 @@
 class HttpClient {
  public:
   using Callback = std::function<void(HttpResponse& response)>;
+  /// Told of each stage once, also within send(); not after the request has ended. Must not end it.
+  using Progress = std::function<void(SendStage stage)>;
 
   explicit HttpClient(HttpClientOptions options);
   HttpClient(const HttpClient&) = delete;
@@ -90,7 +99,7 @@
 
   /// Sends; the callback comes exactly once and never within this call, unless cancel() was called
   /// for the returned id.
-  std::uint64_t send(HttpRequest request, Callback callback);
+  std::uint64_t send(HttpRequest request, Callback callback, Progress progress = nullptr);
   /// Closes the connection of a request whose answer is no longer wanted.
   void cancel(std::uint64_t id);
   std::size_t in_flight() const { return calls_.size(); }
@@ -102,6 +111,7 @@
   struct Call {
     HttpRequest request;
     Callback callback;
+    Progress progress;
     std::shared_ptr<ClientConnection> connection;
     guint timer = 0;
   };
@@ -121,6 +131,7 @@
   std::shared_ptr<ClientConnection> take_idle(const HttpRequest& request);
   void fail_later(std::uint64_t id, common::Error error);
   void finish(std::uint64_t id, HttpResponse response);
+  void note(std::uint64_t id, SendStage stage);
   void rest(const std::string& address, const std::shared_ptr<ClientConnection>& connection);
   void forget(const std::string& address, const ClientConnection* connection);
 
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -211,6 +211,12 @@
     }
     sent_ = true;
     note_sent(static_cast<std::size_t>(count));
+    if (handlers_.on_sent) {
+      handlers_.on_sent();
+    }
+    if (!is_open()) {
+      return;
+    }
   }
   if (finishing_) {
     g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -42,6 +42,8 @@
     /// The bytes are valid during the call.
     std::function<void(std::string_view bytes)> on_data;
     std::function<void(StreamEnd end)> on_end;
+    /// The system has taken some of what was given to write().
+    std::function<void()> on_sent;
     /// Everything that was given to write() has been taken by the system.
     std::function<void()> on_drained;
   };
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -218,6 +218,26 @@
   CHECK(server.connections() == 1);
 }
 
+TEST_CASE("each stage of a request is told once, in order, on new and on used connections") {
+  RawServer server(Behaviour::kSurplusLater);
+  HttpClient client(options_of_four());
+  HttpRequest request = request_for(server, "POST");
+  request.fresh_connection = false;
+  request.settle_time = milliseconds(20);
+  const auto stages_of = [&] {
+    EventLoop loop;
+    std::vector<SendStage> stages;
+    client.send(
+        request, [&loop](const HttpResponse& /*response*/) { loop.quit(); },
+        [&stages](SendStage stage) { stages.push_back(stage); });
+    loop.run();
+    return stages;
+  };
+  using Stages = std::vector<SendStage>;
+  CHECK(stages_of() == Stages{SendStage::kConnected, SendStage::kBegun, SendStage::kWritten});
+  CHECK(stages_of() == Stages{SendStage::kBegun, SendStage::kWritten});
+}
+
 TEST_CASE("a request that is given up while its connection settles was not sent") {
   RawServer server(Behaviour::kFreeze);
   HttpClient client(options_of_four());
