Failing test: a large request reaches a back end that left longer ago than promised

What callers saw: a request on its way to a leaving back end 2.2 s after the acknowledgement (2.0 s promised). The test brings it about without a network: sim/upload_world, routers with a scheduled link, back ends that are replaced, a leader whose words may be late.

--- /dev/null
+++ b/test/sim/upload_world_test.cpp
@@ -0,0 +1,55 @@
+/// When large requests reach back ends that leave, and what their callers get.
+
+#include "sim/upload_world.hpp"
+
+#include <doctest/doctest.h>
+
+namespace planktray::sim {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kSeeds = 20;
+
+UploadOptions options_of(std::uint64_t seed) {
+  UploadOptions options;
+  options.seed = seed;
+  options.router.hello_interval = milliseconds(250);
+  options.router.freshness.oldest = milliseconds(1500);
+  return options;
+}
+
+// Guards against a back end that is chosen in time and whose request is written seconds later, when
+// its leaving has long been acknowledged.
+TEST_CASE("a large request does not reach a back end that left longer ago than promised") {
+  for (const bool keyed : {false, true}) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(keyed);
+      CAPTURE(seed);
+      UploadOptions options = options_of(seed);
+      options.keyed = keyed;
+      const UploadResult result = run_upload_world(options);
+      CHECK(result.late == 0);
+      CHECK(result.latest <= options.promised);
+    }
+  }
+}
+
+TEST_CASE("the runs of large requests hold what they are meant to try") {
+  UploadResult all;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const UploadResult result = run_upload_world(options_of(seed));
+    all.requests += result.requests;
+    all.answered += result.answered;
+    all.replaced += result.replaced;
+    all.after_leaving += result.after_leaving;
+  }
+  CHECK(all.requests > 100 * kSeeds);
+  CHECK(all.answered > all.requests / 2);
+  CHECK(all.replaced > 30 * kSeeds);
+  // Requests that were chosen for a back end before its leaving was known still reach it.
+  CHECK(all.after_leaving > kSeeds);
+}
+
+}  // namespace
+}  // namespace planktray::sim
