An owner of keys that is leaving gets requests for a bounded time only

That a leaving owner's keys move in time was left to the leader's pace; the router, which alone decides what arrives, did not ask.

Now a choice of a back end asks in one place what keeps a request from it (RouterCore::hindrance), and a leaving owner of keys is closed once a request could arrive later than promised, counted from the last table that named it as taking work. Its callers are told that the key has no owner.

A back end that was never known to take work counts as left at the clock's origin rather than at its minimum, which overflows.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -61,6 +61,9 @@
   WriteGuardOptions writes;
   /// Large requests look for a back end when their turn at the link has come.
   link::SendWindowOptions send_window;
+  /// The longest that a request takes from the choice of its back end to its arrival, beside what a
+  /// large one takes at the link.
+  Duration arrival_time = std::chrono::milliseconds(500);
   /// First wait after a refusal or a failed connection; doubles up to the maximum.
   Duration minimum_backoff = std::chrono::milliseconds(5);
   Duration maximum_backoff = std::chrono::milliseconds(100);
@@ -441,8 +444,21 @@
   RoutedService& routed_service(common::ServiceId id);
   void note_routed_targets(TimePoint now);
   void note_evacuations(TimePoint now);
-  /// True where the back end's zone is evacuated, and the time to hand its keys over is up.
-  bool is_closed(TimePoint now, const routing::BackendRoute& backend, bool keyed) const;
+  /// What keeps a request from a back end at this moment.
+  enum class Hindrance : std::uint8_t {
+    kNone,
+    kGone,     ///< for good, as far as is known: it ends, leaves, or its zone is evacuated
+    kBlocked,  ///< it failed lately
+    kBusy,     ///< it has no connection to spare, or is cold and bears no more now
+  };
+  /// Every choice of a back end for a request on a route asks here.
+  Hindrance hindrance(TimePoint now, const Request& request, BackendId id,
+                      const routing::RoutedTableService& service);
+  /// True where the back end is to get no request of this kind any more. Owners of keys get some
+  /// for a while, so that their keys can be handed over first.
+  bool is_closed(TimePoint now, const Request& request, const routing::BackendRoute& backend) const;
+  /// The longest that the request takes to a back end that is chosen now.
+  Duration arrival_time(const Request& request) const;
   /// True where the back end is not cold, or bears one more request of this router.
   bool bears(TimePoint now, const routing::BackendRoute& backend,
              const routing::RoutedTableService& service);
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -57,12 +57,34 @@
   }
 }
 
-bool RouterCore::is_closed(TimePoint now, const routing::BackendRoute& backend, bool keyed) const {
-  const auto found = evacuations_.find(backend.zone);
-  if (found == evacuations_.end() || !options_.keep_off_evacuated) {
-    return false;
+RouterCore::Hindrance RouterCore::hindrance(TimePoint now, const Request& request, BackendId id,
+                                            const routing::RoutedTableService& service) {
+  const routing::BackendRoute* backend = table_.find_backend(id);
+  if (backend == nullptr || has_ended(now, id) || is_closed(now, request, *backend)) {
+    return Hindrance::kGone;
+  }
+  if (routed_service(request.service).targets.is_blocked(now, id)) {
+    return Hindrance::kBlocked;
   }
-  return !keyed || now >= found->second + options_.evacuation_grace;
+  const bool has_room = has_connection(request, id, service) && bears(now, *backend, service);
+  return has_room ? Hindrance::kNone : Hindrance::kBusy;
+}
+
+bool RouterCore::is_closed(TimePoint now, const Request& request,
+                           const routing::BackendRoute& backend) const {
+  const auto evacuated = evacuations_.find(backend.zone);
+  const bool is_evacuated = evacuated != evacuations_.end() && options_.keep_off_evacuated;
+  if (!request.keyed) {
+    return backend.draining || is_evacuated;
+  }
+  const auto closes = writes_.closes_at(backend.id);
+  const bool would_be_late = closes.has_value() && now >= *closes - arrival_time(request);
+  const bool has_handed_over = is_evacuated && now >= evacuated->second + options_.evacuation_grace;
+  return would_be_late || has_handed_over;
+}
+
+Duration RouterCore::arrival_time(const Request& request) const {
+  return options_.arrival_time + send_window_.passing_time(request.caller.body_bytes);
 }
 
 bool RouterCore::bears(TimePoint now, const routing::BackendRoute& backend,
@@ -91,9 +113,8 @@
                                    const routing::RoutedTableService& service) const {
   const auto holds = [&](BackendId id) {
     const routing::BackendRoute* backend = table_.find_backend(id);
-    const bool takes_work = backend != nullptr && !has_ended(now, id) &&
-                            !is_closed(now, *backend, request.keyed) &&
-                            (request.keyed || !backend->draining);
+    const bool takes_work =
+        backend != nullptr && !has_ended(now, id) && !is_closed(now, request, *backend);
     return !takes_work || limited_.is_limited(id);
   };
   if (request.keyed) {
@@ -295,9 +316,8 @@
   const auto target = choose_target(now, request, *service);
   if (!target.has_value()) {
     const BackendId owner = table_.routes().owner_of(request.service, request.key);
-    const routing::BackendRoute* route = table_.find_backend(owner);
-    const bool ownerless = request.keyed && (route == nullptr || has_ended(now, owner) ||
-                                             is_closed(now, *route, request.keyed));
+    const bool ownerless =
+        request.keyed && hindrance(now, request, owner, *service) == Hindrance::kGone;
     if (!ownerless && request.admission.has_value() && request.admission->is_crowded) {
       ++counters_.crowd_refusals;
       return answer_not_run(request, NotRunReason::kOverload, retry_after(NotRunReason::kOverload));
@@ -359,10 +379,7 @@
                                                    const routing::RoutedTableService& service) {
   const routing::TargetBook& book = routed_service(request.service).targets;
   const auto is_usable = [&](BackendId id) {
-    const routing::BackendRoute* backend = table_.find_backend(id);
-    return backend != nullptr && !has_ended(now, id) && !book.is_blocked(now, id) &&
-           !is_closed(now, *backend, request.keyed) && has_connection(request, id, service) &&
-           bears(now, *backend, service);
+    return hindrance(now, request, id, service) == Hindrance::kNone;
   };
   if (request.keyed) {
     const BackendId owner = table_.routes().owner_of(request.service, request.key);
@@ -376,7 +393,7 @@
     double best_cost = 0;
     for (const BackendId id : candidates) {
       const routing::BackendRoute* route = table_.find_backend(id);
-      if (!is_usable(id) || route->draining || request.refused_by.contains(id) ||
+      if (!is_usable(id) || request.refused_by.contains(id) ||
           !limited_.has_part(now, id, fleet_size_.largest(), random_)) {
         continue;
       }
--- a/src/router/core/write_guard.cpp
+++ b/src/router/core/write_guard.cpp
@@ -33,9 +33,8 @@
 }
 
 void WriteGuard::on_leaving(BackendId backend, std::optional<TimePoint> known_until) {
-  const TimePoint closes =
-      known_until.has_value() ? *known_until + options_.promised : TimePoint::min();
-  closings_.try_emplace(backend, closes);
+  const TimePoint long_past{};
+  closings_.try_emplace(backend, known_until.value_or(long_past) + options_.promised);
 }
 
 std::optional<TimePoint> WriteGuard::closes_at(BackendId backend) const {
@@ -57,7 +56,7 @@
   const auto closes = closes_at(backend);
   const TimePoint arrive_until =
       closes.value_or(freshness.as_of().value_or(TimePoint()) + options_.promised);
-  return arrive_until == TimePoint::min() ? arrive_until : arrive_until - options_.way;
+  return arrive_until - options_.way;
 }
 
 std::vector<WriteDecision> WriteGuard::review(TimePoint now,
--- a/test/sim/upload_world_test.cpp
+++ b/test/sim/upload_world_test.cpp
@@ -48,6 +48,27 @@
   }
 }
 
+// Guards against an owner that is leaving and gets requests for as long as its keys have no other
+// owner, however long that takes.
+TEST_CASE("requests do not reach a leaving owner longer than promised where its keys stay") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    UploadOptions options = options_of(seed);
+    options.keyed = true;
+    options.key_move_time = std::chrono::seconds(5);
+    options.replace_interval = std::chrono::seconds(2);
+    options.mean_bytes = 4'000;
+    options.most_bytes = 15'000;
+    options.load = 0.1;
+    options.burst_load = 0.2;
+    const UploadResult result = run_upload_world(options);
+    CHECK(result.late == 0);
+    CHECK(result.latest <= options.promised);
+    CHECK(result.after_leaving > 0);
+    CHECK(result.answered > result.requests / 2);
+  }
+}
+
 // Guards against the same where a router goes on writing by a table that says nothing of the
 // present.
 TEST_CASE("a large request waits where its router's table gets too old while it is written") {
