Sight for BUDGET: every header of a back end's answer that nothing reads is told

A back end that asked for seconds without requests got more of them, and no line said that its answer carried a time: `header_unread` looked for names with two prefixes. Now it passes over what this adapter reads and what describes the message or the connection, and tells the rest, once by name.

The check is stricter than before: what it told it tells still. No decision changes.

--- a/test/platform/request_dialect_test.cpp
+++ b/test/platform/request_dialect_test.cpp
@@ -89,6 +89,21 @@
   CHECK(result.unread_headers[1].name == "Server-Mood");
 }
 
+// Guards against a word that is looked for by its prefix: a time to stay away came under a name of
+// HTTP's own, and nothing told that nobody read it.
+TEST_CASE("words of a target that have no prefix are told as well, HTTP's own are not") {
+  const PlatformDialect dialect;
+  const auto result = dialect.judge({}, {},
+                                    response(503, {{kNotExecutedHeader, "1"},
+                                                   {"Date", "now"},
+                                                   {"content-type", "text/plain"},
+                                                   {"Keep-Alive", "timeout=5"},
+                                                   {"Access-Control-Allow-Origin", "*"},
+                                                   {"Please-Wait", "3"}}));
+  REQUIRE(result.unread_headers.size() == 1);
+  CHECK(result.unread_headers[0].name == "Please-Wait");
+}
+
 TEST_CASE("the load a target tells is read, and nothing else is taken for it") {
   const PlatformDialect dialect;
   const auto load = [&](const char* text) {
