Back ends that name a time to stay away for are left alone until it is over

What callers saw: BUDGET, owners of keys that had asked a router for 3 s without requests got three and four in that time.

Cause: `Retry-After` of a back end's answer was decoded by nobody. What kept a router away was a block of its own, 100 ms that doubles, and any answer that was under way ended it.

Now it is read from a back end's own 503 (fractions; the longest of several; a date, a word, a negative or an empty one is told once and counted) and kept by RequestedBackoffs, by incarnation and boot time: the latest end holds, each router adds a part of its own, answers to earlier requests do not end it, and afterwards one request at a time goes there until one is answered. What is not begun is taken back. Callers are refused at once with the time that is left and a part of their own, where all that could run their request want to be left alone; a time that fits into their patience is waited for.

Ruled out: taking the time of a 429 for the back end's (a judgement by reading, not built).

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -31,6 +31,7 @@
 #include "routing/limited_targets.hpp"
 #include "routing/outcome.hpp"
 #include "routing/rate_share.hpp"
+#include "routing/requested_backoffs.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/retry_window.hpp"
 #include "routing/table.hpp"
@@ -76,6 +77,7 @@
   routing::RateShareOptions cold_limit;
   routing::LimitedTargetsOptions limited_targets;
   routing::CrowdedOwnersOptions crowded_owners;
+  routing::RequestedBackoffOptions backoffs;
   routing::CrashSuspectsOptions crash_suspects;
   /// Told to callers whose request crashes its targets: nothing gets better soon.
   Duration crashing_retry_after = std::chrono::seconds(60);
@@ -188,6 +190,8 @@
   std::optional<routing::LoadReport> load = std::nullopt;
   common::Incarnation answered_by{};  ///< who refused, where the answer names it
   routing::LimitWord limit{};
+  /// The back end wants nothing from this router for so long; nothing where it does not say.
+  std::optional<Duration> backoff = std::nullopt;
   bool connection_ended = false;      ///< broken, since the connection was closed or reset
   routing::RequestDigest digest = 0;  ///< of the request; 0: not known
   std::string unread_load{};  ///< the load report as it came, where not all of it could be read
@@ -207,6 +211,13 @@
   std::optional<double> per_second;  ///< none: it names no limit any more
 };
 
+/// Effect, for logs: a back end that took requests wants none for a while.
+struct BackoffRequest {
+  std::string address;
+  common::Incarnation incarnation;
+  Duration time{0};
+};
+
 /// Effect, for logs: the table says that a back end takes no new work from now on.
 struct Departure {
   common::BackendId backend;
@@ -226,6 +237,7 @@
   std::vector<Answer> answers;
   std::vector<LimitChange> limit_changes;
   std::vector<Departure> departures;
+  std::vector<BackoffRequest> backoffs;
   std::vector<ReachInquiry> reach_inquiries;
   std::optional<routing::RouterHello> hello;
   bool hello_to_all = false;          ///< to every controller
@@ -234,8 +246,8 @@
   /// True where there is nothing to carry out.
   bool empty() const {
     return forwards.empty() && cancels.empty() && write_decisions.empty() && answers.empty() &&
-           limit_changes.empty() && departures.empty() && reach_inquiries.empty() &&
-           !hello.has_value();
+           limit_changes.empty() && departures.empty() && backoffs.empty() &&
+           reach_inquiries.empty() && !hello.has_value();
   }
 };
 
@@ -269,6 +281,8 @@
   std::uint64_t limit_refusals = 0;    ///< refused since the target's limit left no room
   std::uint64_t crowd_refusals = 0;    ///< refused since the owner's queue is too long
   std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
+  std::uint64_t backoff_requests = 0;  ///< answers that asked for a time without requests
+  std::uint64_t backoff_refusals = 0;  ///< refused since all that could run it had asked for it
   std::uint64_t recalled = 0;          ///< attempts taken back before their first byte
   std::uint64_t held_writes = 0;       ///< attempts whose rest waited for a newer table
   std::uint64_t cut_writes = 0;        ///< attempts cut off since their back end was leaving
@@ -323,6 +337,8 @@
   /// always is.
   bool needs_digests() const { return suspects_.any(); }
   std::size_t blocked_requests(TimePoint now) const { return suspects_.blocked(now); }
+  /// Targets that want nothing from this router now.
+  std::size_t backoffs(TimePoint now) const { return backoffs_.count(now); }
   /// Targets that name a limit, as far as this router knows.
   std::size_t limited_targets() const { return limited_.count(); }
   /// Owners of keys whose queues are too long, as the leader tells.
@@ -448,6 +464,7 @@
   enum class Hindrance : std::uint8_t {
     kNone,
     kGone,     ///< for good, as far as is known: it ends, leaves, or its zone is evacuated
+    kBackoff,  ///< it has asked for a time without requests
     kBlocked,  ///< it failed lately
     kBusy,     ///< it has no connection to spare, or is cold and bears no more now
   };
@@ -465,6 +482,14 @@
   /// True where the owner of the request's key has room for it: by the limit that it names, if any,
   /// and by its queue.
   bool is_admitted(TimePoint now, Request& request, BackendId owner);
+  /// When the first of the targets that could run the request may be asked again, where all of them
+  /// have asked for a time without requests.
+  std::optional<TimePoint> backoff_end(TimePoint now, const Request& request,
+                                       const routing::RoutedTableService& service);
+  /// Refuses a request at once whose targets want none for longer than it may wait.
+  /// @return false where there are others, or it may wait.
+  bool refuse_for_backoff(TimePoint now, Request& request);
+  void note_backoff(TimePoint now, const Attempt& attempt, const AttemptResult& result);
   /// True where only limits that targets name keep the request from being sent.
   bool is_held_by_limits(TimePoint now, const Request& request,
                          const routing::RoutedTableService& service) const;
@@ -563,6 +588,7 @@
   routing::RateShare cold_limit_;
   routing::LimitedTargets limited_;
   routing::CrowdedOwners crowded_;
+  routing::RequestedBackoffs backoffs_;
   routing::CrashSuspects suspects_;
   routing::FleetSize fleet_size_;
   std::map<common::ZoneName, TimePoint> evacuations_;        ///< when this router learnt of each
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -41,7 +41,9 @@
     const routing::BackendRoute* backend = table_.find_backend(id);
     return backend != nullptr && backend->cold;
   });
-  limited_.keep_only(now, [this](BackendId id) { return table_.find_backend(id) != nullptr; });
+  const auto is_known = [this](BackendId id) { return table_.find_backend(id) != nullptr; };
+  limited_.keep_only(now, is_known);
+  backoffs_.keep_only(is_known);
   for (auto& [id, service] : routed_) {
     service.targets.drop_unless(
         [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
@@ -63,9 +65,16 @@
   if (backend == nullptr || has_ended(now, id) || is_closed(now, request, *backend)) {
     return Hindrance::kGone;
   }
-  if (routed_service(request.service).targets.is_blocked(now, id)) {
+  if (backoffs_.ends_at(now, id).has_value()) {
+    return Hindrance::kBackoff;
+  }
+  const routing::TargetBook& book = routed_service(request.service).targets;
+  if (book.is_blocked(now, id)) {
     return Hindrance::kBlocked;
   }
+  if (!backoffs_.is_proven(id) && book.outstanding(id) > 0) {
+    return Hindrance::kBusy;
+  }
   const bool has_room = has_connection(request, id, service) && bears(now, *backend, service);
   return has_room ? Hindrance::kNone : Hindrance::kBusy;
 }
@@ -162,6 +171,23 @@
   }
 }
 
+void RouterCore::note_backoff(TimePoint now, const Attempt& attempt, const AttemptResult& result) {
+  if (!result.backoff.has_value()) {
+    return;
+  }
+  ++counters_.backoff_requests;
+  const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
+  if (backend == nullptr ||
+      !backoffs_.on_requested(now, attempt.backend, *result.backoff, random_)) {
+    return;
+  }
+  output_.backoffs.push_back({backend->address, backend->incarnation, *result.backoff});
+  for (const AttemptId unbegun : writes_.unbegun_at(attempt.backend)) {
+    output_.write_decisions.push_back({unbegun, WriteVerdict::kRecall});
+    recall(now, unbegun);
+  }
+}
+
 void RouterCore::draw_zone_subset(const routing::RoutedTableService& service) {
   if (service.route.config.keyed) {
     return;
@@ -316,6 +342,9 @@
   const auto target = choose_target(now, request, *service);
   if (!target.has_value()) {
     const BackendId owner = table_.routes().owner_of(request.service, request.key);
+    if (refuse_for_backoff(now, request)) {
+      return;
+    }
     const bool ownerless =
         request.keyed && hindrance(now, request, owner, *service) == Hindrance::kGone;
     if (!ownerless && request.admission.has_value() && request.admission->is_crowded) {
@@ -437,6 +466,39 @@
   output_.forwards.push_back(std::move(effect));
 }
 
+std::optional<TimePoint> RouterCore::backoff_end(TimePoint now, const Request& request,
+                                                 const routing::RoutedTableService& service) {
+  std::optional<TimePoint> end;
+  const auto candidates =
+      request.keyed ? std::vector<BackendId>{table_.routes().owner_of(request.service, request.key)}
+                    : service.targets;
+  for (const BackendId id : candidates) {
+    const Hindrance found = hindrance(now, request, id, service);
+    if (found == Hindrance::kGone) {
+      continue;
+    }
+    if (found != Hindrance::kBackoff) {
+      return std::nullopt;
+    }
+    const TimePoint ends = *backoffs_.ends_at(now, id);
+    end = std::min(end.value_or(ends), ends);
+  }
+  return end;
+}
+
+bool RouterCore::refuse_for_backoff(TimePoint now, Request& request) {
+  const routing::RoutedTableService* service = table_.routes().find_service(request.service);
+  const auto end = service == nullptr ? std::nullopt : backoff_end(now, request, *service);
+  if (!end.has_value() || *end < request.patience_until) {
+    return false;
+  }
+  ++counters_.backoff_refusals;
+  // The time is known; each caller adds one of its own, so that they do not come back together.
+  const Duration own = spread(options_.ownerless_retry_after) - options_.ownerless_retry_after;
+  answer_not_run(request, NotRunReason::kTargetBackoff, *end - now + own);
+  return true;
+}
+
 Duration RouterCore::retry_after(NotRunReason reason) {
   // Room at a limited target comes as its keys move on, too.
   const bool waits_for_keys =
@@ -502,10 +564,12 @@
   Request& request = requests_.at(attempt.handle);
   request.attempt = 0;
   note_limit(now, attempt.backend, result);
+  note_backoff(now, attempt, result);
   note_crash(now, attempt, result);
   routing::TargetBook& book = routed_service(request.service).targets;
   if (result.end == AttemptEnd::kAnswered) {
     book.on_answered(now, attempt.backend, attempt.sent, result.load);
+    backoffs_.on_answered(attempt.backend, attempt.sent);
     const bool again =
         result.is_failure && request.repeatable && request.attempts < request.maximum_attempts;
     if (again && routed_service(request.service).retries.take(now, fleet_size_.largest())) {
@@ -533,7 +597,7 @@
       }
       if (result.refusal == Refusal::kWrongIncarnation) {
         note_ended(now, attempt.backend, !result.answered_by.value.empty());
-      } else if (result.refusal == Refusal::kShed) {
+      } else if (result.refusal == Refusal::kShed && !backoffs_.ends_at(now, attempt.backend)) {
         book.block(now, attempt.backend);
       }
       request.repeat_owed = true;
@@ -556,6 +620,9 @@
 }
 
 void RouterCore::retry_routed(TimePoint now, Request& request) {
+  if (refuse_for_backoff(now, request)) {
+    return;
+  }
   if (request.attempts >= request.maximum_attempts) {
     return answer_not_run(request, NotRunReason::kNoTarget, options_.short_retry_after);
   }
--- a/src/router/core/write_guard.cpp
+++ b/src/router/core/write_guard.cpp
@@ -32,6 +32,16 @@
   }
 }
 
+std::vector<AttemptId> WriteGuard::unbegun_at(BackendId backend) const {
+  std::vector<AttemptId> unbegun;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.backend == backend && !attempt.has_begun) {
+      unbegun.push_back(id);
+    }
+  }
+  return unbegun;
+}
+
 void WriteGuard::on_leaving(BackendId backend, std::optional<TimePoint> known_until) {
   const TimePoint long_past{};
   closings_.try_emplace(backend, known_until.value_or(long_past) + options_.promised);
--- a/src/router/core/write_guard.hpp
+++ b/src/router/core/write_guard.hpp
@@ -62,6 +62,9 @@
   /// The system has taken its last byte, or the attempt has ended.
   void remove(AttemptId attempt) { attempts_.erase(attempt); }
 
+  /// Attempts at the back end of which nothing was written.
+  std::vector<AttemptId> unbegun_at(BackendId backend) const;
+
   /// The table says that the back end takes no new work. @param known_until the latest moment as of
   /// which it is known to have taken some; nothing: it never was.
   void on_leaving(BackendId backend, std::optional<TimePoint> known_until);
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -152,6 +152,15 @@
               change.per_second.has_value() ? std::to_string(*change.per_second) : "none"}});
 }
 
+void RequestLog::backoff_requested(common::TimePoint now, const BackoffRequest& request) {
+  if (!limit_.allows(now)) {
+    return;
+  }
+  log_event("backoff_requested", {{"peer", request.address},
+                                  {"instance", request.incarnation.value},
+                                  {"time_ms", milliseconds_text(request.time)}});
+}
+
 void RequestLog::refused(common::TimePoint now, const ReadRequest& read, const Answer& answer,
                          const RefusalTimes& times) {
   if (!limit_.allows(now)) {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -372,6 +372,9 @@
   for (const LimitChange& change : output.limit_changes) {
     request_log_.limit_changed(boot_time_now(), change);
   }
+  for (const BackoffRequest& request : output.backoffs) {
+    request_log_.backoff_requested(boot_time_now(), request);
+  }
   for (const Departure& departure : output.departures) {
     note_departure(departure);
   }
@@ -634,6 +637,14 @@
   metrics_.set_counter("planktray_headers_unread_total",
                        "Headers of back ends' answers that nothing here reads.",
                        request_log_.unread_headers());
+  metrics_.set_counter("planktray_backoff_requests_total",
+                       "Answers of back ends that asked for a time without requests.",
+                       counters.backoff_requests);
+  metrics_.set_counter("planktray_backoff_refusals_total",
+                       "Requests refused since all that could run them had asked for such a time.",
+                       counters.backoff_refusals);
+  metrics_.set_gauge("planktray_backoffs", "Back ends that want nothing from this router now.",
+                     static_cast<double>(core_.backoffs(boot_time_now())));
   metrics_.set_counter("planktray_recalled_total",
                        "Attempts taken back before their first byte, for another back end.",
                        counters.recalled);
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -53,6 +53,8 @@
       return "table-too-old";
     case NotRunReason::kCrashesTargets:
       return "crashes-targets";
+    case NotRunReason::kTargetBackoff:
+      return "target-backoff";
     case NotRunReason::kTargetLimit:
       return "target-limit";
   }
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -30,6 +30,7 @@
   kTableTooOld,     ///< the table may not show what was acknowledged since
   kCrashesTargets,  ///< targets that began to run it have ended, one after the other
   kTargetLimit,     ///< the targets that could run it name limits, which leave no room now
+  kTargetBackoff,   ///< the targets that could run it have asked to be left alone for a while
 };
 
 /// A back end's refusal with proof that nothing ran (`Planktray-Not-Run`).
--- a/test/platform/requested_backoff_test.cpp
+++ b/test/platform/requested_backoff_test.cpp
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -79,5 +81,116 @@
   }
 }
 
+TEST_CASE("each form of a time to stay away has its meaning, and what has none is told") {
+  const auto seconds_of = [](const router::AttemptResult& result) {
+    REQUIRE(result.backoff.has_value());
+    return std::chrono::duration<double>(*result.backoff).count();
+  };
+  CHECK(seconds_of(turned_away("3")) == 3.0);
+  CHECK(seconds_of(turned_away("0.25")) == 0.25);
+  CHECK(seconds_of(turned_away("0")) == 0.0);
+  CHECK(seconds_of(turned_away("3600")) == 3600.0);
+  CHECK(seconds_of(turned_away("1e300")) >= 24 * 3600.0);
+  for (const char* text :
+       {"", "soon", "-1", "nan", "inf", "3 s", "1,5", "Fri, 31 Dec 2027 23:59:59 GMT"}) {
+    CAPTURE(text);
+    const auto result = turned_away(text);
+    CHECK_FALSE(result.backoff.has_value());
+    REQUIRE(result.unread_headers.size() == 1);
+    CHECK(result.unread_headers[0].name == kRetryAfterHeader);
+    CHECK(result.unread_headers[0].value == text);
+  }
+  const auto two = judged(kStatusUnavailable, {{kNotExecutedHeader, "1"},
+                                               {kRetryAfterHeader, "1"},
+                                               {"retry-after", "4"},
+                                               {kRetryAfterHeader, "soon"}});
+  CHECK(seconds_of(two) == 4.0);
+  CHECK(two.unread_headers.size() == 1);
+}
+
+TEST_CASE("only a back end's own 503 speaks of a time to stay away for") {
+  const transport::HeaderList marked = {{kNotExecutedHeader, "1"}, {kRetryAfterHeader, "3"}};
+  CHECK(judged(kStatusUnavailable, marked).backoff.has_value());
+  // Without the mark its end is not known, but it speaks for whoever stands at the address.
+  CHECK(judged(kStatusUnavailable, {{kRetryAfterHeader, "3"}}).backoff.has_value());
+  // One caller's matter, not the back end's.
+  CHECK_FALSE(judged(kStatusTooManyRequests, marked).backoff.has_value());
+  CHECK_FALSE(judged(kStatusOk, {{kSealHeader, "s"}, {kRetryAfterHeader, "3"}}).backoff);
+  transport::HttpResponse other;
+  other.status = kStatusUnavailable;
+  other.headers = marked;
+  other.headers.emplace_back(kInstanceHeader, "i-2");
+  const PlatformDialect dialect;
+  CHECK_FALSE(dialect.judge({}, common::Incarnation("i-1"), other).backoff.has_value());
+  CHECK(dialect.judge({}, common::Incarnation("i-2"), other).backoff.has_value());
+}
+
+// Guards against callers who are told a time that is not true, or all the same one.
+TEST_CASE("callers of an owner that wants to be left alone are refused at once, with true times") {
+  RouteFixture fixture(true);
+  fixture.ask(10);
+  fixture.end(12, fixture.forwards.at(0).attempt, turned_away("3"));
+  REQUIRE(fixture.answers.size() == 1);
+  std::set<common::Duration> told;
+  constexpr std::size_t kCallers = 20;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    const auto answer = fixture.answer_to(fixture.ask(112));
+    REQUIRE(answer.has_value());
+    CHECK(answer->outcome == routing::Outcome::kNotRun);
+    CHECK(answer->reason == routing::NotRunReason::kTargetBackoff);
+    CHECK(answer->retry_after >= std::chrono::milliseconds(2900));
+    CHECK(answer->retry_after < std::chrono::milliseconds(3800));
+    told.insert(answer->retry_after);
+  }
+  CHECK(told.size() == kCallers);
+  // Owners of other keys are not concerned.
+  const std::uint32_t other_key = RouteFixture::first_key(2);
+  CHECK_FALSE(fixture.answer_to(fixture.ask(112, 0, other_key)).has_value());
+  CHECK(fixture.forwards.size() == 2);
+}
+
+TEST_CASE("where all back ends of a service want to be left alone, the first end is told") {
+  RouteFixture fixture;
+  fixture.ask(10);
+  for (std::size_t i = 0; i < fixture.forwards.size(); ++i) {
+    const char* time = fixture.forwards[i].address == RouteFixture::backend(2).address ? "2" : "9";
+    fixture.end(12, fixture.forwards[i].attempt, turned_away(time));
+    if (i + 1 == fixture.forwards.size() && i + 1 < RouteFixture::kBackends) {
+      fixture.ask(12);
+    }
+  }
+  fixture.answers.clear();
+  const auto answer = fixture.answer_to(fixture.ask(112));
+  REQUIRE(answer.has_value());
+  CHECK(answer->reason == routing::NotRunReason::kTargetBackoff);
+  CHECK(answer->retry_after >= std::chrono::milliseconds(1900));
+  CHECK(answer->retry_after < std::chrono::milliseconds(2800));
+}
+
+TEST_CASE("a short time to stay away is waited for") {
+  RouteFixture fixture(true);
+  fixture.ask(10);
+  fixture.end(11, fixture.forwards.at(0).attempt, turned_away("0.05"));
+  fixture.run_until(200);
+  CHECK(fixture.forwards.size() == 2);
+}
+
+// Guards against a request that waits for its connection and is written to a back end that has
+// asked to be left alone meanwhile.
+TEST_CASE("what is not begun is taken back from a back end that wants to be left alone") {
+  RouteFixture fixture;
+  while (fixture.forwards.empty() ||
+         fixture.forwards.back().address != fixture.forwards.front().address ||
+         fixture.forwards.size() == 1) {
+    fixture.ask(10);
+    REQUIRE(fixture.forwards.size() < 100);
+  }
+  const Forward last = fixture.forwards.back();
+  fixture.core.on_attempt_begun(fixture.forwards.front().attempt);
+  fixture.end(12, fixture.forwards.front().attempt, turned_away("3"));
+  CHECK(std::count(fixture.cancels.begin(), fixture.cancels.end(), last.attempt) == 1);
+  CHECK_FALSE(fixture.answer_to(last.handle).has_value());  // others take it
+}
+
 }  // namespace
 }  // namespace planktray::platform
