Back ends that say in an answer that they leave are left alone in time, in touch or not

Cause of the gap: as with the time to stay away, nothing decoded the word; a router stopped by its table alone. One that is cut off never stopped, and an owner of keys was left to the leader's pace.

Requests without keys go elsewhere at once, and those that are not begun are taken back; an owner of keys gets requests until one could arrive after the promised time, so that its keys can be handed over first. It rests on nothing that the table, the leader or contact say. The router's next hello tells the leader, which marks the back end as leaving: its keys move and all routers know before its own word has reached a controller.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -78,6 +78,9 @@
   for (const common::BackendId id : hello.ended) {
     mark_ended(now, id);
   }
+  for (const common::BackendId id : hello.leaving) {
+    mark_stated_departure(now, id);
+  }
   if (auto table = distributor_.answer(now, state_, hello.router)) {
     output_.tables.push_back(std::move(*table));
   }
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -272,6 +272,8 @@
   routing::ControllerList controller_list() const;
   /// Proposes that the back end's process has ended: another incarnation answers at its address.
   void mark_ended(TimePoint now, common::BackendId id);
+  /// Proposes that the back end is leaving: it has told a router so.
+  void mark_stated_departure(TimePoint now, common::BackendId id);
   void plan_ranges(TimePoint now);
   /// Proposes which back ends have turned cold or warm.
   void commit_warmth(TimePoint now);
--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -263,6 +263,18 @@
   }
 }
 
+void ControllerCore::mark_stated_departure(TimePoint now, common::BackendId id) {
+  const ownership::BackendRecord* backend = state_.find_backend(id);
+  const bool is_news =
+      backend != nullptr && !backend->leaving && !backend->ended && backend->has_fenced_grants();
+  if (!is_news || !is_serving(now) || !marking_.insert(id).second) {
+    return;
+  }
+  if (!propose(now, ownership::MarkLeaving{id, true}).has_value()) {
+    marking_.erase(id);  // the next report tries again
+  }
+}
+
 void ControllerCore::plan_ranges(TimePoint now) {
   if (range_plan_index_ > state_.applied()) {
     return;
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -30,6 +30,7 @@
       cold_limit_(options_.cold_limit),
       limited_(options_.limited_targets),
       crowded_(options_.crowded_owners),
+      stated_departures_(options_.writes.promised),
       backoffs_(options_.backoffs),
       suspects_(options_.crash_suspects),
       fleet_size_(options_.fleet_size_memory),
@@ -496,6 +497,16 @@
   }
 }
 
+void RouterCore::report_stated_departures(routing::RouterHello& hello) const {
+  stated_departures_.for_each([&](BackendId id) {
+    const routing::BackendRoute* route = table_.find_backend(id);
+    const bool is_news = route != nullptr && route->takes_work();
+    if (is_news && hello.leaving.size() < options_.maximum_reported_ended) {
+      hello.leaving.push_back(id);
+    }
+  });
+}
+
 bool RouterCore::has_ended(TimePoint now, BackendId backend) const {
   const routing::BackendRoute* route = table_.find_backend(backend);
   const auto found = ended_.find(backend);
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -34,6 +34,7 @@
 #include "routing/requested_backoffs.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/retry_window.hpp"
+#include "routing/stated_departures.hpp"
 #include "routing/table.hpp"
 #include "routing/table_freshness.hpp"
 #include "routing/target_book.hpp"
@@ -116,7 +117,7 @@
   Duration unavailable_retry_after = std::chrono::milliseconds(500);
   /// A target in another zone counts as slower by this part.
   double other_zone_cost = 0.05;
-  /// Ended back ends named in one hello at most.
+  /// Ended back ends named in one hello at most, and as many that said that they leave.
   std::size_t maximum_reported_ended = 64;
   /// A back end found to have ended is reported after this time: other routers are about to ask it
   /// too, and those found within it go together.
@@ -190,6 +191,7 @@
   std::optional<routing::LoadReport> load = std::nullopt;
   common::Incarnation answered_by{};  ///< who refused, where the answer names it
   routing::LimitWord limit{};
+  bool is_leaving = false;  ///< the answer says so of its back end
   /// The back end wants nothing from this router for so long; nothing where it does not say.
   std::optional<Duration> backoff = std::nullopt;
   bool connection_ended = false;      ///< broken, since the connection was closed or reset
@@ -218,6 +220,12 @@
   Duration time{0};
 };
 
+/// Effect, for logs: a back end has said in an answer that it is leaving, before the table did.
+struct StatedDeparture {
+  std::string address;
+  common::Incarnation incarnation;
+};
+
 /// Effect, for logs: the table says that a back end takes no new work from now on.
 struct Departure {
   common::BackendId backend;
@@ -237,6 +245,7 @@
   std::vector<Answer> answers;
   std::vector<LimitChange> limit_changes;
   std::vector<Departure> departures;
+  std::vector<StatedDeparture> stated_departures;
   std::vector<BackoffRequest> backoffs;
   std::vector<ReachInquiry> reach_inquiries;
   std::optional<routing::RouterHello> hello;
@@ -246,8 +255,8 @@
   /// True where there is nothing to carry out.
   bool empty() const {
     return forwards.empty() && cancels.empty() && write_decisions.empty() && answers.empty() &&
-           limit_changes.empty() && departures.empty() && backoffs.empty() &&
-           reach_inquiries.empty() && !hello.has_value();
+           limit_changes.empty() && departures.empty() && stated_departures.empty() &&
+           backoffs.empty() && reach_inquiries.empty() && !hello.has_value();
   }
 };
 
@@ -274,19 +283,20 @@
   std::uint64_t refusals = 0;
   std::uint64_t table_updates = 0;
   std::uint64_t cancelled = 0;
-  std::uint64_t inquiries = 0;         ///< the leader was silent, others were asked
-  std::uint64_t leaders_named = 0;     ///< a new leader was named by itself or another controller
-  std::uint64_t crash_refusals = 0;    ///< refused since it crashes its targets
-  std::uint64_t crashes_seen = 0;      ///< back ends found to have ended with requests under way
-  std::uint64_t limit_refusals = 0;    ///< refused since the target's limit left no room
-  std::uint64_t crowd_refusals = 0;    ///< refused since the owner's queue is too long
-  std::uint64_t stale_refusals = 0;    ///< requests on routes that came while the table was too old
-  std::uint64_t backoff_requests = 0;  ///< answers that asked for a time without requests
-  std::uint64_t backoff_refusals = 0;  ///< refused since all that could run it had asked for it
-  std::uint64_t recalled = 0;          ///< attempts taken back before their first byte
-  std::uint64_t held_writes = 0;       ///< attempts whose rest waited for a newer table
-  std::uint64_t cut_writes = 0;        ///< attempts cut off since their back end was leaving
-  std::uint64_t follower_updates = 0;  ///< updates of the table that followers brought
+  std::uint64_t inquiries = 0;       ///< the leader was silent, others were asked
+  std::uint64_t leaders_named = 0;   ///< a new leader was named by itself or another controller
+  std::uint64_t crash_refusals = 0;  ///< refused since it crashes its targets
+  std::uint64_t crashes_seen = 0;    ///< back ends found to have ended with requests under way
+  std::uint64_t limit_refusals = 0;  ///< refused since the target's limit left no room
+  std::uint64_t crowd_refusals = 0;  ///< refused since the owner's queue is too long
+  std::uint64_t stale_refusals = 0;  ///< requests on routes that came while the table was too old
+  std::uint64_t stated_departures = 0;  ///< back ends that said so before the table did
+  std::uint64_t backoff_requests = 0;   ///< answers that asked for a time without requests
+  std::uint64_t backoff_refusals = 0;   ///< refused since all that could run it had asked for it
+  std::uint64_t recalled = 0;           ///< attempts taken back before their first byte
+  std::uint64_t held_writes = 0;        ///< attempts whose rest waited for a newer table
+  std::uint64_t cut_writes = 0;         ///< attempts cut off since their back end was leaving
+  std::uint64_t follower_updates = 0;   ///< updates of the table that followers brought
   std::array<RequestEnds, kTimeClasses.size() + 1> ends_by_time{};
 };
 
@@ -489,6 +499,9 @@
   /// Refuses a request at once whose targets want none for longer than it may wait.
   /// @return false where there are others, or it may wait.
   bool refuse_for_backoff(TimePoint now, Request& request);
+  void note_stated_departure(TimePoint now, const Attempt& attempt, const AttemptResult& result);
+  /// Takes attempts back of which nothing was written to the back end.
+  void recall_unbegun(TimePoint now, BackendId backend);
   void note_backoff(TimePoint now, const Attempt& attempt, const AttemptResult& result);
   /// True where only limits that targets name keep the request from being sent.
   bool is_held_by_limits(TimePoint now, const Request& request,
@@ -521,6 +534,7 @@
   /// which one it is: proof that the leader may act upon.
   void note_ended(TimePoint now, BackendId backend, bool is_named);
   void report_ended(TimePoint now, routing::RouterHello& hello) const;
+  void report_stated_departures(routing::RouterHello& hello) const;
   /// True where the back end's process has ended: nothing is sent to it.
   bool has_ended(TimePoint now, BackendId backend) const;
   /// Rough time until a request behind `queued` others would be answered.
@@ -588,6 +602,7 @@
   routing::RateShare cold_limit_;
   routing::LimitedTargets limited_;
   routing::CrowdedOwners crowded_;
+  routing::StatedDepartures stated_departures_;
   routing::RequestedBackoffs backoffs_;
   routing::CrashSuspects suspects_;
   routing::FleetSize fleet_size_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -44,6 +44,7 @@
   const auto is_known = [this](BackendId id) { return table_.find_backend(id) != nullptr; };
   limited_.keep_only(now, is_known);
   backoffs_.keep_only(is_known);
+  stated_departures_.keep_only(is_known);
   for (auto& [id, service] : routed_) {
     service.targets.drop_unless(
         [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
@@ -84,10 +85,14 @@
   const auto evacuated = evacuations_.find(backend.zone);
   const bool is_evacuated = evacuated != evacuations_.end() && options_.keep_off_evacuated;
   if (!request.keyed) {
-    return backend.draining || is_evacuated;
+    return backend.draining || stated_departures_.has_said(backend.id) || is_evacuated;
   }
-  const auto closes = writes_.closes_at(backend.id);
-  const bool would_be_late = closes.has_value() && now >= *closes - arrival_time(request);
+  const TimePoint arrival = now + arrival_time(request);
+  const auto is_late_for = [arrival](const std::optional<TimePoint>& closes) {
+    return closes.has_value() && arrival >= *closes;
+  };
+  const bool would_be_late = is_late_for(writes_.closes_at(backend.id)) ||
+                             is_late_for(stated_departures_.closes_at(backend.id));
   const bool has_handed_over = is_evacuated && now >= evacuated->second + options_.evacuation_grace;
   return would_be_late || has_handed_over;
 }
@@ -182,7 +187,27 @@
     return;
   }
   output_.backoffs.push_back({backend->address, backend->incarnation, *result.backoff});
-  for (const AttemptId unbegun : writes_.unbegun_at(attempt.backend)) {
+  recall_unbegun(now, attempt.backend);
+}
+
+void RouterCore::note_stated_departure(TimePoint now, const Attempt& attempt,
+                                       const AttemptResult& result) {
+  const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
+  if (!result.is_leaving || backend == nullptr ||
+      !stated_departures_.on_said(now, attempt.backend) || !backend->takes_work()) {
+    return;
+  }
+  ++counters_.stated_departures;
+  output_.stated_departures.push_back({backend->address, backend->incarnation});
+  hasten_hello(now);  // the leader gives its keys to others, and tells all routers
+  const auto* service = table_.routes().find_service(common::ServiceName(backend->pool.value));
+  if (service != nullptr && !service->route.config.keyed) {
+    recall_unbegun(now, attempt.backend);
+  }
+}
+
+void RouterCore::recall_unbegun(TimePoint now, BackendId backend) {
+  for (const AttemptId unbegun : writes_.unbegun_at(backend)) {
     output_.write_decisions.push_back({unbegun, WriteVerdict::kRecall});
     recall(now, unbegun);
   }
@@ -564,6 +589,7 @@
   Request& request = requests_.at(attempt.handle);
   request.attempt = 0;
   note_limit(now, attempt.backend, result);
+  note_stated_departure(now, attempt, result);
   note_backoff(now, attempt, result);
   note_crash(now, attempt, result);
   routing::TargetBook& book = routed_service(request.service).targets;
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -194,6 +194,7 @@
   }
   routing::RouterHello hello = plain_hello(now);
   report_ended(now, hello);
+  report_stated_departures(hello);
   if (now >= next_load_) {
     next_load_ = now + options_.load_interval;
     for (const auto& [ref, count] : loads_) {
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -152,6 +152,14 @@
               change.per_second.has_value() ? std::to_string(*change.per_second) : "none"}});
 }
 
+void RequestLog::departure_stated(common::TimePoint now, const StatedDeparture& departure) {
+  if (!limit_.allows(now)) {
+    return;
+  }
+  log_event("departure_stated",
+            {{"peer", departure.address}, {"instance", departure.incarnation.value}});
+}
+
 void RequestLog::backoff_requested(common::TimePoint now, const BackoffRequest& request) {
   if (!limit_.allows(now)) {
     return;
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -81,6 +81,8 @@
   std::uint64_t unread_headers() const { return unread_headers_; }
   /// A back end names another limit than before, or none any more.
   void limit_changed(common::TimePoint now, const LimitChange& change);
+  /// A back end has said in an answer that it is leaving, before the table did.
+  void departure_stated(common::TimePoint now, const StatedDeparture& departure);
   /// A back end that took requests wants none for a while.
   void backoff_requested(common::TimePoint now, const BackoffRequest& request);
   /// The request ends without a back end's answer.
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -372,6 +372,9 @@
   for (const LimitChange& change : output.limit_changes) {
     request_log_.limit_changed(boot_time_now(), change);
   }
+  for (const StatedDeparture& departure : output.stated_departures) {
+    request_log_.departure_stated(boot_time_now(), departure);
+  }
   for (const BackoffRequest& request : output.backoffs) {
     request_log_.backoff_requested(boot_time_now(), request);
   }
@@ -637,6 +640,9 @@
   metrics_.set_counter("planktray_headers_unread_total",
                        "Headers of back ends' answers that nothing here reads.",
                        request_log_.unread_headers());
+  metrics_.set_counter("planktray_stated_departures_total",
+                       "Back ends that said in an answer that they leave before the table did.",
+                       counters.stated_departures);
   metrics_.set_counter("planktray_backoff_requests_total",
                        "Answers of back ends that asked for a time without requests.",
                        counters.backoff_requests);
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -229,9 +229,11 @@
   std::vector<CrashReport> crashes;
   std::vector<AnsweredSuspect> suspects_answered;
   std::vector<SuspectRequest> suspects_listed;  ///< by a leader before this one
+  /// Back ends that said in an answer that they are leaving, and that the table has as taking work.
+  std::vector<BackendId> leaving;
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
                        target_times, ended, lacks_update, limits, crashes, suspects_answered,
-                       suspects_listed)
+                       suspects_listed, leaving)
 };
 
 /// Controller to router: confirmation that the table is current, and what changed.
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -316,6 +316,28 @@
   }
 }
 
+// Guards against keys of a leaving back end that stay until its own word reaches a controller.
+TEST_CASE("a back end that told a router of its leaving is leaving on every replica") {
+  Cell cell;
+  CHECK(cell.beat(cell.leader(), 1, false));
+  cell.run_for(100);
+  const common::Incarnation life("life");
+  const std::size_t leader = cell.leader();
+  const ownership::BackendRecord* known = cell.replicas[leader]->state().find_incarnation(life);
+  REQUIRE(known != nullptr);
+  CHECK_FALSE(known->leaving);
+  routing::RouterHello hello;
+  hello.router = common::RouterName("r");
+  hello.leaving = {known->id, common::BackendId(999'999)};
+  cell.replicas[leader]->on_router_hello(at(cell.time), hello);
+  cell.replicas[leader]->on_router_hello(at(cell.time), hello);
+  cell.run_for(100);
+  for (const auto& replica : cell.replicas) {
+    REQUIRE(replica->state().find_incarnation(life) != nullptr);
+    CHECK(replica->state().find_incarnation(life)->leaving);
+  }
+}
+
 /// @return what the evacuation ended with, within `wait` milliseconds.
 std::optional<common::Result<common::LogIndex>> evacuate(Cell& cell, std::size_t replica,
                                                          const std::string& zone, bool evacuated,
