Keys of owners that keep most routers away go to others

Routers tell the leader who wants nothing from them, and for how long. Its time over, it is given keys by balance as any other.

Evidence: tests of the leader's decisions (fleet_backoffs_test): its keys are planned away, keys stay where most owners ask alike, few routers or a short time move nothing.

--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -43,6 +43,7 @@
       loads_(options.load_half_life),
       times_(options.speed_sample_weight),
       limits_(options.limits),
+      backoffs_(options.backoffs),
       admission_(options.admission) {}
 
 void RangeController::begin_term(TimePoint now, const CellState& state) {
@@ -51,6 +52,7 @@
   loads_.clear(now);
   times_.clear();
   limits_.begin_term();
+  backoffs_.begin_term();
   admission_.begin_term(now);
   crowded_.reset();
   next_limits_ = now;
@@ -151,22 +153,23 @@
   }
 }
 
-std::set<common::PoolName> RangeController::mostly_warm(const CellState& state) const {
-  std::map<common::PoolName, std::pair<std::size_t, std::size_t>> counts;  // cold, all
+std::set<common::PoolName> RangeController::mostly_good(const CellState& state,
+                                                        const BackendCheck& is_poor) {
+  std::map<common::PoolName, std::pair<std::size_t, std::size_t>> counts;  // poor, all
   for (const auto& [id, backend] : state.backends()) {
     if (backend.has_fenced_grants() && !backend.leaving && !state.is_evacuated(backend)) {
-      auto& [cold, all] = counts[backend.pool];
-      cold += backend.cold ? 1 : 0;
+      auto& [poor, all] = counts[backend.pool];
+      poor += is_poor(backend) ? 1 : 0;
       ++all;
     }
   }
-  std::set<common::PoolName> warm;
+  std::set<common::PoolName> good;
   for (const auto& [pool, count] : counts) {
     if (2 * count.first <= count.second) {
-      warm.insert(pool);
+      good.insert(pool);
     }
   }
-  return warm;
+  return good;
 }
 
 ownership::SetWarmth RangeController::warmth_changes(TimePoint now, const CellState& state) {
@@ -250,6 +253,7 @@
     capacities_ = times_.capacities(state);
     fold_admission(now, state);
     limits_.expire(now, [&](common::BackendId id) { return state.find_backend(id) != nullptr; });
+    backoffs_.expire(now);
   }
   planned_state_ = state.applied();
   ownership::RangePlannerInput input{state, loads_, {},      {},
@@ -258,9 +262,16 @@
     const auto limit = limits_.of(backend.id);
     return limit.has_value() ? std::optional(*limit * options_.limit_share) : std::nullopt;
   };
-  const std::set<common::PoolName> warm = mostly_warm(state);
+  const auto is_cold = [](const BackendRecord& backend) { return backend.cold; };
+  const auto is_avoided = [&](const BackendRecord& backend) {
+    return backoffs_.is_avoided(now, backend.id);
+  };
+  const std::set<common::PoolName> warm = mostly_good(state, is_cold);
+  const std::set<common::PoolName> willing =
+      backoffs_.empty() ? std::set<common::PoolName>() : mostly_good(state, is_avoided);
   const auto is_spared = [&](const BackendRecord& backend) {
-    return backend.cold && warm.contains(backend.pool);
+    return (backend.cold && warm.contains(backend.pool)) ||
+           (willing.contains(backend.pool) && is_avoided(backend));
   };
   input.is_eligible = [&](const BackendRecord& backend) {
     return is_eligible(now, state, backend) && !is_spared(backend);
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <vector>
 
+#include "controller/core/fleet_backoffs.hpp"
 #include "controller/core/fleet_limits.hpp"
 #include "controller/core/holder_answers.hpp"
 #include "controller/core/owner_admission.hpp"
@@ -50,6 +51,7 @@
   /// after they came.
   Duration warmth_settle = std::chrono::milliseconds(400);
   FleetLimitsOptions limits;
+  FleetBackoffsOptions backoffs;
   OwnerAdmissionOptions admission;
   /// Part of a limit that all routers together plan to send.
   double admitted_share = 0.5;
@@ -80,6 +82,7 @@
     loads_.add(hello.key_loads);
     times_.add(hello.target_times);
     admission_.take(now, hello.target_times);
+    backoffs_.take(now, hello);
   }
   /// Owners whose queues are too long, where that was worked out anew since the last call.
   std::optional<std::vector<routing::AdmittedPart>> take_crowded() {
@@ -145,8 +148,11 @@
   }
 
  private:
-  /// Services most of whose targets are warm, by name: there, cold ones own no keys.
-  std::set<common::PoolName> mostly_warm(const ownership::CellState& state) const;
+  using BackendCheck = std::function<bool(const ownership::BackendRecord&)>;
+  /// Services with more targets for which `is_poor` is false than true, by name: there, the poor
+  /// ones own no keys.
+  static std::set<common::PoolName> mostly_good(const ownership::CellState& state,
+                                                const BackendCheck& is_poor);
   bool is_eligible(TimePoint now, const ownership::CellState& state,
                    const ownership::BackendRecord& backend) const;
   /// Requests a second for the keys that the back end owns.
@@ -170,6 +176,7 @@
   ownership::KeyLoads loads_;
   ownership::TargetTimes times_;
   FleetLimits limits_;
+  FleetBackoffs backoffs_;
   OwnerAdmission admission_;
   std::optional<std::vector<routing::AdmittedPart>> crowded_;
   ownership::Capacities capacities_;  ///< as of the last fold of loads
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -535,6 +535,7 @@
   void note_ended(TimePoint now, BackendId backend, bool is_named);
   void report_ended(TimePoint now, routing::RouterHello& hello) const;
   void report_stated_departures(routing::RouterHello& hello) const;
+  void report_backoffs(TimePoint now, routing::RouterHello& hello) const;
   /// True where the back end's process has ended: nothing is sent to it.
   bool has_ended(TimePoint now, BackendId backend) const;
   /// Rough time until a request behind `queued` others would be answered.
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -187,6 +187,7 @@
     return;
   }
   output_.backoffs.push_back({backend->address, backend->incarnation, *result.backoff});
+  hasten_hello(now);  // the leader may give its keys to others
   recall_unbegun(now, attempt.backend);
 }
 
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -195,6 +195,7 @@
   routing::RouterHello hello = plain_hello(now);
   report_ended(now, hello);
   report_stated_departures(hello);
+  report_backoffs(now, hello);
   if (now >= next_load_) {
     next_load_ = now + options_.load_interval;
     for (const auto& [ref, count] : loads_) {
@@ -273,6 +274,16 @@
   }
 }
 
+void RouterCore::report_backoffs(TimePoint now, routing::RouterHello& hello) const {
+  backoffs_.for_each(now, [&](BackendId id, TimePoint end) {
+    if (hello.backoffs.size() < routing::kMostBackoffs) {
+      const Duration left = std::min<Duration>(end - now, options_.backoffs.longest);
+      hello.backoffs.push_back(
+          {id, static_cast<std::uint32_t>(left / std::chrono::milliseconds(1))});
+    }
+  });
+}
+
 void RouterCore::report_target_times(routing::RouterHello& hello) {
   for (auto& [id, service] : routed_) {
     const auto* route = table_.routes().find_service(id);
--- a/src/routing/requested_backoffs.hpp
+++ b/src/routing/requested_backoffs.hpp
@@ -51,6 +51,15 @@
   /// False where the back end was asked to be left alone and has not answered since: it gets one
   /// request at a time.
   bool is_proven(BackendId id) const { return !backoffs_.contains(id); }
+  /// Calls `visit(id, end)` for each back end that wants nothing now.
+  template <typename Visit>
+  void for_each(TimePoint now, const Visit& visit) const {
+    for (const auto& [id, end] : backoffs_) {
+      if (now < end) {
+        visit(id, end);
+      }
+    }
+  }
   /// Back ends that want nothing now.
   std::size_t count(TimePoint now) const;
 
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -203,6 +203,16 @@
   MSGPACK_DEFINE_ARRAY(digest, blocked_for_ms, crashes)
 };
 
+/// Back ends named in one hello at most that have asked to be left alone.
+inline constexpr std::size_t kMostBackoffs = 64;
+
+/// An owner of keys that wants nothing from this router for a while.
+struct BackoffReport {
+  BackendId backend;
+  std::uint32_t left_ms = 0;
+  MSGPACK_DEFINE_ARRAY(backend, left_ms)
+};
+
 /// Requests that a router saw for one shard since its last report.
 struct ShardLoad {
   ServiceId service;
@@ -231,9 +241,10 @@
   std::vector<SuspectRequest> suspects_listed;  ///< by a leader before this one
   /// Back ends that said in an answer that they are leaving, and that the table has as taking work.
   std::vector<BackendId> leaving;
+  std::vector<BackoffReport> backoffs;
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
                        target_times, ended, lacks_update, limits, crashes, suspects_answered,
-                       suspects_listed, leaving)
+                       suspects_listed, leaving, backoffs)
 };
 
 /// Controller to router: confirmation that the table is current, and what changed.
