--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -8,8 +8,6 @@
 ///  - Once the outcome is decided it is told at once.
 
 #include <algorithm>
-#include <array>
-#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -23,13 +21,13 @@
 #include "common/time.hpp"
 #include "link/send_window.hpp"
 #include "router/core/caller_request.hpp"
+#include "router/core/router_effects.hpp"
+#include "router/core/router_options.hpp"
 #include "router/core/write_guard.hpp"
 #include "routing/crash_suspects.hpp"
 #include "routing/crowded_owners.hpp"
 #include "routing/fleet_size.hpp"
-#include "routing/leader_search.hpp"
 #include "routing/limited_targets.hpp"
-#include "routing/outcome.hpp"
 #include "routing/rate_share.hpp"
 #include "routing/requested_backoffs.hpp"
 #include "routing/retry_budget.hpp"
@@ -38,7 +36,6 @@
 #include "routing/table.hpp"
 #include "routing/table_freshness.hpp"
 #include "routing/target_book.hpp"
-#include "routing/target_choice.hpp"
 #include "routing/zone_subset.hpp"
 
 namespace planktray::router {
@@ -47,259 +44,6 @@
 using common::Duration;
 using common::TimePoint;
 
-struct RouterOptions {
-  common::CellName cell;
-  common::RouterName name;
-  std::string address;  ///< where callers reach it
-  common::ZoneName zone;
-  Duration hello_interval = std::chrono::milliseconds(100);
-  Duration load_interval = std::chrono::milliseconds(1000);
-  /// How long the table may be used after its last confirmation; the controllers' value.
-  Duration table_lease = std::chrono::milliseconds(3000);
-  routing::LeaderSearchOptions leader_search;
-  /// For requests on routes: their routes and back ends are promised to be in use in time.
-  routing::FreshnessOptions freshness;
-  /// The same for their last bytes.
-  WriteGuardOptions writes;
-  /// Large requests look for a back end when their turn at the link has come.
-  link::SendWindowOptions send_window;
-  /// The longest that a request takes from the choice of its back end to its arrival, beside what a
-  /// large one takes at the link.
-  Duration arrival_time = std::chrono::milliseconds(500);
-  /// First wait after a refusal or a failed connection; doubles up to the maximum.
-  Duration minimum_backoff = std::chrono::milliseconds(5);
-  Duration maximum_backoff = std::chrono::milliseconds(100);
-  /// A target that appears after the first table reaches its full share over this time.
-  Duration warm_up = std::chrono::milliseconds(5000);
-  routing::RetryBudgetOptions retry_budget;
-  /// For requests on routes.
-  routing::RetryWindowOptions retry_window;
-  routing::TargetBookOptions targets;
-  routing::RateShareOptions cold_limit;
-  routing::LimitedTargetsOptions limited_targets;
-  routing::CrowdedOwnersOptions crowded_owners;
-  routing::RequestedBackoffOptions backoffs;
-  routing::CrashSuspectsOptions crash_suspects;
-  /// Told to callers whose request crashes its targets: nothing gets better soon.
-  Duration crashing_retry_after = std::chrono::seconds(60);
-  /// For how long a larger count of routers is kept. Beyond the table lease, within which a new
-  /// leader has heard of every router that serves.
-  Duration fleet_size_memory = std::chrono::milliseconds(6000);
-  /// The owner of a key in a zone that is being evacuated may get requests for this long after the
-  /// router has learnt of it, so that its keys can be handed over first. 0: none.
-  Duration evacuation_grace = std::chrono::milliseconds(2000);
-  /// A request that is not sent within this part of its objective is refused.
-  double patience = 0.2;
-  /// The same where its route states no objective.
-  Duration default_patience = std::chrono::milliseconds(60);
-  /// A request is refused where its answer is expected later than this part of the time it has.
-  double usable_time = 0.9;
-  /// Nothing is sent where an answer is expected later than this part of the shortest objective
-  /// among the routes of the service: longer queues would serve only those callers who bring the
-  /// most time. 0: no such bound.
-  double queue_bound = 0.65;
-  /// A queue is not bounded below this many times the usual work time of its service.
-  double shortest_queue = 2.0;
-  /// A back end whose address another incarnation answers at gets nothing for this long, unless the
-  /// table drops it before. It ends with certainty, but the sign of it may have been misread: then
-  /// this is what the mistake costs. Leaders give up a holder within a hold (9 s at most), so a
-  /// router meets the same ended back end twice at most.
-  Duration ended_memory = std::chrono::milliseconds(5000);
-  /// Told to callers who should come back soon.
-  Duration short_retry_after = std::chrono::milliseconds(150);
-  /// Told to callers whose key has no owner: what ran on it has to end, and the next owner has to
-  /// be told, before it runs again. Worked out from running times of 0.2 s and more, not measured.
-  /// Each caller is told a time of its own between this and twice as much, so that they do not come
-  /// back together.
-  Duration ownerless_retry_after = std::chrono::milliseconds(300);
-  /// Told to callers who come before a table is there; each is told a time of its own between this
-  /// and twice as much, so that they do not come back together.
-  Duration unavailable_retry_after = std::chrono::milliseconds(500);
-  /// A target in another zone counts as slower by this part.
-  double other_zone_cost = 0.05;
-  /// Ended back ends named in one hello at most, and as many that said that they leave.
-  std::size_t maximum_reported_ended = 64;
-  /// A back end found to have ended is reported after this time: other routers are about to ask it
-  /// too, and those found within it go together.
-  Duration ended_report_delay = std::chrono::milliseconds(5);
-  /// Such reports are at least this part of a hello's interval apart, so that routers which find
-  /// many do not bury the leader in hellos.
-  int reports_per_hello = 4;
-  /// Requests for the same key counted in one load report at most.
-  std::size_t maximum_reported_keys = 400;
-  routing::SubsetPolicy subset = routing::SubsetPolicy::kDeterministicAperture;
-  routing::ChoicePolicy choice = routing::ChoicePolicy::kPowerOfTwoChoices;
-  /// Targets a router uses at least, where a service has more.
-  std::uint32_t minimum_subset = 20;
-  /// The same for services of the route configuration that are not divided by key.
-  routing::ZoneSubsetOptions zone_subset;
-  /// Shards named in one load report at most.
-  std::size_t maximum_reported_shards = 500;
-  /// Safeguards; off only in mutants.
-  bool resend_unknown = false;      ///< also resend what may have run
-  bool keep_table_forever = false;  ///< serve without confirmation
-  bool claim_not_run = false;       ///< call unknown outcomes "not run"
-  bool keep_off_evacuated = true;   ///< send nothing to the back ends of an evacuated zone
-};
-
-/// Effect: send the request to this back end.
-struct Forward {
-  AttemptId attempt = 0;
-  RequestHandle handle = 0;
-  std::string address;
-  common::MachineName machine;
-  common::Incarnation incarnation;
-  bool keyed = false;
-  common::ShardNumber shard;
-  common::Epoch epoch;
-  Duration time_left{0};
-  bool repeatable = false;  ///< false: never on a connection that was used before
-  // For logs.
-  std::string service{};           ///< whose request it is, and whose budget a repeat counts in
-  std::uint32_t number = 1;        ///< 1: the first attempt of its request
-  common::LogIndex table_index{};  ///< the table that named the back end
-  routing::RetryUsage budget{};    ///< of a repeat on a route: what is spent, with it
-};
-
-/// Effect: tell the caller.
-struct Answer {
-  RequestHandle handle = 0;
-  routing::Outcome outcome = routing::Outcome::kUnknown;
-  AttemptId attempt = 0;  ///< answered: the attempt whose answer is passed on
-  routing::NotRunReason reason = routing::NotRunReason::kNone;
-  bool can_never_run = false;  ///< asking again makes no sense
-  Duration retry_after{0};
-  // For logs; set where the request was taken in.
-  std::string service{};
-  std::uint32_t attempts = 0;      ///< how often it was sent
-  common::LogIndex table_index{};  ///< the table that decided it
-  std::string route{};
-  /// When an answer was expected, from the moment at which this was last looked at.
-  std::optional<Duration> expected{};
-};
-
-/// A header of an answer that says something of the back end, and that nothing here reads.
-struct UnreadHeader {
-  std::string name;
-  std::string value;
-};
-
-struct AttemptResult {
-  routing::AttemptEnd end = routing::AttemptEnd::kBroken;
-  routing::Refusal refusal = routing::Refusal::kShed;
-  bool is_failure = false;  ///< answered, but by a failure of the back end
-  std::optional<routing::LoadReport> load = std::nullopt;
-  common::Incarnation answered_by{};  ///< who refused, where the answer names it
-  routing::LimitWord limit{};
-  bool is_leaving = false;  ///< the answer says so of its back end
-  /// The back end wants nothing from this router for so long; nothing where it does not say.
-  std::optional<Duration> backoff = std::nullopt;
-  bool connection_ended = false;      ///< broken, since the connection was closed or reset
-  routing::RequestDigest digest = 0;  ///< of the request; 0: not known
-  std::string unread_load{};  ///< the load report as it came, where not all of it could be read
-  std::vector<UnreadHeader> unread_headers{};
-};
-
-/// Effect: find out whether anybody listens at the back end's address, and tell on_reach_checked().
-struct ReachInquiry {
-  common::BackendId backend;
-  std::string address;
-};
-
-/// Effect, for logs: an answer of a back end has changed what this router knows of its limit.
-struct LimitChange {
-  std::string address;
-  common::Incarnation incarnation;
-  std::optional<double> per_second;  ///< none: it names no limit any more
-};
-
-/// Effect, for logs: a back end that took requests wants none for a while.
-struct BackoffRequest {
-  std::string address;
-  common::Incarnation incarnation;
-  Duration time{0};
-};
-
-/// Effect, for logs: a back end has said in an answer that it is leaving, before the table did.
-struct StatedDeparture {
-  std::string address;
-  common::Incarnation incarnation;
-};
-
-/// Effect, for logs: the table says that a back end takes no new work from now on.
-struct Departure {
-  common::BackendId backend;
-  std::string address;
-  common::Incarnation incarnation;
-  /// Age of the last table that said otherwise; nothing where it was never confirmed.
-  std::optional<Duration> known_before;
-  common::LogIndex table_index;
-};
-
-struct RouterOutput {
-  std::vector<Forward> forwards;
-  std::vector<AttemptId> cancels;
-  /// Of attempts that are not written whole. Those that are held or resumed are for the shell to
-  /// carry out; the others are among the cancels as well, and stand here for logs.
-  std::vector<WriteDecision> write_decisions;
-  std::vector<Answer> answers;
-  std::vector<LimitChange> limit_changes;
-  std::vector<Departure> departures;
-  std::vector<StatedDeparture> stated_departures;
-  std::vector<BackoffRequest> backoffs;
-  std::vector<ReachInquiry> reach_inquiries;
-  std::optional<routing::RouterHello> hello;
-  bool hello_to_all = false;          ///< to every controller
-  std::vector<std::string> hello_to;  ///< else to these addresses
-
-  /// True where there is nothing to carry out.
-  bool empty() const {
-    return forwards.empty() && cancels.empty() && write_decisions.empty() && answers.empty() &&
-           limit_changes.empty() && departures.empty() && stated_departures.empty() &&
-           backoffs.empty() && reach_inquiries.empty() && !hello.has_value();
-  }
-};
-
-/// How requests on routes have ended.
-struct RequestEnds {
-  std::uint64_t answered = 0;
-  std::uint64_t not_run = 0;
-  std::uint64_t unknown = 0;
-};
-
-/// Upper ends of the classes in which requests on routes are counted by the time that they bring:
-/// the lesser of what their caller states and their route's timeout. One more class lies above.
-inline constexpr std::array<Duration, 4> kTimeClasses = {
-    std::chrono::milliseconds(500), std::chrono::milliseconds(1000),
-    std::chrono::milliseconds(2000), std::chrono::milliseconds(5000)};
-
-struct RouterCounters {
-  std::uint64_t requests = 0;
-  std::uint64_t answered = 0;
-  std::uint64_t not_run = 0;
-  std::uint64_t unknown = 0;
-  std::uint64_t retries = 0;         ///< attempts that may have been repeats of an arrival
-  std::uint64_t ended_backends = 0;  ///< found by another incarnation's answer
-  std::uint64_t refusals = 0;
-  std::uint64_t table_updates = 0;
-  std::uint64_t cancelled = 0;
-  std::uint64_t inquiries = 0;       ///< the leader was silent, others were asked
-  std::uint64_t leaders_named = 0;   ///< a new leader was named by itself or another controller
-  std::uint64_t crash_refusals = 0;  ///< refused since it crashes its targets
-  std::uint64_t crashes_seen = 0;    ///< back ends found to have ended with requests under way
-  std::uint64_t limit_refusals = 0;  ///< refused since the target's limit left no room
-  std::uint64_t crowd_refusals = 0;  ///< refused since the owner's queue is too long
-  std::uint64_t stale_refusals = 0;  ///< requests on routes that came while the table was too old
-  std::uint64_t stated_departures = 0;  ///< back ends that said so before the table did
-  std::uint64_t backoff_requests = 0;   ///< answers that asked for a time without requests
-  std::uint64_t backoff_refusals = 0;   ///< refused since all that could run it had asked for it
-  std::uint64_t recalled = 0;           ///< attempts taken back before their first byte
-  std::uint64_t held_writes = 0;        ///< attempts whose rest waited for a newer table
-  std::uint64_t cut_writes = 0;         ///< attempts cut off since their back end was leaving
-  std::uint64_t follower_updates = 0;   ///< updates of the table that followers brought
-  std::array<RequestEnds, kTimeClasses.size() + 1> ends_by_time{};
-};
-
 class RouterCore {
  public:
   RouterCore(RouterOptions options, common::RandomEngine random, TimePoint now);
--- /dev/null
+++ b/src/router/core/router_core_answers.cpp
@@ -0,0 +1,78 @@
+/// What RouterCore learns of back ends from their answers, beside the answers themselves.
+
+#include <optional>
+
+#include "router/core/router_core.hpp"
+
+namespace planktray::router {
+
+using routing::AttemptEnd;
+
+void RouterCore::note_crash(TimePoint now, const Attempt& attempt, const AttemptResult& result) {
+  if (result.end == AttemptEnd::kAnswered && result.digest != 0) {
+    suspects_.on_answered(now, result.digest);
+  }
+  if (!result.connection_ended) {
+    return;
+  }
+  if (suspects_.on_connection_ended({result.digest, attempt.backend, attempt.sent, now})) {
+    const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
+    if (backend != nullptr) {
+      output_.reach_inquiries.push_back({attempt.backend, backend->address});
+    }
+  }
+}
+
+void RouterCore::on_reach_checked(TimePoint now, BackendId backend, std::optional<bool> listens) {
+  if (listens.value_or(true)) {
+    return suspects_.on_alive(backend);
+  }
+  ++counters_.crashes_seen;
+  if (suspects_.on_gone(now, backend)) {
+    hasten_hello(now);
+  }
+}
+
+void RouterCore::note_limit(TimePoint now, BackendId target, const AttemptResult& result) {
+  if (!limited_.on_answer(now, target, result.limit)) {
+    return;
+  }
+  hasten_hello(now);  // the leader moves keys and tells all routers
+  if (const routing::BackendRoute* backend = table_.find_backend(target); backend != nullptr) {
+    output_.limit_changes.push_back(
+        {backend->address, backend->incarnation, result.limit.per_second});
+  }
+}
+
+void RouterCore::note_backoff(TimePoint now, const Attempt& attempt, const AttemptResult& result) {
+  if (!result.backoff.has_value()) {
+    return;
+  }
+  ++counters_.backoff_requests;
+  const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
+  if (backend == nullptr ||
+      !backoffs_.on_requested(now, attempt.backend, *result.backoff, random_)) {
+    return;
+  }
+  output_.backoffs.push_back({backend->address, backend->incarnation, *result.backoff});
+  hasten_hello(now);  // the leader may give its keys to others
+  recall_unbegun(now, attempt.backend);
+}
+
+void RouterCore::note_stated_departure(TimePoint now, const Attempt& attempt,
+                                       const AttemptResult& result) {
+  const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
+  if (!result.is_leaving || backend == nullptr ||
+      !stated_departures_.on_said(now, attempt.backend) || !backend->takes_work()) {
+    return;
+  }
+  ++counters_.stated_departures;
+  output_.stated_departures.push_back({backend->address, backend->incarnation});
+  hasten_hello(now);  // the leader gives its keys to others, and tells all routers
+  const auto* service = table_.routes().find_service(common::ServiceName(backend->pool.value));
+  if (service != nullptr && !service->route.config.keyed) {
+    recall_unbegun(now, attempt.backend);
+  }
+}
+
+}  // namespace planktray::router
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -14,8 +14,6 @@
 using routing::Refusal;
 using routing::TableStanding;
 
-/// Told to callers whose request cannot run before a table is there.
-constexpr Duration kRetryAfterUnavailable = std::chrono::milliseconds(1000);
 /// A request that waits for a target looks again this often.
 constexpr Duration kLookAgain = std::chrono::milliseconds(20);
 
@@ -25,214 +23,6 @@
   return routed_.try_emplace(id, options_.targets, options_.retry_window).first->second;
 }
 
-void RouterCore::note_routed_targets(TimePoint now) {
-  std::erase_if(routed_, [this](const auto& item) {
-    return table_.routes().find_service(item.first) == nullptr;
-  });
-  for (const auto& [id, backend] : table_.backends()) {
-    const auto* service = table_.routes().find_service(common::ServiceName(backend.pool.value));
-    if (!backend.self_registered || service == nullptr) {
-      continue;
-    }
-    routed_service(service->route.id).targets.add(id, backend.slots, backend.cold);
-  }
-  note_evacuations(now);
-  cold_limit_.keep_only([this](BackendId id) {
-    const routing::BackendRoute* backend = table_.find_backend(id);
-    return backend != nullptr && backend->cold;
-  });
-  const auto is_known = [this](BackendId id) { return table_.find_backend(id) != nullptr; };
-  limited_.keep_only(now, is_known);
-  backoffs_.keep_only(is_known);
-  stated_departures_.keep_only(is_known);
-  for (auto& [id, service] : routed_) {
-    service.targets.drop_unless(
-        [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
-    draw_zone_subset(*table_.routes().find_service(id));
-  }
-}
-
-void RouterCore::note_evacuations(TimePoint now) {
-  const auto& zones = table_.evacuated_zones();
-  std::erase_if(evacuations_, [&](const auto& item) { return !zones.contains(item.first); });
-  for (const common::ZoneName& zone : zones) {
-    evacuations_.try_emplace(zone, now);
-  }
-}
-
-RouterCore::Hindrance RouterCore::hindrance(TimePoint now, const Request& request, BackendId id,
-                                            const routing::RoutedTableService& service) {
-  const routing::BackendRoute* backend = table_.find_backend(id);
-  if (backend == nullptr || has_ended(now, id) || is_closed(now, request, *backend)) {
-    return Hindrance::kGone;
-  }
-  if (backoffs_.ends_at(now, id).has_value()) {
-    return Hindrance::kBackoff;
-  }
-  const routing::TargetBook& book = routed_service(request.service).targets;
-  if (book.is_blocked(now, id)) {
-    return Hindrance::kBlocked;
-  }
-  if (!backoffs_.is_proven(id) && book.outstanding(id) > 0) {
-    return Hindrance::kBusy;
-  }
-  const bool has_room = has_connection(request, id, service) && bears(now, *backend, service);
-  return has_room ? Hindrance::kNone : Hindrance::kBusy;
-}
-
-bool RouterCore::is_closed(TimePoint now, const Request& request,
-                           const routing::BackendRoute& backend) const {
-  const auto evacuated = evacuations_.find(backend.zone);
-  const bool is_evacuated = evacuated != evacuations_.end() && options_.keep_off_evacuated;
-  if (!request.keyed) {
-    return backend.draining || stated_departures_.has_said(backend.id) || is_evacuated;
-  }
-  const TimePoint arrival = now + arrival_time(request);
-  const auto is_late_for = [arrival](const std::optional<TimePoint>& closes) {
-    return closes.has_value() && arrival >= *closes;
-  };
-  const bool would_be_late = is_late_for(writes_.closes_at(backend.id)) ||
-                             is_late_for(stated_departures_.closes_at(backend.id));
-  const bool has_handed_over = is_evacuated && now >= evacuated->second + options_.evacuation_grace;
-  return would_be_late || has_handed_over;
-}
-
-Duration RouterCore::arrival_time(const Request& request) const {
-  return options_.arrival_time + send_window_.passing_time(request.caller.body_bytes);
-}
-
-bool RouterCore::bears(TimePoint now, const routing::BackendRoute& backend,
-                       const routing::RoutedTableService& service) {
-  return !backend.cold || cold_limit_.allows(now, backend.id, service.route.config.cold_rate,
-                                             fleet_size_.largest(), random_);
-}
-
-bool RouterCore::is_admitted(TimePoint now, Request& request, BackendId owner) {
-  if (request.admission.has_value() && request.admission->owner == owner) {
-    return request.admission->admitted;
-  }
-  if (!crowded_.admits(now, owner, random_)) {
-    request.admission = {owner, false, true};
-    return false;
-  }
-  const std::optional<bool> admitted = limited_.admits(now, owner, random_);
-  if (!admitted.has_value()) {
-    return limited_.has_part(now, owner, fleet_size_.largest(), random_);
-  }
-  request.admission = {owner, *admitted};
-  return *admitted;
-}
-
-bool RouterCore::is_held_by_limits(TimePoint now, const Request& request,
-                                   const routing::RoutedTableService& service) const {
-  const auto holds = [&](BackendId id) {
-    const routing::BackendRoute* backend = table_.find_backend(id);
-    const bool takes_work =
-        backend != nullptr && !has_ended(now, id) && !is_closed(now, request, *backend);
-    return !takes_work || limited_.is_limited(id);
-  };
-  if (request.keyed) {
-    const BackendId owner = table_.routes().owner_of(request.service, request.key);
-    return limited_.is_limited(owner) && !request.refused_by.contains(owner);
-  }
-  return std::all_of(service.targets.begin(), service.targets.end(), holds) &&
-         std::any_of(service.targets.begin(), service.targets.end(),
-                     [this](BackendId id) { return limited_.is_limited(id); });
-}
-
-void RouterCore::note_crash(TimePoint now, const Attempt& attempt, const AttemptResult& result) {
-  if (result.end == AttemptEnd::kAnswered && result.digest != 0) {
-    suspects_.on_answered(now, result.digest);
-  }
-  if (!result.connection_ended) {
-    return;
-  }
-  if (suspects_.on_connection_ended({result.digest, attempt.backend, attempt.sent, now})) {
-    const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
-    if (backend != nullptr) {
-      output_.reach_inquiries.push_back({attempt.backend, backend->address});
-    }
-  }
-}
-
-void RouterCore::on_reach_checked(TimePoint now, BackendId backend, std::optional<bool> listens) {
-  if (listens.value_or(true)) {
-    return suspects_.on_alive(backend);
-  }
-  ++counters_.crashes_seen;
-  if (suspects_.on_gone(now, backend)) {
-    hasten_hello(now);
-  }
-}
-
-void RouterCore::note_limit(TimePoint now, BackendId target, const AttemptResult& result) {
-  if (!limited_.on_answer(now, target, result.limit)) {
-    return;
-  }
-  hasten_hello(now);  // the leader moves keys and tells all routers
-  if (const routing::BackendRoute* backend = table_.find_backend(target); backend != nullptr) {
-    output_.limit_changes.push_back(
-        {backend->address, backend->incarnation, result.limit.per_second});
-  }
-}
-
-void RouterCore::note_backoff(TimePoint now, const Attempt& attempt, const AttemptResult& result) {
-  if (!result.backoff.has_value()) {
-    return;
-  }
-  ++counters_.backoff_requests;
-  const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
-  if (backend == nullptr ||
-      !backoffs_.on_requested(now, attempt.backend, *result.backoff, random_)) {
-    return;
-  }
-  output_.backoffs.push_back({backend->address, backend->incarnation, *result.backoff});
-  hasten_hello(now);  // the leader may give its keys to others
-  recall_unbegun(now, attempt.backend);
-}
-
-void RouterCore::note_stated_departure(TimePoint now, const Attempt& attempt,
-                                       const AttemptResult& result) {
-  const routing::BackendRoute* backend = table_.find_backend(attempt.backend);
-  if (!result.is_leaving || backend == nullptr ||
-      !stated_departures_.on_said(now, attempt.backend) || !backend->takes_work()) {
-    return;
-  }
-  ++counters_.stated_departures;
-  output_.stated_departures.push_back({backend->address, backend->incarnation});
-  hasten_hello(now);  // the leader gives its keys to others, and tells all routers
-  const auto* service = table_.routes().find_service(common::ServiceName(backend->pool.value));
-  if (service != nullptr && !service->route.config.keyed) {
-    recall_unbegun(now, attempt.backend);
-  }
-}
-
-void RouterCore::recall_unbegun(TimePoint now, BackendId backend) {
-  for (const AttemptId unbegun : writes_.unbegun_at(backend)) {
-    output_.write_decisions.push_back({unbegun, WriteVerdict::kRecall});
-    recall(now, unbegun);
-  }
-}
-
-void RouterCore::draw_zone_subset(const routing::RoutedTableService& service) {
-  if (service.route.config.keyed) {
-    return;
-  }
-  RoutedService& routed = routed_service(service.route.id);
-  std::vector<routing::ZonedTarget> available;
-  for (const BackendId id : service.targets) {
-    const routing::BackendRoute* route = table_.find_backend(id);
-    if (route->takes_work() && !table_.is_evacuated(*route)) {
-      available.push_back({id, route->zone == options_.zone});
-    }
-  }
-  if (available != routed.available) {
-    routed.subset =
-        routing::choose_zone_subset(available, options_.name.value, options_.zone_subset);
-    routed.available = std::move(available);
-  }
-}
-
 void RouterCore::on_route_request(TimePoint now, const CallerRequest& caller) {
   std::string route_name;
   const auto refuse = [&](NotRunReason reason, bool never, Duration retry_after) {
@@ -324,35 +114,6 @@
   dispatch_in_turn(now, request);
 }
 
-void RouterCore::wait_for_link(TimePoint now, Request& request) {
-  routed_waiting_.erase(request.caller.handle);
-  const std::size_t bytes = request.caller.body_bytes;
-  const Duration typical = routed_service(request.service).targets.typical_time();
-  request.expected = send_window_.delay(bytes) + typical;
-  if (*request.expected > (request.deadline - now) * options_.usable_time) {
-    return answer_not_run(request, NotRunReason::kOverload, retry_after(NotRunReason::kOverload));
-  }
-  send_window_.wait(request.caller.handle, bytes);
-}
-
-void RouterCore::serve_link(TimePoint now) {
-  while (const auto handle = send_window_.next(now)) {
-    Request& request = requests_.at(*handle);
-    // What it waited for was the link, not a target.
-    request.patience_until =
-        std::max(request.patience_until, std::min(now + request.patience, request.deadline));
-    dispatch_in_turn(now, request);
-  }
-}
-
-void RouterCore::on_attempt_written(AttemptId attempt) {
-  writes_.remove(attempt);
-  const auto found = attempts_.find(attempt);
-  if (found != attempts_.end()) {
-    send_window_.release(found->second.handle);
-  }
-}
-
 void RouterCore::dispatch_in_turn(TimePoint now, Request& request) {
   routed_waiting_.erase(request.caller.handle);
   const routing::RoutedTableService* service = table_.routes().find_service(request.service);
@@ -420,53 +181,6 @@
   return std::min(own, std::max(common, least));
 }
 
-bool RouterCore::has_connection(const Request& request, BackendId backend,
-                                const routing::RoutedTableService& service) {
-  const std::uint32_t all = service.route.config.connections;
-  if (all == 0) {
-    return true;
-  }
-  const std::uint32_t share = std::max<std::uint32_t>(1, all / fleet_size_.largest());
-  return routed_service(request.service).targets.outstanding(backend) < share;
-}
-
-std::optional<BackendId> RouterCore::choose_target(TimePoint now, Request& request,
-                                                   const routing::RoutedTableService& service) {
-  const routing::TargetBook& book = routed_service(request.service).targets;
-  const auto is_usable = [&](BackendId id) {
-    return hindrance(now, request, id, service) == Hindrance::kNone;
-  };
-  if (request.keyed) {
-    const BackendId owner = table_.routes().owner_of(request.service, request.key);
-    const bool refuses = request.refused_by.contains(owner) && now < request.not_before;
-    const bool takes_it =
-        owner.value != 0 && !refuses && is_usable(owner) && is_admitted(now, request, owner);
-    return takes_it ? std::optional(owner) : std::nullopt;
-  }
-  const auto cheapest_of = [&](const std::vector<BackendId>& candidates) {
-    std::optional<BackendId> best;
-    double best_cost = 0;
-    for (const BackendId id : candidates) {
-      const routing::BackendRoute* route = table_.find_backend(id);
-      if (!is_usable(id) || request.refused_by.contains(id) ||
-          !limited_.has_part(now, id, fleet_size_.largest(), random_)) {
-        continue;
-      }
-      constexpr double kNoise = 0.2;
-      double cost = static_cast<double>(book.projected(now, id).count());
-      cost *= 1.0 + kNoise * common::uniform_real(random_);
-      cost *= route->zone == options_.zone ? 1.0 : 1.0 + options_.other_zone_cost;
-      if (!best.has_value() || cost < best_cost) {
-        best = id;
-        best_cost = cost;
-      }
-    }
-    return best;
-  };
-  const auto best = cheapest_of(routed_service(request.service).subset);
-  return best.has_value() ? best : cheapest_of(service.targets);
-}
-
 void RouterCore::send_routed(TimePoint now, Request& request, BackendId backend) {
   RoutedService& service = routed_service(request.service);
   if (request.repeat_owed && !service.retries.take(now, fleet_size_.largest())) {
@@ -492,26 +206,6 @@
   output_.forwards.push_back(std::move(effect));
 }
 
-std::optional<TimePoint> RouterCore::backoff_end(TimePoint now, const Request& request,
-                                                 const routing::RoutedTableService& service) {
-  std::optional<TimePoint> end;
-  const auto candidates =
-      request.keyed ? std::vector<BackendId>{table_.routes().owner_of(request.service, request.key)}
-                    : service.targets;
-  for (const BackendId id : candidates) {
-    const Hindrance found = hindrance(now, request, id, service);
-    if (found == Hindrance::kGone) {
-      continue;
-    }
-    if (found != Hindrance::kBackoff) {
-      return std::nullopt;
-    }
-    const TimePoint ends = *backoffs_.ends_at(now, id);
-    end = std::min(end.value_or(ends), ends);
-  }
-  return end;
-}
-
 bool RouterCore::refuse_for_backoff(TimePoint now, Request& request) {
   const routing::RoutedTableService* service = table_.routes().find_service(request.service);
   const auto end = service == nullptr ? std::nullopt : backoff_end(now, request, *service);
@@ -544,47 +238,6 @@
   retries_.insert({std::min(request.patience_until, now + kLookAgain), request.caller.handle});
 }
 
-void RouterCore::review_writes(TimePoint now) {
-  for (const WriteDecision& decision : writes_.review(now, freshness_)) {
-    output_.write_decisions.push_back(decision);
-    switch (decision.verdict) {
-      case WriteVerdict::kRecall:
-        recall(now, decision.attempt);
-        break;
-      case WriteVerdict::kCut:
-        cut(now, decision.attempt);
-        break;
-      case WriteVerdict::kHold:
-        ++counters_.held_writes;
-        break;
-      case WriteVerdict::kResume:
-        break;
-    }
-  }
-}
-
-void RouterCore::recall(TimePoint now, AttemptId id) {
-  ++counters_.recalled;
-  Request& request = requests_.at(attempts_.at(id).handle);
-  drop_attempt(request);
-  --request.attempts;  // it has not arrived
-  dispatch_routed(now, request);
-}
-
-void RouterCore::cut(TimePoint now, AttemptId id) {
-  ++counters_.cut_writes;
-  const Attempt attempt = attempts_.at(id);
-  Request& request = requests_.at(attempt.handle);
-  drop_attempt(request);
-  request.may_have_run = true;
-  if (!request.repeatable) {
-    return answer_unknown(request);
-  }
-  request.refused_by.insert(attempt.backend);
-  request.repeat_owed = true;
-  retry_routed(now, request);
-}
-
 void RouterCore::on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
                                         const AttemptResult& result) {
   Request& request = requests_.at(attempt.handle);
--- /dev/null
+++ b/src/router/core/router_core_targets.cpp
@@ -0,0 +1,211 @@
+/// Which back ends may get a request on a route now, in RouterCore, and which one does.
+
+#include <algorithm>
+#include <vector>
+
+#include "router/core/router_core.hpp"
+
+namespace planktray::router {
+
+RouterCore::Hindrance RouterCore::hindrance(TimePoint now, const Request& request, BackendId id,
+                                            const routing::RoutedTableService& service) {
+  const routing::BackendRoute* backend = table_.find_backend(id);
+  if (backend == nullptr || has_ended(now, id) || is_closed(now, request, *backend)) {
+    return Hindrance::kGone;
+  }
+  if (backoffs_.ends_at(now, id).has_value()) {
+    return Hindrance::kBackoff;
+  }
+  const routing::TargetBook& book = routed_service(request.service).targets;
+  if (book.is_blocked(now, id)) {
+    return Hindrance::kBlocked;
+  }
+  if (!backoffs_.is_proven(id) && book.outstanding(id) > 0) {
+    return Hindrance::kBusy;
+  }
+  const bool has_room = has_connection(request, id, service) && bears(now, *backend, service);
+  return has_room ? Hindrance::kNone : Hindrance::kBusy;
+}
+
+bool RouterCore::is_closed(TimePoint now, const Request& request,
+                           const routing::BackendRoute& backend) const {
+  const auto evacuated = evacuations_.find(backend.zone);
+  const bool is_evacuated = evacuated != evacuations_.end() && options_.keep_off_evacuated;
+  if (!request.keyed) {
+    return backend.draining || stated_departures_.has_said(backend.id) || is_evacuated;
+  }
+  const TimePoint arrival = now + arrival_time(request);
+  const auto is_late_for = [arrival](const std::optional<TimePoint>& closes) {
+    return closes.has_value() && arrival >= *closes;
+  };
+  const bool would_be_late = is_late_for(writes_.closes_at(backend.id)) ||
+                             is_late_for(stated_departures_.closes_at(backend.id));
+  const bool has_handed_over = is_evacuated && now >= evacuated->second + options_.evacuation_grace;
+  return would_be_late || has_handed_over;
+}
+
+Duration RouterCore::arrival_time(const Request& request) const {
+  return options_.arrival_time + send_window_.passing_time(request.caller.body_bytes);
+}
+
+bool RouterCore::bears(TimePoint now, const routing::BackendRoute& backend,
+                       const routing::RoutedTableService& service) {
+  return !backend.cold || cold_limit_.allows(now, backend.id, service.route.config.cold_rate,
+                                             fleet_size_.largest(), random_);
+}
+
+bool RouterCore::has_connection(const Request& request, BackendId backend,
+                                const routing::RoutedTableService& service) {
+  const std::uint32_t all = service.route.config.connections;
+  if (all == 0) {
+    return true;
+  }
+  const std::uint32_t share = std::max<std::uint32_t>(1, all / fleet_size_.largest());
+  return routed_service(request.service).targets.outstanding(backend) < share;
+}
+
+bool RouterCore::is_admitted(TimePoint now, Request& request, BackendId owner) {
+  if (request.admission.has_value() && request.admission->owner == owner) {
+    return request.admission->admitted;
+  }
+  if (!crowded_.admits(now, owner, random_)) {
+    request.admission = {owner, false, true};
+    return false;
+  }
+  const std::optional<bool> admitted = limited_.admits(now, owner, random_);
+  if (!admitted.has_value()) {
+    return limited_.has_part(now, owner, fleet_size_.largest(), random_);
+  }
+  request.admission = {owner, *admitted};
+  return *admitted;
+}
+
+bool RouterCore::is_held_by_limits(TimePoint now, const Request& request,
+                                   const routing::RoutedTableService& service) const {
+  const auto holds = [&](BackendId id) {
+    const routing::BackendRoute* backend = table_.find_backend(id);
+    const bool takes_work =
+        backend != nullptr && !has_ended(now, id) && !is_closed(now, request, *backend);
+    return !takes_work || limited_.is_limited(id);
+  };
+  if (request.keyed) {
+    const BackendId owner = table_.routes().owner_of(request.service, request.key);
+    return limited_.is_limited(owner) && !request.refused_by.contains(owner);
+  }
+  return std::all_of(service.targets.begin(), service.targets.end(), holds) &&
+         std::any_of(service.targets.begin(), service.targets.end(),
+                     [this](BackendId id) { return limited_.is_limited(id); });
+}
+
+std::optional<TimePoint> RouterCore::backoff_end(TimePoint now, const Request& request,
+                                                 const routing::RoutedTableService& service) {
+  std::optional<TimePoint> end;
+  const auto candidates =
+      request.keyed ? std::vector<BackendId>{table_.routes().owner_of(request.service, request.key)}
+                    : service.targets;
+  for (const BackendId id : candidates) {
+    const Hindrance found = hindrance(now, request, id, service);
+    if (found == Hindrance::kGone) {
+      continue;
+    }
+    if (found != Hindrance::kBackoff) {
+      return std::nullopt;
+    }
+    const TimePoint ends = *backoffs_.ends_at(now, id);
+    end = std::min(end.value_or(ends), ends);
+  }
+  return end;
+}
+
+std::optional<BackendId> RouterCore::choose_target(TimePoint now, Request& request,
+                                                   const routing::RoutedTableService& service) {
+  const routing::TargetBook& book = routed_service(request.service).targets;
+  const auto is_usable = [&](BackendId id) {
+    return hindrance(now, request, id, service) == Hindrance::kNone;
+  };
+  if (request.keyed) {
+    const BackendId owner = table_.routes().owner_of(request.service, request.key);
+    const bool refuses = request.refused_by.contains(owner) && now < request.not_before;
+    const bool takes_it =
+        owner.value != 0 && !refuses && is_usable(owner) && is_admitted(now, request, owner);
+    return takes_it ? std::optional(owner) : std::nullopt;
+  }
+  const auto cheapest_of = [&](const std::vector<BackendId>& candidates) {
+    std::optional<BackendId> best;
+    double best_cost = 0;
+    for (const BackendId id : candidates) {
+      const routing::BackendRoute* route = table_.find_backend(id);
+      if (!is_usable(id) || request.refused_by.contains(id) ||
+          !limited_.has_part(now, id, fleet_size_.largest(), random_)) {
+        continue;
+      }
+      constexpr double kNoise = 0.2;
+      double cost = static_cast<double>(book.projected(now, id).count());
+      cost *= 1.0 + kNoise * common::uniform_real(random_);
+      cost *= route->zone == options_.zone ? 1.0 : 1.0 + options_.other_zone_cost;
+      if (!best.has_value() || cost < best_cost) {
+        best = id;
+        best_cost = cost;
+      }
+    }
+    return best;
+  };
+  const auto best = cheapest_of(routed_service(request.service).subset);
+  return best.has_value() ? best : cheapest_of(service.targets);
+}
+
+void RouterCore::note_routed_targets(TimePoint now) {
+  std::erase_if(routed_, [this](const auto& item) {
+    return table_.routes().find_service(item.first) == nullptr;
+  });
+  for (const auto& [id, backend] : table_.backends()) {
+    const auto* service = table_.routes().find_service(common::ServiceName(backend.pool.value));
+    if (!backend.self_registered || service == nullptr) {
+      continue;
+    }
+    routed_service(service->route.id).targets.add(id, backend.slots, backend.cold);
+  }
+  note_evacuations(now);
+  cold_limit_.keep_only([this](BackendId id) {
+    const routing::BackendRoute* backend = table_.find_backend(id);
+    return backend != nullptr && backend->cold;
+  });
+  const auto is_known = [this](BackendId id) { return table_.find_backend(id) != nullptr; };
+  limited_.keep_only(now, is_known);
+  backoffs_.keep_only(is_known);
+  stated_departures_.keep_only(is_known);
+  for (auto& [id, service] : routed_) {
+    service.targets.drop_unless(
+        [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
+    draw_zone_subset(*table_.routes().find_service(id));
+  }
+}
+
+void RouterCore::note_evacuations(TimePoint now) {
+  const auto& zones = table_.evacuated_zones();
+  std::erase_if(evacuations_, [&](const auto& item) { return !zones.contains(item.first); });
+  for (const common::ZoneName& zone : zones) {
+    evacuations_.try_emplace(zone, now);
+  }
+}
+
+void RouterCore::draw_zone_subset(const routing::RoutedTableService& service) {
+  if (service.route.config.keyed) {
+    return;
+  }
+  RoutedService& routed = routed_service(service.route.id);
+  std::vector<routing::ZonedTarget> available;
+  for (const BackendId id : service.targets) {
+    const routing::BackendRoute* route = table_.find_backend(id);
+    if (route->takes_work() && !table_.is_evacuated(*route)) {
+      available.push_back({id, route->zone == options_.zone});
+    }
+  }
+  if (available != routed.available) {
+    routed.subset =
+        routing::choose_zone_subset(available, options_.name.value, options_.zone_subset);
+    routed.available = std::move(available);
+  }
+}
+
+}  // namespace planktray::router
--- /dev/null
+++ b/src/router/router_metrics.cpp
@@ -0,0 +1,155 @@
+/// The metrics page of a router's process.
+
+#include <chrono>
+#include <string>
+
+#include "router/router_process.hpp"
+
+namespace planktray::router {
+
+using transport::boot_time_now;
+
+std::string RouterProcess::metrics_text() {
+  const RouterCounters& counters = core_.counters();
+  metrics_.set_counter("planktray_requests_total", "Requests from callers.", counters.requests);
+  metrics_.set_counter("planktray_answered_total", "Requests answered by a back end.",
+                       counters.answered);
+  metrics_.set_counter("planktray_not_run_total", "Requests refused with proof of not run.",
+                       counters.not_run);
+  metrics_.set_counter("planktray_unknown_total", "Requests that may have run.", counters.unknown);
+  metrics_.set_counter("planktray_retries_total", "Attempts after the first.", counters.retries);
+  metrics_.set_counter("planktray_stale_refusals_total",
+                       "Requests on routes refused since the table was too old to decide with.",
+                       counters.stale_refusals);
+  metrics_.set_counter("planktray_crash_refusals_total",
+                       "Requests refused since they crash their targets.", counters.crash_refusals);
+  metrics_.set_counter("planktray_crashes_seen_total",
+                       "Back ends found to have ended with requests under way.",
+                       counters.crashes_seen);
+  metrics_.set_gauge("planktray_blocked_requests",
+                     "Different requests that are refused since they crash their targets.",
+                     static_cast<double>(core_.blocked_requests(boot_time_now())));
+  metrics_.set_counter("planktray_crowd_refusals_total",
+                       "Requests on routes refused since the queue of their key's owner is long.",
+                       counters.crowd_refusals);
+  metrics_.set_gauge("planktray_crowded_owners",
+                     "Owners of keys of whose requests only a part is sent.",
+                     static_cast<double>(core_.crowded_owners(boot_time_now())));
+  metrics_.set_counter("planktray_limit_refusals_total",
+                       "Requests on routes refused since limits that back ends name left no room.",
+                       counters.limit_refusals);
+  metrics_.set_gauge("planktray_limited_backends",
+                     "Back ends that name how many requests a second they take.",
+                     static_cast<double>(core_.limited_targets()));
+  metrics_.set_counter("planktray_follower_updates_total",
+                       "Updates of the table that followers brought.", counters.follower_updates);
+  metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
+  metrics_.set_counter("planktray_ended_backends_total",
+                       "Back ends found to have ended by another incarnation's answer.",
+                       counters.ended_backends);
+  metrics_.set_counter("planktray_table_updates_total", "Changes of the routing table.",
+                       counters.table_updates);
+  metrics_.set_counter("planktray_requests_cancelled_total", "Callers that went away.",
+                       counters.cancelled);
+  metrics_.set_counter("planktray_requests_rejected_total", "Requests too long to read.",
+                       server_->refused());
+  metrics_.set_counter("planktray_requests_refused_draining_total",
+                       "Requests refused since this router could stop before their end.",
+                       refused_while_draining_);
+  metrics_.set_counter("planktray_load_reports_unread_total",
+                       "Load reports of back ends that could not be read whole.",
+                       request_log_.unread_loads());
+  metrics_.set_counter("planktray_headers_unread_total",
+                       "Headers of back ends' answers that nothing here reads.",
+                       request_log_.unread_headers());
+  metrics_.set_counter("planktray_stated_departures_total",
+                       "Back ends that said in an answer that they leave before the table did.",
+                       counters.stated_departures);
+  metrics_.set_counter("planktray_backoff_requests_total",
+                       "Answers of back ends that asked for a time without requests.",
+                       counters.backoff_requests);
+  metrics_.set_counter("planktray_backoff_refusals_total",
+                       "Requests refused since all that could run them had asked for such a time.",
+                       counters.backoff_refusals);
+  metrics_.set_gauge("planktray_backoffs", "Back ends that want nothing from this router now.",
+                     static_cast<double>(core_.backoffs(boot_time_now())));
+  metrics_.set_counter("planktray_recalled_total",
+                       "Attempts taken back before their first byte, for another back end.",
+                       counters.recalled);
+  metrics_.set_counter("planktray_held_writes_total",
+                       "Attempts whose rest waited until a newer table named their back end.",
+                       counters.held_writes);
+  metrics_.set_counter("planktray_cut_writes_total",
+                       "Attempts cut off while they were written, as their back end was leaving.",
+                       counters.cut_writes);
+  metrics_.set_counter("planktray_late_writes_total",
+                       "Requests written long after their back end was known to take them.",
+                       request_log_.late_writes());
+  metrics_.set_gauge("planktray_table_index", "Log index of the table served.",
+                     static_cast<double>(core_.table().index().value));
+  const auto age = core_.freshness().age(boot_time_now());
+  metrics_.set_gauge("planktray_table_age_seconds",
+                     "Time since the table was known to be up to date; -1: it never was.",
+                     age.has_value() ? std::chrono::duration<double>(*age).count() : -1);
+  metrics_.set_gauge("planktray_serving", "1 where the table is confirmed.",
+                     core_.is_serving(boot_time_now()) ? 1 : 0);
+  metrics_.set_gauge("planktray_requests_in_flight", "Attempts under way.",
+                     static_cast<double>(core_.in_flight()));
+  metrics_.set_gauge("planktray_requests_waiting", "Requests that wait for a target.",
+                     static_cast<double>(core_.waiting()));
+  metrics_.set_gauge("planktray_requests_waiting_for_link",
+                     "Large requests that wait for their turn at the link.",
+                     static_cast<double>(core_.waiting_for_link()));
+  std::uint64_t bytes = 0;
+  std::uint64_t refused = 0;
+  for (const auto& [address, controller] : controllers_) {
+    bytes += controller->counters().bytes_sent + controller->counters().bytes_received;
+    refused += controller->counters().refused;
+  }
+  metrics_.set_counter("planktray_control_bytes_total", "ZeroMQ body bytes, both ways.", bytes);
+  metrics_.set_counter("planktray_messages_refused_total",
+                       "Damaged messages and foreign protocol versions.", refused);
+  add_link_metrics();
+  add_time_metrics();
+  return metrics_.serialize();
+}
+
+void RouterProcess::add_time_metrics() {
+  const auto& classes = core_.counters().ends_by_time;
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    std::string name = "planktray_time_brought_above_";
+    if (i < kTimeClasses.size()) {
+      name = "planktray_time_brought_up_to_";
+      name += std::to_string(kTimeClasses.at(i) / std::chrono::milliseconds(1));
+      name += "ms_";
+    }
+    const auto add = [&](const char* end, std::uint64_t total) {
+      metrics_.set_counter(name + end,
+                           "Requests on routes by the time that they brought, and how they ended.",
+                           total);
+    };
+    add("answered_total", classes.at(i).answered);
+    add("not_run_total", classes.at(i).not_run);
+    add("unknown_total", classes.at(i).unknown);
+  }
+}
+
+void RouterProcess::add_link_metrics() {
+  if (pacer_ == nullptr) {
+    return;
+  }
+  const auto add = [this](const std::string& direction, const link::LinkScheduler& scheduler) {
+    metrics_.set_counter("planktray_link_" + direction + "_paced_bytes_total",
+                         "Bytes of large bodies that passed at the link's pace.",
+                         scheduler.bytes_passed());
+    metrics_.set_gauge("planktray_link_" + direction + "_bodies_waiting", "Large bodies under way.",
+                       static_cast<double>(scheduler.waiting()));
+    metrics_.set_gauge("planktray_link_" + direction + "_backlog_seconds",
+                       "Time that the bytes of large bodies under way take to pass.",
+                       std::chrono::duration<double>(scheduler.backlog()).count());
+  };
+  add("inbound", pacer_->inbound().scheduler());
+  add("outbound", pacer_->outbound().scheduler());
+}
+
+}  // namespace planktray::router
--- a/src/routing/crowded_owners.cpp
+++ b/src/routing/crowded_owners.cpp
@@ -16,10 +16,6 @@
   }
 }
 
-bool CrowdedOwners::is_crowded(common::TimePoint now, BackendId owner) const {
-  return is_told(now) && owners_.contains(owner);
-}
-
 bool CrowdedOwners::admits(common::TimePoint now, BackendId owner, common::RandomEngine& random) {
   const auto found = owners_.find(owner);
   if (!is_told(now) || found == owners_.end()) {
--- a/src/routing/crowded_owners.hpp
+++ b/src/routing/crowded_owners.hpp
@@ -27,7 +27,6 @@
 
   /// The leader's list; owners that it lacks are not crowded.
   void on_told(common::TimePoint now, const std::vector<AdmittedPart>& parts);
-  bool is_crowded(common::TimePoint now, BackendId owner) const;
   /// Whether one more request for keys of this owner may be sent; to be asked once a request.
   bool admits(common::TimePoint now, BackendId owner, common::RandomEngine& random);
   /// True while the leader's word holds.
