After a time without requests one request at a time is on trial, whatever was under way before

A back end whose time is over was asked one request at a time, counted by all that was outstanding there: a request of before that takes seconds kept everything else away. Now only what was sent after the end counts (RequestedBackoffs::is_on_trial); a trial that ends without an answer makes room for the next. Besides: the alarm is set after a write only while large requests wait for the link, the end of a hold writes only where something is left, and targets are not looked through for the end of times that nobody asked for.

Test: the trial's cases in requested_backoffs_test.

--- a/src/link/send_window.hpp
+++ b/src/link/send_window.hpp
@@ -38,9 +38,11 @@
   }
   /// True where a body that comes now need not wait for others.
   bool admits(TimePoint now, std::size_t bytes);
+  /// The body waits until next() names it.
   void wait(Ticket ticket, std::size_t bytes);
   /// The next body that waits, where one may be bound now; it waits no more.
   std::optional<Ticket> next(TimePoint now);
+  /// The body's receiver has been chosen.
   void bind(TimePoint now, Ticket ticket, std::size_t bytes);
   /// The body has passed, or is not wanted any more.
   void release(Ticket ticket);
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -370,6 +370,7 @@
   output_.cancels.push_back(request.attempt);
   if (request.routed) {
     routed_service(request.service).targets.on_ended(attempt->second.backend, attempt->second.sent);
+    backoffs_.on_ended(attempt->second.backend, attempt->second.sent);
   } else {
     release_target(attempt->second.backend);
   }
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -220,7 +220,7 @@
     kGone,     ///< for good, as far as is known: it ends, leaves, or its zone is evacuated
     kBackoff,  ///< it has asked for a time without requests
     kBlocked,  ///< it failed lately
-    kBusy,     ///< it has no connection to spare, or is cold and bears no more now
+    kBusy,     ///< it is on trial, has no connection to spare, or is cold and bears no more now
   };
   /// Every choice of a back end for a request on a route asks here.
   Hindrance hindrance(TimePoint now, const Request& request, BackendId id,
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -195,6 +195,7 @@
   }
   ++request.attempts;
   service.targets.on_sent(now, backend);
+  backoffs_.on_sent(now, backend);
   if (table_.find_backend(backend)->cold) {
     const auto* routed = table_.routes().find_service(request.service);
     cold_limit_.on_sent(now, backend, routed->route.config.cold_rate, fleet_size_.largest());
@@ -265,6 +266,7 @@
     return finish(attempt.handle);
   }
   book.on_ended(attempt.backend, attempt.sent);
+  backoffs_.on_ended(attempt.backend, attempt.sent);
   request.refused_by.insert(attempt.backend);
   switch (result.end) {
     case AttemptEnd::kRefused:
--- a/src/router/core/router_core_targets.cpp
+++ b/src/router/core/router_core_targets.cpp
@@ -16,14 +16,11 @@
   if (backoffs_.ends_at(now, id).has_value()) {
     return Hindrance::kBackoff;
   }
-  const routing::TargetBook& book = routed_service(request.service).targets;
-  if (book.is_blocked(now, id)) {
+  if (routed_service(request.service).targets.is_blocked(now, id)) {
     return Hindrance::kBlocked;
   }
-  if (!backoffs_.is_proven(id) && book.outstanding(id) > 0) {
-    return Hindrance::kBusy;
-  }
-  const bool has_room = has_connection(request, id, service) && bears(now, *backend, service);
+  const bool has_room = !backoffs_.is_on_trial(id) && has_connection(request, id, service) &&
+                        bears(now, *backend, service);
   return has_room ? Hindrance::kNone : Hindrance::kBusy;
 }
 
@@ -99,6 +96,9 @@
 
 std::optional<TimePoint> RouterCore::backoff_end(TimePoint now, const Request& request,
                                                  const routing::RoutedTableService& service) {
+  if (backoffs_.empty()) {
+    return std::nullopt;
+  }
   std::optional<TimePoint> end;
   const auto candidates =
       request.keyed ? std::vector<BackendId>{table_.routes().owner_of(request.service, request.key)}
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -510,7 +510,9 @@
   }
   sent.written = took;
   core_.on_attempt_written(attempt);
-  alarm_.set(core_.next_due());
+  if (core_.waiting_for_link() > 0) {
+    alarm_.set(core_.next_due());
+  }
   write_done_.Observe(std::chrono::duration<double>(took).count());
   if (sent.table_age.value_or(common::Duration(0)) + took >= kLateWrite) {
     request_log_.written_late(now, sent);
--- a/src/routing/requested_backoffs.hpp
+++ b/src/routing/requested_backoffs.hpp
@@ -6,7 +6,7 @@
 ///
 /// Invariants:
 ///  - Of several times the latest end holds; no answer to a request that was sent before ends it.
-///  - After the end one request at a time goes there until one is answered.
+///  - After the end one request at a time goes there until one of these is answered.
 
 #include <algorithm>
 #include <optional>
@@ -38,8 +38,12 @@
   /// The back end has turned a request away and wants nothing for this time.
   /// @return true where that is news: it has not asked before, or its time was up.
   bool on_requested(TimePoint now, BackendId id, Duration time, common::RandomEngine& random);
-  /// A request that was sent at `sent` was answered.
+  /// A request goes to the back end.
+  void on_sent(TimePoint now, BackendId id);
+  /// The request that was sent at `sent` was answered.
   void on_answered(BackendId id, TimePoint sent);
+  /// It has ended otherwise.
+  void on_ended(BackendId id, TimePoint sent);
   /// Forgets back ends that `keep(id)` is false for.
   template <typename Keep>
   void keep_only(const Keep& keep) {
@@ -48,15 +52,16 @@
 
   /// When the back end may be asked again; nothing where it may be now.
   std::optional<TimePoint> ends_at(TimePoint now, BackendId id) const;
-  /// False where the back end was asked to be left alone and has not answered since: it gets one
-  /// request at a time.
-  bool is_proven(BackendId id) const { return !backoffs_.contains(id); }
+  /// True where the back end has had its one request since the end of its time, and not answered it
+  /// yet.
+  bool is_on_trial(BackendId id) const;
+  bool empty() const { return backoffs_.empty(); }
   /// Calls `visit(id, end)` for each back end that wants nothing now.
   template <typename Visit>
   void for_each(TimePoint now, const Visit& visit) const {
-    for (const auto& [id, end] : backoffs_) {
-      if (now < end) {
-        visit(id, end);
+    for (const auto& [id, backoff] : backoffs_) {
+      if (now < backoff.end) {
+        visit(id, backoff.end);
       }
     }
   }
@@ -65,7 +70,12 @@
 
  private:
   RequestedBackoffOptions options_;
-  std::unordered_map<BackendId, TimePoint> backoffs_;  ///< their ends
+  struct Backoff {
+    TimePoint end;
+    std::optional<TimePoint> trial_sent;  ///< the one request since the end, while it is under way
+  };
+  /// Kept beyond their end, until a request that was sent after it is answered.
+  std::unordered_map<BackendId, Backoff> backoffs_;
 };
 
 }  // namespace planktray::routing
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -125,7 +125,7 @@
 
 void TcpStream::hold_writing(bool held) {
   held_ = held;
-  if (is_open() && connected_ && !held) {
+  if (is_open() && connected_ && !held && is_writing()) {
     const auto keep = shared_from_this();
     send_backlog();
   }
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -48,11 +48,11 @@
     std::function<void()> on_drained;
   };
 
-  /// Starts connecting. Large bodies written on it are promised to the pacer's other bodies' cost:
-  /// the server was chosen by what was known when they were. @param unacknowledged_timeout ends the
-  /// connection when sent bytes stay
+  /// Starts connecting. @param unacknowledged_timeout ends the connection when sent bytes stay
   ///   without an acknowledgement for this long; 0 leaves the system's own time.
   /// @param pacer gives leave to write and read large bodies; outlives the stream; none: no pace.
+  ///   Those that are written are requests, which it takes for promised: their server was chosen by
+  ///   what was known then.
   static common::Result<std::shared_ptr<TcpStream>> connect(const std::string& address,
                                                             common::Duration unacknowledged_timeout,
                                                             LinkPacer* pacer = nullptr);
--- a/test/routing/requested_backoffs_test.cpp
+++ b/test/routing/requested_backoffs_test.cpp
@@ -46,20 +46,37 @@
 TEST_CASE("only an answer to a request that came after the time shows that it is over") {
   RequestedBackoffs backoffs = exact();
   common::RandomEngine random(1);
-  CHECK(backoffs.is_proven(kBackend));
   backoffs.on_requested(kStart, kBackend, seconds(3), random);
   backoffs.on_answered(kBackend, kStart - milliseconds(10));
   CHECK(backoffs.ends_at(kStart + seconds(1), kBackend).has_value());
-  CHECK_FALSE(backoffs.is_proven(kBackend));
   backoffs.on_answered(kBackend, kStart + seconds(3));
-  CHECK(backoffs.is_proven(kBackend));
+  CHECK(backoffs.empty());
+}
+
+TEST_CASE("after the time one request is on trial, and the next one when it has ended") {
+  RequestedBackoffs backoffs = exact();
+  common::RandomEngine random(1);
+  const TimePoint end = kStart + seconds(3);
+  backoffs.on_requested(kStart, kBackend, seconds(3), random);
+  // What was sent before and is still under way is no trial.
+  CHECK_FALSE(backoffs.is_on_trial(kBackend));
+  backoffs.on_sent(end, kBackend);
+  CHECK(backoffs.is_on_trial(kBackend));
+  backoffs.on_ended(kBackend, kStart - milliseconds(10));
+  CHECK(backoffs.is_on_trial(kBackend));
+  backoffs.on_ended(kBackend, end);
+  CHECK_FALSE(backoffs.is_on_trial(kBackend));
+  backoffs.on_sent(end + milliseconds(5), kBackend);
+  backoffs.on_answered(kBackend, end + milliseconds(5));
+  CHECK_FALSE(backoffs.is_on_trial(kBackend));
+  CHECK(backoffs.empty());
 }
 
 TEST_CASE("a time of zero asks for nothing, and none is believed beyond a day") {
   RequestedBackoffs backoffs = exact();
   common::RandomEngine random(1);
   CHECK_FALSE(backoffs.on_requested(kStart, kBackend, Duration(0), random));
-  CHECK(backoffs.is_proven(kBackend));
+  CHECK(backoffs.empty());
   backoffs.on_requested(kStart, kBackend, std::chrono::hours(1000), random);
   CHECK(backoffs.ends_at(kStart, kBackend) == kStart + std::chrono::hours(24));
 }
@@ -83,7 +100,7 @@
   common::RandomEngine random(1);
   backoffs.on_requested(kStart, kBackend, seconds(3), random);
   backoffs.keep_only([](BackendId) { return false; });
-  CHECK(backoffs.is_proven(kBackend));
+  CHECK(backoffs.empty());
 }
 
 }  // namespace
