Sight: the leader says which keys move from whom to whom and why, and how long they had no owner

KeyMoveLog reads applied plans beside the state and decides nothing: `keys_moving` (service, keys, from, to, cause: ended, leaving, evacuated, spared, balance) and `keys_given` (the time without an owner), 20 lines a second at most together. Which owners are spared is worked out in one place for the plan and for the log.

No decision changes.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -229,6 +229,7 @@
                                   {"draining", backend.draining ? "yes" : "no"},
                                   {"ended", backend.ended ? "yes" : "no"}});
   }
+  log_key_moves(output);
   for (const routing::CrashSuspect& blocked : output.blocked_requests) {
     log_event("request_blocked", {{"digest", std::to_string(blocked.digest)},
                                   {"crashes", std::to_string(blocked.crashes)}});
@@ -241,6 +242,34 @@
   }
 }
 
+void ControllerProcess::log_key_moves(const ControllerOutput& output) {
+  const auto keys_text = [](const ownership::KeyRange& keys) {
+    return std::to_string(keys.first) + "-" + std::to_string(keys.last);
+  };
+  const common::TimePoint now = boot_time_now();
+  for (const KeysMoving& moving : output.keys_moving) {
+    if (key_lines_.allows(now)) {
+      log_event("keys_moving", {{"service", moving.service.value},
+                                {"keys", keys_text(moving.keys)},
+                                {"from", moving.from.value},
+                                {"to", moving.to.value},
+                                {"cause", std::string(to_string(moving.cause))}});
+    }
+  }
+  for (const KeysGiven& given : output.keys_given) {
+    if (key_lines_.allows(now)) {
+      const auto gap = given.without_owner;
+      log_event(
+          "keys_given",
+          {{"service", given.service.value},
+           {"keys", keys_text(given.keys)},
+           {"to", given.to.value},
+           {"without_owner_ms",
+            gap.has_value() ? std::to_string(*gap / std::chrono::milliseconds(1)) : "unknown"}});
+    }
+  }
+}
+
 transport::ZmqSocket* ControllerProcess::dealer(const std::string& address) {
   const auto found = dealers_.find(address);
   if (found != dealers_.end()) {
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -20,6 +20,7 @@
 #include "transport/file_disk.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
+#include "transport/line_limit.hpp"
 #include "transport/metrics.hpp"
 #include "transport/settings_watch.hpp"
 #include "transport/storage_worker.hpp"
@@ -75,6 +76,7 @@
   void send_lease(const ownership::OutgoingLease& lease);
   void send_release(const ownership::OutgoingRelease& release);
   void send_table(const OutgoingTable& table);
+  void log_key_moves(const ControllerOutput& output);
   void poll_platform();
   void on_message(const std::string& identity, const transport::WireMessage& message);
   void on_persisted(const common::Result<std::uint64_t>& persisted);
@@ -107,6 +109,8 @@
   std::map<std::string, std::unique_ptr<transport::ZmqSocket>> dealers_;
   std::map<common::ReplicaId, std::string> replica_identities_;
   std::map<common::RouterName, std::string> router_identities_;
+  /// A service that is replaced moves hundreds of ranges in some seconds.
+  transport::LineLimit key_lines_{{.lines_per_second = 20, .burst = 100}};
   std::map<common::MachineName, int> leases_in_flight_;
   std::uint64_t lease_failures_ = 0;
   std::uint64_t leases_sent_ = 0;
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -176,7 +176,8 @@
   return peer_messages.empty() && !join.has_value() && !heard.has_value() && persist.empty() &&
          leases.empty() && releases.empty() && grants.empty() && key_releases.empty() &&
          tables.empty() && controllers.empty() && !announcement.has_value() &&
-         completions.empty() && changed_backends.empty() && blocked_requests.empty();
+         completions.empty() && changed_backends.empty() && blocked_requests.empty() &&
+         keys_moving.empty() && keys_given.empty();
 }
 
 // ---------------------------------------------------------------- the log
@@ -287,6 +288,7 @@
     marking_.clear();
     ending_.clear();
     replaced_.clear();
+    key_moves_.begin_term();
     plan_index_ = common::LogIndex();
     range_plan_index_ = common::LogIndex();
     terms_index_ = common::LogIndex();
@@ -334,12 +336,24 @@
   }
   complete(now, entry, result);
   if (leading_) {
+    log_key_moves(now, entry.index, *command);
     output_.changed_backends.insert(output_.changed_backends.end(), result.delta.backends.begin(),
                                     result.delta.backends.end());
   }
   distributor_.on_delta(std::move(result.delta));
 }
 
+void ControllerCore::log_key_moves(TimePoint now, common::LogIndex index, const Command& command) {
+  const auto* plan = std::get_if<ownership::ApplyRangePlan>(&command.value);
+  if (plan == nullptr || (plan->moves.empty() && plan->assignments.empty())) {
+    return;
+  }
+  key_moves_.on_applied(now, state_, index, *plan, ranges_.spared_check(now, state_));
+  const auto append = [](auto& to, auto from) { to.insert(to.end(), from.begin(), from.end()); };
+  append(output_.keys_moving, key_moves_.take_moving());
+  append(output_.keys_given, key_moves_.take_given());
+}
+
 void ControllerCore::complete(TimePoint now, const consensus::Entry& entry,
                               const ownership::ApplyResult& result) {
   const auto found = pending_.find(entry.index);
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -15,6 +15,7 @@
 #include "consensus/join.hpp"
 #include "consensus/raft.hpp"
 #include "controller/core/fleet_suspects.hpp"
+#include "controller/core/key_move_log.hpp"
 #include "controller/core/range_controller.hpp"
 #include "controller/core/table_distributor.hpp"
 #include "membership/heartbeat_report.hpp"
@@ -123,6 +124,9 @@
   std::vector<routing::BackendRoute> changed_backends;  ///< of a leader, for its log
   /// Requests that a leader has routers refuse from now on, for its log.
   std::vector<routing::CrashSuspect> blocked_requests;
+  /// Keys that move and that have an owner again, for the log of a leader.
+  std::vector<KeysMoving> keys_moving;
+  std::vector<KeysGiven> keys_given;
 
   /// True where there is nothing to carry out.
   bool empty() const;
@@ -275,6 +279,8 @@
   /// Proposes that the back end is leaving: it has told a router so.
   void mark_stated_departure(TimePoint now, common::BackendId id);
   void plan_ranges(TimePoint now);
+  /// Says what an applied plan means for keys.
+  void log_key_moves(TimePoint now, common::LogIndex index, const ownership::Command& command);
   /// Proposes which back ends have turned cold or warm.
   void commit_warmth(TimePoint now);
   void register_backends(TimePoint now);
@@ -298,6 +304,7 @@
   TableDistributor distributor_;
   FleetSuspects suspects_;
   RangeController ranges_;
+  KeyMoveLog key_moves_;
   membership::MachineList machines_;
 
   OperatorRequestId next_request_ = 1;
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -172,6 +172,23 @@
   return good;
 }
 
+RangeController::BackendCheck RangeController::spared_check(TimePoint now,
+                                                            const CellState& state) const {
+  const auto is_cold = [](const BackendRecord& backend) { return backend.cold; };
+  const auto is_avoided = [this, now](const BackendRecord& backend) {
+    return backoffs_.is_avoided(now, backend.id);
+  };
+  std::set<common::PoolName> willing;
+  if (!backoffs_.empty()) {
+    willing = mostly_good(state, is_avoided);
+  }
+  return [warm = mostly_good(state, is_cold), willing = std::move(willing),
+          is_avoided](const BackendRecord& backend) {
+    return (backend.cold && warm.contains(backend.pool)) ||
+           (willing.contains(backend.pool) && is_avoided(backend));
+  };
+}
+
 ownership::SetWarmth RangeController::warmth_changes(TimePoint now, const CellState& state) {
   ownership::SetWarmth changes;
   if (now < next_warmth_) {
@@ -262,17 +279,7 @@
     const auto limit = limits_.of(backend.id);
     return limit.has_value() ? std::optional(*limit * options_.limit_share) : std::nullopt;
   };
-  const auto is_cold = [](const BackendRecord& backend) { return backend.cold; };
-  const auto is_avoided = [&](const BackendRecord& backend) {
-    return backoffs_.is_avoided(now, backend.id);
-  };
-  const std::set<common::PoolName> warm = mostly_good(state, is_cold);
-  const std::set<common::PoolName> willing =
-      backoffs_.empty() ? std::set<common::PoolName>() : mostly_good(state, is_avoided);
-  const auto is_spared = [&](const BackendRecord& backend) {
-    return (backend.cold && warm.contains(backend.pool)) ||
-           (willing.contains(backend.pool) && is_avoided(backend));
-  };
+  const BackendCheck is_spared = spared_check(now, state);
   input.is_eligible = [&](const BackendRecord& backend) {
     return is_eligible(now, state, backend) && !is_spared(backend);
   };
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -139,6 +139,10 @@
   ownership::ApplyRangePlan plan(TimePoint now, const ownership::CellState& state);
   /// What the state should tell the next leader.
   ownership::GrantTerms wanted_terms(TimePoint now, const ownership::CellState& state) const;
+  using BackendCheck = std::function<bool(const ownership::BackendRecord&)>;
+  /// Whether an owner is to give its keys up though it stays: it is cold or keeps routers away, and
+  /// most others of its service do not. Goes through all back ends; the check itself does not.
+  BackendCheck spared_check(TimePoint now, const ownership::CellState& state) const;
   /// When there is something to do, if nothing happens before.
   TimePoint next_due() const;
   const ownership::GrantManager& grants() const { return grants_; }
@@ -148,7 +152,6 @@
   }
 
  private:
-  using BackendCheck = std::function<bool(const ownership::BackendRecord&)>;
   /// Services with more targets for which `is_poor` is false than true, by name: there, the poor
   /// ones own no keys.
   static std::set<common::PoolName> mostly_good(const ownership::CellState& state,
