A test's unused using declaration is gone, which the linter refused

Cause: requested_backoff_test kept a using declaration from a draft. No behaviour changes; the test's checks are the same.

--- a/test/platform/requested_backoff_test.cpp
+++ b/test/platform/requested_backoff_test.cpp
@@ -15,7 +15,6 @@
 namespace planktray::platform {
 namespace {
 
-using router::at;
 using router::AttemptId;
 using router::Forward;
 using router::RouteFixture;
