An acknowledged leaving is in the table though the back end's registration was still under way

What callers would have seen: DRAIN, requests go on to a back end whose leaving was acknowledged.

Cause: the leader decides by what it has committed. With the first heartbeat's registration under way the one that says 'leaving' was a registration too; applied second it changed nothing, and was acknowledged. Routers sent on until the next heartbeat.

Now a registration that says so marks a back end that is registered already. No change of formats.

Evidence: the new test failed before (no replica had it as leaving) and passes. Ruled out: the same by followers, which acknowledge a leaving only once their state has it; the goodbye, which has its own test.

--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -84,6 +84,10 @@
 void CellState::apply_command(LogIndex index, const RegisterBackend& command, ApplyResult& result) {
   const BackendRecord* known = find_incarnation(command.incarnation);
   if (known != nullptr && known->machine == command.machine) {
+    // An earlier registration was still under way when this one was made.
+    if (command.leaving && !known->leaving) {
+      apply_command(index, MarkLeaving{known->id, true}, result);
+    }
     return;
   }
   if (has_departed(command.incarnation)) {
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -295,6 +295,24 @@
   CHECK(leader.state().has_departed(life));
 }
 
+// Guards against an acknowledged leaving that the registration under way makes void: requests would
+// go on to the back end.
+TEST_CASE("a leaving that overtakes the registration under way is in the table once acknowledged") {
+  Cell cell;
+  ControllerCore& leader = *cell.replicas[cell.leader()];
+  Heartbeat heartbeat;
+  heartbeat.incarnation = common::Incarnation("life");
+  heartbeat.address = "10.0.0.1:80";
+  heartbeat.service = "s";
+  heartbeat.sequence = 1;
+  leader.heartbeat(at(cell.time), leader.new_request(), heartbeat);
+  CHECK(cell.beat(cell.leader(), 2, true));
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    REQUIRE(record_at(cell, i) != nullptr);
+    CHECK(record_at(cell, i)->leaving);
+  }
+}
+
 TEST_CASE("a back end that a router found to have ended is dropped on every replica") {
   Cell cell;
   CHECK(cell.beat(cell.leader(), 1, false));
