A back end that left and fell silent is not brought back by a heartbeat from before

What callers would have seen: DRAIN, requests go to a back end whose leaving was acknowledged seconds ago, or to what has its address now.

Cause: a back end that leaves and is not heard for 3.5 s is forgotten, and only goodbyes and ends were remembered. The order of heartbeats is kept by each leader for its own term; so after a change of leader one that was held up says 'ready' and registers it anew, as taking work. Class: a late word is believed since what it contradicts was forgotten.

Now what is forgotten while it leaves is remembered as departed, in the replicated state; heartbeats of it are acknowledged as before.

Ruled out: within one leader's term, numbers decide (a heartbeat after a newer one says nothing).

--- a/src/ownership/cell_state_routes.cpp
+++ b/src/ownership/cell_state_routes.cpp
@@ -63,8 +63,9 @@
   if (incarnation != incarnations_.end() && incarnation->second == id) {
     incarnations_.erase(incarnation);
   }
-  if (found->second.ended) {
-    // Its address has another incarnation: a heartbeat that comes late must not bring it back.
+  const bool has_left = found->second.leaving && found->second.has_fenced_grants();
+  if (found->second.ended || has_left) {
+    // A heartbeat that comes late must not bring it back.
     remember_departure(found->second.incarnation);
   }
   backends_.erase(found);
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -313,6 +313,23 @@
   }
 }
 
+// Guards against a heartbeat from before the leaving that comes after the back end was forgotten,
+// at a leader that has not heard the newer ones.
+TEST_CASE("a late heartbeat does not bring a back end back that left and fell silent") {
+  Cell cell;
+  CHECK(cell.beat(cell.leader(), 1, false));
+  CHECK(cell.beat(cell.leader(), 3, true));
+  cell.run_for(6000);
+  REQUIRE(record_at(cell, cell.leader()) == nullptr);
+  const std::size_t former = cell.leader();
+  cell.cut[former] = true;
+  cell.run_for(2000);
+  REQUIRE(cell.leader() != former);
+  cell.beat(cell.leader(), 2, false);
+  const ownership::BackendRecord* known = record_at(cell, cell.leader());
+  CHECK((known == nullptr || known->leaving));
+}
+
 TEST_CASE("a back end that a router found to have ended is dropped on every replica") {
   Cell cell;
   CHECK(cell.beat(cell.leader(), 1, false));
