Sight for DRAIN: a router says when it takes itself to be cut off from its controllers, and when not any more

`contact_lost` and `contact_back`: index and age of the table, and what waits at this router's own link, which may be why nobody was heard. No decision changes. No test: the line is written by the process around the decisions.

--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -25,6 +25,14 @@
 
 }  // namespace
 
+void RequestLog::contact_changed(const ContactChange& change) {
+  log_event(change.in_contact ? "contact_back" : "contact_lost",
+            {{"table_index", std::to_string(change.table_index.value)},
+             {"table_age_ms", milliseconds_text(change.table_age)},
+             {"outbound_backlog_ms", milliseconds_text(change.outbound_backlog)},
+             {"inbound_backlog_ms", milliseconds_text(change.inbound_backlog)}});
+}
+
 void RequestLog::repeated(common::TimePoint now, const ReadRequest& read, const Forward& forward) {
   if (!limit_.allows(now)) {
     return;
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -48,6 +48,16 @@
   common::Duration longest_turn{0};  ///< of this router's main loop since the line before
 };
 
+/// What a router knows as it takes itself to be cut off from its controllers, or hears them again.
+struct ContactChange {
+  bool in_contact = false;
+  common::LogIndex table_index;
+  std::optional<common::Duration> table_age;  ///< nothing where it was never confirmed
+  // Time that waiting bodies take at the link; 0 where the link has no pace.
+  common::Duration outbound_backlog{0};
+  common::Duration inbound_backlog{0};
+};
+
 /// Times of a request that ends without a back end's answer.
 struct RefusalTimes {
   common::Duration took{0};    ///< since it was read
@@ -60,6 +70,8 @@
  public:
   /// Tells a late sender or way (`delay` is long, `longest_turn` short) from a late router.
   void table_late(const LateUpdate& late);
+  /// The router goes on with its last table whatever its age, or does not any more.
+  void contact_changed(const ContactChange& change);
   /// An attempt that is not the first of its request goes out.
   void repeated(common::TimePoint now, const ReadRequest& read, const Forward& forward);
   void attempt_failed(common::TimePoint now, const ReadRequest& read, const SentAttempt& attempt,
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -432,6 +432,7 @@
     log_event(serving ? "serving" : "not_serving",
               {{"table_index", std::to_string(core_.table().index().value)}});
   }
+  note_contact();
   const config::RequestLimits& limits = core_.table().routes().limits();
   if (limits != limits_) {
     limits_ = limits;
@@ -439,6 +440,22 @@
   }
 }
 
+void RouterProcess::note_contact() {
+  const common::TimePoint now = boot_time_now();
+  const routing::TableFreshness& freshness = core_.freshness();
+  const bool in_contact = freshness.standing(now) != routing::TableStanding::kOutOfContact;
+  if (in_contact == was_in_contact_) {
+    return;
+  }
+  was_in_contact_ = in_contact;
+  ContactChange change{in_contact, core_.table().index(), freshness.age(now)};
+  if (pacer_ != nullptr) {
+    change.outbound_backlog = pacer_->outbound().scheduler().backlog();
+    change.inbound_backlog = pacer_->inbound().scheduler().backlog();
+  }
+  request_log_.contact_changed(change);
+}
+
 void RouterProcess::adopt_limits() {
   transport::HttpServerOptions options = server_->options();
   if (limits_.header_bytes > 0) {
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -96,6 +96,7 @@
   void carry_out(const WriteDecision& decision);
   void check_reach(const ReachInquiry& inquiry);
   void note_changes();
+  void note_contact();
   void adopt_limits();
   void send_forward(const Forward& forward);
   void on_response(AttemptId attempt, transport::HttpResponse& response);
@@ -134,6 +135,7 @@
   RequestHandle next_handle_ = 1;
   config::RequestLimits limits_;
   bool was_serving_ = false;
+  bool was_in_contact_ = true;
   bool flushing_ = false;
   bool draining_ = false;
   bool accepting_ = true;
