The leader takes a back end's word of its leaving from answers to its own orders too

Keys of such an owner waited for its heartbeat or a router's hello. Same class: a word of a back end that nobody decodes.

Now the reply to an order says so, of the incarnation that was asked, and the leader marks the back end as it does for a router's word.

Evidence: the new test of three controllers fails without the leader's part (not leaving on any replica), passes with it; the adapter's cases stand with the other meanings of answers.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -139,6 +139,8 @@
   const bool is_named = !reply.answered_by.value.empty();
   if (backend.has_value() && reply.end == ownership::OrderEnd::kGone && is_named) {
     mark_ended(now, *backend);
+  } else if (backend.has_value() && reply.is_leaving) {
+    mark_stated_departure(now, *backend);
   }
   step(now);
 }
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -137,8 +137,9 @@
 
 struct OrderReply {
   OrderEnd end = OrderEnd::kUnanswered;
-  std::string handover;               ///< of an accepted release
+  std::string handover{};             ///< of an accepted release
   common::Incarnation answered_by{};  ///< where the answer names it
+  bool is_leaving = false;            ///< the answer says so of the back end that was asked
 };
 
 /// True where the back end hears what it holds in the answers to its heartbeats; no orders go to
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -20,6 +20,7 @@
   std::array<std::unique_ptr<ControllerCore>, kReplicas> replicas;
   std::array<bool, kReplicas> cut{};
   std::vector<Completion> completions;
+  std::vector<ownership::GrantOrder> grants;
   std::int64_t time = 0;
 
   Cell() {
@@ -67,6 +68,7 @@
           replicas[leader()]->on_heartbeat_report(at(time), *output.heard);
         }
         completions.insert(completions.end(), output.completions.begin(), output.completions.end());
+        grants.insert(grants.end(), output.grants.begin(), output.grants.end());
       }
     }
   }
@@ -373,6 +375,37 @@
   }
 }
 
+// Guards against an owner whose leaving only its answers to the leader's own orders tell.
+TEST_CASE("a back end that told the leader of its leaving is leaving on every replica") {
+  Cell cell;
+  ControllerCore& leader = *cell.replicas[cell.leader()];
+  config::RouteChange change;
+  change.version = 1;
+  change.replaces_all = true;
+  config::RoutedService keyed;
+  keyed.name = common::ServiceName("s");
+  keyed.keyed = true;
+  change.services.push_back(keyed);
+  leader.change_routes(at(cell.time), leader.new_request(), change);
+  CHECK(cell.beat(cell.leader(), 1, false, 2000));
+  REQUIRE_FALSE(cell.grants.empty());
+  ownership::OrderReply reply;
+  reply.end = ownership::OrderEnd::kAccepted;
+  leader.on_order_reply(at(cell.time), cell.grants.front().id, reply);
+  cell.run_for(50);
+  CHECK_FALSE(record_at(cell, cell.leader())->leaving);
+  cell.grants.clear();
+  cell.run_for(3000);
+  REQUIRE_FALSE(cell.grants.empty());
+  reply.is_leaving = true;
+  leader.on_order_reply(at(cell.time), cell.grants.back().id, reply);
+  cell.run_for(50);
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    REQUIRE(record_at(cell, i) != nullptr);
+    CHECK(record_at(cell, i)->leaving);
+  }
+}
+
 /// @return what the evacuation ended with, within `wait` milliseconds.
 std::optional<common::Result<common::LogIndex>> evacuate(Cell& cell, std::size_t replica,
                                                          const std::string& zone, bool evacuated,
--- a/test/platform/request_dialect_test.cpp
+++ b/test/platform/request_dialect_test.cpp
@@ -309,6 +309,12 @@
   CHECK(api.read_reply(order.incarnation, response(421, {{kInstanceHeader, "i-1"}})).end ==
         OrderEnd::kRefused);
   CHECK(api.read_reply(order.incarnation, response(400, {})).end == OrderEnd::kRefused);
+  CHECK_FALSE(api.read_reply(order.incarnation, response(200, {})).is_leaving);
+  CHECK(api.read_reply(order.incarnation, response(200, {{kShortLeavingHeader, "1"}})).is_leaving);
+  CHECK(api.read_reply(order.incarnation, response(409, {{kLeavingHeader, "1"}})).is_leaving);
+  CHECK_FALSE(api.read_reply(order.incarnation,
+                             response(421, {{kInstanceHeader, "i-2"}, {kLeavingHeader, "1"}}))
+                  .is_leaving);
   HttpResponse lost;
   CHECK(api.read_reply(order.incarnation, lost).end == OrderEnd::kNotSent);
   lost.was_sent = true;
