Requests that nobody waits for any longer tell that their target is slow

Cause: only answers told a target's speed. A target that turns so slow that no answer comes in time looked as fast as before as soon as its overdue requests had ended, to the router's choice and to the leader that gives keys out.

Now a request that expires or whose caller has gone says that its target takes that long at least, where that is more than was expected; less says nothing. What is taken back or cut off before it is written still tells no speed.

Ruled out: that a full service then refuses all for good: what is learnt so counts half after 2.5 s, and not for the usual time of the service.

Tests: target_book_test (both directions); they do not build before.

--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -340,10 +340,11 @@
   const AttemptId attempt = request.attempt;
   const BackendId backend = attempts_.at(attempt).backend;
   const common::ServiceId service = request.service;
-  drop_attempt(request);
   if (request.routed) {
+    give_up_attempt(now, request);
     return answer_unknown(request);
   }
+  forget_attempt(request);
   block(now, backend);
   if (options_.claim_not_run) {
     answer_not_run(request, NotRunReason::kDeadline, Duration(0));
@@ -353,23 +354,36 @@
   drain_queue(now, {service, backend});
 }
 
-void RouterCore::on_caller_gone(RequestHandle handle) {
+void RouterCore::on_caller_gone(TimePoint now, RequestHandle handle) {
   const auto found = requests_.find(handle);
   if (found == requests_.end()) {
     return;
   }
   ++counters_.cancelled;
   if (found->second.attempt != 0) {
-    drop_attempt(found->second);
+    give_up_attempt(now, found->second);
   }
   finish(handle);
 }
 
-void RouterCore::drop_attempt(Request& request) {
+void RouterCore::give_up_attempt(TimePoint now, Request& request) {
+  if (request.routed) {
+    const Attempt& attempt = attempts_.at(request.attempt);
+    routed_service(request.service).targets.on_given_up(now, attempt.backend, attempt.sent);
+  }
+  forget_attempt(request);
+}
+
+void RouterCore::take_back_attempt(Request& request) {
+  const Attempt& attempt = attempts_.at(request.attempt);
+  routed_service(request.service).targets.on_ended(attempt.backend, attempt.sent);
+  forget_attempt(request);
+}
+
+void RouterCore::forget_attempt(Request& request) {
   const auto attempt = attempts_.find(request.attempt);
   output_.cancels.push_back(request.attempt);
   if (request.routed) {
-    routed_service(request.service).targets.on_ended(attempt->second.backend, attempt->second.sent);
     backoffs_.on_ended(attempt->second.backend, attempt->second.sent);
   } else {
     release_target(attempt->second.backend);
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -65,7 +65,7 @@
   /// Whether anybody listens at a back end's address; nothing where that cannot be said.
   void on_reach_checked(TimePoint now, BackendId backend, std::optional<bool> listens);
   /// The caller went away; its attempt is cancelled.
-  void on_caller_gone(RequestHandle handle);
+  void on_caller_gone(TimePoint now, RequestHandle handle);
   /// Takes no new requests; those in flight finish.
   void begin_drain() { draining_ = true; }
   bool is_drained() const { return requests_.empty(); }
@@ -254,7 +254,12 @@
   void note_limit(TimePoint now, BackendId target, const AttemptResult& result);
   void draw_zone_subset(const routing::RoutedTableService& service);
   void dispatch_waiting(TimePoint now);
-  void drop_attempt(Request& request);
+  /// Nobody waits for the request's attempt any longer.
+  void give_up_attempt(TimePoint now, Request& request);
+  /// The attempt of a request on a route is not to be written to its end.
+  void take_back_attempt(Request& request);
+  /// Cancels the request's attempt. What its target may tell is taken before.
+  void forget_attempt(Request& request);
   /// Takes back, holds, resumes and cuts off attempts whose back ends leave or may have left.
   void review_writes(TimePoint now);
   /// Takes an attempt back of which nothing was written, and looks for a back end anew.
--- a/src/router/core/router_core_writing.cpp
+++ b/src/router/core/router_core_writing.cpp
@@ -67,7 +67,7 @@
 void RouterCore::recall(TimePoint now, AttemptId id) {
   ++counters_.recalled;
   Request& request = requests_.at(attempts_.at(id).handle);
-  drop_attempt(request);
+  take_back_attempt(request);
   --request.attempts;  // it has not arrived
   dispatch_routed(now, request);
 }
@@ -76,7 +76,7 @@
   ++counters_.cut_writes;
   const Attempt attempt = attempts_.at(id);
   Request& request = requests_.at(attempt.handle);
-  drop_attempt(request);
+  take_back_attempt(request);
   request.may_have_run = true;
   if (!request.repeatable) {
     return answer_unknown(request);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -296,7 +296,7 @@
   const Caller& caller = callers_[handle] = {exchange, std::move(*read), boot_time_now()};
   exchange->on_gone([this, handle] {
     callers_.erase(handle);
-    core_.on_caller_gone(handle);
+    core_.on_caller_gone(boot_time_now(), handle);
     flush();
   });
   unread_.Observe(std::chrono::duration<double>(caller.arrived - exchange->first_byte()).count());
--- a/src/routing/target_book.cpp
+++ b/src/routing/target_book.cpp
@@ -23,6 +23,12 @@
   }
 }
 
+/// Time of work where a request took so long, freed of what is usually queued there.
+double usual_work_us(Duration took, const TargetView& target) {
+  const double queued = static_cast<double>(target.outstanding.size()) + target.usual_others;
+  return to_us(took) / queue_factor(queued, target.slots);
+}
+
 }  // namespace
 
 void TargetBook::add(BackendId id, std::uint32_t slots, bool is_cold) {
@@ -37,9 +43,7 @@
                              const std::optional<LoadReport>& report) {
   TargetView& target = targets_[id];
   erase_one(target.outstanding, sent);
-  const double queued = static_cast<double>(target.outstanding.size()) + target.usual_others;
-  const double sample = to_us(now - sent) / queue_factor(queued, target.slots);
-  target.samples.sum_us += sample;
+  target.samples.sum_us += usual_work_us(now - sent, target);
   ++target.samples.count;
   if (report.has_value()) {
     take_report(now, target, *report);
@@ -47,14 +51,31 @@
   // What is there now is about what was there when the request came.
   const double ahead = static_cast<double>(target.outstanding.size()) + target.others;
   const double work = to_us(now - sent) / target.pace / queue_factor(ahead, target.slots);
-  const double present = service_time_us(now, target);
-  target.time_us = present + options_.weight * (work - present);
-  target.learnt_at = now;
+  learn(now, target, work);
   typical_us_ = typical_us_ == 0 ? work : typical_us_ + options_.weight / 4 * (work - typical_us_);
   target.block = Duration(0);
   target.blocked_until = TimePoint();
 }
 
+void TargetBook::on_given_up(TimePoint now, BackendId id, TimePoint sent) {
+  TargetView& target = targets_[id];
+  erase_one(target.outstanding, sent);
+  const double least = usual_work_us(now - sent, target);
+  // A shorter time says nothing: the answer may have been as far off as usual.
+  if (least <= service_time_us(now, target)) {
+    return;
+  }
+  target.samples.sum_us += least;
+  ++target.samples.count;
+  learn(now, target, least);
+}
+
+void TargetBook::learn(TimePoint now, TargetView& target, double work_us) {
+  const double present = service_time_us(now, target);
+  target.time_us = present + options_.weight * (work_us - present);
+  target.learnt_at = now;
+}
+
 void TargetBook::take_report(TimePoint now, TargetView& target, const LoadReport& report) {
   constexpr double kPercent = 100.0;
   const double seen = static_cast<double>(report.running) + report.waiting;
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -96,6 +96,9 @@
                    const std::optional<LoadReport>& report);
   /// A refusal of the target told its load.
   void on_refused(BackendId id, const LoadReport& report);
+  /// Nobody waits any longer for the answer to the request sent at `sent`: it takes longer than
+  /// that.
+  void on_given_up(TimePoint now, BackendId id, TimePoint sent);
   /// The request has ended without an answer that tells the target's speed.
   void on_ended(BackendId id, TimePoint sent);
   /// The target failed: it is avoided for a while.
@@ -130,6 +133,8 @@
   Belief belief(TimePoint now, const TargetView& target) const;
   void take_report(TimePoint now, TargetView& target, const LoadReport& report);
   double service_time_us(TimePoint now, const TargetView& target) const;
+  /// Work took so long there, at the target's usual pace.
+  void learn(TimePoint now, TargetView& target, double work_us);
 
   TargetBookOptions options_;
   std::unordered_map<BackendId, TargetView> targets_;
--- a/test/routing/target_book_test.cpp
+++ b/test/routing/target_book_test.cpp
@@ -70,6 +70,45 @@
   CHECK(fixture.projected(1, fixture.near) <= fixture.projected(1, fixture.far) * 11 / 10);
 }
 
+// Guards against a target that turns slow and goes on to look as fast as before, since none of its
+// answers comes in time.
+TEST_CASE("requests that nobody waits for any longer tell that their target is slow") {
+  Fixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    fixture.answer(i * 100, fixture.near, LoadReport{1, 0, kSlots});
+    fixture.answer(i * 100, fixture.far, LoadReport{1, 0, kSlots});
+  }
+  fixture.book.take_samples([](BackendId /*id*/, const WorkSamples& /*samples*/) {});
+  for (int i = 0; i < 5; ++i) {
+    fixture.book.on_sent(at(2000 + i * 10), fixture.near);
+    fixture.book.on_given_up(at(4000 + i * 10), fixture.near, at(2000 + i * 10));
+  }
+  CHECK(fixture.book.outstanding(fixture.near) == 0);
+  CHECK(fixture.projected(4041, fixture.near) > 3 * fixture.projected(4041, fixture.far));
+  std::uint32_t told = 0;
+  fixture.book.take_samples([&](BackendId id, const WorkSamples& samples) {
+    CHECK(id == fixture.near);
+    CHECK(samples.sum_us / samples.count > 500'000);
+    told += samples.count;
+  });
+  CHECK(told == 5);
+}
+
+TEST_CASE("a request that is given up before its answer was due says nothing of its target") {
+  Fixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    fixture.answer(i * 100, fixture.near, LoadReport{1, 0, kSlots});
+  }
+  const Duration before = fixture.projected(2000, fixture.near);
+  fixture.book.take_samples([](BackendId /*id*/, const WorkSamples& /*samples*/) {});
+  fixture.book.on_sent(at(2000), fixture.near);
+  fixture.book.on_given_up(at(2050), fixture.near, at(2000));
+  CHECK(fixture.projected(2050, fixture.near) <= before);
+  bool has_told = false;
+  fixture.book.take_samples([&](BackendId /*id*/, const WorkSamples& /*s*/) { has_told = true; });
+  CHECK_FALSE(has_told);
+}
+
 TEST_CASE("work times told to the leader do not make an owner that is behind look fast") {
   Fixture fixture;
   fixture.answer(0, fixture.near, LoadReport{3, 9, kSlots});
