--- a/src/sim/grant_world.cpp
+++ b/src/sim/grant_world.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <utility>
 
 #include "controller/core/holder_answers.hpp"
+#include "sim/event_queue.hpp"
 
 namespace planktray::sim {
 namespace {
@@ -92,7 +92,7 @@
   GrantWorldResult run() {
     while (now_ < TimePoint(options_.length)) {
       now_ += kStep;
-      run_events();
+      events_.run_due(now_);
       make_trouble();
       if (leads_) {
         work();
@@ -115,14 +115,7 @@
   Duration between(std::uint64_t low_ms, std::uint64_t high_ms) {
     return milliseconds(common::uniform(random_, low_ms, high_ms));
   }
-  void at(TimePoint when, std::function<void()> event) { events_.emplace(when, std::move(event)); }
-  void run_events() {
-    while (!events_.empty() && events_.begin()->first <= now_) {
-      const auto event = std::move(events_.begin()->second);
-      events_.erase(events_.begin());
-      event();
-    }
-  }
+  void at(TimePoint when, EventQueue::Event event) { events_.add(when, std::move(event)); }
 
   // ------------------------------------------------------------ the log
 
@@ -498,7 +491,7 @@
   GrantWorldOptions options_;
   common::RandomEngine random_;
   TimePoint now_;
-  std::multimap<TimePoint, std::function<void()>> events_;
+  EventQueue events_;
   ownership::CellState state_;
   std::uint64_t index_ = 0;
   common::ServiceId service_;
--- a/src/sim/overload_world.cpp
+++ b/src/sim/overload_world.cpp
@@ -4,12 +4,12 @@
 #include <array>
 #include <cmath>
 #include <deque>
-#include <functional>
 #include <memory>
 #include <set>
 #include <utility>
 
 #include "ownership/key_loads.hpp"
+#include "sim/event_queue.hpp"
 
 namespace planktray::sim {
 namespace {
@@ -85,7 +85,7 @@
     counted_from_ = now_ + options_.warm_up;
     while (now_ < end) {
       now_ += kStep;
-      run_events();
+      events_.run_due(now_);
       fold_loads();
       ask();
       for (std::size_t i = 0; i < routers_.size(); ++i) {
@@ -118,16 +118,7 @@
   static double seconds(Duration value) { return std::chrono::duration<double>(value).count(); }
   static std::string address_of(BackendId id) { return "b" + std::to_string(id.value); }
 
-  void after(Duration wait, std::function<void()> event) {
-    events_.emplace(now_ + wait, std::move(event));
-  }
-  void run_events() {
-    while (!events_.empty() && events_.begin()->first <= now_) {
-      const auto event = std::move(events_.begin()->second);
-      events_.erase(events_.begin());
-      event();
-    }
-  }
+  void after(Duration wait, EventQueue::Event event) { events_.add(now_ + wait, std::move(event)); }
 
   // ------------------------------------------------------------ the leader
 
@@ -424,7 +415,7 @@
   controller::OwnerAdmission admission_;
   ownership::KeyLoads loads_;
   std::vector<routing::AdmittedPart> crowded_;
-  std::multimap<TimePoint, std::function<void()>> events_;
+  EventQueue events_;
   std::map<std::string, Backend> backends_;  ///< by address
   std::vector<double> rooms_;                ///< requests a second that each back end can answer
   routing::TableDelta table_;
--- a/src/sim/route_world.cpp
+++ b/src/sim/route_world.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -10,6 +9,7 @@
 
 #include "controller/core/fleet_suspects.hpp"
 #include "sim/crash_audit.hpp"
+#include "sim/event_queue.hpp"
 #include "sim/limit_audit.hpp"
 #include "sim/repeat_audit.hpp"
 
@@ -102,7 +102,7 @@
     const TimePoint end = now_ + options_.length;
     while (now_ < end) {
       now_ += kStep;
-      run_events();
+      events_.run_due(now_);
       make_trouble();
       name_limits();
       change_leader();
@@ -153,16 +153,7 @@
     const auto when = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
     result_.violations.push_back("at " + std::to_string(when) + " ms " + text);
   }
-  void after(Duration wait, std::function<void()> event) {
-    events_.emplace(now_ + wait, std::move(event));
-  }
-  void run_events() {
-    while (!events_.empty() && events_.begin()->first <= now_) {
-      const auto event = std::move(events_.begin()->second);
-      events_.erase(events_.begin());
-      event();
-    }
-  }
+  void after(Duration wait, EventQueue::Event event) { events_.add(now_ + wait, std::move(event)); }
   std::uint64_t uniform(std::uint64_t bound) { return common::uniform(random_, 0, bound - 1); }
   Duration between(std::int64_t first_ms, std::int64_t last_ms) {
     return milliseconds(first_ms + static_cast<std::int64_t>(
@@ -666,7 +657,7 @@
   TimePoint next_crashing_ = now_ + milliseconds(4000);
   TimePoint next_tables_;
   TimePoint answers_lost_until_;
-  std::multimap<TimePoint, std::function<void()>> events_;
+  EventQueue events_;
   std::map<std::string, Process> at_address_;
   std::map<BackendId, Process> known_;  ///< what the leader has registered
   std::array<BackendId, kRanges> owners_;
--- a/src/sim/upload_world.cpp
+++ b/src/sim/upload_world.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <utility>
 
 #include "link/link_scheduler.hpp"
+#include "sim/event_queue.hpp"
 
 namespace planktray::sim {
 namespace {
@@ -177,7 +177,7 @@
     const TimePoint end = begin + options_.length;
     while (now_ < end + options_.stated_time) {
       now_ += kStep;
-      run_events();
+      events_.run_due(now_);
       leader_.run(now_);
       if (now_ >= begin && now_ < end) {
         ask();
@@ -224,16 +224,7 @@
     std::size_t bytes = 0;
   };
 
-  void after(Duration wait, std::function<void()> event) {
-    events_.emplace(now_ + wait, std::move(event));
-  }
-  void run_events() {
-    while (!events_.empty() && events_.begin()->first <= now_) {
-      const auto event = std::move(events_.begin()->second);
-      events_.erase(events_.begin());
-      event();
-    }
-  }
+  void after(Duration wait, EventQueue::Event event) { events_.add(now_ + wait, std::move(event)); }
 
   bool is_odd_phase() const { return (now_.time_since_epoch() / options_.phase) % 2 == 1; }
 
@@ -443,7 +434,7 @@
   common::RandomEngine random_;
   TimePoint now_ = TimePoint(std::chrono::seconds(100));
   Leader leader_;
-  std::multimap<TimePoint, std::function<void()>> events_;
+  EventQueue events_;
   std::vector<std::unique_ptr<Router>> routers_;
   std::map<RequestHandle, Caller> callers_;
   RequestHandle last_request_ = 0;
