Sight: a suspension of the machine has a line with its length, and a counter

SuspensionWatch (a plain state machine) compares both clocks after each wait of the main loop: 'resumed' with suspended_ms, planktray_suspensions_total at routers and controllers. One more reading of a clock a turn. No decision changes; alarms are not set anew yet, and there is no clock seam.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -532,6 +532,8 @@
     total.bytes_received += counters.bytes_received;
     total.refused += counters.refused;
   }
+  metrics_.set_counter("planktray_suspensions_total", "Suspensions of the machine.",
+                       transport::suspensions_seen());
   metrics_.set_counter("planktray_messages_sent_total", "ZeroMQ messages sent.", total.sent);
   metrics_.set_counter("planktray_messages_dropped_total", "ZeroMQ messages not queued.",
                        total.send_dropped);
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -18,6 +18,8 @@
                        counters.not_run);
   metrics_.set_counter("planktray_unknown_total", "Requests that may have run.", counters.unknown);
   metrics_.set_counter("planktray_retries_total", "Attempts after the first.", counters.retries);
+  metrics_.set_counter("planktray_suspensions_total", "Suspensions of the machine.",
+                       transport::suspensions_seen());
   metrics_.set_counter("planktray_stale_refusals_total",
                        "Requests on routes refused since the table was too old to decide with.",
                        counters.stale_refusals);
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -9,6 +9,9 @@
 #include <ctime>
 #include <utility>
 
+#include "transport/logging.hpp"
+#include "transport/suspension_watch.hpp"
+
 namespace planktray::transport {
 namespace {
 
@@ -36,6 +39,30 @@
   common::Duration longest{0};
 };
 
+/// Suspensions of the machine since the process began.
+struct Suspensions {
+  SuspensionWatch watch;
+  std::uint64_t count = 0;
+};
+
+Suspensions& suspensions() {
+  static Suspensions all;
+  return all;
+}
+
+void note_suspension() {
+  Suspensions& all = suspensions();
+  const auto suspended =
+      all.watch.observe({read_clock(CLOCK_BOOTTIME), read_clock(CLOCK_MONOTONIC)});
+  if (!suspended.has_value()) {
+    return;
+  }
+  ++all.count;
+  const auto suspended_ms = *suspended / std::chrono::milliseconds(1);
+  log_event("resumed",
+            {{"suspended_ms", std::to_string(suspended_ms)}, {"total", std::to_string(all.count)}});
+}
+
 TurnWatch& turn_watch() {
   static TurnWatch watch;
   return watch;
@@ -46,6 +73,7 @@
   watch.longest = std::max(watch.longest, boot_time_now() - watch.began);
   const gint ready = g_poll(descriptors, count, timeout);
   watch.began = boot_time_now();
+  note_suspension();
   return ready;
 }
 
@@ -57,6 +85,8 @@
 
 common::Duration process_time_used() { return read_clock(CLOCK_PROCESS_CPUTIME_ID); }
 
+std::uint64_t suspensions_seen() { return suspensions().count; }
+
 void end_process(int exit_code) {
   std::fflush(nullptr);
   std::_Exit(exit_code);
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -20,6 +21,10 @@
 /// Processor time that all threads of this process have used so far.
 common::Duration process_time_used();
 
+/// How often the machine was suspended while the main loop of this process ran; each time has a
+/// log line.
+std::uint64_t suspensions_seen();
+
 /// Ends the process at once. The data folder is safe at every moment, and the libraries' static
 /// destructors join threads of their own, which may hold a stopping process up for seconds.
 [[noreturn]] void end_process(int exit_code);
