Owners of keys in an evacuated zone are closed within what is promised, not by a constant beside it

What callers would have seen: requests at a zone after the promised time, where less is promised or tables may be older.

Not bounded by it: the body of a request that was begun before, which the guard holds only where the table is too old.

--- a/src/router/arrival_time.hpp
+++ b/src/router/arrival_time.hpp
@@ -25,6 +25,14 @@
     constexpr common::Duration kShortest = std::chrono::milliseconds(500);
     return promised.count() == 0 ? promised : std::max(promised - total(), kShortest);
   }
+
+  /// For how long requests may still be sent after this router has learnt of a change that stops
+  /// them, at most `wanted`: what is left of the promise beside the oldest table and the way.
+  common::Duration grace(common::Duration promised, common::Duration oldest,
+                         common::Duration wanted) const {
+    const common::Duration left = std::max(promised - oldest - total(), common::Duration(0));
+    return promised.count() == 0 ? wanted : std::min(left, wanted);
+  }
 };
 
 }  // namespace planktray::router
--- a/test/router/arrival_time_test.cpp
+++ b/test/router/arrival_time_test.cpp
@@ -79,6 +79,19 @@
   CHECK(oldest_for(seconds(5)) == options.shortest);
 }
 
+// Guards against requests to owners in an evacuated zone that end by a time of their own, whatever
+// is promised.
+TEST_CASE("the oldest table, the grace of an evacuation and the way fit into its promise") {
+  const ArrivalTime arrival = arrival_time(deployed_settings());
+  const common::Duration oldest = arrival.oldest_table(seconds(2));
+  const common::Duration wanted = RouterOptions().evacuation_grace;
+  for (const auto promised : {milliseconds(2000), milliseconds(3000), milliseconds(5000)}) {
+    CHECK(oldest + arrival.grace(promised, oldest, wanted) + arrival.total() <= promised);
+  }
+  CHECK(arrival.grace(seconds(5), oldest, wanted) == wanted);
+  CHECK(arrival.grace(seconds(0), oldest, wanted) == wanted);
+}
+
 TEST_CASE("a table may be as old as it likes where nothing is promised") {
   CHECK(arrival_time(deployed_settings()).oldest_table(milliseconds(0)) == milliseconds(0));
 }
