--- a/src/common/promised_times.hpp
+++ b/src/common/promised_times.hpp
@@ -9,11 +9,11 @@
 
 /// Promised times; 0: nothing is promised.
 struct PromisedTimes {
-  Duration in_force{0};  ///< an acknowledged configuration holds at every router
-  Duration leaving{0};   ///< a back end whose leaving is acknowledged gets nothing more
-  Duration evacuation{
-      0};  ///< back ends of a zone whose evacuation is acknowledged get nothing more
+  Duration in_force{0};      ///< an acknowledged configuration holds at every router
+  Duration leaving{0};       ///< a back end whose leaving is acknowledged gets nothing more
   Duration longest_hold{0};  ///< no grant may hold longer
+  /// Back ends of a zone whose evacuation is acknowledged get nothing more.
+  Duration evacuation{0};
 
   /// The shorter time for a change to reach all routers; 0: none is promised.
   Duration shortest_change() const {
