Routers tell when they lose the path to a service: path_lost, path_back

No line, counter or type said that a router reaches no back end of a service, since when, and on what evidence.

Change: PathMonitor, one state for each service. Failures of two back ends raise a suspicion; probes (connections that carry nothing) of back ends that have not failed confirm or dispel it; a lost path is probed until a connection comes up. Lines path_lost and path_back, counters of attempts that found no connection or broke, of probes, a gauge of lost paths. No decision about a request changes.

Ruled out as evidence: connections that come up (a middlebox may accept and reset), answers on kept connections (they live on where new ones are refused).

Conclusion: the lost path is now a fact that a decision can rest on.

--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -29,6 +29,7 @@
       stated_departures_(options_.writes.departure_deadline),
       backoffs_(options_.backoffs),
       suspects_(options_.crash_suspects),
+      paths_(options_.paths),
       fleet_size_(options_.fleet_size_retention),
       next_hello_(now),
       last_hello_(now),
@@ -62,6 +63,7 @@
     review_writes(now);
   }
   dispatch_link_queue(now);
+  probe_paths(now);
   if (now >= next_hello_) {
     make_hello(now);
   } else if (now >= next_query_) {
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -29,6 +29,7 @@
 #include "routing/crowded_owners.hpp"
 #include "routing/fleet_size.hpp"
 #include "routing/limited_targets.hpp"
+#include "routing/path_monitor.hpp"
 #include "routing/rate_share.hpp"
 #include "routing/requested_backoffs.hpp"
 #include "routing/retry_budget.hpp"
@@ -67,6 +68,8 @@
   /// Takes the result of a ReachabilityProbe. @param listens whether a process listens at the back
   /// end's address; nothing if the probe was inconclusive.
   void on_reachability_probed(TimePoint now, BackendId backend, std::optional<bool> listens);
+  /// Takes the result of a path probe. @param is_reachable a connection was established.
+  void on_path_probed(TimePoint now, BackendId backend, bool is_reachable);
   /// The caller has disconnected; its attempt is cancelled.
   void on_caller_disconnected(TimePoint now, RequestHandle handle);
   /// Rejects new requests; those in flight finish.
@@ -81,7 +84,9 @@
 
   RouterOutput take_output() { return std::exchange(output_, {}); }
   /// Time at which tick() is next needed, if no input comes before.
-  TimePoint next_due() const { return std::min(next_timer(), send_window_.next_due()); }
+  TimePoint next_due() const {
+    return std::min({next_timer(), send_window_.next_due(), paths_.next_due()});
+  }
   /// Returns true if the table holds a route configuration.
   bool has_routes() const { return table_.routes().version() > 0; }
 
@@ -98,6 +103,8 @@
   std::size_t backoffs(TimePoint now) const { return backoffs_.count(now); }
   /// Returns the number of targets that this router has a limit for.
   std::size_t limited_targets() const { return limited_.count(); }
+  /// Returns the number of services none of whose back ends this router can reach.
+  std::size_t lost_paths() const { return paths_.lost().size(); }
   /// Returns the number of owners of keys whose queues are too long, as reported by the leader.
   std::size_t crowded_owners(TimePoint now) const { return crowded_.count(now); }
   std::size_t in_flight() const { return attempts_.size(); }
@@ -255,6 +262,14 @@
   /// Returns true if only limits that targets name keep the request from being sent.
   bool is_blocked_by_limits(TimePoint now, const Request& request,
                             const routing::RoutedTableService& service) const;
+  /// Records what the result shows about the path to the back end.
+  void record_path(TimePoint now, const Request& request, const Attempt& attempt,
+                   const AttemptResult& result);
+  /// Probes back ends of services whose path is in doubt or lost.
+  void probe_paths(TimePoint now);
+  void report_path_changes();
+  /// Returns the back ends of the service that may get requests.
+  std::vector<BackendId> working_backends(TimePoint now, common::ServiceId service) const;
   void record_crash(TimePoint now, const Attempt& attempt, const AttemptResult& result);
   void record_limit(TimePoint now, BackendId target, const AttemptResult& result);
   void update_zone_subset(const routing::RoutedTableService& service);
@@ -360,6 +375,7 @@
   routing::StatedDepartures stated_departures_;
   routing::RequestedBackoffs backoffs_;
   routing::CrashSuspects suspects_;
+  routing::PathMonitor paths_;
   routing::FleetSize fleet_size_;
   /// Evacuated zones, with the time at which this router learned of each evacuation.
   std::map<common::ZoneName, TimePoint> evacuations_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -247,6 +247,7 @@
                                         const AttemptResult& result) {
   Request& request = requests_.at(attempt.handle);
   request.attempt = 0;
+  record_path(now, request, attempt, result);
   record_limit(now, attempt.backend, result);
   record_stated_departure(now, attempt, result);
   record_backoff(now, attempt, result);
--- a/src/router/core/router_core_targets.cpp
+++ b/src/router/core/router_core_targets.cpp
@@ -176,6 +176,7 @@
   limited_.keep_only(now, is_known);
   backoffs_.keep_only(is_known);
   stated_departures_.keep_only(is_known);
+  paths_.keep_only(is_known);
   for (auto& [id, service] : routed_) {
     service.targets.drop_unless(
         [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
--- a/src/router/core/router_effects.hpp
+++ b/src/router/core/router_effects.hpp
@@ -13,6 +13,7 @@
 #include "router/core/write_guard.hpp"
 #include "routing/limited_targets.hpp"
 #include "routing/outcome.hpp"
+#include "routing/path_monitor.hpp"
 #include "routing/retry_window.hpp"
 #include "routing/table_messages.hpp"
 #include "routing/target_book.hpp"
@@ -72,6 +73,7 @@
   /// Time for which the back end requests a backoff of this router; nothing if it requests none.
   std::optional<Duration> backoff = std::nullopt;
   bool connection_ended = false;      ///< broken because the connection was closed or reset
+  bool is_new_connection = false;     ///< the connection had carried no other request
   routing::RequestDigest digest = 0;  ///< of the request; 0: not known
   std::string unparsed_load{};        ///< the raw load report, if not all of it could be parsed
   std::vector<UnrecognizedHeader> unrecognized_headers{};
@@ -84,6 +86,12 @@
   std::string address;
 };
 
+/// Effect, for logs: this router has lost or regained its path to the back ends of a service.
+struct PathNotice {
+  std::string service;
+  routing::PathChange change;
+};
+
 /// Effect, for logs: an answer of a back end has changed the limit that this router has for it.
 struct LimitChange {
   std::string address;
@@ -127,6 +135,9 @@
   std::vector<StatedDeparture> stated_departures;
   std::vector<BackoffRequest> backoffs;
   std::vector<ReachabilityProbe> reachability_probes;
+  /// Probes whose results go to on_path_probed().
+  std::vector<ReachabilityProbe> path_probes;
+  std::vector<PathNotice> path_notices;
   std::optional<routing::RouterHello> hello;
   bool hello_to_all = false;          ///< send the hello to every controller
   std::vector<std::string> hello_to;  ///< otherwise, send it to these addresses
@@ -135,7 +146,8 @@
   bool empty() const {
     return forwards.empty() && cancels.empty() && write_decisions.empty() && answers.empty() &&
            limit_changes.empty() && departures.empty() && stated_departures.empty() &&
-           backoffs.empty() && reachability_probes.empty() && !hello.has_value();
+           backoffs.empty() && reachability_probes.empty() && path_probes.empty() &&
+           path_notices.empty() && !hello.has_value();
   }
 };
 
@@ -176,6 +188,9 @@
   std::uint64_t held_writes = 0;       ///< attempts whose remaining bytes waited for a newer table
   std::uint64_t aborted_writes = 0;    ///< attempts aborted because their back end was leaving
   std::uint64_t follower_updates = 0;  ///< updates of the table that followers sent
+  std::uint64_t unsent_attempts = 0;   ///< attempts that found no connection
+  std::uint64_t broken_attempts = 0;   ///< attempts that were written and ended without an answer
+  std::uint64_t path_probes = 0;       ///< connections opened to find out about a path
   std::array<OutcomeCounts, kTimeoutBuckets.size() + 1> outcomes_by_timeout{};
 };
 
--- a/src/router/core/router_options.hpp
+++ b/src/router/core/router_options.hpp
@@ -13,6 +13,7 @@
 #include "routing/crowded_owners.hpp"
 #include "routing/leader_search.hpp"
 #include "routing/limited_targets.hpp"
+#include "routing/path_monitor.hpp"
 #include "routing/rate_share.hpp"
 #include "routing/requested_backoffs.hpp"
 #include "routing/retry_budget.hpp"
@@ -62,6 +63,7 @@
   routing::CrowdedOwnersOptions crowded_owners;
   routing::RequestedBackoffOptions backoffs;
   routing::CrashSuspectsOptions crash_suspects;
+  routing::PathMonitorOptions paths;
   /// Retry-After of requests that crash their targets; long, since no change is expected soon.
   Duration crashing_retry_after = std::chrono::seconds(60);
   /// How long the largest reported number of routers is kept after a smaller one is reported.
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -162,6 +162,17 @@
               change.per_second.has_value() ? std::to_string(*change.per_second) : "none"}});
 }
 
+void RequestLog::path_changed(const PathNotice& notice) {
+  if (notice.change.is_lost) {
+    log_event("path_lost", {{"service", notice.service},
+                            {"failed_backends", std::to_string(notice.change.failed_backends)},
+                            {"failing_for_ms", milliseconds_text(notice.change.since)}});
+  } else {
+    log_event("path_back", {{"service", notice.service},
+                            {"lost_for_ms", milliseconds_text(notice.change.since)}});
+  }
+}
+
 void RequestLog::departure_stated(common::TimePoint now, const StatedDeparture& departure) {
   if (!limit_.allows(now)) {
     return;
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -99,6 +99,8 @@
   void limit_changed(common::TimePoint now, const LimitChange& change);
   /// A back end stated in an answer that it is leaving before the table marked it as leaving.
   void departure_stated(common::TimePoint now, const StatedDeparture& departure);
+  /// The router has lost or regained its path to the back ends of a service.
+  void path_changed(const PathNotice& notice);
   /// A back end requested a time without requests.
   void backoff_requested(common::TimePoint now, const BackoffRequest& request);
   /// A request ends without a back end's answer.
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -43,6 +43,18 @@
   metrics_.set_gauge("planktray_limited_backends",
                      "Back ends that name how many requests a second they take.",
                      static_cast<double>(core_.limited_targets()));
+  metrics_.set_gauge("planktray_lost_paths",
+                     "Services none of whose back ends this router can reach.",
+                     static_cast<double>(core_.lost_paths()));
+  metrics_.set_counter("planktray_path_probes_total",
+                       "Connections opened to find out whether back ends can be reached.",
+                       counters.path_probes);
+  metrics_.set_counter("planktray_attempts_unsent_total",
+                       "Attempts that found no connection to their back end.",
+                       counters.unsent_attempts);
+  metrics_.set_counter("planktray_attempts_broken_total",
+                       "Attempts that were written and ended without an answer.",
+                       counters.broken_attempts);
   metrics_.set_counter("planktray_follower_updates_total",
                        "Updates of the table that followers brought.", counters.follower_updates);
   metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -81,7 +81,9 @@
       write_done_(metrics_.latency_histogram(
           "planktray_write_done_seconds",
           "Time from the choice of a back end until the system had taken a request's last byte.")),
-      reach_checker_(kReachabilityDelay, kReachabilityTimeout) {}
+      reach_checker_(kReachabilityDelay, kReachabilityTimeout),
+      path_checker_(common::Duration(0),
+                    std::min(settings_.connect_timeout, kReachabilityTimeout)) {}
 
 common::Result<void> RouterProcess::start() {
   const double link_rate = settings_.machine.link_bytes_per_second();
@@ -386,6 +388,12 @@
   for (const ReachabilityProbe& probe : output.reachability_probes) {
     probe_reachability(probe);
   }
+  for (const ReachabilityProbe& probe : output.path_probes) {
+    probe_path(probe);
+  }
+  for (const PathNotice& notice : output.path_notices) {
+    request_log_.path_changed(notice);
+  }
   for (const WriteDecision& decision : output.write_decisions) {
     execute(decision);
   }
@@ -427,6 +435,13 @@
   });
 }
 
+void RouterProcess::probe_path(const ReachabilityProbe& probe) {
+  path_checker_.check(probe.address, [this, backend = probe.backend](transport::Reach reach) {
+    core_.on_path_probed(boot_time_now(), backend, reach == transport::Reach::kListens);
+    flush();
+  });
+}
+
 void RouterProcess::check_state_changes() {
   const bool serving = core_.is_serving(boot_time_now());
   if (serving != was_serving_) {
@@ -571,6 +586,7 @@
   if (result.connection_ended || core_.needs_digests()) {
     result.digest = dialect_->digest(*caller->second.exchange);
   }
+  result.is_new_connection = response.is_whole() && !response.used_before;
   const common::TimePoint now = boot_time_now();
   if (!result.unparsed_load.empty()) {
     request_log_.load_unread(now, found->second.attempt, result.unparsed_load);
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -100,6 +100,7 @@
   void execute(const RouterOutput& output);
   void execute(const WriteDecision& decision);
   void probe_reachability(const ReachabilityProbe& probe);
+  void probe_path(const ReachabilityProbe& probe);
   /// Logs changes of serving and contact state, and applies changed request limits.
   void check_state_changes();
   void log_contact_change();
@@ -135,6 +136,7 @@
   std::unique_ptr<transport::HttpServer> status_server_;
   std::unique_ptr<transport::HttpClient> client_;
   transport::ReachChecker reach_checker_;
+  transport::ReachChecker path_checker_;
   std::map<std::string, std::unique_ptr<transport::ZmqSocket>> controllers_;  ///< by endpoint
   std::unordered_map<RequestHandle, Caller> callers_;
   std::unordered_map<AttemptId, PendingAttempt> attempts_;
