--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -23,6 +23,7 @@
   limits_ = {{}, false};
   suspects_.clear();
   crowded_.reset();
+  relays_.clear();
 }
 
 void TableDistributor::on_delta(routing::TableDelta delta) {
@@ -59,11 +60,18 @@
   subscriber.view = {hello.router, hello.address, hello.table_index, hello.serving, now};
   subscriber.clock_us = hello.clock_us;
   subscriber.hello_pending = true;
+  relays_.on_hello(hello);
 }
 
 std::vector<OutgoingTable> TableDistributor::collect(common::TimePoint now,
                                                      const ownership::CellState& state) {
-  std::erase_if(subscribers_, [&](const auto& item) { return !may_serve(now, item.second); });
+  std::erase_if(subscribers_, [&](const auto& item) {
+    const bool is_gone = !may_serve(now, item.second);
+    if (is_gone) {
+      relays_.remove(item.first);
+    }
+    return is_gone;
+  });
   std::vector<OutgoingTable> outgoing;
   next_due_ = common::TimePoint::max();
   snapshots_counted_ = snapshots_in_flight(now);
@@ -145,6 +153,10 @@
   if (crowded_.has_value()) {
     update.crowded = *crowded_;
   }
+  update.peers_are_listed = relays_.is_outdated(name);
+  if (update.peers_are_listed) {
+    update.peers = relays_.peers_of(name);
+  }
   update.router_rank = rank;
   update.router_count = static_cast<std::uint32_t>(subscribers_.size());
   update.hello_interval_ms = static_cast<std::uint32_t>(
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -14,6 +14,7 @@
 
 #include "common/time.hpp"
 #include "controller/core/fleet_limits.hpp"
+#include "controller/core/relay_directory.hpp"
 #include "ownership/cell_state.hpp"
 #include "routing/table_messages.hpp"
 
@@ -165,6 +166,7 @@
   FleetLimits::Published limits_;
   std::vector<routing::SuspectRequest> suspects_;
   std::optional<std::vector<routing::AdmittedShare>> crowded_;
+  RelayDirectory relays_;
   common::Term term_;
   common::TimePoint term_began_;
   std::map<common::RouterName, Subscriber> subscribers_;
--- a/src/router/core/caller_request.hpp
+++ b/src/router/core/caller_request.hpp
@@ -23,6 +23,14 @@
   std::optional<std::uint32_t> key;  ///< for keyed services
 };
 
+/// Destination of a request that another router relays, since it cannot reach the back end itself.
+/// That router has decided it and retries it; this one only passes it on.
+struct RelayCall {
+  common::BackendId backend;
+  bool repeatable = false;
+  common::LogIndex table_index;  ///< of the other router's table; for logs
+};
+
 /// One request of a caller: for a native service, or on a route if `route` is set.
 struct CallerRequest {
   RequestHandle handle = 0;
@@ -33,6 +41,7 @@
   std::optional<RouteCall> route = std::nullopt;  ///< if set, the service follows from the route
   routing::RequestDigest digest = 0;              ///< 0: not known; see RouterCore::needs_digests
   std::size_t body_bytes = 0;
+  std::optional<RelayCall> relay = std::nullopt;  ///< set if another router relays the request
 };
 
 }  // namespace planktray::router
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -30,6 +30,7 @@
       backoffs_(options_.backoffs),
       suspects_(options_.crash_suspects),
       paths_(options_.paths),
+      peers_(options_.relay_peers, options_.zone),
       fleet_size_(options_.fleet_size_retention),
       next_hello_(now),
       last_hello_(now),
@@ -106,6 +107,9 @@
 // ---------------------------------------------------------------- requests
 
 void RouterCore::on_request(TimePoint now, const CallerRequest& caller) {
+  if (caller.relay.has_value()) {
+    return on_peer_request(now, caller);
+  }
   ++counters_.requests;
   if (caller.route.has_value()) {
     return on_route_request(now, caller);
@@ -181,6 +185,7 @@
   effect.keyed = request.keyed;
   effect.time_left = request.deadline - now;
   effect.repeatable = request.repeatable;
+  effect.backend = backend;
   effect.service = service_name(request);
   effect.number = ++request.sends;
   effect.table_index = table_.index();
@@ -347,7 +352,7 @@
     abandon_attempt(now, request);
     return answer_unknown(request);
   }
-  cancel_attempt(request);
+  cancel_attempt(now, request);
   block(now, backend);
   if (options_.claim_not_run) {
     answer_not_run(request, NotRunReason::kDeadline, Duration(0));
@@ -370,22 +375,33 @@
 }
 
 void RouterCore::abandon_attempt(TimePoint now, Request& request) {
-  if (request.routed) {
+  if (request.routed && !request.caller.relay.has_value()) {
     const Attempt& attempt = attempts_.at(request.attempt);
-    routed_service(request.service).targets.on_given_up(now, attempt.backend, attempt.sent);
+    routing::TargetBook& book = routed_service(request.service).targets;
+    // Without a path, or behind a silent peer, the time says nothing about the back end.
+    if (paths_.is_doubtful(request.service) || !attempt.peer.empty()) {
+      book.on_ended(attempt.backend, attempt.sent);
+    } else {
+      book.on_given_up(now, attempt.backend, attempt.sent);
+    }
   }
-  cancel_attempt(request);
+  cancel_attempt(now, request);
 }
 
-void RouterCore::withdraw_attempt(Request& request) {
+void RouterCore::withdraw_attempt(TimePoint now, Request& request) {
   const Attempt& attempt = attempts_.at(request.attempt);
-  routed_service(request.service).targets.on_ended(attempt.backend, attempt.sent);
-  cancel_attempt(request);
+  if (!request.caller.relay.has_value()) {
+    routed_service(request.service).targets.on_ended(attempt.backend, attempt.sent);
+  }
+  cancel_attempt(now, request);
 }
 
-void RouterCore::cancel_attempt(Request& request) {
+void RouterCore::cancel_attempt(TimePoint now, Request& request) {
   const auto attempt = attempts_.find(request.attempt);
   output_.cancels.push_back(request.attempt);
+  if (!attempt->second.peer.empty()) {
+    peers_.on_cancelled(now, attempt->second.peer);
+  }
   if (request.routed) {
     backoffs_.on_ended(attempt->second.backend, attempt->second.sent);
   } else {
@@ -452,6 +468,7 @@
   if (found == requests_.end()) {
     return;
   }
+  peer_requests_ -= found->second.caller.relay.has_value() ? 1 : 0;
   leave_queue(found->second);
   routed_waiting_.erase(handle);
   send_window_.release(handle);
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -31,6 +31,7 @@
 #include "routing/limited_targets.hpp"
 #include "routing/path_monitor.hpp"
 #include "routing/rate_share.hpp"
+#include "routing/relay_peers.hpp"
 #include "routing/requested_backoffs.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/retry_window.hpp"
@@ -72,6 +73,8 @@
   void on_path_probed(TimePoint now, BackendId backend, bool is_reachable);
   /// The caller has disconnected; its attempt is cancelled.
   void on_caller_disconnected(TimePoint now, RequestHandle handle);
+  /// Takes no more requests that other routers relay, and has them choose other peers.
+  void stop_relaying(TimePoint now);
   /// Rejects new requests; those in flight finish.
   void begin_drain() { draining_ = true; }
   bool is_drained() const { return requests_.empty(); }
@@ -107,6 +110,8 @@
   std::size_t lost_paths() const { return paths_.lost().size(); }
   /// Returns the number of owners of keys whose queues are too long, as reported by the leader.
   std::size_t crowded_owners(TimePoint now) const { return crowded_.count(now); }
+  /// Returns the number of requests in flight that other routers relayed.
+  std::size_t peer_requests() const { return peer_requests_; }
   std::size_t in_flight() const { return attempts_.size(); }
   std::size_t waiting() const { return requests_.size() - attempts_.size(); }
   /// Returns the number of waiting requests that are large and wait for capacity of the link.
@@ -132,6 +137,10 @@
     AttemptId attempt = 0;    ///< 0: waiting
     std::uint32_t sends = 0;  ///< attempts so far, including those that were never sent
     std::set<BackendId> refused_by;
+    /// Peers that did not pass the request on, and number of times that it was relayed.
+    std::set<std::string> tried_peers;
+    std::uint32_t relays = 0;
+    std::uint32_t failed_connections = 0;
     Duration backoff{0};
     // Requests on routes only.
     bool routed = false;
@@ -158,6 +167,12 @@
     RequestHandle handle;
     BackendId backend;
     TimePoint sent;
+    std::string peer{};  ///< the router that relays it; empty: none
+  };
+  /// The back end for a request, and the peer that has to relay it, if any.
+  struct TargetChoice {
+    BackendId backend;
+    std::string peer{};
   };
   /// State of one routed service.
   struct RoutedService {
@@ -203,7 +218,7 @@
   void wait_for_link(TimePoint now, Request& request);
   /// Dispatches the large requests that the link now has capacity for.
   void dispatch_link_queue(TimePoint now);
-  void send_routed(TimePoint now, Request& request, BackendId backend);
+  void send_routed(TimePoint now, Request& request, const TargetChoice& target);
   /// Returns how long a request may wait for a target; the same for all requests of a service.
   Duration max_wait(const config::Route& route, const routing::RoutedTableService& service) const;
   /// Returns the longest expected time until the answer with which the request is still sent.
@@ -219,8 +234,36 @@
   void retry_routed(TimePoint now, Request& request);
   /// Chooses the service for a request on the route, by weighted round robin among its parts.
   const routing::RoutedTableService* choose_service(const config::Route& route);
-  std::optional<BackendId> choose_target(TimePoint now, Request& request,
-                                         const routing::RoutedTableService& service);
+  std::optional<TargetChoice> choose_target(TimePoint now, Request& request,
+                                            const routing::RoutedTableService& service);
+  std::optional<TargetChoice> choose_owner(TimePoint now, Request& request,
+                                           const routing::RoutedTableService& service);
+  /// Returns the cheapest of the candidates that have the given availability.
+  template <typename IsUsable>
+  std::optional<BackendId> choose_cheapest(TimePoint now, const Request& request,
+                                           const std::vector<BackendId>& candidates,
+                                           const IsUsable& is_usable);
+  /// Returns true if the request should not try the direct path, since it will fail.
+  bool avoids_direct_path(const Request& request) const;
+  /// Chooses a peer that may reach the back end; nothing if the request must not be relayed.
+  std::optional<std::string> choose_peer(TimePoint now, const Request& request, BackendId backend);
+  /// Returns true if an open connection may still carry the request although no new one comes up.
+  bool may_use_open_connection(TimePoint now, const Request& request, BackendId backend) const;
+  /// Returns true if no way to a target is expected before the request has waited long enough.
+  bool is_unreachable(TimePoint now, const Request& request,
+                      const routing::RoutedTableService& service);
+  void on_relay_done(TimePoint now, Request& request, const Attempt& attempt,
+                     const AttemptResult& result);
+  /// Withdraws attempts on a lost path that can be made again, and dispatches their requests.
+  void reroute(TimePoint now, common::ServiceId service);
+
+  // Requests that other routers relay.
+  void on_peer_request(TimePoint now, const CallerRequest& caller);
+  /// Returns why a relayed request cannot be passed on now.
+  routing::RelayRefusal peer_request_hindrance(TimePoint now, const CallerRequest& caller);
+  void on_peer_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
+                            const AttemptResult& result);
+  void refuse_peer_request(const CallerRequest& caller, routing::RelayRefusal refusal);
   bool has_connection(const Request& request, BackendId backend,
                       const routing::RoutedTableService& service);
   RoutedService& routed_service(common::ServiceId id);
@@ -229,10 +272,11 @@
   /// Whether a back end may get a request now, or why not.
   enum class Availability : std::uint8_t {
     kAvailable,
-    kGone,     ///< permanently, as far as is known: it ends, leaves, or its zone is evacuated
-    kBackoff,  ///< it has requested a backoff
-    kBlocked,  ///< it failed recently
-    kBusy,     ///< it is on trial, has no free connection, or is cold and at its rate limit
+    kGone,         ///< permanently, as far as is known: it ends, leaves, or its zone is evacuated
+    kBackoff,      ///< it has requested a backoff
+    kBlocked,      ///< it failed recently
+    kUnreachable,  ///< it could accept the request, but this router does not reach it
+    kBusy,         ///< it is on trial, has no free connection, or is cold and at its rate limit
   };
   /// Every choice of a back end for a request on a route depends on this check.
   Availability availability(TimePoint now, const Request& request, BackendId id,
@@ -267,7 +311,7 @@
                    const AttemptResult& result);
   /// Probes back ends of services whose path is in doubt or lost.
   void probe_paths(TimePoint now);
-  void report_path_changes();
+  void report_path_changes(TimePoint now);
   /// Returns the back ends of the service that may get requests.
   std::vector<BackendId> working_backends(TimePoint now, common::ServiceId service) const;
   void record_crash(TimePoint now, const Attempt& attempt, const AttemptResult& result);
@@ -277,9 +321,9 @@
   /// Cancels the request's attempt since its deadline has passed or its caller has disconnected.
   void abandon_attempt(TimePoint now, Request& request);
   /// Cancels the attempt of a request on a route before it is completely written.
-  void withdraw_attempt(Request& request);
+  void withdraw_attempt(TimePoint now, Request& request);
   /// Cancels the request's attempt. What the attempt shows about its target is recorded before.
-  void cancel_attempt(Request& request);
+  void cancel_attempt(TimePoint now, Request& request);
   /// Recalls, holds, resumes and aborts attempts whose back ends leave or may have left.
   void review_writes(TimePoint now);
   /// Withdraws an attempt of which no byte was written, and chooses a back end anew.
@@ -376,6 +420,9 @@
   routing::RequestedBackoffs backoffs_;
   routing::CrashSuspects suspects_;
   routing::PathMonitor paths_;
+  routing::RelayPeers peers_;
+  std::size_t peer_requests_ = 0;
+  bool relays_for_peers_ = true;
   routing::FleetSize fleet_size_;
   /// Evacuated zones, with the time at which this router learned of each evacuation.
   std::map<common::ZoneName, TimePoint> evacuations_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -144,10 +144,14 @@
       return answer_not_run(request, NotRunReason::kTargetLimit,
                             retry_after(NotRunReason::kTargetLimit));
     }
+    if (!ownerless && is_unreachable(now, request, *service)) {
+      ++counters_.path_refusals;
+      return answer_not_run(request, NotRunReason::kNoPath, retry_after(NotRunReason::kNoPath));
+    }
     return wait_for_target(now, request,
                            ownerless ? NotRunReason::kNoOwner : NotRunReason::kNoTarget);
   }
-  request.expected = routed_service(request.service).targets.expected_latency(now, *target);
+  request.expected = routed_service(request.service).targets.expected_latency(now, target->backend);
   if (*request.expected > latency_limit(now, request, *service)) {
     return wait_for_target(now, request, NotRunReason::kOverload);
   }
@@ -183,7 +187,8 @@
   return std::min(own, std::max(common, least));
 }
 
-void RouterCore::send_routed(TimePoint now, Request& request, BackendId backend) {
+void RouterCore::send_routed(TimePoint now, Request& request, const TargetChoice& target) {
+  const BackendId backend = target.backend;
   RoutedService& service = routed_service(request.service);
   if (request.next_send_is_repeat && !service.retries.take(now, fleet_size_.largest())) {
     return answer_not_run(request, NotRunReason::kBudgetSpent, options_.short_retry_after);
@@ -192,6 +197,13 @@
   request.next_send_is_repeat = false;
   Forward effect = begin_attempt(now, request, backend);
   writes_.add(now, effect.attempt, backend, request.keyed, freshness_);
+  if (!target.peer.empty()) {
+    effect.peer = target.peer;
+    attempts_.at(effect.attempt).peer = target.peer;
+    peers_.on_sent(now, target.peer);
+    ++request.relays;
+    ++counters_.relays_sent;
+  }
   if (send_window_.is_limited(request.caller.body_bytes)) {
     send_window_.bind(now, request.caller.handle, request.caller.body_bytes);
   }
@@ -246,7 +258,13 @@
 void RouterCore::on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
                                         const AttemptResult& result) {
   Request& request = requests_.at(attempt.handle);
+  if (request.caller.relay.has_value()) {
+    return on_peer_attempt_done(now, id, attempt, result);
+  }
   request.attempt = 0;
+  if (!attempt.peer.empty()) {
+    on_relay_done(now, request, attempt, result);
+  }
   record_path(now, request, attempt, result);
   record_limit(now, attempt.backend, result);
   record_stated_departure(now, attempt, result);
@@ -272,6 +290,11 @@
   }
   book.on_ended(attempt.backend, attempt.sent);
   backoffs_.on_ended(attempt.backend, attempt.sent);
+  if (result.end == AttemptEnd::kNotSent) {
+    --request.attempts;  // the request has not arrived: no repeat
+    ++request.failed_connections;
+    return dispatch_routed(now, request);
+  }
   request.refused_by.insert(attempt.backend);
   switch (result.end) {
     case AttemptEnd::kRefused:
@@ -289,14 +312,14 @@
       }
       request.next_send_is_repeat = true;
       return retry_routed(now, request);
-    case AttemptEnd::kNotSent:
-      book.block(now, attempt.backend);
-      --request.attempts;
-      return retry_routed(now, request);  // the request has not arrived: no repeat
     case AttemptEnd::kBroken:
     case AttemptEnd::kForeign:
     case AttemptEnd::kAnswered:
-      book.block(now, attempt.backend);
+    case AttemptEnd::kNotSent:
+      // A lost connection speaks of the path, or of the peer, unless the back end has ended.
+      if (!result.connection_ended && !result.peer_failed) {
+        book.block(now, attempt.backend);
+      }
       request.may_have_run = true;
       if (!request.repeatable || suspects_.may_be_suspect(result.digest)) {
         return answer_unknown(request);
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -150,6 +150,9 @@
     if (update.queues_are_known) {
       crowded_.on_leader_list(now, update.crowded);
     }
+    if (update.peers_are_listed) {
+      peers_.set_list(update.peers);
+    }
     suspects_.on_leader_list(now, common::from_microseconds(update.echo_clock_us), update.term,
                              update.suspects);
   }
@@ -227,6 +230,10 @@
   hello.lacks_update = lacks_update_;
   hello.limits = limited_.reports(now, routing::kMaxLimits);
   suspects_.report(now, routing::kMaxSuspects, hello);
+  hello.relay_address = relays_for_peers_ ? options_.relay_address : "";
+  hello.zone = options_.zone;
+  hello.unreachable = paths_.lost();
+  hello.peers_digest = peers_.digest();
   return hello;
 }
 
--- a/src/router/core/router_core_targets.cpp
+++ b/src/router/core/router_core_targets.cpp
@@ -22,7 +22,12 @@
   }
   const bool has_capacity = !backoffs_.is_on_trial(id) && has_connection(request, id, service) &&
                             allows_cold(now, *backend, service);
-  return has_capacity ? Availability::kAvailable : Availability::kBusy;
+  if (!has_capacity) {
+    return Availability::kBusy;
+  }
+  const bool is_reached =
+      !paths_.is_lost(request.service) && !paths_.blocked_until(now, id).has_value();
+  return is_reached ? Availability::kAvailable : Availability::kUnreachable;
 }
 
 bool RouterCore::is_closed(TimePoint now, const Request& request,
@@ -119,41 +124,82 @@
   return end;
 }
 
-std::optional<BackendId> RouterCore::choose_target(TimePoint now, Request& request,
-                                                   const routing::RoutedTableService& service) {
-  const routing::TargetBook& book = routed_service(request.service).targets;
-  const auto is_usable = [&](BackendId id) {
-    return availability(now, request, id, service) == Availability::kAvailable;
-  };
+std::optional<RouterCore::TargetChoice> RouterCore::choose_target(
+    TimePoint now, Request& request, const routing::RoutedTableService& service) {
   if (request.keyed) {
-    const BackendId owner = table_.routes().owner_of(request.service, request.key);
-    const bool refuses = request.refused_by.contains(owner) && now < request.not_before;
-    const bool takes_it =
-        owner.value != 0 && !refuses && is_usable(owner) && is_admitted(now, request, owner);
-    return takes_it ? std::optional(owner) : std::nullopt;
-  }
-  const auto cheapest_of = [&](const std::vector<BackendId>& candidates) {
-    std::optional<BackendId> best;
-    double best_cost = 0;
-    for (const BackendId id : candidates) {
-      const routing::BackendRoute* route = table_.find_backend(id);
-      if (!is_usable(id) || request.refused_by.contains(id) ||
-          !limited_.has_share(now, id, fleet_size_.largest(), random_)) {
-        continue;
-      }
-      constexpr double kCostNoise = 0.2;
-      double cost = static_cast<double>(book.expected_latency(now, id).count());
-      cost *= 1.0 + kCostNoise * common::uniform_real(random_);
-      cost *= route->zone == options_.zone ? 1.0 : 1.0 + options_.other_zone_cost;
-      if (!best.has_value() || cost < best_cost) {
-        best = id;
-        best_cost = cost;
-      }
+    return choose_owner(now, request, service);
+  }
+  const auto has = [&](BackendId id, Availability wanted) {
+    return availability(now, request, id, service) == wanted;
+  };
+  if (!avoids_direct_path(request)) {
+    const auto is_available = [&](BackendId id) { return has(id, Availability::kAvailable); };
+    auto best = choose_cheapest(now, request, routed_service(request.service).subset, is_available);
+    best = best.has_value() ? best : choose_cheapest(now, request, service.targets, is_available);
+    if (best.has_value()) {
+      return TargetChoice{*best};
     }
-    return best;
+  }
+  const auto needs_relay = [&](BackendId id) {
+    const bool may_need_it = has(id, Availability::kUnreachable) ||
+                             (avoids_direct_path(request) && has(id, Availability::kAvailable));
+    return may_need_it && choose_peer(now, request, id).has_value();
   };
-  const auto best = cheapest_of(routed_service(request.service).subset);
-  return best.has_value() ? best : cheapest_of(service.targets);
+  if (const auto best = choose_cheapest(now, request, service.targets, needs_relay)) {
+    return TargetChoice{*best, choose_peer(now, request, *best).value_or("")};
+  }
+  const auto may_have_connection = [&](BackendId id) {
+    return has(id, Availability::kUnreachable) && may_use_open_connection(now, request, id);
+  };
+  const auto best = choose_cheapest(now, request, service.targets, may_have_connection);
+  return best.has_value() ? std::optional(TargetChoice{*best}) : std::nullopt;
+}
+
+std::optional<RouterCore::TargetChoice> RouterCore::choose_owner(
+    TimePoint now, Request& request, const routing::RoutedTableService& service) {
+  const BackendId owner = table_.routes().owner_of(request.service, request.key);
+  const bool refuses = request.refused_by.contains(owner) && now < request.not_before;
+  if (owner.value == 0 || refuses) {
+    return std::nullopt;
+  }
+  const Availability found = availability(now, request, owner, service);
+  const bool is_direct = found == Availability::kAvailable && !avoids_direct_path(request);
+  if (!is_direct && found != Availability::kAvailable && found != Availability::kUnreachable) {
+    return std::nullopt;
+  }
+  auto peer = is_direct ? std::optional<std::string>("") : choose_peer(now, request, owner);
+  if (!peer.has_value() && may_use_open_connection(now, request, owner)) {
+    peer = "";
+  }
+  if (!peer.has_value() || !is_admitted(now, request, owner)) {
+    return std::nullopt;
+  }
+  return TargetChoice{owner, *peer};
+}
+
+template <typename IsUsable>
+std::optional<BackendId> RouterCore::choose_cheapest(TimePoint now, const Request& request,
+                                                     const std::vector<BackendId>& candidates,
+                                                     const IsUsable& is_usable) {
+  const routing::TargetBook& book = routed_service(request.service).targets;
+  std::optional<BackendId> best;
+  double best_cost = 0;
+  for (const BackendId id : candidates) {
+    const routing::BackendRoute* route = table_.find_backend(id);
+    if (!is_usable(id) || request.refused_by.contains(id) ||
+        !limited_.has_share(now, id, fleet_size_.largest(), random_)) {
+      continue;
+    }
+    constexpr double kCostNoise = 0.2;
+    double cost = static_cast<double>(book.expected_latency(now, id).count());
+    cost *= 1.0 + kCostNoise * common::uniform_real(random_);
+    cost *= route->zone == options_.zone ? 1.0 : 1.0 + options_.other_zone_cost;
+    if (!best.has_value() || cost < best_cost) {
+      best = id;
+      best_cost = cost;
+    }
+  }
+  return best;
 }
 
 void RouterCore::update_routed_targets(TimePoint now) {
@@ -177,6 +223,7 @@
   backoffs_.keep_only(is_known);
   stated_departures_.keep_only(is_known);
   paths_.keep_only(is_known);
+  peers_.keep_only(is_known);
   for (auto& [id, service] : routed_) {
     service.targets.drop_unless(
         [this](BackendId backend) { return table_.find_backend(backend) != nullptr; });
--- a/src/router/core/router_core_writing.cpp
+++ b/src/router/core/router_core_writing.cpp
@@ -67,7 +67,12 @@
 void RouterCore::recall(TimePoint now, AttemptId id) {
   ++counters_.recalled;
   Request& request = requests_.at(attempts_.at(id).handle);
-  withdraw_attempt(request);
+  withdraw_attempt(now, request);
+  if (request.caller.relay.has_value()) {
+    const CallerRequest caller = request.caller;
+    finish(caller.handle);
+    return refuse_peer_request(caller, routing::RelayRefusal::kClosed);
+  }
   --request.attempts;  // the request has not arrived
   dispatch_routed(now, request);
 }
@@ -76,7 +81,7 @@
   ++counters_.aborted_writes;
   const Attempt attempt = attempts_.at(id);
   Request& request = requests_.at(attempt.handle);
-  withdraw_attempt(request);
+  withdraw_attempt(now, request);
   request.may_have_run = true;
   if (!request.repeatable) {
     return answer_unknown(request);
--- a/src/router/core/router_effects.hpp
+++ b/src/router/core/router_effects.hpp
@@ -32,6 +32,8 @@
   common::Epoch epoch;
   Duration time_left{0};
   bool repeatable = false;  ///< false: must not be sent on a reused connection
+  common::BackendId backend{};
+  std::string peer{};  ///< address of the router that is to relay the attempt; empty: none
   // For logs.
   std::string service{};           ///< service of the request, whose retry budget repeats count in
   std::uint32_t number = 1;        ///< 1: the first attempt of the request
@@ -47,6 +49,10 @@
   routing::NotRunReason reason = routing::NotRunReason::kNone;
   bool can_never_run = false;  ///< a retry cannot succeed
   Duration retry_after{0};
+  /// Of a relayed request that was not passed on.
+  routing::RelayRefusal relay_refusal = routing::RelayRefusal::kNone;
+  /// Of a relayed request whose outcome is unknown: the back end's connection has ended.
+  bool connection_ended = false;
   // For logs; set if the request was accepted.
   std::string service{};
   std::uint32_t attempts = 0;      ///< number of times the request was sent
@@ -72,8 +78,13 @@
   bool is_leaving = false;  ///< the answer announces the departure of its back end
   /// Time for which the back end requests a backoff of this router; nothing if it requests none.
   std::optional<Duration> backoff = std::nullopt;
-  bool connection_ended = false;      ///< broken because the connection was closed or reset
-  bool is_new_connection = false;     ///< the connection had carried no other request
+  bool connection_ended = false;   ///< broken because the connection was closed or reset
+  bool is_new_connection = false;  ///< the connection had carried no other request
+  /// Why the peer to which the attempt was relayed did not pass it on; its end is kNotSent then.
+  routing::RelayRefusal relay_refusal = routing::RelayRefusal::kNone;
+  bool peer_failed = false;  ///< the connection to that peer failed
+  /// Number of relays that the peer states to have in flight.
+  std::optional<std::uint32_t> peer_load = std::nullopt;
   routing::RequestDigest digest = 0;  ///< of the request; 0: not known
   std::string unparsed_load{};        ///< the raw load report, if not all of it could be parsed
   std::vector<UnrecognizedHeader> unrecognized_headers{};
@@ -191,6 +202,14 @@
   std::uint64_t unsent_attempts = 0;   ///< attempts that found no connection
   std::uint64_t broken_attempts = 0;   ///< attempts that were written and ended without an answer
   std::uint64_t path_probes = 0;       ///< connections opened to find out about a path
+  std::uint64_t relays_sent = 0;       ///< attempts relayed to a peer
+  std::uint64_t relays_answered = 0;   ///< of these, answered by their back ends
+  std::uint64_t relays_refused = 0;    ///< of these, not passed on by the peer
+  std::uint64_t relays_failed = 0;     ///< of these, ended with the connection to the peer
+  std::uint64_t path_refusals = 0;     ///< requests refused at once since no target is reachable
+  std::uint64_t rerouted = 0;          ///< attempts withdrawn when their path was lost
+  std::uint64_t peer_requests = 0;     ///< requests that peers relayed to this router
+  std::uint64_t peer_refusals = 0;     ///< of these, not passed on
   std::array<OutcomeCounts, kTimeoutBuckets.size() + 1> outcomes_by_timeout{};
 };
 
--- a/src/router/core/router_options.hpp
+++ b/src/router/core/router_options.hpp
@@ -15,6 +15,7 @@
 #include "routing/limited_targets.hpp"
 #include "routing/path_monitor.hpp"
 #include "routing/rate_share.hpp"
+#include "routing/relay_peers.hpp"
 #include "routing/requested_backoffs.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/retry_window.hpp"
@@ -64,6 +65,13 @@
   routing::RequestedBackoffOptions backoffs;
   routing::CrashSuspectsOptions crash_suspects;
   routing::PathMonitorOptions paths;
+  /// "IP:port" at which other routers may relay requests; empty: it takes none.
+  std::string relay_address;
+  routing::RelayPeersOptions relay_peers;
+  /// Maximum number of times that one request is relayed.
+  std::uint32_t maximum_relays = 3;
+  /// Maximum number of requests of other routers in flight.
+  std::size_t maximum_peer_requests = 256;
   /// Retry-After of requests that crash their targets; long, since no change is expected soon.
   Duration crashing_retry_after = std::chrono::seconds(60);
   /// How long the largest reported number of routers is kept after a smaller one is reported.
--- a/src/router/core/write_guard.hpp
+++ b/src/router/core/write_guard.hpp
@@ -63,6 +63,11 @@
   /// The operating system has taken the last byte of the attempt, or the attempt has ended.
   void remove(AttemptId attempt) { attempts_.erase(attempt); }
 
+  /// Returns true if no byte of the attempt was written.
+  bool is_unstarted(AttemptId attempt) const {
+    const auto found = attempts_.find(attempt);
+    return found != attempts_.end() && !found->second.has_started;
+  }
   /// Returns the attempts at the back end of which no byte was written.
   std::vector<AttemptId> unstarted_at(BackendId backend) const;
 
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -68,6 +68,8 @@
              {"refusal", refused ? std::string(routing::to_string(result.refusal)) : "none"},
              {"status", std::to_string(response.status)},
              {"answered_by", result.answered_by.value},
+             {"relay", attempt.peer},
+             {"relay_refusal", std::string(routing::to_string(result.relay_refusal))},
              {"took_ms", milliseconds_text(now - attempt.sent_at)},
              {"error", response.error.message}});
 }
@@ -162,6 +164,40 @@
               change.per_second.has_value() ? std::to_string(*change.per_second) : "none"}});
 }
 
+void RequestLog::request_relayed(common::TimePoint now, const ParsedRequest& parsed,
+                                 const Forward& forward) {
+  if (!relay_limit_.allows(now)) {
+    return;
+  }
+  log_event("request_relayed", {{"request", parsed.request_id},
+                                {"attempt", std::to_string(forward.number)},
+                                {"service", forward.service},
+                                {"peer", forward.address},
+                                {"instance", forward.incarnation.value},
+                                {"relay", forward.peer},
+                                {"table_index", std::to_string(forward.table_index.value)},
+                                {"time_left_ms", milliseconds_text(forward.time_left)}});
+}
+
+void RequestLog::relay_refused(common::TimePoint now, const ParsedRequest& parsed,
+                               const Answer& answer) {
+  if (!relay_limit_.allows(now)) {
+    return;
+  }
+  const RelayCall& call = *parsed.request.relay;
+  log_event("relay_refused", {{"request", parsed.request_id},
+                              {"backend", std::to_string(call.backend.value)},
+                              {"reason", std::string(routing::to_string(answer.relay_refusal))},
+                              {"their_table_index", std::to_string(call.table_index.value)},
+                              {"table_index", std::to_string(answer.table_index.value)}});
+}
+
+void RequestLog::relay_rejected(common::TimePoint now, const common::Error& error) {
+  if (relay_limit_.allows(now)) {
+    transport::log_error("relay_rejected", error);
+  }
+}
+
 void RequestLog::path_changed(const PathNotice& notice) {
   if (notice.change.is_lost) {
     log_event("path_lost", {{"service", notice.service},
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -17,6 +17,7 @@
 struct SentAttempt {
   std::string address;
   common::Incarnation incarnation;
+  std::string peer;  ///< address of the router that relays it; empty: none
   std::string service;
   std::uint32_t number = 1;
   std::string request_id;
@@ -99,6 +100,12 @@
   void limit_changed(common::TimePoint now, const LimitChange& change);
   /// A back end stated in an answer that it is leaving before the table marked it as leaving.
   void departure_stated(common::TimePoint now, const StatedDeparture& departure);
+  /// An attempt goes to a peer, which is to pass it on.
+  void request_relayed(common::TimePoint now, const ParsedRequest& parsed, const Forward& forward);
+  /// A request that another router relays is not passed on.
+  void relay_refused(common::TimePoint now, const ParsedRequest& parsed, const Answer& answer);
+  /// A message at the relay interface is not a relayed request of this cell.
+  void relay_rejected(common::TimePoint now, const common::Error& error);
   /// The router has lost or regained its path to the back ends of a service.
   void path_changed(const PathNotice& notice);
   /// A back end requested a time without requests.
@@ -109,6 +116,8 @@
 
  private:
   transport::LineLimit limit_;
+  /// Without a path, every request is relayed; a few lines show by whom.
+  transport::LineLimit relay_limit_{{.lines_per_second = 5, .burst = 20}};
   /// Updates arrive several times a second, and late ones arrive in bursts.
   transport::LineLimit late_limit_{{.lines_per_second = 1, .burst = 5}};
   /// Each answer of a back end may have an unreadable report or header; a few lines are enough to
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -43,18 +43,6 @@
   metrics_.set_gauge("planktray_limited_backends",
                      "Back ends that name how many requests a second they take.",
                      static_cast<double>(core_.limited_targets()));
-  metrics_.set_gauge("planktray_lost_paths",
-                     "Services none of whose back ends this router can reach.",
-                     static_cast<double>(core_.lost_paths()));
-  metrics_.set_counter("planktray_path_probes_total",
-                       "Connections opened to find out whether back ends can be reached.",
-                       counters.path_probes);
-  metrics_.set_counter("planktray_attempts_unsent_total",
-                       "Attempts that found no connection to their back end.",
-                       counters.unsent_attempts);
-  metrics_.set_counter("planktray_attempts_broken_total",
-                       "Attempts that were written and ended without an answer.",
-                       counters.broken_attempts);
   metrics_.set_counter("planktray_follower_updates_total",
                        "Updates of the table that followers brought.", counters.follower_updates);
   metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
@@ -125,6 +113,7 @@
                        "Damaged messages and foreign protocol versions.", refused);
   add_link_metrics();
   add_time_metrics();
+  add_path_metrics();
   return metrics_.serialize();
 }
 
@@ -148,6 +137,46 @@
   }
 }
 
+void RouterProcess::add_path_metrics() {
+  const RouterCounters& counters = core_.counters();
+  metrics_.set_gauge("planktray_lost_paths",
+                     "Services none of whose back ends this router can reach.",
+                     static_cast<double>(core_.lost_paths()));
+  metrics_.set_counter("planktray_path_probes_total",
+                       "Connections opened to find out whether back ends can be reached.",
+                       counters.path_probes);
+  metrics_.set_counter("planktray_attempts_unsent_total",
+                       "Attempts that found no connection to their back end.",
+                       counters.unsent_attempts);
+  metrics_.set_counter("planktray_attempts_broken_total",
+                       "Attempts that were written and ended without an answer.",
+                       counters.broken_attempts);
+  metrics_.set_counter("planktray_relays_sent_total",
+                       "Attempts that went to another router, to be passed on.",
+                       counters.relays_sent);
+  metrics_.set_counter("planktray_relays_answered_total", "Of these, answered by their back ends.",
+                       counters.relays_answered);
+  metrics_.set_counter("planktray_relays_refused_total",
+                       "Of these, not passed on by the other router.", counters.relays_refused);
+  metrics_.set_counter("planktray_relays_failed_total",
+                       "Of these, ended with the connection to the other router.",
+                       counters.relays_failed);
+  metrics_.set_counter("planktray_path_refusals_total",
+                       "Requests refused at once since no way leads to a target.",
+                       counters.path_refusals);
+  metrics_.set_counter("planktray_rerouted_total", "Attempts withdrawn when their path was lost.",
+                       counters.rerouted);
+  metrics_.set_counter("planktray_peer_requests_total", "Requests that other routers relayed here.",
+                       counters.peer_requests);
+  metrics_.set_counter("planktray_peer_refusals_total", "Of these, not passed on.",
+                       counters.peer_refusals);
+  metrics_.set_counter("planktray_relays_rejected_total",
+                       "Messages at the relay interface that are no relayed request.",
+                       rejected_relays_);
+  metrics_.set_gauge("planktray_peer_requests", "Requests of other routers under way.",
+                     static_cast<double>(core_.peer_requests()));
+}
+
 void RouterProcess::add_link_metrics() {
   if (pacer_ == nullptr) {
     return;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -115,6 +115,9 @@
   server_ = std::move(*server);
   server_->run_concurrently(
       [this](const transport::HttpMessage& request) { return may_run_concurrently(request); });
+  if (auto relays = listen_for_relays(); !relays) {
+    return relays;
+  }
   if (settings_.status_address.empty()) {
     return {};
   }
@@ -230,6 +233,10 @@
   drain_plan_ =
       DrainPlan::from(boot_time_now(), settings_.accept_while_draining, settings_.drain_timeout);
   server_->announce_close();
+  core_.stop_relaying(boot_time_now());
+  if (relay_server_ != nullptr) {
+    relay_server_->announce_close();
+  }
   log_event("draining", {{"in_flight", std::to_string(callers_.size())}});
   loop_.every(kDrainPoll, [this] { continue_drain(); });
   continue_drain();
@@ -244,12 +251,20 @@
     accepting_ = false;
     core_.begin_drain();
     server_->stop_listening();
+    if (relay_server_ != nullptr) {
+      relay_server_->stop_listening();
+    }
   }
   if (now < drain_plan_.accept_until + kFirstRequestWait) {
     return;
   }
   server_->close_idle();
-  const bool finished = callers_.empty() && server_->unfinished() == 0;
+  std::size_t unfinished = server_->unfinished();
+  if (relay_server_ != nullptr) {
+    relay_server_->close_idle();
+    unfinished += relay_server_->unfinished();
+  }
+  const bool finished = callers_.empty() && unfinished == 0;
   if (finished || now >= drain_plan_.end_at) {
     loop_.quit();
   }
@@ -290,20 +305,26 @@
   if (draining_ && refuse_while_draining(exchange, *parsed)) {
     return;
   }
+  const common::Duration read_time = boot_time_now() - exchange->first_byte();
+  read_time_.Observe(std::chrono::duration<double>(read_time).count());
+  accept_request(exchange, std::move(*parsed), "");
+}
+
+void RouterProcess::accept_request(const transport::ExchangePointer& exchange, ParsedRequest parsed,
+                                   std::string relayed_attempt) {
   const RequestHandle handle = next_handle_++;
-  parsed->request.handle = handle;
-  parsed->request.body_bytes = exchange->body().size();
+  parsed.request.handle = handle;
+  parsed.request.body_bytes = exchange->body().size();
   if (core_.needs_digests()) {
-    parsed->request.digest = dialect_->digest(*exchange);
+    parsed.request.digest = dialect_->digest(*exchange);
   }
-  const Caller& caller = callers_[handle] = {exchange, std::move(*parsed), boot_time_now()};
+  const Caller& caller =
+      callers_[handle] = {exchange, std::move(parsed), boot_time_now(), std::move(relayed_attempt)};
   exchange->on_gone([this, handle] {
     callers_.erase(handle);
     core_.on_caller_disconnected(boot_time_now(), handle);
     flush();
   });
-  read_time_.Observe(
-      std::chrono::duration<double>(caller.arrived - exchange->first_byte()).count());
   core_.on_request(boot_time_now(), caller.parsed.request);
   flush();
 }
@@ -488,6 +509,10 @@
     options.idle_timeout = std::chrono::milliseconds(limits_.idle_timeout_ms);
   }
   server_->set_options(options);
+  if (relay_server_ != nullptr) {
+    options.limits.header_bytes += kRelayHeaderBytes;
+    relay_server_->set_options(options);
+  }
 }
 
 void RouterProcess::send_forward(const Forward& forward) {
@@ -501,14 +526,20 @@
   if (!forward.repeatable) {
     request.settle_time = settings_.settle_time;
   }
+  strip_relay_headers(request.headers);
   const AttemptId attempt = forward.attempt;
   const common::TimePoint now = boot_time_now();
+  if (!forward.peer.empty()) {
+    encode_relay(settings_.options.cell, forward, request);
+    request_log_.request_relayed(now, caller.parsed, forward);
+  }
   if (forward.number > 1) {
     request_log_.request_repeated(now, caller.parsed, forward);
   }
   SentAttempt& sent = attempts_[attempt].attempt;
   sent.address = forward.address;
   sent.incarnation = forward.incarnation;
+  sent.peer = forward.peer;
   sent.service = forward.service;
   sent.request_id = caller.parsed.request_id;
   sent.number = forward.number;
@@ -581,8 +612,10 @@
     attempts_.erase(found);
     return;
   }
-  AttemptResult result =
-      dialect_->classify(caller->second.parsed, found->second.attempt.incarnation, response);
+  const SentAttempt& sent = found->second.attempt;
+  AttemptResult result = sent.peer.empty()
+                             ? dialect_->classify(caller->second.parsed, sent.incarnation, response)
+                             : read_relayed(caller->second, sent, response);
   if (result.connection_ended || core_.needs_digests()) {
     result.digest = dialect_->digest(*caller->second.exchange);
   }
@@ -594,7 +627,10 @@
   for (const UnrecognizedHeader& header : result.unrecognized_headers) {
     request_log_.header_unread(now, found->second.attempt, header);
   }
-  if (result.end == routing::AttemptEnd::kAnswered) {
+  // What a relayed request's back end has answered goes back in any case.
+  const bool is_passed_on = result.end == routing::AttemptEnd::kAnswered ||
+                            (!caller->second.relayed_attempt.empty() && response.is_whole());
+  if (is_passed_on) {
     found->second.response = std::move(response);
   } else {
     request_log_.attempt_failed(now, caller->second.parsed, found->second.attempt, result,
@@ -612,6 +648,9 @@
   }
   const Caller caller = std::move(found->second);
   callers_.erase(found);
+  if (!caller.relayed_attempt.empty()) {
+    return answer_relayed(caller, answer);
+  }
   const common::TimePoint now = boot_time_now();
   const common::Duration took = now - caller.arrived;
   latency_.Observe(std::chrono::duration<double>(took).count());
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -13,6 +13,7 @@
 #include "router/arrival_time.hpp"
 #include "router/core/router_core.hpp"
 #include "router/drain_plan.hpp"
+#include "router/relay_codec.hpp"
 #include "router/request_dialect.hpp"
 #include "router/request_log.hpp"
 #include "transport/event_loop.hpp"
@@ -69,6 +70,7 @@
     transport::ExchangePointer exchange;
     ParsedRequest parsed;
     common::TimePoint arrived;
+    std::string relayed_attempt{};  ///< of the router that relays the request; empty: none does
   };
   /// An attempt that is in flight, or whose response has not been sent to the caller yet.
   struct PendingAttempt {
@@ -78,12 +80,18 @@
   };
 
   common::Result<void> listen();
+  common::Result<void> listen_for_relays();
   common::Result<void> connect_controller(const std::string& address);
   /// Connects to controllers that are not in the settings.
   void on_controller_list(const routing::ControllerList& list);
   void on_table_update(const routing::TableUpdate& update, const std::string& from);
   void tick();
   void on_http(const transport::ExchangePointer& exchange);
+  /// Takes a request that another router relays.
+  void on_relayed_http(const transport::ExchangePointer& exchange);
+  /// Hands a complete request to the core.
+  void accept_request(const transport::ExchangePointer& exchange, ParsedRequest parsed,
+                      std::string relayed_attempt);
   /// Whether the request may run concurrently with others of its connection: its route is
   /// repeatable and has small answers.
   bool may_run_concurrently(const transport::HttpMessage& request) const;
@@ -107,16 +115,22 @@
   void apply_limits();
   void send_forward(const Forward& forward);
   void on_response(AttemptId attempt, transport::HttpResponse& response);
+  /// Determines the result of an attempt that a peer relayed, and removes what the peer added.
+  AttemptResult read_relayed(const Caller& caller, const SentAttempt& attempt,
+                             transport::HttpResponse& response);
   void on_progress(AttemptId attempt, transport::SendStage stage);
   /// Logs attempts that are not completely written to a back end that is leaving or removed.
   void log_departure(const Departure& departure);
   void send_answer(const Answer& answer);
+  /// Answers a request that another router relays.
+  void answer_relayed(const Caller& caller, const Answer& answer);
   void reload();
   void begin_drain();
   void continue_drain();
   std::string metrics_text();
   void add_link_metrics();
   void add_time_metrics();
+  void add_path_metrics();
 
   RouterSettings settings_;
   std::unique_ptr<RequestDialect> dialect_;
@@ -134,6 +148,7 @@
   std::unique_ptr<transport::LinkPacer> pacer_;  ///< nullptr if the link rate is not stated
   std::unique_ptr<transport::HttpServer> server_;
   std::unique_ptr<transport::HttpServer> status_server_;
+  std::unique_ptr<transport::HttpServer> relay_server_;  ///< nullptr: takes no relayed requests
   std::unique_ptr<transport::HttpClient> client_;
   transport::ReachChecker reach_checker_;
   transport::ReachChecker path_checker_;
@@ -150,6 +165,7 @@
   bool accepting_ = true;
   DrainPlan drain_plan_;
   std::uint64_t refused_while_draining_ = 0;
+  std::uint64_t rejected_relays_ = 0;  ///< malformed, or not from a router of this cell
 };
 
 }  // namespace planktray::router
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -9,6 +9,11 @@
     Refusal::kShed,    Refusal::kDraining,         Refusal::kNotOwner, Refusal::kStaleEpoch,
     Refusal::kNoLease, Refusal::kWrongIncarnation, Refusal::kExpired};
 
+constexpr std::array<RelayRefusal, 8> kRelayRefusals = {
+    RelayRefusal::kNone,   RelayRefusal::kUnreachable, RelayRefusal::kNoPath,
+    RelayRefusal::kClosed, RelayRefusal::kBackoff,     RelayRefusal::kTableTooOld,
+    RelayRefusal::kBusy,   RelayRefusal::kDraining};
+
 }  // namespace
 
 std::string_view to_string(Outcome outcome) {
@@ -57,6 +62,8 @@
       return "target-backoff";
     case NotRunReason::kTargetLimit:
       return "target-limit";
+    case NotRunReason::kNoPath:
+      return "no-path";
   }
   return "none";
 }
@@ -107,4 +114,36 @@
   return false;
 }
 
+std::string_view to_string(RelayRefusal refusal) {
+  switch (refusal) {
+    case RelayRefusal::kNone:
+      return "none";
+    case RelayRefusal::kUnreachable:
+      return "unreachable";
+    case RelayRefusal::kNoPath:
+      return "no-path";
+    case RelayRefusal::kClosed:
+      return "closed";
+    case RelayRefusal::kBackoff:
+      return "backoff";
+    case RelayRefusal::kTableTooOld:
+      return "table-too-old";
+    case RelayRefusal::kBusy:
+      return "busy";
+    case RelayRefusal::kDraining:
+      return "draining";
+  }
+  return "none";
+}
+
+bool parse_relay_refusal(std::string_view text, RelayRefusal& refusal) {
+  for (const RelayRefusal candidate : kRelayRefusals) {
+    if (to_string(candidate) == text) {
+      refusal = candidate;
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace planktray::routing
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -31,6 +31,7 @@
   kCrashesTargets,  ///< consecutive targets have crashed while running it
   kTargetLimit,     ///< the rate limits of all possible targets are exhausted
   kTargetBackoff,   ///< all possible targets have requested a backoff
+  kNoPath,          ///< neither this router nor a peer can reach a target
 };
 
 /// Reason of a back end's refusal, which proves that the request did not run (`Planktray-Not-Run`).
@@ -53,10 +54,26 @@
   kForeign,   ///< answer to a different request
 };
 
+/// Why a router did not pass on a request that another router relayed to it; proves that the
+/// request did not run.
+enum class RelayRefusal : std::uint8_t {
+  kNone,
+  kUnreachable,  ///< it cannot reach the back end
+  kNoPath,       ///< it can reach no back end of the service
+  kClosed,       ///< by its table, the back end accepts no work or is unknown
+  kBackoff,      ///< the back end has requested a backoff of it
+  kTableTooOld,  ///< its table may lack acknowledged changes
+  kBusy,         ///< it has as many relays in flight as it may
+  kDraining,     ///< it is stopping
+};
+
 std::string_view to_string(Outcome outcome);
 std::string_view to_string(NotRunReason reason);
 std::string_view to_string(Refusal refusal);
 std::string_view to_string(AttemptEnd end);
+std::string_view to_string(RelayRefusal refusal);
+/// @return false if the text names no refusal.
+bool parse_relay_refusal(std::string_view text, RelayRefusal& refusal);
 /// @return false if the text names no refusal.
 bool parse_refusal(std::string_view text, Refusal& refusal);
 
--- a/src/routing/path_monitor.cpp
+++ b/src/routing/path_monitor.cpp
@@ -7,7 +7,7 @@
 using common::TimePoint;
 
 void PathMonitor::on_failed(TimePoint now, ServiceId service, BackendId backend) {
-  unreachable_.insert(backend);
+  block(now, backend);
   Path& path = paths_[service];
   if (path.state == State::kUsable) {
     std::erase_if(path.failed,
@@ -26,10 +26,8 @@
 
 void PathMonitor::on_answered(TimePoint now, ServiceId service, BackendId backend,
                               bool is_new_connection) {
+  unreachable_.erase(backend);
   const auto found = paths_.find(service);
-  if (is_new_connection) {
-    unreachable_.erase(backend);
-  }
   if (found == paths_.end()) {
     return;
   }
@@ -55,7 +53,7 @@
     unreachable_.erase(backend);
     return restore(now, id, path);
   }
-  unreachable_.insert(backend);
+  block(now, backend);
   path.failed[backend] = now;
   if (!path.probed.empty()) {
     return;
@@ -112,6 +110,12 @@
   return due;
 }
 
+std::optional<TimePoint> PathMonitor::blocked_until(TimePoint now, BackendId backend) const {
+  const auto found = unreachable_.find(backend);
+  const bool is_blocked = found != unreachable_.end() && now < found->second.blocked_until;
+  return is_blocked ? std::optional(found->second.blocked_until) : std::nullopt;
+}
+
 bool PathMonitor::is_lost(ServiceId service) const {
   const Path* path = find(service);
   return path != nullptr && path->state == State::kLost;
@@ -137,6 +141,12 @@
   return services;
 }
 
+void PathMonitor::block(TimePoint now, BackendId backend) {
+  Unreachable& entry = unreachable_[backend];
+  entry.block = std::clamp(entry.block * 2, options_.minimum_block, options_.maximum_block);
+  entry.blocked_until = std::max(entry.blocked_until, now + entry.block);
+}
+
 void PathMonitor::lose(TimePoint now, ServiceId service, Path& path) {
   path.state = State::kLost;
   path.lost_since = now;
--- a/src/routing/path_monitor.hpp
+++ b/src/routing/path_monitor.hpp
@@ -31,6 +31,10 @@
   /// Time between the probes of a lost path; doubles up to the maximum.
   common::Duration first_probe_interval = std::chrono::milliseconds(250);
   common::Duration longest_probe_interval = std::chrono::milliseconds(1000);
+  /// No connection to a back end is attempted for this long after one has failed. Doubles with each
+  /// further failure, up to the maximum.
+  common::Duration minimum_block = std::chrono::milliseconds(100);
+  common::Duration maximum_block = std::chrono::milliseconds(1600);
 };
 
 /// A service to whose back ends this router has lost or regained its path.
@@ -66,8 +70,10 @@
   bool is_lost(common::ServiceId service) const;
   /// Returns true if several back ends of the service have failed, and none was reached since.
   bool is_doubtful(common::ServiceId service) const;
-  /// Returns true if the last connection attempt to the back end failed.
-  bool is_unreachable(common::BackendId backend) const { return unreachable_.contains(backend); }
+  /// Returns true if the last connection attempt to the back end failed, and for how long no other
+  /// one is due: the end of that time.
+  std::optional<common::TimePoint> blocked_until(common::TimePoint now,
+                                                 common::BackendId backend) const;
   /// Returns true if a connection that is older than the first failure still carries answers.
   bool has_live_connections(common::ServiceId service) const;
   /// Services whose path is lost.
@@ -76,7 +82,7 @@
   /// Forgets back ends for which `keep(id)` is false.
   template <typename Keep>
   void keep_only(const Keep& keep) {
-    std::erase_if(unreachable_, [&](common::BackendId id) { return !keep(id); });
+    std::erase_if(unreachable_, [&](const auto& item) { return !keep(item.first); });
   }
   /// Returns the changes since the last call.
   std::vector<PathChange> take_changes() { return std::exchange(changes_, {}); }
@@ -94,13 +100,20 @@
     common::Duration probe_interval{0};
   };
 
+  /// A back end to which the last connection attempt failed.
+  struct Unreachable {
+    common::TimePoint blocked_until;
+    common::Duration block{0};
+  };
+
+  void block(common::TimePoint now, common::BackendId backend);
   void lose(common::TimePoint now, common::ServiceId service, Path& path);
   void restore(common::TimePoint now, common::ServiceId service, Path& path);
   const Path* find(common::ServiceId service) const;
 
   PathMonitorOptions options_;
   std::map<common::ServiceId, Path> paths_;  ///< those with a failure
-  std::set<common::BackendId> unreachable_;
+  std::map<common::BackendId, Unreachable> unreachable_;
   std::unordered_map<common::BackendId, common::ServiceId> services_;  ///< of probed back ends
   std::vector<PathChange> changes_;
 };
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -13,6 +13,11 @@
          ranges.empty() && limits.empty() && routes_version == 0 && zones.empty() && warmth.empty();
 }
 
+std::uint64_t digest_of(const std::vector<RelayPeer>& peers) {
+  constexpr std::uint64_t kSeed = 0;
+  return peers.empty() ? 0 : common::hash_bytes(common::encode(peers), kSeed);
+}
+
 ShardNumber shard_of_key(std::string_view key, const config::ServiceTemplate& parameters) {
   return ShardNumber(static_cast<std::uint32_t>(common::hash_bytes(key, parameters.hash_seed) %
                                                 parameters.shards));
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -221,6 +221,22 @@
   MSGPACK_DEFINE_ARRAY(service, shard, requests)
 };
 
+/// Maximum number of relay peers in one update.
+inline constexpr std::size_t kMaxRelayPeers = 8;
+
+/// A router to which others may relay requests for back ends that they cannot reach themselves.
+struct RelayPeer {
+  std::string address;  ///< "IP:port" of its relay interface
+  common::ZoneName zone;
+  std::vector<ServiceId> unreachable;  ///< services whose back ends it cannot reach either
+  MSGPACK_DEFINE_ARRAY(address, zone, unreachable)
+  friend bool operator==(const RelayPeer&, const RelayPeer&) = default;
+};
+
+/// Returns a digest of a list of peers by which a router tells the leader which one it has; 0 for
+/// an empty list.
+std::uint64_t digest_of(const std::vector<RelayPeer>& peers);
+
 /// Message from a router to controllers: heartbeat, acknowledgement and load report.
 struct RouterHello {
   common::CellName cell;
@@ -243,9 +259,14 @@
   /// according to the table.
   std::vector<BackendId> leaving;
   std::vector<BackoffReport> backoffs;
+  std::string relay_address{};  ///< "IP:port" for relayed requests; empty: it takes none
+  common::ZoneName zone{};
+  std::vector<ServiceId> unreachable{};  ///< services none of whose back ends it can reach
+  std::uint64_t peers_digest = 0;        ///< of the relay peers that it has; see digest_of()
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
                        target_times, ended, lacks_update, limits, crashes, suspects_answered,
-                       suspects_listed, leaving, backoffs)
+                       suspects_listed, leaving, backoffs, relay_address, zone, unreachable,
+                       peers_digest)
 };
 
 /// Message from a controller to a router: confirms that the table is current, with its changes.
@@ -274,9 +295,13 @@
   /// All crowded owners, if `queues_are_known`; never set by followers.
   std::vector<AdmittedShare> crowded;
   bool queues_are_known = false;
+  /// All relay peers of this router, if `peers_are_listed`; never set by followers.
+  std::vector<RelayPeer> peers{};
+  bool peers_are_listed = false;
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
                        router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower, limits,
-                       limits_are_complete, suspects, crowded, queues_are_known)
+                       limits_are_complete, suspects, crowded, queues_are_known, peers,
+                       peers_are_listed)
 };
 
 /// Message from a follower to a router, in place of an answer to its hello: the addresses of the
--- a/src/sim/reach_world.cpp
+++ b/src/sim/reach_world.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "controller/core/relay_directory.hpp"
 #include "sim/event_queue.hpp"
 
 namespace planktray::sim {
@@ -177,6 +178,11 @@
       update.echo_clock_us = nodes_[i].read_clock_us;
       update.router_rank = static_cast<std::uint32_t>(i);
       update.router_count = static_cast<std::uint32_t>(nodes_.size());
+      const common::RouterName name = name_of(i);
+      update.peers_are_listed = has_relays(i) && relays_.is_outdated(name);
+      if (update.peers_are_listed) {
+        update.peers = relays_.peers_of(name);
+      }
       update.base_index = nodes_[i].core->table().index();
       update.current_index = table_.to;
       if (update.base_index < table_.to) {
@@ -299,10 +305,22 @@
 
   // ------------------------------------------------------------ routers
 
+  static common::RouterName name_of(std::size_t place) {
+    return common::RouterName("r" + std::to_string(place));
+  }
+  static std::string relay_address(std::size_t place) { return "relay-" + std::to_string(place); }
+  static std::size_t place_of(const std::string& relay_address) {
+    return std::stoul(relay_address.substr(relay_address.find('-') + 1));
+  }
+  bool has_relays(std::size_t place) const {
+    const auto& without = options_.without_relays;
+    return std::find(without.begin(), without.end(), place) == without.end();
+  }
+
   void start_router(std::size_t place) {
     router::RouterOptions options = options_.router;
-    options.name = common::RouterName("r" + std::to_string(place));
-    options.address = "router-" + std::to_string(place);
+    options.name = name_of(place);
+    options.relay_address = has_relays(place) ? relay_address(place) : "";
     options.zone = zone_of(place);
     nodes_[place].core = std::make_unique<router::RouterCore>(
         options, common::RandomEngine(options_.seed * 1000 + place), now_);
@@ -316,7 +334,12 @@
         attempts_.erase({place, attempt});
       }
       for (const Answer& answer : output.answers) {
-        on_answer(answer);
+        const auto relayed = relayed_.find({place, answer.handle});
+        if (relayed == relayed_.end()) {
+          on_answer(answer);
+        } else {
+          answer_relay(place, relayed, answer);
+        }
       }
       for (const ReachabilityProbe& probe : output.path_probes) {
         probe_path(place, probe);
@@ -326,11 +349,13 @@
       }
       if (output.hello.has_value()) {
         node.read_clock_us = output.hello->clock_us;
+        relays_.on_hello(*output.hello);
       }
     }
   }
 
   void probe_path(std::size_t place, const ReachabilityProbe& probe) {
+    ++result_.probes;
     const PathCut* cut = cut_of(place, backends_.at(probe.address).service);
     const Duration wait = cut == nullptr ? 2 * kOneWay : failure_time(*cut);
     after(wait, [this, place, probe, is_reachable = cut == nullptr] {
@@ -351,7 +376,10 @@
     Node& node = nodes_[place];
     const AttemptKey key{place, forward.attempt};
     Attempt& attempt = attempts_[key];
-    attempt = {forward.address, forward.handle, false, false};
+    attempt = {forward.address, request_of(place, forward.handle), false, false};
+    if (!forward.peer.empty()) {
+      return relay(key, forward);
+    }
     const PathCut* cut = cut_of(place, backends_.at(forward.address).service);
     std::size_t& idle = node.idle_connections[forward.address];
     if (idle > 0) {
@@ -372,6 +400,55 @@
     });
   }
 
+  // ------------------------------------------------------------ relays
+
+  /// The request of a caller that a router handles under a number of its own.
+  RequestHandle request_of(std::size_t place, RequestHandle handle) const {
+    const auto relayed = relayed_.find({place, handle});
+    return relayed == relayed_.end() ? handle : relayed->second.request;
+  }
+
+  void relay(const AttemptKey& key, const Forward& forward) {
+    ++result_.relayed;
+    result_.relayed_twice += relayed_.contains({key.first, forward.handle}) ? 1 : 0;
+    nodes_[key.first].core->on_attempt_started(key.second);
+    nodes_[key.first].core->on_attempt_written(key.second);
+    after(kOneWay, [this, key, forward, request = attempts_.at(key).request] {
+      if (!attempts_.contains(key)) {
+        return;  // cancelled
+      }
+      const std::size_t peer = place_of(forward.peer);
+      router::CallerRequest call;
+      call.handle = ++last_request_;
+      call.method = "GET";
+      call.timeout_ms = static_cast<std::uint32_t>(forward.time_left / milliseconds(1));
+      call.route = router::RouteCall{"", "/x", std::nullopt};
+      call.relay = router::RelayCall{forward.backend, forward.repeatable, forward.table_index};
+      relayed_[{peer, call.handle}] = {key, request};
+      nodes_[peer].core->on_request(now_, call);
+      flush(peer);
+    });
+  }
+
+  using RelayKey = std::pair<std::size_t, RequestHandle>;
+  struct Relayed {
+    AttemptKey origin;
+    RequestHandle request = 0;
+  };
+  void answer_relay(std::size_t place, std::map<RelayKey, Relayed>::iterator relayed,
+                    const Answer& answer) {
+    AttemptResult result;
+    if (answer.outcome == routing::Outcome::kNotRun) {
+      result.end = AttemptEnd::kNotSent;
+      result.relay_refusal = answer.relay_refusal;
+    } else if (answer.outcome == routing::Outcome::kAnswered) {
+      result = answered_.at({place, answer.attempt});
+    }
+    result.peer_load = static_cast<std::uint32_t>(nodes_[place].core->peer_requests());
+    after(kOneWay, [this, key = relayed->second.origin, result] { end_attempt(key, result); });
+    relayed_.erase(relayed);
+  }
+
   void write(const AttemptKey& key, const PathCut* cut) {
     Attempt& attempt = attempts_.at(key);
     attempt.is_written = true;
@@ -452,6 +529,7 @@
     if (attempts_.erase(key) == 0) {
       return;  // cancelled
     }
+    answered_[key] = result;
     nodes_[key.first].core->on_attempt_done(now_, key.second, result);
     flush(key.first);
   }
@@ -467,6 +545,9 @@
   std::map<std::string, Backend> backends_;  ///< by address
   std::vector<Node> nodes_;
   std::map<AttemptKey, Attempt> attempts_;
+  std::map<AttemptKey, AttemptResult> answered_;  ///< results of ended attempts
+  std::map<RelayKey, Relayed> relayed_;           ///< by the peer and its number of the request
+  controller::RelayDirectory relays_;
   std::map<RequestHandle, Story> stories_;
   RequestHandle last_request_ = 0;
 };
--- a/src/sim/reach_world.hpp
+++ b/src/sim/reach_world.hpp
@@ -35,6 +35,8 @@
   /// First tries are counted from this long after the begin of a cut.
   common::Duration contact = std::chrono::milliseconds(3000);
   std::size_t routers = 11;  ///< spread over three zones by turns
+  /// Routers that neither relay for others nor ask others to.
+  std::vector<std::size_t> without_relays;
   double requests_per_second = 330;
   router::RouterOptions router;
   std::vector<PathCut> cuts;
@@ -55,7 +57,10 @@
   // While a cut lasts, from `contact` after its begin.
   FirstTries at_cut_routers;  ///< of requests for the services that the router cannot reach
   FirstTries elsewhere;
-  FirstTries without_cut;  ///< at all other times, `contact` after the end of a cut
+  std::uint64_t relayed = 0;        ///< attempts that went over a peer
+  std::uint64_t relayed_twice = 0;  ///< of these, relayed once more by the peer
+  std::uint64_t probes = 0;         ///< connections that carried no request
+  FirstTries without_cut;           ///< at all other times, `contact` after the end of a cut
 };
 
 ReachResult run_reach_world(const ReachOptions& options);
