Soak: routers lose their connections to targets while others reach them

Change: Gates stand at the targets' addresses and reset the connections of single processes, all of them or new ones only; the kernel's socket diagnostics tell whose connection it is, as all processes share one loopback address. Cuts of a part of the routers come in series beside all other faults, from a random engine of their own, so the other faults of a seed stay. Clients keep their connections until the process is gone, as before.

Such a gate accepts before it resets, as a middlebox may: probes of a path now count once their connection has stayed up for 20 ms (ReachChecker, settle time); without it each probe would have called the path regained.

--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -35,6 +35,9 @@
 /// Timeout of a probe. A running machine refuses a connection immediately; this is ten round trips.
 constexpr common::Duration kReachabilityTimeout = std::chrono::milliseconds(300);
 
+/// How long a probe's connection has to stay up. Several round trips.
+constexpr common::Duration kPathSettleTime = std::chrono::milliseconds(20);
+
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -82,8 +85,8 @@
           "planktray_write_done_seconds",
           "Time from the choice of a back end until the system had taken a request's last byte.")),
       reach_checker_(kReachabilityDelay, kReachabilityTimeout),
-      path_checker_(common::Duration(0),
-                    std::min(settings_.connect_timeout, kReachabilityTimeout)) {}
+      path_checker_(common::Duration(0), std::min(settings_.connect_timeout, kReachabilityTimeout),
+                    kPathSettleTime) {}
 
 common::Result<void> RouterProcess::start() {
   const double link_rate = settings_.machine.link_bytes_per_second();
--- a/src/transport/reach_check.cpp
+++ b/src/transport/reach_check.cpp
@@ -45,6 +45,23 @@
   return G_SOURCE_REMOVE;
 }
 
+gboolean ReachChecker::on_settled(gpointer data) {
+  auto* check = static_cast<Check*>(data);
+  check->timer = 0;
+  check->owner->finish(check->id, Reach::kListens);
+  return G_SOURCE_REMOVE;
+}
+
+void ReachChecker::on_connected(std::uint64_t id) {
+  const auto found = checks_.find(id);
+  if (settle_time_.count() == 0 || found == checks_.end()) {
+    return finish(id, Reach::kListens);
+  }
+  Check& check = *found->second;
+  g_source_remove(check.timer);
+  check.timer = set_timer(settle_time_, on_settled, &check);
+}
+
 void ReachChecker::begin(Check& check) {
   auto stream = TcpStream::connect(check.address, common::Duration(0), nullptr);
   if (!stream.has_value()) {
@@ -54,7 +71,7 @@
   check.stream = std::move(*stream);
   check.timer = set_timer(timeout_, on_timeout, &check);
   TcpStream::Handlers handlers;
-  handlers.on_connected = [this, id = check.id] { finish(id, Reach::kListens); };
+  handlers.on_connected = [this, id = check.id] { on_connected(id); };
   handlers.on_end = [this, id = check.id](StreamEnd /*end*/) { finish(id, Reach::kRefused); };
   check.stream->start(std::move(handlers));
 }
--- a/src/transport/reach_check.hpp
+++ b/src/transport/reach_check.hpp
@@ -27,8 +27,11 @@
   /// @param delay time before the connection attempt: an exiting process closes its connections a
   ///   moment before it stops listening.
   /// @param timeout of the connection attempt.
-  ReachChecker(common::Duration delay, common::Duration timeout)
-      : delay_(delay), timeout_(timeout) {}
+  /// @param settle_time how long an established connection has to stay up to count: what lies in
+  ///   between may accept a connection and reset it.
+  ReachChecker(common::Duration delay, common::Duration timeout,
+               common::Duration settle_time = common::Duration(0))
+      : delay_(delay), timeout_(timeout), settle_time_(settle_time) {}
   ReachChecker(const ReachChecker&) = delete;
   ReachChecker& operator=(const ReachChecker&) = delete;
   ~ReachChecker();
@@ -49,13 +52,16 @@
 
   static gboolean on_begin(gpointer data);
   static gboolean on_timeout(gpointer data);
+  static gboolean on_settled(gpointer data);
   static gboolean on_release(gpointer data);
   static guint set_timer(common::Duration wait, GSourceFunc function, Check* check);
   void begin(Check& check);
+  void on_connected(std::uint64_t id);
   void finish(std::uint64_t id, Reach reach);
 
   common::Duration delay_;
   common::Duration timeout_;
+  common::Duration settle_time_;
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, std::unique_ptr<Check>> checks_;
 };
--- a/test/platform/soak/clients.cpp
+++ b/test/platform/soak/clients.cpp
@@ -164,9 +164,37 @@
   if (request.route.has_value()) {
     check_route(id, request, status);
   }
+  count_share(request, status);
   check_connection_loss(id, request, response);
 }
 
+void Clients::on_path_changed(TimePoint now, std::size_t router, bool is_cut) {
+  if (is_cut) {
+    cut_since_[router] = now;
+  } else {
+    cut_since_.erase(router);
+  }
+}
+
+void Clients::count_share(const Request& request, unsigned status) {
+  const TimePoint now = boot_time_now();
+  const Duration span = promises_.contact + (now - request.sent);
+  const bool is_permanent = !request.route.has_value();
+  const bool is_undisturbed = Processes::was_quiet(processes_.all()[request.router], now, span) &&
+                              processes_.controllers_were_quiet(now, span);
+  if (cut_since_.empty() || !is_permanent || !is_undisturbed) {
+    return;
+  }
+  const auto cut = cut_since_.find(request.router);
+  if (cut != cut_since_.end() && request.sent < cut->second + promises_.contact) {
+    return;
+  }
+  Share& share = cut == cut_since_.end() ? elsewhere_ : at_cut_routers_;
+  ++share.sent;
+  share.served += status == platform::kStatusOk ? 1 : 0;
+  counts_.at_cut_routers += cut == cut_since_.end() ? 0 : 1;
+}
+
 void Clients::check_route(const std::string& id, const Request& request, unsigned status) {
   const ChangingRoute& route = changes_.routes()[*request.route];
   const TimePoint now = boot_time_now();
@@ -249,6 +277,16 @@
 }
 
 void Clients::check_at_end() {
+  const std::uint64_t failed = at_cut_routers_.sent - at_cut_routers_.served;
+  const bool is_served_less =
+      3 * at_cut_routers_.served * elsewhere_.sent < 2 * elsewhere_.served * at_cut_routers_.sent;
+  if (is_served_less && failed > 10 + at_cut_routers_.sent / 50) {
+    violations_.push_back("RECOVER routers without a path to the targets served " +
+                          std::to_string(at_cut_routers_.served) + " of " +
+                          std::to_string(at_cut_routers_.sent) + ", the others " +
+                          std::to_string(elsewhere_.served) + " of " +
+                          std::to_string(elsewhere_.sent));
+  }
   for (const auto& [id, request] : requests_) {
     if (!request.safe && request.was_refused && request.runs > 0) {
       record_violation("REFUSED", id, request, "was told that it has not run, and ran");
--- a/test/platform/soak/clients.hpp
+++ b/test/platform/soak/clients.hpp
@@ -26,6 +26,7 @@
   std::uint64_t checked_added = 0;    ///< requests checked against a route that had to be in force
   std::uint64_t checked_removed = 0;  ///< requests checked against a route that had to be gone
   std::uint64_t pipelined = 0;        ///< sent without waiting for the previous response
+  std::uint64_t at_cut_routers = 0;   ///< requests checked at routers without a path to targets
   std::uint64_t checked_leaving = 0;  ///< checked arrivals at draining targets (acknowledged)
 };
 
@@ -40,6 +41,8 @@
   /// it.
   void ask_all(const std::string& path, const std::function<void(std::size_t served)>& done);
   void on_arrival(const Arrival& arrival);
+  /// Reports that the router has lost its path to the targets, or has it back.
+  void on_path_changed(TimePoint now, std::size_t router, bool is_cut);
   /// Reports that this process was stalled and did not read its sockets until `to`. Arrivals carry
   /// the time at which they were read, which may be late after a stall.
   void on_stall(TimePoint to) { stalled_until_ = to; }
@@ -60,6 +63,11 @@
     bool was_refused = false;  ///< the response guarantees that it was not executed
     int runs = 0;
   };
+  /// Requests of undisturbed routers while others have no path to the targets.
+  struct Share {
+    std::uint64_t sent = 0;
+    std::uint64_t served = 0;
+  };
 
   void send_one(TimePoint now, std::size_t router, const std::string& path, bool safe,
                 std::optional<std::size_t> route, const std::function<void(unsigned)>& done);
@@ -70,6 +78,8 @@
                              std::optional<std::size_t> route);
   void on_answer(const std::string& id, const transport::HttpResponse& response);
   void check_route(const std::string& id, const Request& request, unsigned status);
+  /// Counts a request for the comparison of routers with and without a path.
+  void count_share(const Request& request, unsigned status);
   void check_connection_loss(const std::string& id, const Request& request,
                              const transport::HttpResponse& response);
   /// Returns how long after its acknowledgement a change must be in force at this router, or
@@ -87,6 +97,9 @@
   std::unordered_map<std::string, Request> requests_;
   std::uint64_t next_ = 0;
   TimePoint stalled_until_;
+  std::map<std::size_t, TimePoint> cut_since_;  ///< routers without a path to the targets
+  Share at_cut_routers_;
+  Share elsewhere_;
   ClientCounts counts_;
   std::vector<std::string> violations_;
 };
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -28,6 +28,9 @@
 /// to serve.
 constexpr Duration kSettle = milliseconds(6'000);
 constexpr Duration kRecovery = milliseconds(20'000);
+/// Cuts between routers and targets use a separate random engine, so they don't change the other
+/// faults of a seed.
+constexpr std::uint64_t kCutSeed = 2'000'000;
 
 struct SoakOptions {
   std::string bin = "build/release";
@@ -45,6 +48,7 @@
   Soak(const SoakOptions& options, std::uint64_t seed)
       : options_(options),
         random_(seed),
+        cut_random_(seed + kCutSeed),
         processes_(std::filesystem::absolute(options.bin),
                    std::filesystem::absolute(options.data) / std::to_string(seed), options.size,
                    seed),
@@ -79,7 +83,8 @@
               << counts.checked_added << ", removed " << counts.checked_removed << ", leaving "
               << counts.checked_leaving << "; changes " << operator_.acknowledged()
               << ", heartbeats " << targets_.heartbeats_acknowledged() << ", leavings "
-              << targets_.leavings_acknowledged() << ", troubles " << faults_ << std::endl;
+              << targets_.leavings_acknowledged() << ", troubles " << faults_ << ", cuts " << cuts_
+              << " with " << counts.at_cut_routers << " requests judged" << std::endl;
   }
 
  private:
@@ -115,6 +120,7 @@
         return await_start(now);
       case Phase::kFaults:
         send(now);
+        cut_routers(now);
         return inject_fault(now);
       case Phase::kSettling:
         send(now);
@@ -173,6 +179,7 @@
   void inject_fault(TimePoint now) {
     if (now >= faults_until_) {
       settle_until_ = now + kSettle;
+      mend_routers(now);
       return enter(Phase::kSettling, now);
     }
     if (now < next_fault_) {
@@ -202,6 +209,45 @@
     }
   }
 
+  /// Cuts some routers off from all targets, or mends the last cut, when it is time.
+  void cut_routers(TimePoint now) {
+    if (now < next_cut_) {
+      return;
+    }
+    const bool is_over = !cut_routers_.empty();
+    next_cut_ = now + cut_between(is_over ? 1000 : 5000, is_over ? 4000 : 9000);
+    if (is_over) {
+      return mend_routers(now);
+    }
+    ++cuts_;
+    const bool keeps_open = common::chance(cut_random_, 0.3);
+    const double share = 0.2 + 0.6 * common::uniform_real(cut_random_);
+    std::size_t left = 0;
+    for (const std::size_t router : processes_.of(Role::kRouter)) {
+      const bool is_cut = common::chance(cut_random_, share);
+      if (is_cut && processes_.all()[router].pid > 0) {
+        targets_.gates().cut(processes_.all()[router].pid,
+                             keeps_open ? GateCut::kNew : GateCut::kAll);
+        clients_.on_path_changed(now, router, true);
+        cut_routers_.push_back(router);
+      } else {
+        ++left;
+      }
+    }
+    if (left == 0) {
+      mend_routers(now);  // without any way there is nothing to judge
+    }
+  }
+  void mend_routers(TimePoint now) {
+    targets_.gates().mend_all();
+    for (const std::size_t router : std::exchange(cut_routers_, {})) {
+      clients_.on_path_changed(now, router, false);
+    }
+  }
+  Duration cut_between(std::uint64_t low_ms, std::uint64_t high_ms) {
+    return milliseconds(common::uniform(cut_random_, low_ms, high_ms));
+  }
+
   std::size_t pick(Role role) {
     const auto all = processes_.of(role);
     return all[common::uniform(random_, 0, all.size() - 1)];
@@ -295,6 +341,7 @@
   SoakOptions options_;
   Promises promises_;
   common::RandomEngine random_;
+  common::RandomEngine cut_random_;
   transport::EventLoop loop_;
   Processes processes_;
   Operator operator_;
@@ -312,6 +359,9 @@
   bool is_asking_ = false;
   std::size_t last_served_ = 0;
   std::uint64_t faults_ = 0;
+  std::uint64_t cuts_ = 0;
+  TimePoint next_cut_;
+  std::vector<std::size_t> cut_routers_;
   std::vector<Restart> restarts_;
   std::vector<std::string> routes_to_check_;
   std::vector<std::string> failures_;
--- a/test/platform/soak/targets.cpp
+++ b/test/platform/soak/targets.cpp
@@ -19,6 +19,8 @@
 /// connections to each target.
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(1000);
 constexpr int kPort = 7003;
+/// Where the server itself listens, behind its gate.
+constexpr int kInnerPort = 7004;
 constexpr int kSubnet = 40;
 constexpr int kPerSubnet = 200;
 constexpr int kSlots = 8;
@@ -52,9 +54,13 @@
   transport::HttpServerOptions options = transport::options_with_body_limit(1024);
   options.idle_timeout = kIdleTimeout;
   for (auto& target : targets_) {
+    const std::string inner =
+        target->address.substr(0, target->address.rfind(':') + 1) + std::to_string(kInnerPort);
+    if (auto opened = gates_.open(target->address, inner); !opened) {
+      return opened;
+    }
     auto server = transport::HttpServer::listen(
-        target->address, options,
-        [this, raw = target.get()](const transport::ExchangePointer& exchange) {
+        inner, options, [this, raw = target.get()](const transport::ExchangePointer& exchange) {
           handle(*raw, exchange);
         });
     if (!server.has_value()) {
--- a/test/platform/soak/targets.hpp
+++ b/test/platform/soak/targets.hpp
@@ -11,6 +11,7 @@
 
 #include "common/random.hpp"
 #include "common/time.hpp"
+#include "soak/gates.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 
@@ -41,6 +42,8 @@
   void drain_one(TimePoint now);
   std::uint64_t heartbeats_acknowledged() const { return acknowledged_; }
   std::uint64_t leavings_acknowledged() const { return leavings_; }
+  /// Passes the connections between processes and targets.
+  Gates& gates() { return gates_; }
   static std::vector<std::string> services() { return {"first", "second"}; }
 
  private:
@@ -70,6 +73,7 @@
   common::RandomEngine random_;
   OnArrival on_arrival_;
   transport::HttpClient client_;
+  Gates gates_;
   std::vector<std::unique_ptr<Target>> targets_;
   std::uint64_t acknowledged_ = 0;
   std::uint64_t leavings_ = 0;
