reach_world: outages of routers and of the leader beside cuts, ended back ends

Cause: the world knew one cut and routers that never stop.

A restarted router numbers its attempts anew and met events of its former life; and the begin of a cut that resets ended attempts that went over a peer as "not sent".

--- a/src/sim/reach_world.cpp
+++ b/src/sim/reach_world.cpp
@@ -74,6 +74,10 @@
     for (const PathCut& cut : options_.cuts) {
       events_.add(begin + cut.begin, [this, &cut] { begin_cut(cut); });
     }
+    for (const RouterOutage& outage : options_.outages) {
+      events_.add(begin + outage.begin, [this, &outage] { begin_outage(outage); });
+      events_.add(begin + outage.end, [this, &outage] { end_outage(outage); });
+    }
     while (now_ < begin + options_.length + kLongestRequest) {
       now_ += kStep;
       events_.run_due(now_);
@@ -82,7 +86,7 @@
         ask();
       }
       for (std::size_t i = 0; i < nodes_.size(); ++i) {
-        if (now_ >= nodes_[i].core->next_due()) {
+        if (nodes_[i].is_running() && now_ >= nodes_[i].core->next_due()) {
           nodes_[i].core->tick(now_);
         }
         flush(i);
@@ -95,6 +99,11 @@
   struct Node {
     std::unique_ptr<router::RouterCore> core;
     std::int64_t read_clock_us = 0;  ///< of its newest hello
+    std::uint64_t life = 0;
+    bool is_suspended = false;
+    bool is_stopping = false;
+    bool is_running() const { return core != nullptr && !is_suspended; }
+    bool accepts_callers() const { return is_running() && !is_stopping; }
     std::map<std::string, std::size_t> idle_connections;
   };
   /// One attempt that has not ended for its router.
@@ -103,8 +112,17 @@
     RequestHandle request = 0;
     bool is_written = false;
     bool is_new_connection = false;
+    bool is_relayed = false;
+  };
+  struct AttemptKey {
+    std::size_t place = 0;
+    std::uint64_t life = 0;  ///< of the router's process, which numbers its attempts anew
+    router::AttemptId attempt = 0;
+    auto operator<=>(const AttemptKey&) const = default;
   };
-  using AttemptKey = std::pair<std::size_t, router::AttemptId>;
+  AttemptKey key_of(std::size_t place, router::AttemptId attempt) const {
+    return {place, nodes_[place].life, attempt};
+  }
   /// What was seen of one request.
   struct Story {
     std::size_t router = 0;
@@ -167,11 +185,16 @@
   }
 
   void send_tables() {
-    if (now_ < next_update_) {
+    const bool leader_is_gone =
+        now_ >= start_ + options_.leader_gone_from && now_ < start_ + options_.leader_back_at;
+    if (now_ < next_update_ || leader_is_gone) {
       return;
     }
     next_update_ = now_ + kUpdateInterval;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!nodes_[i].is_running()) {
+        continue;
+      }
       routing::TableUpdate update;
       update.cell = options_.router.cell;
       update.term = common::Term(1);
@@ -229,12 +252,70 @@
     const auto attempts = attempts_;
     for (const auto& [key, attempt] : attempts) {
       const auto backend = backends_.find(attempt.address);
-      if (backend != backends_.end() && concerns(cut, key.first, backend->second.service)) {
+      if (!attempt.is_relayed && backend != backends_.end() &&
+          concerns(cut, key.place, backend->second.service)) {
         end_attempt(key, broken_result(attempt));
       }
     }
   }
 
+  // ------------------------------------------------------------ outages
+
+  void begin_outage(const RouterOutage& outage) {
+    Node& node = nodes_[outage.router];
+    switch (outage.kind) {
+      case OutageKind::kKilled:
+        return kill(outage.router);
+      case OutageKind::kSuspended:
+        node.is_suspended = true;
+        return;
+      case OutageKind::kStopped:
+        node.is_stopping = true;
+        node.core->stop_relaying(now_);
+        return;
+    }
+  }
+
+  void end_outage(const RouterOutage& outage) {
+    Node& node = nodes_[outage.router];
+    if (outage.kind == OutageKind::kSuspended) {
+      node.is_suspended = false;
+      return;
+    }
+    if (outage.kind == OutageKind::kStopped) {
+      if (!node.core->is_drained()) {
+        violate("a planned stop cuts requests off");
+      }
+      kill(outage.router);
+    }
+    node = Node();
+    start_router(outage.router);
+  }
+
+  /// Ends a router's process: its attempts are lost, and those that it relayed for others break.
+  void kill(std::size_t place) {
+    nodes_[place].core.reset();
+    relays_.remove(name_of(place));
+    std::erase_if(attempts_, [place](const auto& item) { return item.first.place == place; });
+    std::vector<AttemptKey> broken;
+    for (const auto& [key, relayed] : relayed_) {
+      if (key.first == place) {
+        broken.push_back(relayed.origin);
+      }
+    }
+    std::erase_if(relayed_, [place](const auto& item) { return item.first.first == place; });
+    for (const AttemptKey& origin : broken) {
+      after(kOneWay, [this, origin] { end_attempt(origin, lost_peer(true)); });
+    }
+  }
+
+  static AttemptResult lost_peer(bool was_written) {
+    AttemptResult result;
+    result.end = was_written ? AttemptEnd::kBroken : AttemptEnd::kNotSent;
+    result.peer_failed = true;
+    return result;
+  }
+
   // ------------------------------------------------------------ callers
 
   void ask() {
@@ -251,6 +332,9 @@
         std::find_if(kShares.begin(), kShares.end(), [&](double until) { return draw < until; }) -
         kShares.begin());
     const std::size_t place = common::uniform(random_, 0, nodes_.size() - 1);
+    if (!nodes_[place].accepts_callers()) {
+      return;
+    }
     router::CallerRequest request;
     request.handle = ++last_request_;
     request.method = "GET";
@@ -322,16 +406,20 @@
     options.name = name_of(place);
     options.relay_address = has_relays(place) ? relay_address(place) : "";
     options.zone = zone_of(place);
+    nodes_[place].life = ++lives_;
     nodes_[place].core = std::make_unique<router::RouterCore>(
-        options, common::RandomEngine(options_.seed * 1000 + place), now_);
+        options, common::RandomEngine(options_.seed * 1000 + lives_), now_);
   }
 
   void flush(std::size_t place) {
     Node& node = nodes_[place];
+    if (!node.is_running()) {
+      return;
+    }
     for (router::RouterOutput output = node.core->take_output(); !output.empty();
          output = node.core->take_output()) {
       for (const router::AttemptId attempt : output.cancels) {
-        attempts_.erase({place, attempt});
+        attempts_.erase(key_of(place, attempt));
       }
       for (const Answer& answer : output.answers) {
         const auto relayed = relayed_.find({place, answer.handle});
@@ -358,12 +446,21 @@
     ++result_.probes;
     const PathCut* cut = cut_of(place, backends_.at(probe.address).service);
     const Duration wait = cut == nullptr ? 2 * kOneWay : failure_time(*cut);
-    after(wait, [this, place, probe, is_reachable = cut == nullptr] {
+    const bool is_reachable = cut == nullptr && !has_ended(probe.backend);
+    after(wait, [this, place, probe, is_reachable] {
+      if (!nodes_[place].is_running()) {
+        return;
+      }
       nodes_[place].core->on_path_probed(now_, probe.backend, is_reachable);
       flush(place);
     });
   }
 
+  bool has_ended(BackendId id) const {
+    const auto& ended = options_.ended_backends;
+    return std::find(ended.begin(), ended.end(), id.value) != ended.end();
+  }
+
   /// Time until a new connection fails.
   static Duration failure_time(const PathCut& cut) {
     const bool hangs = cut.kind == CutKind::kSilent || cut.kind == CutKind::kHanging;
@@ -374,10 +471,11 @@
 
   void send(std::size_t place, const Forward& forward) {
     Node& node = nodes_[place];
-    const AttemptKey key{place, forward.attempt};
+    const AttemptKey key = key_of(place, forward.attempt);
     Attempt& attempt = attempts_[key];
-    attempt = {forward.address, request_of(place, forward.handle), false, false};
+    attempt = {forward.address, request_of(place, forward.handle), false, false, false};
     if (!forward.peer.empty()) {
+      attempt.is_relayed = true;
       return relay(key, forward);
     }
     const PathCut* cut = cut_of(place, backends_.at(forward.address).service);
@@ -387,15 +485,16 @@
       return write(key, cut);
     }
     attempt.is_new_connection = true;
-    if (cut != nullptr) {
+    if (cut != nullptr || has_ended(forward.backend)) {
       AttemptResult result;
       result.end = AttemptEnd::kNotSent;
-      return after(failure_time(*cut), [this, key, result] { end_attempt(key, result); });
+      const Duration wait = cut == nullptr ? 2 * kOneWay : failure_time(*cut);
+      return after(wait, [this, key, result] { end_attempt(key, result); });
     }
     after(2 * kOneWay, [this, key] {
       const auto found = attempts_.find(key);
       if (found != attempts_.end()) {
-        write(key, cut_of(key.first, backends_.at(found->second.address).service));
+        write(key, cut_of(key.place, backends_.at(found->second.address).service));
       }
     });
   }
@@ -410,14 +509,20 @@
 
   void relay(const AttemptKey& key, const Forward& forward) {
     ++result_.relayed;
-    result_.relayed_twice += relayed_.contains({key.first, forward.handle}) ? 1 : 0;
-    nodes_[key.first].core->on_attempt_started(key.second);
-    nodes_[key.first].core->on_attempt_written(key.second);
+    result_.relayed_twice += relayed_.contains({key.place, forward.handle}) ? 1 : 0;
+    nodes_[key.place].core->on_attempt_started(key.attempt);
+    nodes_[key.place].core->on_attempt_written(key.attempt);
     after(kOneWay, [this, key, forward, request = attempts_.at(key).request] {
       if (!attempts_.contains(key)) {
         return;  // cancelled
       }
       const std::size_t peer = place_of(forward.peer);
+      if (nodes_[peer].is_suspended) {
+        return;  // the machine accepts the bytes, and nobody reads them
+      }
+      if (!nodes_[peer].is_running()) {
+        return end_attempt(key, lost_peer(false));
+      }
       router::CallerRequest call;
       call.handle = ++last_request_;
       call.method = "GET";
@@ -442,7 +547,7 @@
       result.end = AttemptEnd::kNotSent;
       result.relay_refusal = answer.relay_refusal;
     } else if (answer.outcome == routing::Outcome::kAnswered) {
-      result = answered_.at({place, answer.attempt});
+      result = answered_.at(key_of(place, answer.attempt));
     }
     result.peer_load = static_cast<std::uint32_t>(nodes_[place].core->peer_requests());
     after(kOneWay, [this, key = relayed->second.origin, result] { end_attempt(key, result); });
@@ -452,8 +557,8 @@
   void write(const AttemptKey& key, const PathCut* cut) {
     Attempt& attempt = attempts_.at(key);
     attempt.is_written = true;
-    nodes_[key.first].core->on_attempt_started(key.second);
-    nodes_[key.first].core->on_attempt_written(key.second);
+    nodes_[key.place].core->on_attempt_started(key.attempt);
+    nodes_[key.place].core->on_attempt_written(key.attempt);
     if (breaks_open_connections(cut)) {
       return after(kUnacknowledgedTimeout, [this, key] {
         const auto found = attempts_.find(key);
@@ -512,26 +617,27 @@
 
   /// The back end answers; the answer is lost where nothing passes.
   void reply(const AttemptKey& key, const std::string& address, AttemptResult result) {
-    if (breaks_open_connections(cut_of(key.first, backends_.at(address).service))) {
+    if (breaks_open_connections(cut_of(key.place, backends_.at(address).service))) {
       return;
     }
     after(kOneWay, [this, key, result]() mutable {
       const auto found = attempts_.find(key);
       if (found != attempts_.end()) {
         result.is_new_connection = found->second.is_new_connection;
-        ++nodes_[key.first].idle_connections[found->second.address];
+        ++nodes_[key.place].idle_connections[found->second.address];
         end_attempt(key, result);
       }
     });
   }
 
   void end_attempt(const AttemptKey& key, const AttemptResult& result) {
-    if (attempts_.erase(key) == 0) {
-      return;  // cancelled
+    const Node& node = nodes_[key.place];
+    if (!node.is_running() || node.life != key.life || attempts_.erase(key) == 0) {
+      return;  // cancelled, or the router does nothing at present
     }
     answered_[key] = result;
-    nodes_[key.first].core->on_attempt_done(now_, key.second, result);
-    flush(key.first);
+    nodes_[key.place].core->on_attempt_done(now_, key.attempt, result);
+    flush(key.place);
   }
 
   ReachOptions options_;
@@ -550,6 +656,7 @@
   controller::RelayDirectory relays_;
   std::map<RequestHandle, Story> stories_;
   RequestHandle last_request_ = 0;
+  std::uint64_t lives_ = 0;
 };
 
 }  // namespace
--- a/src/sim/reach_world.hpp
+++ b/src/sim/reach_world.hpp
@@ -29,6 +29,20 @@
   std::vector<std::size_t> services;  ///< empty: all
 };
 
+/// What happens to a router's process.
+enum class OutageKind : std::uint8_t {
+  kKilled,     ///< its connections end; it starts again without any state
+  kSuspended,  ///< it does nothing, and its connections stay open
+  kStopped,    ///< as planned: it withdraws as a peer, drains, and starts again
+};
+
+struct RouterOutage {
+  OutageKind kind = OutageKind::kKilled;
+  common::Duration begin{0};
+  common::Duration end{0};
+  std::size_t router = 0;
+};
+
 struct ReachOptions {
   std::uint64_t seed = 1;
   common::Duration length = std::chrono::seconds(16);
@@ -40,6 +54,12 @@
   double requests_per_second = 330;
   router::RouterOptions router;
   std::vector<PathCut> cuts;
+  std::vector<RouterOutage> outages;
+  /// The leader sends nothing in this time.
+  common::Duration leader_gone_from{0};
+  common::Duration leader_back_at{0};
+  /// Back ends whose processes have ended, though the table names them: from 1.
+  std::vector<std::uint64_t> ended_backends;
 };
 
 /// First tries and how they ended.
