A full link of the router's own is no lost path; written attempts stay

Change: a suspicion is confirmed only where two other routers are reached at the same time as three back ends are not; a relay would take the same full link otherwise.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -70,7 +70,7 @@
   /// end's address; nothing if the probe was inconclusive.
   void on_reachability_probed(TimePoint now, BackendId backend, std::optional<bool> listens);
   /// Takes the result of a path probe. @param is_reachable a connection was established.
-  void on_path_probed(TimePoint now, BackendId backend, bool is_reachable);
+  void on_path_probed(TimePoint now, const routing::PathProbe& probe, bool is_reachable);
   /// The caller has disconnected; its attempt is cancelled.
   void on_caller_disconnected(TimePoint now, RequestHandle handle);
   /// Takes no more requests that other routers relay, and has them choose other peers.
@@ -254,8 +254,9 @@
                       const routing::RoutedTableService& service);
   void on_relay_done(TimePoint now, Request& request, const Attempt& attempt,
                      const AttemptResult& result);
-  /// Withdraws attempts on a lost path that can be made again, and dispatches their requests.
-  void reroute(TimePoint now, common::ServiceId service);
+  /// Recalls the attempts on a lost path of which no byte was written. Those that were written may
+  /// still be answered.
+  void recall_unwritten(TimePoint now, common::ServiceId service);
 
   // Requests that other routers relay.
   void on_peer_request(TimePoint now, const CallerRequest& caller);
--- a/src/router/core/router_core_paths.cpp
+++ b/src/router/core/router_core_paths.cpp
@@ -35,18 +35,21 @@
   report_path_changes(now);
 }
 
-void RouterCore::on_path_probed(TimePoint now, BackendId backend, bool is_reachable) {
-  paths_.on_probed(now, backend, is_reachable);
+void RouterCore::on_path_probed(TimePoint now, const routing::PathProbe& probe, bool is_reachable) {
+  paths_.on_probed(now, probe, is_reachable);
   report_path_changes(now);
   dispatch_waiting(now);
 }
 
 void RouterCore::probe_paths(TimePoint now) {
   for (const common::ServiceId service : paths_.due(now)) {
-    for (const BackendId id :
-         paths_.choose_probes(now, service, working_backends(now, service), random_)) {
+    for (routing::PathProbe& probe : paths_.choose_probes(
+             now, service, working_backends(now, service), peers_.listed_addresses(), random_)) {
       ++counters_.path_probes;
-      output_.path_probes.push_back({id, table_.find_backend(id)->address});
+      if (probe.backend.value != 0) {
+        probe.address = table_.find_backend(probe.backend)->address;
+      }
+      output_.path_probes.push_back(std::move(probe));
     }
   }
   report_path_changes(now);
@@ -59,39 +62,24 @@
         {service == nullptr ? "" : service->route.config.name.value, change});
     expedite_hello(now);  // peers of other routers depend on it
     if (change.is_lost) {
-      reroute(now, change.service);
+      recall_unwritten(now, change.service);
     }
   }
 }
 
-void RouterCore::reroute(TimePoint now, common::ServiceId service) {
-  // Where open connections live on, the answers still come.
-  const bool open_connections_are_lost = !paths_.has_live_connections(service);
-  std::vector<AttemptId> lost;
+void RouterCore::recall_unwritten(TimePoint now, common::ServiceId service) {
+  std::vector<AttemptId> unwritten;
   for (const auto& [id, attempt] : attempts_) {
     const Request& request = requests_.at(attempt.handle);
     const bool is_own = request.routed && !request.caller.relay.has_value();
-    if (is_own && request.service == service && attempt.peer.empty()) {
-      lost.push_back(id);
+    if (is_own && request.service == service && attempt.peer.empty() && writes_.is_unstarted(id)) {
+      unwritten.push_back(id);
     }
   }
-  std::sort(lost.begin(), lost.end());
-  for (const AttemptId id : lost) {
-    const auto attempt = attempts_.find(id);
-    if (attempt == attempts_.end()) {
-      continue;
-    }
-    Request& request = requests_.at(attempt->second.handle);
-    if (writes_.is_unstarted(id)) {
-      ++counters_.rerouted;
+  std::sort(unwritten.begin(), unwritten.end());
+  for (const AttemptId id : unwritten) {
+    if (attempts_.contains(id)) {
       recall(now, id);
-    } else if (open_connections_are_lost && request.repeatable &&
-               request.attempts < request.maximum_attempts) {
-      ++counters_.rerouted;
-      withdraw_attempt(now, request);
-      request.may_have_run = true;
-      request.next_send_is_repeat = true;
-      dispatch_routed(now, request);
     }
   }
 }
--- a/src/router/core/router_effects.hpp
+++ b/src/router/core/router_effects.hpp
@@ -147,7 +147,7 @@
   std::vector<BackoffRequest> backoffs;
   std::vector<ReachabilityProbe> reachability_probes;
   /// Probes whose results go to on_path_probed().
-  std::vector<ReachabilityProbe> path_probes;
+  std::vector<routing::PathProbe> path_probes;
   std::vector<PathNotice> path_notices;
   std::optional<routing::RouterHello> hello;
   bool hello_to_all = false;          ///< send the hello to every controller
@@ -207,7 +207,6 @@
   std::uint64_t relays_refused = 0;    ///< of these, not passed on by the peer
   std::uint64_t relays_failed = 0;     ///< of these, ended with the connection to the peer
   std::uint64_t path_refusals = 0;     ///< requests refused at once since no target is reachable
-  std::uint64_t rerouted = 0;          ///< attempts withdrawn when their path was lost
   std::uint64_t peer_requests = 0;     ///< requests that peers relayed to this router
   std::uint64_t peer_refusals = 0;     ///< of these, not passed on
   std::array<OutcomeCounts, kTimeoutBuckets.size() + 1> outcomes_by_timeout{};
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -164,8 +164,6 @@
   metrics_.set_counter("planktray_path_refusals_total",
                        "Requests refused at once since no way leads to a target.",
                        counters.path_refusals);
-  metrics_.set_counter("planktray_rerouted_total", "Attempts withdrawn when their path was lost.",
-                       counters.rerouted);
   metrics_.set_counter("planktray_peer_requests_total", "Requests that other routers relayed here.",
                        counters.peer_requests);
   metrics_.set_counter("planktray_peer_refusals_total", "Of these, not passed on.",
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -412,7 +412,7 @@
   for (const ReachabilityProbe& probe : output.reachability_probes) {
     probe_reachability(probe);
   }
-  for (const ReachabilityProbe& probe : output.path_probes) {
+  for (const routing::PathProbe& probe : output.path_probes) {
     probe_path(probe);
   }
   for (const PathNotice& notice : output.path_notices) {
@@ -459,9 +459,9 @@
   });
 }
 
-void RouterProcess::probe_path(const ReachabilityProbe& probe) {
-  path_checker_.check(probe.address, [this, backend = probe.backend](transport::Reach reach) {
-    core_.on_path_probed(boot_time_now(), backend, reach == transport::Reach::kListens);
+void RouterProcess::probe_path(const routing::PathProbe& probe) {
+  path_checker_.check(probe.address, [this, probe](transport::Reach reach) {
+    core_.on_path_probed(boot_time_now(), probe, reach == transport::Reach::kListens);
     flush();
   });
 }
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -108,7 +108,7 @@
   void execute(const RouterOutput& output);
   void execute(const WriteDecision& decision);
   void probe_reachability(const ReachabilityProbe& probe);
-  void probe_path(const ReachabilityProbe& probe);
+  void probe_path(const routing::PathProbe& probe);
   /// Logs changes of serving and contact state, and applies changed request limits.
   void check_state_changes();
   void log_contact_change();
--- a/src/routing/path_monitor.cpp
+++ b/src/routing/path_monitor.cpp
@@ -37,32 +37,41 @@
   found->second.last_answer = now;
 }
 
-void PathMonitor::on_probed(TimePoint now, BackendId backend, bool is_reachable) {
-  const auto service = services_.find(backend);
-  if (service == services_.end()) {
-    return;
+void PathMonitor::on_probed(TimePoint now, const PathProbe& probe, bool is_reachable) {
+  const auto found = paths_.find(probe.service);
+  if (found == paths_.end()) {
+    return;  // regained meanwhile
+  }
+  Path& path = found->second;
+  if (probe.backend.value == 0) {
+    path.probed_peers -= path.probed_peers > 0 ? 1 : 0;
+    path.is_peer_unreachable = path.is_peer_unreachable || !is_reachable;
+    return conclude(now, probe.service, path);
   }
-  const ServiceId id = service->second;
-  services_.erase(service);
-  const auto found = paths_.find(id);
-  if (found == paths_.end() || found->second.probed.erase(backend) == 0) {
+  if (path.probed.erase(probe.backend) == 0) {
     return;
   }
-  Path& path = found->second;
   if (is_reachable) {
-    unreachable_.erase(backend);
-    return restore(now, id, path);
+    unreachable_.erase(probe.backend);
+    return restore(now, probe.service, path);
   }
-  block(now, backend);
-  path.failed[backend] = now;
-  if (!path.probed.empty()) {
+  block(now, probe.backend);
+  path.failed[probe.backend] = now;
+  conclude(now, probe.service, path);
+}
+
+void PathMonitor::conclude(TimePoint now, ServiceId service, Path& path) {
+  if (!path.probed.empty() || path.probed_peers > 0) {
     return;
   }
-  if (path.state == State::kSuspected) {
-    return lose(now, id, path);
+  if (path.state == State::kLost) {
+    path.next_probe = now + path.probe_interval;
+    path.probe_interval = std::min(2 * path.probe_interval, options_.longest_probe_interval);
+  } else if (path.is_peer_unreachable) {
+    paths_.erase(service);
+  } else {
+    lose(now, service, path);
   }
-  path.next_probe = now + path.probe_interval;
-  path.probe_interval = std::min(2 * path.probe_interval, options_.longest_probe_interval);
 }
 
 std::vector<ServiceId> PathMonitor::due(TimePoint now) const {
@@ -75,31 +84,38 @@
   return services;
 }
 
-std::vector<BackendId> PathMonitor::choose_probes(TimePoint now, ServiceId service,
+std::vector<PathProbe> PathMonitor::choose_probes(TimePoint now, ServiceId service,
                                                   std::vector<BackendId> candidates,
+                                                  std::vector<std::string> peers,
                                                   common::RandomEngine& random) {
+  const auto choose = [&random](auto& items, std::size_t wanted) {
+    if (!items.empty()) {
+      const auto first = common::uniform(random, 0, items.size() - 1);
+      std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(first), items.end());
+      items.resize(std::min(items.size(), wanted));
+    }
+  };
   Path& path = paths_.at(service);
   path.next_probe = TimePoint::max();
-  if (path.state == State::kSuspected) {
+  const bool is_suspected = path.state == State::kSuspected;
+  if (is_suspected) {
     std::erase_if(candidates, [&](BackendId id) { return path.failed.contains(id); });
-    if (candidates.empty()) {
-      lose(now, service, path);
-      return {};
-    }
-  } else if (candidates.empty()) {
-    path.next_probe = now + path.probe_interval;  // the service has no back end at present
-    return {};
-  }
-  const auto first = common::uniform(random, 0, candidates.size() - 1);
-  std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first),
-              candidates.end());
-  const std::size_t wanted = path.state == State::kSuspected ? options_.confirming_probes : 1;
-  candidates.resize(std::min(candidates.size(), wanted));
+  }
+  choose(candidates, is_suspected ? options_.confirming_probes : 1);
+  choose(peers, is_suspected ? options_.compared_peers : 0);
+  std::vector<PathProbe> probes;
   for (const BackendId id : candidates) {
     path.probed.insert(id);
-    services_[id] = service;
+    probes.push_back({service, id});
+  }
+  path.probed_peers = peers.size();
+  for (std::string& address : peers) {
+    probes.push_back({service, BackendId(), std::move(address)});
+  }
+  if (probes.empty()) {
+    conclude(now, service, path);
   }
-  return candidates;
+  return probes;
 }
 
 TimePoint PathMonitor::next_due() const {
--- a/src/routing/path_monitor.hpp
+++ b/src/routing/path_monitor.hpp
@@ -5,13 +5,15 @@
 /// Invariants:
 ///  - Failures alone are never a lost path while a back end that has not failed is left: that one
 ///    is probed first.
+///  - A path is not lost while another router cannot be reached either: then this router's own link
+///    is full or down, and a relay would take the same way.
 ///  - A lost path is probed until a connection is established.
 
 #include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -26,7 +28,9 @@
   /// none established in between, before others are probed.
   std::size_t suspected_after = 2;
   /// Number of back ends that are probed to confirm a suspicion.
-  std::size_t confirming_probes = 2;
+  std::size_t confirming_probes = 3;
+  /// Number of other routers that have to be reached at the same time.
+  std::size_t compared_peers = 2;
   common::Duration failure_memory = std::chrono::milliseconds(1000);
   /// Time between the probes of a lost path; doubles up to the maximum.
   common::Duration first_probe_interval = std::chrono::milliseconds(250);
@@ -37,6 +41,13 @@
   common::Duration maximum_block = std::chrono::milliseconds(1600);
 };
 
+/// A connection that is to be opened to find out about a path.
+struct PathProbe {
+  common::ServiceId service;
+  common::BackendId backend;  ///< 0: the probe goes to another router, for comparison
+  std::string address{};
+};
+
 /// A service to whose back ends this router has lost or regained its path.
 struct PathChange {
   common::ServiceId service;
@@ -55,15 +66,16 @@
   /// request; otherwise it may be older than the failures and live on while new ones fail.
   void on_answered(common::TimePoint now, common::ServiceId service, common::BackendId backend,
                    bool is_new_connection);
-  void on_probed(common::TimePoint now, common::BackendId backend, bool is_reachable);
+  void on_probed(common::TimePoint now, const PathProbe& probe, bool is_reachable);
 
   /// Returns the services of which back ends have to be probed now.
   std::vector<common::ServiceId> due(common::TimePoint now) const;
-  /// Chooses the back ends to probe among `candidates`, the back ends of the service that accept
-  /// work. Each choice must be followed by on_probed().
-  std::vector<common::BackendId> choose_probes(common::TimePoint now, common::ServiceId service,
-                                               std::vector<common::BackendId> candidates,
-                                               common::RandomEngine& random);
+  /// Chooses the probes of a service that is due. @param candidates its back ends that accept work.
+  /// @param peers addresses of other routers. Each probe must be followed by on_probed().
+  std::vector<PathProbe> choose_probes(common::TimePoint now, common::ServiceId service,
+                                       std::vector<common::BackendId> candidates,
+                                       std::vector<std::string> peers,
+                                       common::RandomEngine& random);
   common::TimePoint next_due() const;
 
   /// Returns true if no back end of the service can be reached.
@@ -96,6 +108,8 @@
     std::optional<common::TimePoint> last_answer;
     common::TimePoint lost_since;
     std::set<common::BackendId> probed;  ///< without a result yet
+    std::size_t probed_peers = 0;        ///< without a result yet
+    bool is_peer_unreachable = false;    ///< since the suspicion
     common::TimePoint next_probe = common::TimePoint::max();
     common::Duration probe_interval{0};
   };
@@ -106,6 +120,8 @@
     common::Duration block{0};
   };
 
+  /// Decides about a suspicion once all probes have failed.
+  void conclude(common::TimePoint now, common::ServiceId service, Path& path);
   void block(common::TimePoint now, common::BackendId backend);
   void lose(common::TimePoint now, common::ServiceId service, Path& path);
   void restore(common::TimePoint now, common::ServiceId service, Path& path);
@@ -114,7 +130,6 @@
   PathMonitorOptions options_;
   std::map<common::ServiceId, Path> paths_;  ///< those with a failure
   std::map<common::BackendId, Unreachable> unreachable_;
-  std::unordered_map<common::BackendId, common::ServiceId> services_;  ///< of probed back ends
   std::vector<PathChange> changes_;
 };
 
--- a/src/routing/relay_peers.cpp
+++ b/src/routing/relay_peers.cpp
@@ -25,6 +25,16 @@
   });
 }
 
+std::vector<std::string> RelayPeers::listed_addresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.is_listed) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
 std::optional<std::string> RelayPeers::choose(TimePoint now, ServiceId service, BackendId backend,
                                               const std::set<std::string>& tried,
                                               common::RandomEngine& random) const {
--- a/src/routing/relay_peers.hpp
+++ b/src/routing/relay_peers.hpp
@@ -42,6 +42,8 @@
 
   /// Replaces the leader's list. What is known of peers that stay is kept.
   void set_list(std::vector<RelayPeer> list);
+  /// Returns the addresses of the leader's list.
+  std::vector<std::string> listed_addresses() const;
   /// See digest_of().
   std::uint64_t digest() const { return digest_; }
 
