Relay connections outlast their reuse; a test's port leaves the ephemeral range

Cause, by reading: the relay interface took over the callers' idle time (15 s by the configuration), while other routers reuse an idle connection for up to 22.5 s. A request written as its connection is closed is of unknown end. Now the interface keeps idle connections for 60 s.

Unit tests failed once beside a soak (4 cases of order_sender_test, "listening" not given): traced by ss to port 47322, which lies among the ephemeral ports and was the source of a connection of the soak in TIME-WAIT. The test listens at 19893 now, below that range, as the others do; nothing else in it changes.

--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -513,8 +513,11 @@
   }
   server_->set_options(options);
   if (relay_server_ != nullptr) {
-    options.limits.header_bytes += kRelayHeaderBytes;
-    relay_server_->set_options(options);
+    // The configured times are those for callers; routers reuse idle connections for longer.
+    transport::HttpServerOptions relay_options = relay_server_->options();
+    relay_options.limits = options.limits;
+    relay_options.limits.header_bytes += kRelayHeaderBytes;
+    relay_server_->set_options(relay_options);
   }
 }
 
--- a/src/router/router_process_relays.cpp
+++ b/src/router/router_process_relays.cpp
@@ -10,6 +10,10 @@
 
 using transport::boot_time_now;
 
+/// Longer than the client of another router reuses a connection (HttpClientOptions::idle_timeout),
+/// so that no request is written on a connection that is being closed.
+constexpr common::Duration kRelayIdleTimeout = std::chrono::seconds(60);
+
 constexpr unsigned kStatusBadRequest = 400;
 constexpr unsigned kStatusUnavailable = 503;
 constexpr unsigned kStatusGatewayTimeout = 504;
@@ -23,6 +27,7 @@
   transport::HttpServerOptions options = transport::options_with_body_limit(settings_.maximum_body);
   options.limits.header_bytes += kRelayHeaderBytes;
   options.pacer = pacer_.get();
+  options.idle_timeout = kRelayIdleTimeout;
   auto server = transport::HttpServer::listen(
       settings_.options.relay_address, options,
       [this](const transport::ExchangePointer& exchange) { on_relayed_http(exchange); });
--- a/test/controller/order_sender_test.cpp
+++ b/test/controller/order_sender_test.cpp
@@ -17,7 +17,7 @@
 using ownership::OrderOutcome;
 using std::chrono::milliseconds;
 
-constexpr const char* kAddress = "127.0.0.1:47322";
+constexpr const char* kAddress = "127.0.0.1:19893";
 constexpr const char* kClosedAddress = "127.0.0.1:1";
 
 /// Sends orders as plain requests and reads only the status of answers.
