A stopped peer no longer hides a lost path; the soak stalls itself no more

Now three are compared and half have to be reached (test with 0 to 3 reached). Probes have to stay up for 100 ms, not 20. Traced: each probe came up and each path was "back" after 271 ms, and requests at uncut routers hung as well: the soak's own process was busy, since each accepted connection listed all descriptors of all cut processes by std::filesystem. So it accepted at once (the kernel does) and reset late.

Change: plain opendir and readlinkat.

What remains to be said: a way that accepts and resets only after 100 ms would still be taken for a path that works.

--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -35,8 +35,9 @@
 /// Timeout of a probe. A running machine refuses a connection immediately; this is ten round trips.
 constexpr common::Duration kReachabilityTimeout = std::chrono::milliseconds(300);
 
-/// How long a probe's connection has to stay up. Several round trips.
-constexpr common::Duration kPathSettleTime = std::chrono::milliseconds(20);
+/// How long a probe's connection has to stay up: what lies in between may accept it, and reset it
+/// some time later.
+constexpr common::Duration kPathSettleTime = std::chrono::milliseconds(100);
 
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
--- a/src/routing/path_monitor.cpp
+++ b/src/routing/path_monitor.cpp
@@ -45,7 +45,8 @@
   Path& path = found->second;
   if (probe.backend.value == 0) {
     path.probed_peers -= path.probed_peers > 0 ? 1 : 0;
-    path.is_peer_unreachable = path.is_peer_unreachable || !is_reachable;
+    path.reached_peers += is_reachable ? 1 : 0;
+    path.unreached_peers += is_reachable ? 0 : 1;
     return conclude(now, probe.service, path);
   }
   if (path.probed.erase(probe.backend) == 0) {
@@ -67,7 +68,7 @@
   if (path.state == State::kLost) {
     path.next_probe = now + path.probe_interval;
     path.probe_interval = std::min(2 * path.probe_interval, options_.longest_probe_interval);
-  } else if (path.is_peer_unreachable) {
+  } else if (path.unreached_peers > path.reached_peers) {
     paths_.erase(service);
   } else {
     lose(now, service, path);
--- a/src/routing/path_monitor.hpp
+++ b/src/routing/path_monitor.hpp
@@ -5,8 +5,8 @@
 /// Invariants:
 ///  - Failures alone are never a lost path while a back end that has not failed is left: that one
 ///    is probed first.
-///  - A path is not lost while another router cannot be reached either: then this router's own link
-///    is full or down, and a relay would take the same way.
+///  - A path is not lost while most other routers cannot be reached either: then this router's own
+///    link is full or down, and a relay would take the same way.
 ///  - A lost path is probed until a connection is established.
 
 #include <algorithm>
@@ -29,8 +29,9 @@
   std::size_t suspected_after = 2;
   /// Number of back ends that are probed to confirm a suspicion.
   std::size_t confirming_probes = 3;
-  /// Number of other routers that have to be reached at the same time.
-  std::size_t compared_peers = 2;
+  /// Number of other routers that are probed at the same time. Half of them have to be reached:
+  /// single ones may have stopped.
+  std::size_t compared_peers = 3;
   common::Duration failure_memory = std::chrono::milliseconds(1000);
   /// Time between the probes of a lost path; doubles up to the maximum.
   common::Duration first_probe_interval = std::chrono::milliseconds(250);
@@ -109,7 +110,8 @@
     common::TimePoint lost_since;
     std::set<common::BackendId> probed;  ///< without a result yet
     std::size_t probed_peers = 0;        ///< without a result yet
-    bool is_peer_unreachable = false;    ///< since the suspicion
+    std::size_t reached_peers = 0;       ///< since the suspicion
+    std::size_t unreached_peers = 0;
     common::TimePoint next_probe = common::TimePoint::max();
     common::Duration probe_interval{0};
   };
--- a/test/platform/soak/socket_owner.cpp
+++ b/test/platform/soak/socket_owner.cpp
@@ -1,5 +1,6 @@
 #include "soak/socket_owner.hpp"
 
+#include <dirent.h>
 #include <linux/inet_diag.h>
 #include <linux/netlink.h>
 #include <linux/sock_diag.h>
@@ -10,8 +11,8 @@
 #include <array>
 #include <charconv>
 #include <cstring>
-#include <filesystem>
 #include <string>
+#include <string_view>
 
 namespace planktray::soak {
 namespace {
@@ -74,18 +75,24 @@
 }
 
 std::set<SocketInode> SocketOwner::inodes_of(pid_t process) {
+  // Plain calls: this runs for each connection while processes are cut off.
   constexpr std::string_view kPrefix = "socket:[";
   std::set<SocketInode> inodes;
-  std::error_code error;
-  const std::filesystem::path folder = "/proc/" + std::to_string(process) + "/fd";
-  for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
-    const std::string target = std::filesystem::read_symlink(entry.path(), error).string();
+  DIR* folder = opendir(("/proc/" + std::to_string(process) + "/fd").c_str());
+  if (folder == nullptr) {
+    return inodes;  // the process has ended
+  }
+  std::array<char, 64> target{};
+  for (const dirent* entry = readdir(folder); entry != nullptr; entry = readdir(folder)) {
+    const ssize_t length = readlinkat(dirfd(folder), entry->d_name, target.data(), target.size());
+    const std::string_view text(target.data(), length > 0 ? static_cast<std::size_t>(length) : 0);
     SocketInode inode = 0;
-    if (!error && target.starts_with(kPrefix)) {
-      std::from_chars(target.data() + kPrefix.size(), target.data() + target.size(), inode);
+    if (text.starts_with(kPrefix)) {
+      std::from_chars(text.data() + kPrefix.size(), text.data() + text.size(), inode);
       inodes.insert(inode);
     }
   }
+  closedir(folder);
   return inodes;
 }
 
--- a/test/routing/path_monitor_test.cpp
+++ b/test/routing/path_monitor_test.cpp
@@ -157,22 +157,24 @@
   CHECK(fixture.monitor.next_due() == TimePoint::max());
 }
 
-// Guards against a router that takes its own full link for a lost path and relays over that link.
-TEST_CASE("a path is not lost while another router cannot be reached either") {
-  for (const bool are_peers_reached : {true, false}) {
+// Guards against a router that takes its own full link for a lost path and relays over that link,
+// and against a stopped peer that keeps a lost path from being seen.
+TEST_CASE("a path is lost only while most other routers are reached") {
+  for (std::size_t reached = 0; reached <= 3; ++reached) {
+    CAPTURE(reached);
     Fixture fixture;
-    fixture.peers = {"a", "b", "c"};
+    fixture.peers = {"a", "b", "c", "d"};
     fixture.fail(0, {1, 2});
     for (const BackendId id : fixture.choose(0)) {
       fixture.end_probe(150, id, false);
     }
-    CHECK_FALSE(fixture.monitor.is_lost(kService));
-    REQUIRE(fixture.peer_probes.size() == 2);
-    fixture.monitor.on_probed(at(2), fixture.peer_probes[0], true);
-    CHECK_FALSE(fixture.monitor.is_lost(kService));
-    fixture.monitor.on_probed(at(3), fixture.peer_probes[1], are_peers_reached);
-    CHECK(fixture.monitor.is_lost(kService) == are_peers_reached);
-    CHECK(fixture.monitor.is_doubtful(kService) == are_peers_reached);
+    REQUIRE(fixture.peer_probes.size() == 3);
+    for (std::size_t i = 0; i < 3; ++i) {
+      CHECK_FALSE(fixture.monitor.is_lost(kService));
+      fixture.monitor.on_probed(at(151), fixture.peer_probes[i], i < reached);
+    }
+    CHECK(fixture.monitor.is_lost(kService) == (reached >= 2));
+    CHECK(fixture.monitor.is_doubtful(kService) == (reached >= 2));
     // A new suspicion asks again.
     fixture.fail(200, {1, 2});
     CHECK(fixture.monitor.is_doubtful(kService));
