One block after failures for targets, paths, peers and native back ends

Change: FailureBlock. RelayPeers asks in one place whether a statement still counts. No behaviour changes.

Conclusion: one piece for four.

--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -251,7 +251,7 @@
       target.latency += (took - target.latency) / kLatencyDivisor;
       Duration& smoothed = service_latency_[service];
       smoothed += (took - smoothed) / kLatencyDivisor;
-      target.block_time = Duration(0);
+      target.block.reset_length();
       target.is_warm = target.is_warm || now - target.first_seen >= options_.warm_up;
       ++counters_.answered;
       output_.answers.push_back(
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -27,6 +27,7 @@
 #include "router/core/write_guard.hpp"
 #include "routing/crash_suspects.hpp"
 #include "routing/crowded_owners.hpp"
+#include "routing/failure_block.hpp"
 #include "routing/fleet_size.hpp"
 #include "routing/limited_targets.hpp"
 #include "routing/path_monitor.hpp"
@@ -187,8 +188,7 @@
   struct Target {
     std::uint32_t outstanding = 0;
     Duration latency{0};  ///< smoothed
-    TimePoint blocked_until;
-    Duration block_time{0};
+    routing::FailureBlock block;
     TimePoint first_seen;
     bool is_warm = false;
   };
--- a/src/router/core/router_core_native.cpp
+++ b/src/router/core/router_core_native.cpp
@@ -80,7 +80,7 @@
 bool RouterCore::has_free_slot(TimePoint now, BackendId backend,
                                const routing::TableService& service) {
   const Target& target = targets_[backend];
-  return now >= target.blocked_until && target.outstanding < service.route.config.parameters.slots;
+  return !target.block.is_active(now) && target.outstanding < service.route.config.parameters.slots;
 }
 
 void RouterCore::forward(TimePoint now, Request& request, BackendId backend,
@@ -127,16 +127,16 @@
                                      const routing::TableService& service) {
   if (queue.second.value != 0) {
     const Target& target = targets_[queue.second];
-    if (now < target.blocked_until) {
-      wakeups_.insert({target.blocked_until, queue});
+    if (target.block.is_active(now)) {
+      wakeups_.insert({target.block.until(), queue});
     }
     return;
   }
   std::optional<TimePoint> first;
   for (const routing::WeightedTarget& weighted : subset_of(service)) {
     const Target& target = targets_[weighted.backend];
-    if (now < target.blocked_until && (!first.has_value() || target.blocked_until < *first)) {
-      first = target.blocked_until;
+    if (target.block.is_active(now) && (!first.has_value() || target.block.until() < *first)) {
+      first = target.block.until();
     }
   }
   if (first.has_value()) {
@@ -192,10 +192,7 @@
 }
 
 void RouterCore::block(TimePoint now, BackendId backend) {
-  Target& target = targets_[backend];
-  target.block_time =
-      std::clamp(target.block_time * 2, options_.minimum_backoff, options_.maximum_backoff);
-  target.blocked_until = std::max(target.blocked_until, now + target.block_time);
+  targets_[backend].block.extend(now, options_.minimum_backoff, options_.maximum_backoff);
 }
 
 void RouterCore::retry_later(TimePoint now, Request& request) {
--- a/src/routing/path_monitor.cpp
+++ b/src/routing/path_monitor.cpp
@@ -129,8 +129,8 @@
 
 std::optional<TimePoint> PathMonitor::blocked_until(TimePoint now, BackendId backend) const {
   const auto found = unreachable_.find(backend);
-  const bool is_blocked = found != unreachable_.end() && now < found->second.blocked_until;
-  return is_blocked ? std::optional(found->second.blocked_until) : std::nullopt;
+  const bool is_blocked = found != unreachable_.end() && found->second.is_active(now);
+  return is_blocked ? std::optional(found->second.until()) : std::nullopt;
 }
 
 bool PathMonitor::is_lost(ServiceId service) const {
@@ -159,9 +159,7 @@
 }
 
 void PathMonitor::block(TimePoint now, BackendId backend) {
-  Unreachable& entry = unreachable_[backend];
-  entry.block = std::clamp(entry.block * 2, options_.minimum_block, options_.maximum_block);
-  entry.blocked_until = std::max(entry.blocked_until, now + entry.block);
+  unreachable_[backend].extend(now, options_.minimum_block, options_.maximum_block);
 }
 
 void PathMonitor::lose(TimePoint now, ServiceId service, Path& path) {
--- a/src/routing/path_monitor.hpp
+++ b/src/routing/path_monitor.hpp
@@ -20,6 +20,7 @@
 #include "common/ids.hpp"
 #include "common/random.hpp"
 #include "common/time.hpp"
+#include "routing/failure_block.hpp"
 
 namespace planktray::routing {
 
@@ -116,12 +117,6 @@
     common::Duration probe_interval{0};
   };
 
-  /// A back end to which the last connection attempt failed.
-  struct Unreachable {
-    common::TimePoint blocked_until;
-    common::Duration block{0};
-  };
-
   /// Decides about a suspicion once all probes have failed.
   void conclude(common::TimePoint now, common::ServiceId service, Path& path);
   void block(common::TimePoint now, common::BackendId backend);
@@ -131,7 +126,8 @@
 
   PathMonitorOptions options_;
   std::map<common::ServiceId, Path> paths_;  ///< those with a failure
-  std::map<common::BackendId, Unreachable> unreachable_;
+  /// Back ends to which the last connection attempt failed.
+  std::map<common::BackendId, FailureBlock> unreachable_;
   std::vector<PathChange> changes_;
 };
 
--- a/src/routing/relay_peers.cpp
+++ b/src/routing/relay_peers.cpp
@@ -44,9 +44,9 @@
   const auto statements = unreachable_.find(backend);
   std::vector<const std::pair<const std::string, Peer>*> usable;
   for (const auto& item : peers_) {
-    const bool states_unreachable =
-        statements != unreachable_.end() && statements->second.contains(item.first) &&
-        now - statements->second.at(item.first) < options_.statement_memory;
+    const bool states_unreachable = statements != unreachable_.end() &&
+                                    statements->second.contains(item.first) &&
+                                    is_recent(now, statements->second.at(item.first));
     if (may_reach(now, item.second, service) && !states_unreachable &&
         !tried.contains(item.first)) {
       usable.push_back(&item);
@@ -65,9 +65,8 @@
   if (found == unreachable_.end()) {
     return false;
   }
-  const auto count = std::count_if(
-      found->second.begin(), found->second.end(),
-      [&](const auto& item) { return now - item.second < options_.statement_memory; });
+  const auto count = std::count_if(found->second.begin(), found->second.end(),
+                                   [&](const auto& item) { return is_recent(now, item.second); });
   return static_cast<std::size_t>(count) >= options_.confirming_peers;
 }
 
@@ -83,7 +82,7 @@
   Peer& peer = peers_[address];
   end_relay(now, peer);
   peer.load = load.value_or(peer.load);
-  peer.block = common::Duration(0);
+  peer.block.reset_length();
 }
 
 void RelayPeers::on_refused(TimePoint now, const std::string& address, RelayRefusal refusal,
@@ -92,9 +91,8 @@
   end_relay(now, peer);
   switch (refusal) {
     case RelayRefusal::kUnreachable:
-      std::erase_if(unreachable_[backend], [&](const auto& item) {
-        return now - item.second >= options_.statement_memory;
-      });
+      std::erase_if(unreachable_[backend],
+                    [&](const auto& item) { return !is_recent(now, item.second); });
       unreachable_[backend][address] = now;
       break;
     case RelayRefusal::kNoPath:
@@ -128,9 +126,8 @@
 
 bool RelayPeers::may_reach(TimePoint now, const Peer& peer, ServiceId service) const {
   const auto statement = peer.no_path.find(service);
-  const bool states_no_path =
-      statement != peer.no_path.end() && now - statement->second < options_.statement_memory;
-  return peer.is_listed && now >= peer.blocked_until && !is_silent(now, peer) && !states_no_path &&
+  const bool states_no_path = statement != peer.no_path.end() && is_recent(now, statement->second);
+  return peer.is_listed && !peer.block.is_active(now) && !is_silent(now, peer) && !states_no_path &&
          !peer.unreachable.contains(service);
 }
 
@@ -143,9 +140,8 @@
   return load * (peer.is_own_zone ? 1.0 : 1.0 + options_.other_zone_cost);
 }
 
-void RelayPeers::block(TimePoint now, Peer& peer) {
-  peer.block = std::clamp(peer.block * 2, options_.minimum_block, options_.maximum_block);
-  peer.blocked_until = std::max(peer.blocked_until, now + peer.block);
+void RelayPeers::block(TimePoint now, Peer& peer) const {
+  peer.block.extend(now, options_.minimum_block, options_.maximum_block);
 }
 
 void RelayPeers::end_relay(TimePoint now, Peer& peer) {
--- a/src/routing/relay_peers.hpp
+++ b/src/routing/relay_peers.hpp
@@ -15,6 +15,7 @@
 #include "common/ids.hpp"
 #include "common/random.hpp"
 #include "common/time.hpp"
+#include "routing/failure_block.hpp"
 #include "routing/outcome.hpp"
 #include "routing/table_messages.hpp"
 
@@ -81,15 +82,18 @@
     std::uint32_t outstanding = 0;
     std::uint32_t load = 0;           ///< as last stated
     common::TimePoint waiting_since;  ///< last answer, or first relay after idling
-    common::TimePoint blocked_until;
-    common::Duration block{0};
+    FailureBlock block;
   };
 
   bool may_reach(common::TimePoint now, const Peer& peer, common::ServiceId service) const;
   bool is_silent(common::TimePoint now, const Peer& peer) const;
   double cost(const Peer& peer) const;
-  void block(common::TimePoint now, Peer& peer);
-  void end_relay(common::TimePoint now, Peer& peer);
+  void block(common::TimePoint now, Peer& peer) const;
+  /// Returns true if a statement made at `stated` still counts.
+  bool is_recent(common::TimePoint now, common::TimePoint stated) const {
+    return now - stated < options_.statement_memory;
+  }
+  static void end_relay(common::TimePoint now, Peer& peer);
 
   RelayPeersOptions options_;
   common::ZoneName zone_;
--- a/src/routing/target_book.cpp
+++ b/src/routing/target_book.cpp
@@ -54,8 +54,7 @@
   add_work_time(now, target, work);
   typical_us_ =
       typical_us_ == 0 ? work : typical_us_ + options_.sample_weight / 4 * (work - typical_us_);
-  target.block = Duration(0);
-  target.blocked_until = TimePoint();
+  target.block = FailureBlock();
 }
 
 void TargetBook::on_given_up(TimePoint now, BackendId id, TimePoint sent) {
@@ -116,14 +115,12 @@
 }
 
 void TargetBook::block(TimePoint now, BackendId id) {
-  TargetView& target = targets_[id];
-  target.block = std::clamp(target.block * 2, options_.minimum_block, options_.maximum_block);
-  target.blocked_until = std::max(target.blocked_until, now + target.block);
+  targets_[id].block.extend(now, options_.minimum_block, options_.maximum_block);
 }
 
 bool TargetBook::is_blocked(TimePoint now, BackendId id) const {
   const auto found = targets_.find(id);
-  return found != targets_.end() && now < found->second.blocked_until;
+  return found != targets_.end() && found->second.block.is_active(now);
 }
 
 std::size_t TargetBook::outstanding(BackendId id) const {
--- a/src/routing/target_book.hpp
+++ b/src/routing/target_book.hpp
@@ -10,6 +10,7 @@
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
+#include "routing/failure_block.hpp"
 
 namespace planktray::routing {
 
@@ -75,8 +76,7 @@
   TimePoint reported_at;  ///< time of the last load report
   TimePoint learned_at;   ///< time of the last change of work_time_us
   bool is_cold = false;
-  TimePoint blocked_until;
-  Duration block{0};  ///< length of the last block, 0 after a success
+  FailureBlock block;
   WorkSamples samples;
 };
 
