Relay peers are found on rings of hashes, not by a sort for each router

Cause: each new router made every list of peers outdated, and each hello then hashed and sorted all routers.

Ruled out: lists for each router kept up to date by each change (as many comparisons), slots drawn by number (lists change with the count).

Change: consistent hashing; a router looks for its peers behind its own places, so that every place is named by exactly one router.

Tests: relay_directory_test unchanged. Two forms on the way failed its check that all of 150 routers are named: 120 with neighbouring seeds of XXH3, which collide for short names, 149 with places and searches drawn independently.

Conclusion: a list costs time logarithmic in the number of routers.

--- a/src/controller/core/relay_directory.cpp
+++ b/src/controller/core/relay_directory.cpp
@@ -1,7 +1,6 @@
 #include "controller/core/relay_directory.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 #include "common/hash.hpp"
 
@@ -10,82 +9,117 @@
 
 /// Number of peers in a router's own zone that come before those of all zones.
 constexpr std::size_t kOwnZonePeers = 3;
+/// Places of each router on a ring. A router looks for its peers behind its own places, one behind
+/// each, so that every place is found by exactly one router.
+constexpr std::uint64_t kPlaces = routing::kMaxRelayPeers;
 
-/// A router that may become a peer.
-struct Candidate {
-  const routing::RelayPeer* peer = nullptr;
-  bool is_own_zone = false;
-  std::uint64_t rank = 0;
-  bool reaches_all() const { return peer->unreachable.empty(); }
-};
+/// Returns independent hashes of one name for different numbers. The numbers are spread over all
+/// bits of the seed: XXH3 of a short name with neighbouring seeds collides with that of others.
+std::uint64_t ring_hash(const common::RouterName& name, std::uint64_t number) {
+  constexpr std::uint64_t kSpread = 0x9E3779B97F4A7C15;
+  return common::hash_bytes(name.value, number * kSpread);
+}
 
 }  // namespace
 
 void RelayDirectory::clear() {
+  reaching_all_.clear();
+  reaching_all_by_zone_.clear();
+  lacking_some_.clear();
   routers_.clear();
-  ++generation_;
 }
 
 void RelayDirectory::on_hello(const routing::RouterHello& hello) {
-  Router& router = routers_[hello.router];
+  const auto [found, is_new] = routers_.try_emplace(hello.router);
   routing::RelayPeer self{hello.relay_address, hello.zone, hello.unreachable};
-  if (self != router.self) {
-    router.self = std::move(self);
-    ++generation_;
+  if (is_new || self != found->second.self) {
+    withdraw(found);
+    found->second.self = std::move(self);
+    place(found);
   }
-  router.digest_stated = hello.peers_digest;
+  found->second.digest_stated = hello.peers_digest;
 }
 
 void RelayDirectory::remove(const common::RouterName& router) {
-  if (routers_.erase(router) > 0) {
-    ++generation_;
+  const auto found = routers_.find(router);
+  if (found != routers_.end()) {
+    withdraw(found);
+    routers_.erase(found);
   }
 }
 
-const std::vector<routing::RelayPeer>& RelayDirectory::peers_of(const common::RouterName& router) {
-  return with_peers(router).peers;
+void RelayDirectory::place(Routers::const_iterator router) {
+  const routing::RelayPeer& self = router->second.self;
+  if (self.address.empty()) {
+    return;
+  }
+  for (std::uint64_t place = 0; place < kPlaces; ++place) {
+    const std::uint64_t hash = ring_hash(router->first, place);
+    if (self.unreachable.empty()) {
+      reaching_all_.try_emplace(hash, router);
+      reaching_all_by_zone_[self.zone].try_emplace(hash, router);
+    } else {
+      lacking_some_.try_emplace(hash, router);
+    }
+  }
 }
 
-bool RelayDirectory::is_outdated(const common::RouterName& router) {
-  const Router& found = with_peers(router);
-  return found.peers_digest != found.digest_stated;
+void RelayDirectory::withdraw(Routers::const_iterator router) {
+  const auto erase_from = [&](Ring& ring, std::uint64_t hash) {
+    const auto found = ring.find(hash);
+    if (found != ring.end() && found->second == router) {
+      ring.erase(found);
+    }
+  };
+  for (std::uint64_t place = 0; place < kPlaces; ++place) {
+    const std::uint64_t hash = ring_hash(router->first, place);
+    erase_from(reaching_all_, hash);
+    erase_from(reaching_all_by_zone_[router->second.self.zone], hash);
+    erase_from(lacking_some_, hash);
+  }
 }
 
-RelayDirectory::Router& RelayDirectory::with_peers(const common::RouterName& name) {
-  Router& router = routers_[name];
-  if (router.made_at != generation_) {
-    make_peers(name, router);
-    router.made_at = generation_;
+void RelayDirectory::append_peers(const Ring& ring, Routers::const_iterator router,
+                                  std::size_t size, std::vector<Routers::const_iterator>& peers) {
+  for (std::uint64_t place = peers.size(); peers.size() < size; ++place) {
+    auto next = ring.upper_bound(ring_hash(router->first, place));
+    const std::size_t size_before = peers.size();
+    for (std::size_t left = ring.size(); left > 0 && peers.size() == size_before; --left, ++next) {
+      next = next == ring.end() ? ring.begin() : next;
+      const Routers::const_iterator peer = next->second;
+      if (peer != router && std::find(peers.begin(), peers.end(), peer) == peers.end()) {
+        peers.push_back(peer);
+      }
+    }
+    if (peers.size() == size_before) {
+      return;  // all routers of the ring are in the list
+    }
   }
-  return router;
 }
 
-void RelayDirectory::make_peers(const common::RouterName& name, Router& router) const {
-  const std::uint64_t seed = common::hash_bytes(name.value, 0);
-  std::vector<Candidate> candidates;
-  for (const auto& [other, entry] : routers_) {
-    if (other != name && !entry.self.address.empty()) {
-      candidates.push_back({&entry.self, entry.self.zone == router.self.zone,
-                            common::hash_bytes(other.value, seed)});
-    }
+std::vector<routing::RelayPeer> RelayDirectory::peers_of(const common::RouterName& router) const {
+  const auto found = routers_.find(router);
+  if (found == routers_.end()) {
+    return {};
   }
-  const auto by_rank = [](const Candidate& left, const Candidate& right) {
-    return std::tuple(!left.reaches_all(), left.rank, left.peer->address) <
-           std::tuple(!right.reaches_all(), right.rank, right.peer->address);
-  };
-  std::sort(candidates.begin(), candidates.end(), by_rank);
-  std::size_t left_in_zone = kOwnZonePeers;
-  std::stable_partition(candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
-    const bool comes_first = left_in_zone > 0 && candidate.is_own_zone && candidate.reaches_all();
-    left_in_zone -= comes_first ? 1 : 0;
-    return comes_first;
-  });
-  candidates.resize(std::min(candidates.size(), routing::kMaxRelayPeers));
-  router.peers.clear();
-  for (const Candidate& candidate : candidates) {
-    router.peers.push_back(*candidate.peer);
+  std::vector<Routers::const_iterator> chosen;
+  const auto own_zone = reaching_all_by_zone_.find(found->second.self.zone);
+  if (own_zone != reaching_all_by_zone_.end()) {
+    append_peers(own_zone->second, found, kOwnZonePeers, chosen);
   }
-  router.peers_digest = routing::digest_of(router.peers);
+  append_peers(reaching_all_, found, routing::kMaxRelayPeers, chosen);
+  append_peers(lacking_some_, found, routing::kMaxRelayPeers, chosen);
+  std::vector<routing::RelayPeer> peers;
+  for (const Routers::const_iterator peer : chosen) {
+    peers.push_back(peer->second.self);
+  }
+  return peers;
+}
+
+bool RelayDirectory::is_outdated(const common::RouterName& router) const {
+  const auto found = routers_.find(router);
+  return found != routers_.end() &&
+         routing::digest_of(peers_of(router)) != found->second.digest_stated;
 }
 
 }  // namespace planktray::controller
