Learners get entries at their own pace; a reply draws no new entries

Ruled out: longer batches for all (commits wait for voters).

Change: a reply draws only what the last broadcast could not carry; learners, for which no commit waits, take part in a broadcast each 40 ms.

Test: raft_test, a learner gets entries at its own pace (a thousand entries in a second cost nine learners 225 messages at most).

Conclusion: messages of the leader no longer grow with entries.

--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -40,6 +40,8 @@
   /// Each broadcast with its replies took a leader with nine peers 2 ms and 0.15 of a core, and
   /// back ends are replaced by the dozen.
   Duration batch_interval = std::chrono::milliseconds(10);
+  /// Learners get entries this often while commands are proposed, as no commit waits for them.
+  Duration learner_interval = std::chrono::milliseconds(40);
   std::size_t snapshot_chunk_bytes = 256 * 1024;
   std::size_t maximum_entries_per_message = 256;
   /// Safeguard: votes are refused shortly after contact with a leader. Disabled only in mutants.
@@ -111,6 +113,8 @@
   LogIndex snapshot_index() const { return snapshot_.index; }
   std::size_t log_size() const { return log_.size(); }
   const Membership& membership() const { return membership_; }
+  /// Index of the entry or snapshot that contains the current membership.
+  LogIndex membership_index() const { return membership_index_; }
   /// True while a membership entry is uncommitted.
   bool membership_change_pending() const { return membership_index_ > commit_; }
   /// The time as of which this replica is up to date: every entry acknowledged to any client before
@@ -162,6 +166,7 @@
   bool is_log_up_to_date(LogIndex index, Term term) const;
 
   // Replication.
+  /// Sends all voters, and learners if it is their turn, what they lack.
   void broadcast(TimePoint now);
   void send_append(TimePoint now, ReplicaId peer, Progress& progress);
   void send_snapshot(TimePoint now, ReplicaId peer, Progress& progress);
@@ -213,6 +218,8 @@
   LogIndex term_start_;  ///< index of the no-op entry at the start of the leader's term
   TimePoint next_heartbeat_;
   TimePoint last_broadcast_;
+  TimePoint last_learner_broadcast_;
+  LogIndex broadcast_index_;  ///< the last entry at the time of the last broadcast
   std::set<ReplicaId> votes_;
 
   std::map<ReplicaId, Progress> progress_;
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -23,8 +23,15 @@
   });
   next_heartbeat_ = now + options_.heartbeat;
   last_broadcast_ = now;
+  broadcast_index_ = last_index();
+  const bool is_learners_turn = now >= last_learner_broadcast_ + options_.learner_interval;
+  if (is_learners_turn) {
+    last_learner_broadcast_ = now;
+  }
   for (auto& [peer, progress] : progress_) {
-    send_append(now, peer, progress);
+    if (is_learners_turn || membership_.is_voter(peer)) {
+      send_append(now, peer, progress);
+    }
   }
   record_contact(self_, round_);
 }
@@ -162,7 +169,9 @@
     }
   }
   record_contact(message.from, reply.round);
-  if (role_ == Role::kLeader && reply.success && progress.next <= last_index()) {
+  // Entries that were proposed after the last broadcast wait for the next one: a message for each
+  // reply would take the leader more time the more entries there are.
+  if (role_ == Role::kLeader && reply.success && progress.next <= broadcast_index_) {
     send_append(now, message.from, progress);
   }
 }
--- a/test/consensus/raft_test.cpp
+++ b/test/consensus/raft_test.cpp
@@ -279,5 +279,63 @@
   CHECK_FALSE(leader.propose_membership(at(1000), another).has_value());
 }
 
+/// A leader that is the only voter, and learners that answer whenever the test says so.
+struct LearnerFixture {
+  static constexpr std::size_t kLearners = 9;
+  RaftNode leader{RaftOptions(), common::ReplicaId(1), DurableState(), common::RandomEngine(1),
+                  at(0)};
+
+  LearnerFixture() {
+    Membership membership;
+    for (std::size_t i = 0; i <= kLearners; ++i) {
+      membership.members.push_back(
+          {common::ReplicaId(i + 1), "n" + std::to_string(i + 1), "", "", i == 0});
+    }
+    leader.bootstrap(at(0), membership, "");
+    for (std::int64_t time = 0; time < 1000; ++time) {
+      tick(time);
+    }
+  }
+  /// @return the messages that the leader sends at this time.
+  std::vector<RaftMessage> tick(std::int64_t time) {
+    leader.tick(at(time));
+    std::vector<RaftMessage> sent;
+    for (RaftOutput output = leader.take_output();
+         !output.messages.empty() || !output.persist.empty(); output = leader.take_output()) {
+      sent.insert(sent.end(), output.messages.begin(), output.messages.end());
+      if (!output.persist.empty()) {
+        leader.persisted(at(time), output.persist.back().sequence);
+      }
+    }
+    return sent;
+  }
+};
+
+/// Guards against a leader whose messages grow with the entries: each reply of a follower drew the
+/// entries proposed since, so that 400 entries a second cost 3,000 to 5,000 messages to nine peers.
+TEST_CASE("a learner gets entries at its own pace, not with each entry or reply") {
+  LearnerFixture fixture;
+  REQUIRE(fixture.leader.is_leader());
+  std::size_t messages = 0;
+  std::size_t entries = 0;
+  for (std::int64_t time = 1000; time < 2000; ++time) {
+    REQUIRE(fixture.leader.propose(at(time), "x").has_value());
+    for (const RaftMessage& message : fixture.tick(time)) {
+      const auto* append = std::get_if<AppendRequest>(&message.body.value);
+      if (append == nullptr) {
+        continue;
+      }
+      ++messages;
+      entries += append->entries.size();
+      const common::LogIndex match(append->previous_index.value + append->entries.size());
+      fixture.leader.receive(
+          at(time), {message.to, message.from, message.term,
+                     AppendReply{true, match, append->round, common::to_microseconds(at(time))}});
+    }
+  }
+  CHECK(messages <= LearnerFixture::kLearners * 1000 / 40);
+  CHECK(entries >= LearnerFixture::kLearners * 900);
+}
+
 }  // namespace
 }  // namespace planktray::consensus
