Messages of controllers are handled before hellos that wait

Cause: a ROUTER socket serves its peers in turn, so a follower's reply waited behind one hello of each router: at 985 routers and 2 to 5 ms a hello for longer than the leader keeps its lead without replies (0.5 s).

Ruled out: a second port for routers (older routers would not find it), a thread of its own for consensus (more to prove; not needed once hellos wait).

Change: what has arrived is read first; messages of controllers, told by their identity, are handled at once, others wait in order, 8,192 at most.

Test: fair_turns_test, urgent senders.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -21,6 +21,9 @@
 constexpr common::Duration kLoadLogInterval = std::chrono::seconds(1);
 /// Maximum lease requests in flight to one machine, so that they do not pile up while it is frozen.
 constexpr int kMaxLeasesInFlight = 4;
+/// Beginning of the identities of controllers. Their messages are handled before those of routers:
+/// a leader whose followers' replies wait behind the hellos of a large fleet loses its lead.
+constexpr std::string_view kControllerIdentity = "controller/";
 
 common::RandomEngine seeded_engine() {
   std::random_device device;
@@ -69,7 +72,8 @@
 common::Result<void> ControllerProcess::open_sockets() {
   auto socket = transport::ZmqSocket::bind(
       context_, settings_.options.peer_address,
-      [this](const std::string& identity, const auto& message) { on_message(identity, message); });
+      [this](const std::string& identity, const auto& message) { on_message(identity, message); },
+      [](std::string_view identity) { return identity.starts_with(kControllerIdentity); });
   if (!socket.has_value()) {
     return tl::unexpected(socket.error());
   }
@@ -126,6 +130,7 @@
 }
 
 int ControllerProcess::run() {
+  logged_totals_ = load_totals();
   tick();
   loop_.every(kLoadLogInterval, [this] { log_load(); });
   if (!settings_.platform_url.empty()) {
@@ -275,8 +280,8 @@
   if (found != dealers_.end()) {
     return found->second.get();
   }
-  const std::string identity =
-      "controller/" + settings_.options.name + "/" + std::to_string(core_->raft().self().value);
+  const std::string identity = std::string(kControllerIdentity) + settings_.options.name + "/" +
+                               std::to_string(core_->raft().self().value);
   auto socket = transport::ZmqSocket::connect(
       context_, address, identity,
       [this](const std::string& /*identity*/, const auto& message) { on_message("", message); });
@@ -533,6 +538,7 @@
     total.bytes_sent += counters.bytes_sent;
     total.bytes_received += counters.bytes_received;
     total.refused += counters.refused;
+    total.overdue += counters.overdue;
   }
   metrics_.set_counter("planktray_suspensions_total", "Suspensions of the machine.",
                        transport::suspensions_seen());
@@ -547,6 +553,8 @@
                        total.bytes_received);
   metrics_.set_counter("planktray_messages_refused_total",
                        "Damaged messages and foreign protocol versions.", total.refused);
+  metrics_.set_counter("planktray_messages_overdue_total",
+                       "Messages of routers dropped, as too many others waited.", total.overdue);
   metrics_.set_counter("planktray_leases_sent_total", "Lease requests sent.", leases_sent_);
   metrics_.set_counter("planktray_lease_failures_total", "Lease requests without an answer.",
                        lease_failures_);
--- a/src/transport/zmq_socket.cpp
+++ b/src/transport/zmq_socket.cpp
@@ -21,6 +21,9 @@
 constexpr int kConnectTimeoutMs = 250;
 constexpr int kHandshakeMs = 1000;
 constexpr int kUnacknowledgedMs = 1200;
+/// Messages that wait behind urgent ones; more than a large fleet sends between two turns.
+constexpr std::size_t kMaxWaiting = 8192;
+
 std::string_view view(const zmq::message_t& frame) {
   return {static_cast<const char*>(frame.data()), frame.size()};
 }
@@ -59,9 +62,11 @@
 
 common::Result<std::unique_ptr<ZmqSocket>> ZmqSocket::bind(zmq::context_t& context,
                                                            const std::string& address,
-                                                           Handler handler) {
+                                                           Handler handler,
+                                                           UrgentSender is_urgent) {
   std::unique_ptr<ZmqSocket> socket(
       new ZmqSocket(context, zmq::socket_type::router, address, std::move(handler)));
+  socket->is_urgent_ = std::move(is_urgent);
   socket->socket_.set(zmq::sockopt::router_handover, 1);
   try {
     socket->socket_.bind("tcp://" + address);
@@ -125,12 +130,20 @@
 
 void ZmqSocket::receive_all() {
   const TurnBudget budget;
-  do {
-    if ((socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) == 0 || !receive_one()) {
-      return;
+  while ((socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0 && receive_one() &&
+         !budget.is_spent()) {
+  }
+  while (!waiting_.empty()) {
+    const Received next = std::move(waiting_.front());
+    waiting_.pop_front();
+    handle(next);
+    if (budget.is_spent()) {
+      break;
     }
-  } while (!budget.is_spent());
-  schedule_check();
+  }
+  if (budget.is_spent()) {
+    schedule_check();
+  }
 }
 
 bool ZmqSocket::receive_one() {
@@ -149,16 +162,31 @@
     ++counters_.refused;
     return true;
   }
-  const std::string identity = is_router_ ? std::string(view(frames[0])) : std::string();
-  auto message = decode_wire(view(frames[expected - 2]), view(frames[expected - 1]), peer_);
-  if (!message.has_value()) {
-    ++counters_.refused;
+  Received received;
+  received.identity = is_router_ ? std::string(view(frames[0])) : std::string();
+  received.version = std::move(frames[expected - 2]);
+  received.body = std::move(frames[expected - 1]);
+  if (!is_urgent_ || is_urgent_(received.identity)) {
+    handle(received);
     return true;
   }
-  handler_(identity, *message);
+  waiting_.push_back(std::move(received));
+  if (waiting_.size() > kMaxWaiting) {
+    waiting_.pop_front();
+    ++counters_.overdue;
+  }
   return true;
 }
 
+void ZmqSocket::handle(const Received& received) {
+  const auto message = decode_wire(view(received.version), view(received.body), peer_);
+  if (!message.has_value()) {
+    ++counters_.refused;
+    return;
+  }
+  handler_(received.identity, *message);
+}
+
 void ZmqSocket::send(const std::string& identity, const WireMessage& message) {
   const std::string body = encode_wire(message);
   std::vector<zmq::const_buffer> frames;
--- a/src/transport/zmq_socket.hpp
+++ b/src/transport/zmq_socket.hpp
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <string>
 #include <zmq.hpp>
@@ -21,6 +22,7 @@
   std::uint64_t bytes_sent = 0;
   std::uint64_t bytes_received = 0;
   std::uint64_t refused = 0;  ///< malformed, or of another protocol version
+  std::uint64_t overdue = 0;  ///< received, but dropped as too many others waited
 };
 
 /// Encodes and decodes the frames of one message.
@@ -33,11 +35,14 @@
  public:
   /// @param identity identity of the sender; empty for a message received by a DEALER.
   using Handler = std::function<void(const std::string& identity, const WireMessage& message)>;
+  /// Returns true if messages of this sender are handled before all others that have arrived.
+  using UrgentSender = std::function<bool(std::string_view identity)>;
 
   /// Binds a ROUTER socket at "IP:port". @return kIo if the address cannot be bound.
   static common::Result<std::unique_ptr<ZmqSocket>> bind(zmq::context_t& context,
                                                          const std::string& address,
-                                                         Handler handler);
+                                                         Handler handler,
+                                                         UrgentSender is_urgent = nullptr);
   /// Connects a DEALER socket; reconnects automatically.
   static common::Result<std::unique_ptr<ZmqSocket>> connect(zmq::context_t& context,
                                                             const std::string& address,
@@ -57,14 +62,25 @@
   static gboolean on_readable(gint fd, GIOCondition condition, gpointer self);
   static gboolean on_idle(gpointer self);
   void watch();
+  /// One message as received. A peer that is not addressed by identity has none.
+  struct Received {
+    std::string identity;
+    zmq::message_t version;
+    zmq::message_t body;
+  };
   void receive_all();
+  /// Reads one message and handles it if it is urgent, or queues it. @return false if there is
+  /// none.
   bool receive_one();
+  void handle(const Received& received);
   void schedule_check();
 
   zmq::socket_t socket_;
   bool is_router_;
   std::string peer_;
   Handler handler_;
+  UrgentSender is_urgent_;
+  std::deque<Received> waiting_;
   guint fd_source_ = 0;
   guint idle_source_ = 0;
   SocketCounters counters_;
--- a/test/transport/fair_turns_test.cpp
+++ b/test/transport/fair_turns_test.cpp
@@ -84,5 +84,42 @@
   CHECK(most <= kMessages / 4);
 }
 
+/// Guards against consensus behind the hellos of a large fleet: a socket serves its peers in turn,
+/// so that a follower's reply waited behind one hello of each of 985 routers.
+TEST_CASE("messages of urgent senders are handled before all others that have arrived") {
+  constexpr int kRouters = 60;
+  constexpr const char* kAddress = "127.0.0.1:17432";
+  zmq::context_t context;
+  std::vector<std::string> handled;
+  auto receiver = ZmqSocket::bind(
+      context, kAddress,
+      [&](const std::string& identity, const WireMessage& /*message*/) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        handled.push_back(identity);
+      },
+      [](std::string_view identity) { return identity.starts_with("controller/"); });
+  REQUIRE(receiver.has_value());
+  std::vector<std::unique_ptr<ZmqSocket>> senders;
+  const auto add_sender = [&](const std::string& identity) {
+    auto sender =
+        ZmqSocket::connect(context, kAddress, identity,
+                           [](const std::string& /*identity*/, const WireMessage& /*m*/) {});
+    REQUIRE(sender.has_value());
+    while ((*sender)->counters().sent == 0) {
+      (*sender)->send("", WireMessage(routing::RouterHello()));
+    }
+    senders.push_back(std::move(*sender));
+  };
+  for (int i = 0; i < kRouters; ++i) {
+    add_sender("router/" + std::to_string(i));
+  }
+  add_sender("controller/one");
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  while (handled.size() < kRouters + 1) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  CHECK(handled.front() == "controller/one");
+}
+
 }  // namespace
 }  // namespace planktray::transport
