--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -22,6 +22,9 @@
 /// be almost too old on arrival. Half of the shortest age limit that routers apply.
 constexpr Duration kMaxFollowerLag = std::chrono::milliseconds(750);
 
+/// A snapshot is taken after an entry for each of this many back ends, or more entries.
+constexpr std::uint64_t kBackendsPerSnapshotEntry = 4;
+
 }  // namespace
 
 ControllerCore::ControllerCore(ControllerOptions options, common::ReplicaId self,
@@ -63,7 +66,7 @@
     return answer_as_follower(now, hello);
   }
   ++counters_.hellos;
-  distributor_.on_hello(now, hello);
+  distributor_.on_hello(now, hello, state_.applied());
   loads_.add(hello.loads);
   ranges_.record_loads(now, hello);
   if (auto crowded = ranges_.take_crowded()) {
@@ -84,12 +87,19 @@
   }
   if (auto table = distributor_.answer(now, state_, hello.router)) {
     output_.tables.push_back(std::move(*table));
+  } else if (distributor_.offers_snapshot(state_, hello)) {
+    send_controller_list(hello);
   }
   step(now);
 }
 
 routing::ControllerList ControllerCore::controller_list() const {
-  routing::ControllerList list{options_.cell, {}, raft_.term(), ""};
+  routing::ControllerList list;
+  list.cell = options_.cell;
+  list.term = raft_.term();
+  list.sender = options_.peer_address;
+  list.sender_zone = options_.zone;
+  list.index = raft_.membership_index();
   for (const consensus::Member& member : raft_.membership().members) {
     list.addresses.push_back(member.peer_address);
     if (member.id == raft_.leader()) {
@@ -104,20 +114,29 @@
   // the leader what is committed, and as of when.
   const auto current_as_of = raft_.current_as_of();
   const bool follows = !raft_.is_leader() && raft_.leader().value != 0;
+  bool is_confirmed = false;
   if (follows && current_as_of.has_value() && now - *current_as_of < kMaxFollowerLag) {
     auto table = distributor_.answer_as_follower(now, *current_as_of, state_, raft_.term(), hello);
-    if (table.has_value()) {
+    is_confirmed = table.has_value();
+    if (is_confirmed) {
       ++counters_.tables_as_follower;
+      table->update.sender_zone = options_.zone;
       output_.tables.push_back(std::move(*table));
     }
   }
-  send_controller_list(hello.router);
+  const bool knows_leader = raft_.leader().value != 0 && hello.leader_term == raft_.term();
+  const bool has_list = hello.controllers_index >= raft_.membership_index();
+  // A router that gets no answer at all takes itself to be cut off.
+  if (!is_confirmed || !knows_leader || !has_list) {
+    send_controller_list(hello);
+  }
 }
 
-void ControllerCore::send_controller_list(const common::RouterName& router) {
+void ControllerCore::send_controller_list(const routing::RouterHello& hello) {
   routing::ControllerList list = controller_list();
+  list.offers_snapshot = distributor_.offers_snapshot(state_, hello);
   if (!list.addresses.empty()) {
-    output_.controllers.push_back({router, std::move(list)});
+    output_.controllers.push_back({hello.router, std::move(list)});
   }
 }
 
@@ -260,7 +279,10 @@
     output_.completions.emplace_back(ReadCompleted{request, tl::unexpected(not_leader("read"))});
   }
   update_role(now);
-  if (applied_since_snapshot_ >= options_.snapshot_entries) {
+  // A snapshot takes time proportional to the back ends.
+  const std::uint64_t snapshot_entries = std::max<std::uint64_t>(
+      options_.snapshot_entries, state_.backends().size() / kBackendsPerSnapshotEntry);
+  if (applied_since_snapshot_ >= snapshot_entries) {
     take_snapshot();
     process_raft_output(now);
   }
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -36,6 +36,7 @@
   std::string name;  ///< name of the replica in the cell, kept when its data folder is replaced
   std::string peer_address;      ///< "IP:port" of its ZeroMQ socket
   std::string operator_address;  ///< "IP:port" of its HTTP server
+  common::ZoneName zone;         ///< in which it runs; empty: not stated
   consensus::RaftOptions raft;
   ownership::LeaseOptions lease;
   ownership::PlannerOptions planner;
@@ -277,8 +278,8 @@
   void apply_relayed(TimePoint now, const membership::BackendUpdate& update);
   /// Sends a router the updates that this follower can provide, and the list of controllers.
   void answer_as_follower(TimePoint now, const routing::RouterHello& hello);
-  /// Sends a router the list of controllers.
-  void send_controller_list(const common::RouterName& router);
+  /// Answers a hello with the list of controllers.
+  void send_controller_list(const routing::RouterHello& hello);
   routing::ControllerList controller_list() const;
   /// Proposes that the back end's process has ended, since another incarnation answers at its
   /// address.
@@ -334,6 +335,8 @@
   std::vector<membership::BackendHeartbeat> heartbeats_;  ///< on a follower, since its last report
   std::vector<membership::BackendUpdate> updates_;  ///< on a follower, not yet sent to the leader
   std::map<OperatorRequestId, RelayedUpdate> relayed_;
+  common::LogIndex relayed_checked_;  ///< the state that `relayed_` was last compared with
+  TimePoint next_relay_deadline_ = TimePoint::max();  ///< of the first of `relayed_`
   TimePoint next_report_;
   TimePoint next_plan_;
   TimePoint next_sweep_;
--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -132,10 +132,17 @@
   if (raft_.is_leader() || raft_.leader().value == 0) {
     return fail_request(request, false, not_leader("accept heartbeat"));
   }
+  const RelayedUpdate relayed{update.incarnation, update.draining, update.departed,
+                              now + kRelayTimeout};
+  if (is_committed(relayed)) {
+    output_.completions.emplace_back(CommandCompleted{request, state_.applied()});
+    return step(now);
+  }
   // A redirect would cost the sender another call, and the leader would have to read, answer and
   // close a connection for each sender: 1,000 per second while a service is rolled out, a third of
   // the time of a fully loaded leader.
-  relayed_[request] = {update.incarnation, update.draining, update.departed, now + kRelayTimeout};
+  relayed_[request] = relayed;
+  next_relay_deadline_ = std::min(next_relay_deadline_, now + kRelayTimeout);
   updates_.push_back(std::move(update));
   ++counters_.updates_relayed;
   next_report_ = std::min(next_report_, now + kRelayDelay);
@@ -149,6 +156,14 @@
 }
 
 void ControllerCore::answer_relayed(TimePoint now) {
+  // Heartbeats arrive by the thousand a second: not every one of them looks through all others that
+  // wait.
+  const bool is_due = state_.applied() != relayed_checked_ || now >= next_relay_deadline_;
+  if (!is_due) {
+    return;
+  }
+  relayed_checked_ = state_.applied();
+  next_relay_deadline_ = TimePoint::max();
   for (auto next = relayed_.begin(); next != relayed_.end();) {
     const auto& [request, update] = *next;
     if (is_committed(update)) {
@@ -158,6 +173,7 @@
                    {ErrorCode::kTimeout, "accept heartbeat", options_.name,
                     "the leader did not commit the update in time"});
     } else {
+      next_relay_deadline_ = std::min(next_relay_deadline_, update.deadline);
       ++next;
       continue;
     }
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -17,13 +17,18 @@
 /// leader with 0.15 of a core.
 constexpr Duration kPlanDelayPerRange = std::chrono::microseconds(150);
 constexpr Duration kMaxPlanDelay = std::chrono::milliseconds(150);
+/// The same for each back end, as a plan visits these, too.
+constexpr Duration kPlanDelayPerBackend = std::chrono::microseconds(10);
 
 Duration delay_after_plan(const CellState& state) {
   std::size_t ranges = 0;
   for (const auto& [id, service] : state.routed_services()) {
     ranges += service.ranges.records().size();
   }
-  return std::min<Duration>(kPlanDelayPerRange * static_cast<std::int64_t>(ranges), kMaxPlanDelay);
+  return std::min<Duration>(
+      kPlanDelayPerRange * static_cast<std::int64_t>(ranges) +
+          kPlanDelayPerBackend * static_cast<std::int64_t>(state.backends().size()),
+      kMaxPlanDelay);
 }
 
 /// Returns the options with the noise rate of loads that are smoothed with this half-life. The
@@ -218,11 +223,20 @@
   return changes;
 }
 
+ownership::OwnerLimit RangeController::limit_owners(const CellState& state,
+                                                    const BackendCheck& may_own) const {
+  const auto is_renewed = [&](const BackendRecord& backend) {
+    return backend.has_contract(ownership::OwnershipContract::kFencedGrant) && may_own(backend);
+  };
+  return {state, ownership::renewable_owners(options_.grant), is_renewed};
+}
+
 bool RangeController::is_settled(TimePoint now, const CellState& state,
-                                 const ownership::RoutedServiceRecord& service) {
+                                 const ownership::RoutedServiceRecord& service,
+                                 const ownership::OwnerLimit& owner_limit) {
   const auto& records = service.ranges.records();
   const bool has_no_owner = records.size() == 1 && records.begin()->second.owner.value == 0;
-  if (!has_no_owner) {
+  if (!has_no_owner || owner_limit.is_reached(common::PoolName(service.config.name.value))) {
     return true;
   }
   const auto targets = static_cast<std::size_t>(
@@ -285,16 +299,20 @@
     return limit.has_value() ? std::optional(*limit * options_.limit_share) : std::nullopt;
   };
   const BackendCheck is_degraded = degraded_check(now, state);
-  input.is_eligible = [&](const BackendRecord& backend) {
+  const auto may_own = [&](const BackendRecord& backend) {
     return is_eligible(now, state, backend) && !is_degraded(backend);
   };
+  const ownership::OwnerLimit owner_limit = limit_owners(state, may_own);
+  input.is_eligible = [&](const BackendRecord& backend) {
+    return owner_limit.admits(backend) && may_own(backend);
+  };
   input.must_drain = [&](const BackendRecord& backend) {
     return backend.leaving || state.is_evacuated(backend) || is_degraded(backend);
   };
   input.capacity = [&](const BackendRecord& backend) { return capacities_.of(backend.id); };
   input.may_assign = [&](common::ServiceId service, const ownership::RangeRecord& record) {
     const auto found = state.routed_services().find(service);
-    if (!is_settled(now, state, found->second)) {
+    if (!is_settled(now, state, found->second, owner_limit)) {
       return ownership::GrantManager::Availability();
     }
     return grants_.may_assign(now, state, service, record);
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -16,6 +16,7 @@
 #include "ownership/cell_state.hpp"
 #include "ownership/grant_manager.hpp"
 #include "ownership/key_loads.hpp"
+#include "ownership/owner_limit.hpp"
 #include "ownership/range_planner.hpp"
 #include "ownership/target_times.hpp"
 
@@ -171,7 +172,12 @@
   FleetLimits::Published published_limits(const ownership::CellState& state) const;
   /// True if the service has owners already, or may get its first ones.
   bool is_settled(TimePoint now, const ownership::CellState& state,
-                  const ownership::RoutedServiceRecord& service);
+                  const ownership::RoutedServiceRecord& service,
+                  const ownership::OwnerLimit& owner_limit);
+  /// Returns the limit of owners that get renewals by orders.
+  /// @param may_own returns true if the back end may get keys.
+  ownership::OwnerLimit limit_owners(const ownership::CellState& state,
+                                     const BackendCheck& may_own) const;
   /// True if the back end has sent no heartbeat for so long that it may be removed.
   bool may_be_removed(TimePoint now, const ownership::BackendRecord& backend) const;
   /// Back ends that own nothing and have ended or, with `include_silent`, fallen silent.
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -9,6 +9,11 @@
 
 constexpr double kMicrosecondsPerSecond = 1e6;
 
+std::uint32_t whole_milliseconds(common::Duration time) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 }  // namespace
 
 common::Duration paced_interval(std::size_t routers, double per_second) {
@@ -37,7 +42,8 @@
   }
 }
 
-void TableDistributor::on_hello(common::TimePoint now, const routing::RouterHello& hello) {
+void TableDistributor::on_hello(common::TimePoint now, const routing::RouterHello& hello,
+                                common::LogIndex applied) {
   Subscriber& subscriber = subscribers_[hello.router];
   const bool was_rewound_recently =
       subscriber.rewound_at.has_value() && now - *subscriber.rewound_at < options_.resend_interval;
@@ -59,6 +65,10 @@
   }
   subscriber.view = {hello.router, hello.address, hello.table_index, hello.serving, now};
   subscriber.clock_us = hello.clock_us;
+  subscriber.reads_compressed = hello.reads_compressed;
+  subscriber.polls = hello.polls_followers;
+  subscriber.applied_at_earlier = std::exchange(subscriber.applied_at_hello, applied);
+  subscriber.awaits_offer = hello.requests_snapshots && !hello.wants_snapshot;
   subscriber.hello_pending = true;
   relays_.on_hello(hello);
 }
@@ -109,21 +119,59 @@
 std::optional<OutgoingTable> TableDistributor::answer_as_follower(
     common::TimePoint now, common::TimePoint current_as_of, const ownership::CellState& state,
     common::Term term, const routing::RouterHello& hello) {
-  if (hello.table_index.value == 0 || hello.table_index > state.applied() ||
-      !deltas_reach(hello.table_index, state)) {
-    return std::nullopt;
-  }
   routing::TableUpdate update;
   update.cell = cell_;
   update.term = term;
   update.by_follower = true;
-  update.base_index = hello.table_index;
-  update.current_index = state.applied();
-  update.as_of_clock_us = hello.clock_us + (current_as_of - now).count();
-  update.deltas = deltas_after(hello.table_index);
+  if (needs_snapshot(state, hello)) {
+    const Deltas* snapshot =
+        hello.wants_snapshot ? snapshot_as_follower(now, state, hello.router) : nullptr;
+    if (snapshot == nullptr) {
+      return std::nullopt;
+    }
+    update.deltas = *snapshot;
+    update.current_index = snapshot_index_;
+  } else if (hello.table_index > state.applied()) {
+    return std::nullopt;
+  } else {
+    follower_snapshots_.erase(hello.router);
+    update.base_index = hello.table_index;
+    update.current_index = state.applied();
+    update.as_of_clock_us = hello.clock_us + (current_as_of - now).count();
+    update.deltas = deltas_after(hello.table_index);
+  }
+  update.deltas.set_compressible(hello.reads_compressed);
   return OutgoingTable{hello.router, std::move(update)};
 }
 
+const TableDistributor::Deltas* TableDistributor::snapshot_as_follower(
+    common::TimePoint now, const ownership::CellState& state, const common::RouterName& router) {
+  std::erase_if(follower_snapshots_,
+                [&](const auto& item) { return now - item.second >= options_.snapshot_timeout; });
+  if (follower_snapshots_.size() >= options_.concurrent_snapshots) {
+    return nullptr;
+  }
+  follower_snapshots_[router] = now;
+  renew_snapshot(state);
+  return &snapshot_;
+}
+
+bool TableDistributor::needs_snapshot(const ownership::CellState& state,
+                                      const routing::RouterHello& hello) const {
+  const bool is_behind = hello.table_index <= state.applied();
+  return is_behind && !deltas_reach(hello.table_index, state);
+}
+
+bool TableDistributor::is_requested(const ownership::CellState& state) const {
+  return state.backends().size() >= options_.requested_snapshot_backends;
+}
+
+bool TableDistributor::offers_snapshot(const ownership::CellState& state,
+                                       const routing::RouterHello& hello) const {
+  return hello.requests_snapshots && !hello.wants_snapshot && is_requested(state) &&
+         needs_snapshot(state, hello);
+}
+
 std::optional<OutgoingTable> TableDistributor::make_update(common::TimePoint now,
                                                            const ownership::CellState& state,
                                                            const common::RouterName& name,
@@ -132,7 +180,7 @@
   const common::LogIndex newest = deltas_.empty() ? common::LogIndex() : deltas_.back().to;
   const common::LogIndex have = std::max(subscriber.view.table_index, subscriber.sent);
   const bool waiting = awaits_snapshot(now, subscriber);
-  const bool has_update = have < newest && !waiting;
+  const bool has_update = have < newest && !waiting && !routers_poll();
   if (!subscriber.hello_pending && !has_update) {
     return std::nullopt;
   }
@@ -159,28 +207,37 @@
   }
   update.router_rank = rank;
   update.router_count = static_cast<std::uint32_t>(subscribers_.size());
-  update.hello_interval_ms = static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(hello_interval()).count());
-  if (deltas_reach(have, state)) {
+  update.hello_interval_ms = whole_milliseconds(hello_interval());
+  update.poll_interval_ms = routers_poll() ? whole_milliseconds(options_.poll_interval) : 0;
+  if (gets_changes_by_polls(subscriber)) {
+    update.base_index = update.current_index = subscriber.view.table_index;
+    update.as_of_clock_us = routing::kLeaseOnly;
+  } else if (deltas_reach(have, state)) {
     update.base_index = have;
     update.deltas = deltas_after(have);
     subscriber.snapshot_in_flight = false;
   } else {
     const std::size_t in_flight =
         snapshots_counted_.has_value() ? *snapshots_counted_ : snapshots_in_flight(now);
-    if (waiting || in_flight >= options_.concurrent_snapshots) {
+    const bool is_offered = subscriber.awaits_offer && is_requested(state);
+    if (waiting || is_offered || in_flight >= options_.concurrent_snapshots) {
       return std::nullopt;
     }
-    if (snapshot_.empty() || snapshot_index_ != state.applied()) {
-      snapshot_ = {state.table_snapshot()};
-      snapshot_index_ = state.applied();
-    }
+    renew_snapshot(state);
     update.deltas = snapshot_;
+    update.current_index = snapshot_index_;
+    if (snapshot_index_ != state.applied()) {
+      // The snapshot lacks changes that are acknowledged already, so it confirms nothing. The
+      // router states that it has it, and the answer brings the changes since then.
+      update.echo_clock_us = 0;
+      update.as_of_clock_us = 0;
+    }
     subscriber.snapshot_in_flight = true;
     if (snapshots_counted_.has_value()) {
       ++*snapshots_counted_;
     }
   }
+  update.deltas.set_compressible(subscriber.reads_compressed);
   if (!update.deltas.empty()) {
     subscriber.sent = update.current_index;
     subscriber.sent_at = now;
@@ -194,6 +251,30 @@
   return OutgoingTable{name, std::move(update)};
 }
 
+bool TableDistributor::gets_changes_by_polls(const Subscriber& subscriber) const {
+  const common::LogIndex newest = deltas_.empty() ? common::LogIndex() : deltas_.back().to;
+  const common::LogIndex has = subscriber.view.table_index;
+  const bool keeps_up = subscriber.applied_at_earlier.value > 0 && has.value > 0 &&
+                        has >= subscriber.applied_at_earlier;
+  return routers_poll() && subscriber.polls && keeps_up && has < newest;
+}
+
+void TableDistributor::renew_snapshot(const ownership::CellState& state) {
+  const std::size_t reused_for = state.backends().size() / options_.backends_per_snapshot_delta;
+  const bool leads_on = !snapshot_.empty() && deltas_reach(snapshot_index_, state);
+  if (leads_on &&
+      static_cast<std::size_t>(deltas_.cend() - first_after(snapshot_index_)) <= reused_for) {
+    return;
+  }
+  snapshot_ = {state.table_snapshot()};
+  snapshot_index_ = state.applied();
+}
+
+bool TableDistributor::routers_poll() const {
+  return paced_interval(subscribers_.size(), options_.updates_per_second) >
+         options_.longest_update_interval;
+}
+
 std::int64_t TableDistributor::as_of_clock_us(const Subscriber& subscriber,
                                               common::TimePoint current_as_of) {
   // The router read its clock before its hello arrived here, so the result is never later than that
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -54,6 +54,18 @@
   std::size_t updates_per_sweep = 64;
   /// A router that lacks more deltas than this gets a snapshot instead.
   std::size_t maximum_deltas = 512;
+  /// A snapshot is sent again, followed by the deltas since then, until there is a delta for each
+  /// of this many of its back ends. A new snapshot takes time proportional to the back ends, so the
+  /// work for each delta stays the same in a fleet of any size.
+  std::size_t backends_per_snapshot_delta = 64;
+  /// If the target rate of updates lets a router have one less often than this, the leader sends
+  /// routers only answers to their hellos, and routers poll followers for changes.
+  common::Duration longest_update_interval = std::chrono::milliseconds(250);
+  /// How often such routers poll a follower.
+  common::Duration poll_interval = std::chrono::milliseconds(500);
+  /// Routers get snapshots of tables with this many back ends or more on request, from any
+  /// controller, so that the leader does not send them all after many routers have started.
+  std::size_t requested_snapshot_backends = 2000;
 };
 
 /// Time between two messages of one router where all routers together send or get `per_second`.
@@ -87,7 +99,8 @@
     delta_lists_.clear();
     snapshot_index_ = common::LogIndex();
   }
-  void on_hello(common::TimePoint now, const routing::RouterHello& hello);
+  /// @param applied what the leader has applied.
+  void on_hello(common::TimePoint now, const routing::RouterHello& hello, common::LogIndex applied);
   /// Sets the limits of back ends that all further updates carry.
   void set_limits(FleetLimits::Published limits) { limits_ = std::move(limits); }
   /// Sets the crowded owners that all further updates carry; until the first call in a term, queues
@@ -105,16 +118,20 @@
                                       const common::RouterName& router);
 
   /// Makes a follower's answer to a hello, for routers that the leader does not answer in time.
-  /// Keeps no state of the router.
+  /// Keeps no state of the router, but for snapshots in flight.
   /// @param current_as_of every change acknowledged before this moment is in `state`.
-  /// @return nullopt if the router needs a snapshot: only the leader sends those, since it bounds
-  ///   how many are in flight.
+  /// @return nullopt if the router needs a snapshot and has not requested it from this follower, or
+  ///   too many are in flight.
   std::optional<OutgoingTable> answer_as_follower(common::TimePoint now,
                                                   common::TimePoint current_as_of,
                                                   const ownership::CellState& state,
                                                   common::Term term,
                                                   const routing::RouterHello& hello);
 
+  /// True if the router needs a snapshot so large that it gets one on request only: any controller
+  /// may send it.
+  bool offers_snapshot(const ownership::CellState& state, const routing::RouterHello& hello) const;
+
   /// When collect() next has a postponed update to send; TimePoint::max() if there is none.
   common::TimePoint next_due() const { return next_due_; }
 
@@ -144,6 +161,11 @@
     std::optional<common::TimePoint> behind_since;  ///< when `unconfirmed` was sent
     common::TimePoint next_update;  ///< no update before this, except as an answer to a hello
     bool snapshot_in_flight = false;
+    bool reads_compressed = false;
+    bool polls = false;                   ///< it gets changes from followers
+    common::LogIndex applied_at_hello;    ///< state of the leader when its last hello arrived
+    common::LogIndex applied_at_earlier;  ///< the same for the hello before
+    bool awaits_offer = false;  ///< it needs a snapshot and requests it once it is offered
   };
 
   std::optional<OutgoingTable> make_update(common::TimePoint now, const ownership::CellState& state,
@@ -180,9 +202,24 @@
   /// The deltas that lead from `have` to the current table.
   const Deltas& deltas_after(common::LogIndex have);
 
-  /// The last snapshot made; valid until the state changes.
+  /// Makes the last snapshot anew if too many changes have followed it.
+  void renew_snapshot(const ownership::CellState& state);
+  /// Returns a follower's snapshot for the router, nullptr if too many are in flight.
+  const Deltas* snapshot_as_follower(common::TimePoint now, const ownership::CellState& state,
+                                     const common::RouterName& router);
+  bool needs_snapshot(const ownership::CellState& state, const routing::RouterHello& hello) const;
+  /// True if routers get snapshots on request only.
+  bool is_requested(const ownership::CellState& state) const;
+  /// True if there are too many routers to send each of them every change in time.
+  bool routers_poll() const;
+  /// True if the router lacks changes, but gets them from followers fast enough.
+  bool gets_changes_by_polls(const Subscriber& subscriber) const;
+
+  /// The last snapshot made.
   common::LogIndex snapshot_index_;
   Deltas snapshot_;
+  /// When this follower sent snapshots that are still in flight.
+  std::map<common::RouterName, common::TimePoint> follower_snapshots_;
   /// Delta lists made since the last change, by the index that they start from.
   std::map<common::LogIndex, Deltas> delta_lists_;
 };
--- a/src/membership/heartbeat_monitor.hpp
+++ b/src/membership/heartbeat_monitor.hpp
@@ -3,8 +3,8 @@
 /// volatile and kept for one term; durable data is in the replicated state.
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <unordered_map>
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
@@ -59,7 +59,7 @@
 
   HeartbeatOptions options_;
   common::TimePoint term_start_;
-  std::map<common::Incarnation, Contact> contacts_;
+  std::unordered_map<common::Incarnation, Contact> contacts_;
 };
 
 }  // namespace planktray::membership
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -109,8 +109,7 @@
   if (record.has_fenced_grants()) {
     end_predecessors(record, result);
   }
-  incarnations_[record.incarnation] = record.id;
-  backends_[record.id] = std::move(record);
+  insert_backend(std::move(record));
 }
 
 void CellState::apply_command(LogIndex /*index*/, const DrainMachine& command,
@@ -405,8 +404,7 @@
     state.remember_answer(id, answer);
   }
   for (BackendRecord& backend : form->backends) {
-    state.incarnations_[backend.incarnation] = backend.id;
-    state.backends_[backend.id] = std::move(backend);
+    state.insert_backend(std::move(backend));
   }
   state.drained_ = {form->drained.begin(), form->drained.end()};
   for (ServiceRecord& service : form->services) {
--- a/src/ownership/cell_state.hpp
+++ b/src/ownership/cell_state.hpp
@@ -12,6 +12,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "common/error.hpp"
@@ -200,6 +202,7 @@
   void adopt_routes(LogIndex index, config::RouteConfiguration next, ApplyResult& result);
   void put_routed_service(LogIndex index, const config::RoutedService& service,
                           ApplyResult& result);
+  void insert_backend(BackendRecord record);
   bool erase_backend(BackendId id);
   /// Marks other back ends with the address of a newly registered one as ended.
   void end_predecessors(const BackendRecord& successor, ApplyResult& result);
@@ -218,7 +221,9 @@
   std::map<common::ChangeId, ChangeAnswer> answers_;
   std::deque<common::ChangeId> answer_order_;
   std::map<BackendId, BackendRecord> backends_;
-  std::map<common::Incarnation, BackendId> incarnations_;  ///< derived from the back ends
+  // Derived from the back ends.
+  std::unordered_map<common::Incarnation, BackendId> incarnations_;
+  std::set<std::pair<std::string, BackendId>> backends_by_address_;
   std::set<common::MachineName> drained_;
   std::set<common::ZoneName> evacuated_zones_;
   std::map<ServiceId, ServiceRecord> services_;
--- a/src/ownership/cell_state_routes.cpp
+++ b/src/ownership/cell_state_routes.cpp
@@ -55,6 +55,12 @@
   return found == incarnations_.end() ? nullptr : find_backend(found->second);
 }
 
+void CellState::insert_backend(BackendRecord record) {
+  incarnations_[record.incarnation] = record.id;
+  backends_by_address_.emplace(record.address, record.id);
+  backends_[record.id] = std::move(record);
+}
+
 bool CellState::erase_backend(BackendId id) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) {
@@ -69,6 +75,7 @@
     // A late heartbeat must not register it again.
     remember_departure(found->second.incarnation);
   }
+  backends_by_address_.erase({found->second.address, id});
   backends_.erase(found);
   return true;
 }
@@ -89,10 +96,10 @@
 }
 
 void CellState::end_predecessors(const BackendRecord& successor, ApplyResult& result) {
-  for (auto& [id, backend] : backends_) {
-    const bool replaced =
-        id != successor.id && backend.address == successor.address && backend.has_fenced_grants();
-    if (replaced) {
+  for (auto next = backends_by_address_.lower_bound({successor.address, BackendId()});
+       next != backends_by_address_.end() && next->first == successor.address; ++next) {
+    BackendRecord& backend = backends_.at(next->second);
+    if (backend.id != successor.id && backend.has_fenced_grants()) {
       backend.ended = true;
       backend.leaving = true;
       result.delta.backends.push_back(backend_route(backend));
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -21,6 +21,12 @@
   return backend != nullptr && backend->has_contract(OwnershipContract::kReportedGrant);
 }
 
+std::size_t renewable_owners(const GrantOptions& options) {
+  const double hold_s = std::chrono::duration<double>(options.longest_hold_time).count();
+  return static_cast<std::size_t>(options.renewals_per_second * hold_s /
+                                  static_cast<double>(options.min_renewals_per_hold));
+}
+
 std::string_view to_string(OrderOutcome outcome) {
   switch (outcome) {
     case OrderOutcome::kAccepted:
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -104,6 +104,10 @@
   bool respect_reported_holds = true;    ///< keys that a heartbeat lists are not free
 };
 
+/// Returns the largest number of owners whose grants can be renewed `min_renewals_per_hold` times
+/// within the longest hold time at no more than `renewals_per_second`.
+std::size_t renewable_owners(const GrantOptions& options);
+
 using OrderId = std::uint64_t;
 
 /// Grants keys to a back end or renews the grant.
--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -34,6 +34,8 @@
       fleet_size_(options_.fleet_size_retention),
       next_hello_(now),
       last_hello_(now),
+      search_interval_(options_.hello_interval),
+      polls_(options_.zone),
       hello_interval_(options_.hello_interval),
       next_load_(now) {}
 
@@ -69,11 +71,13 @@
     make_hello(now);
   } else if (now >= next_query_) {
     query_controllers(now);
+  } else if (now >= polls_.next_due()) {
+    poll_follower(now);
   }
 }
 
 TimePoint RouterCore::next_timer() const {
-  TimePoint due = std::min({next_hello_, next_query_, writes_.next_review()});
+  TimePoint due = std::min({next_hello_, next_query_, polls_.next_due(), writes_.next_review()});
   if (!deadlines_.empty()) {
     due = std::min(due, deadlines_.begin()->first);
   }
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -29,6 +29,7 @@
 #include "routing/crowded_owners.hpp"
 #include "routing/failure_block.hpp"
 #include "routing/fleet_size.hpp"
+#include "routing/follower_polls.hpp"
 #include "routing/limited_targets.hpp"
 #include "routing/path_monitor.hpp"
 #include "routing/rate_share.hpp"
@@ -377,6 +378,18 @@
   routing::RouterHello make_basic_hello(TimePoint now);
   /// Queries some controllers other than the silent leader for the leader they follow.
   void query_controllers(TimePoint now);
+  /// Requests the snapshot that a controller offers, from one of the own zone if one offers it
+  /// soon.
+  void consider_offer(TimePoint now, const routing::ControllerList& list);
+  /// Directs the hello to controllers that may know the leader, less often the longer none is
+  /// found.
+  void search_for_leader(TimePoint now);
+  /// Returns a random part of these controllers, as many as a query is sent to.
+  std::vector<std::string> some_of(std::vector<std::string> controllers);
+  /// Asks a follower for changes of the table.
+  void poll_follower(TimePoint now);
+  /// Returns the addresses of the controllers other than the leader.
+  std::vector<std::string> followers() const;
   void update_targets(TimePoint now);
   /// Returns the back ends that accept new work according to the table, but not after the update.
   std::vector<Departure> departures_in(TimePoint now, const routing::TableUpdate& update) const;
@@ -435,6 +448,7 @@
   TimePoint next_hello_;
   TimePoint last_hello_;
   std::vector<std::string> controllers_;  ///< addresses
+  common::LogIndex controllers_index_;    ///< of the newest list of controllers
   std::string leader_;                    ///< address of the last known leader
   common::Term leader_term_;              ///< of the newest leader that sent an update or was named
   /// Time at which the leader sent its last update or was named.
@@ -444,6 +458,11 @@
   /// is unanswered.
   TimePoint next_query_ = TimePoint::max();
   Duration query_interval_{0};
+  TimePoint first_offer_;  ///< of a snapshot
+  TimePoint offer_expires_;
+  TimePoint next_snapshot_request_;
+  Duration search_interval_;  ///< until the next hello while no leader is known
+  routing::FollowerPolls polls_;
   bool lacks_update_ = false;  ///< the last update did not apply to the table
   Duration hello_interval_;
   TimePoint next_load_;
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -12,6 +12,12 @@
 
 /// Number of unanswered hellos after which hellos go to every controller.
 constexpr int kUnansweredHellos = 2;
+/// For this long after the first offer of a snapshot only controllers of the own zone are asked.
+constexpr Duration kOwnZoneOfferWait = std::chrono::milliseconds(100);
+/// An offer without another one for this long is forgotten.
+constexpr Duration kOfferValidity = std::chrono::milliseconds(3000);
+/// A requested snapshot that has not arrived after this time is requested again.
+constexpr Duration kSnapshotRequestInterval = std::chrono::milliseconds(1500);
 /// Maximum number of controllers that a router keeps addresses of.
 constexpr std::size_t kMaxControllers = 24;
 
@@ -32,9 +38,13 @@
   for (const std::string& address : list.addresses) {
     add_controller(address);
   }
+  controllers_index_ = std::max(controllers_index_, list.index);
   if (!list.leader.empty()) {
     freshness_.on_answered();
   }
+  if (list.offers_snapshot) {
+    consider_offer(now, list);
+  }
   if (list.leader.empty() || list.term <= leader_term_) {
     return;  // outdated, or names the known leader, which may be slow to answer
   }
@@ -47,6 +57,25 @@
   next_hello_ = std::min(next_hello_, now + wait);
 }
 
+void RouterCore::consider_offer(TimePoint now, const routing::ControllerList& list) {
+  if (now >= offer_expires_) {
+    // The first offer since the last request.
+    first_offer_ = now;
+  }
+  offer_expires_ = now + kOfferValidity;
+  const bool is_preferred =
+      list.sender_zone == options_.zone || now - first_offer_ >= kOwnZoneOfferWait;
+  if (now < next_snapshot_request_ || !is_preferred) {
+    return;
+  }
+  next_snapshot_request_ = now + kSnapshotRequestInterval;
+  freshness_.on_asked(now);
+  output_.hello = make_basic_hello(now);
+  output_.hello->wants_snapshot = true;
+  output_.hello_to = {list.sender};
+  output_.hello_to_all = false;
+}
+
 void RouterCore::on_table_update(TimePoint now, const routing::TableUpdate& update,
                                  const std::string& from) {
   if (update.cell != options_.cell) {
@@ -64,12 +93,15 @@
   }
   // A sender that states no later time has at least read the hello that it echoes.
   const std::int64_t as_of = std::max(update.as_of_clock_us, update.echo_clock_us);
-  if (is_up_to_date && as_of > 0) {
+  const bool confirms_age = update.as_of_clock_us != routing::kLeaseOnly;
+  if (is_up_to_date && confirms_age && as_of > 0) {
     freshness_.on_confirmed(now, common::from_microseconds(as_of));
   }
   if (update.by_follower) {
     ++counters_.follower_updates;
     last_follower_ = from;
+    polls_.on_zone(from, update.sender_zone);
+    polls_.on_answered(from);
   }
   stop_queries_if_fresh(now);
   const bool has_changes = installed && !update.deltas.empty();
@@ -78,9 +110,11 @@
     subsets_.clear();
     update_targets(now);
   }
+  const bool is_snapshot = has_changes && update.deltas.front().is_snapshot;
   if (!update.by_follower) {
-    report_missing_update(now, has_changes && update.deltas.front().is_snapshot,
-                          update.current_index);
+    report_missing_update(now, is_snapshot, update.current_index);
+  } else if (is_snapshot) {
+    next_hello_ = now;  // only the leader confirms the table for serving
   }
   if (has_changes) {
     update_write_guard(departures, known_until);
@@ -141,6 +175,7 @@
   }
   hello_interval_ = std::max<Duration>(options_.hello_interval,
                                        std::chrono::milliseconds(update.hello_interval_ms));
+  polls_.set_interval(now, std::chrono::milliseconds(update.poll_interval_ms));
   const std::uint32_t count = std::max<std::uint32_t>(1, update.router_count);
   const bool changed = update.router_rank != router_rank_ || count != router_count_;
   fleet_size_.on_count(now, count);
@@ -190,8 +225,13 @@
                                now - *leader_last_seen_ < kUnansweredHellos * hello_interval_;
   // A follower that keeps the table fresh makes queries to other controllers unnecessary.
   const bool follower_is_current = !last_follower_.empty() && !freshness_.is_aging(now);
-  output_.hello_to_all = !leader_is_known && !follower_is_current;
+  output_.hello_to_all = false;
   output_.hello_to = {leader_};
+  if (leader_is_known || follower_is_current) {
+    search_interval_ = options_.hello_interval;
+  } else {
+    search_for_leader(now);
+  }
   freshness_.on_asked(now);
   if (leader_is_known && next_query_ == TimePoint::max()) {
     next_query_ = now + options_.leader_search.answer_timeout;
@@ -234,9 +274,32 @@
   hello.zone = options_.zone;
   hello.unreachable = paths_.lost();
   hello.peers_digest = peers_.digest();
+  hello.leader_term = leader_term_;
+  hello.controllers_index = controllers_index_;
+  hello.reads_compressed = true;
+  hello.requests_snapshots = true;
+  hello.polls_followers = polls_.next_due() != TimePoint::max();
   return hello;
 }
 
+void RouterCore::search_for_leader(TimePoint now) {
+  // A fleet that sends hellos to all controllers at once, at the rate at which one leader is sent
+  // hellos, leaves them no time to elect a leader.
+  const bool are_few = controllers_.size() <= options_.leader_search.queried_controllers;
+  output_.hello_to_all = are_few;
+  output_.hello_to = are_few ? std::vector<std::string>() : some_of(controllers_);
+  next_hello_ = now + search_interval_;
+  search_interval_ = std::min(2 * search_interval_, options_.leader_search.max_query_interval);
+}
+
+std::vector<std::string> RouterCore::some_of(std::vector<std::string> controllers) {
+  const auto first = common::uniform(random_, 0, controllers.size() - 1);
+  std::rotate(controllers.begin(), controllers.begin() + static_cast<std::ptrdiff_t>(first),
+              controllers.end());
+  controllers.resize(std::min(controllers.size(), options_.leader_search.queried_controllers));
+  return controllers;
+}
+
 void RouterCore::query_controllers(TimePoint now) {
   next_query_ = now + query_interval_;
   query_interval_ = std::min(2 * query_interval_, options_.leader_search.max_query_interval);
@@ -250,18 +313,28 @@
     ++counters_.leader_queries;
     return;
   }
-  std::vector<std::string> others;
-  std::copy_if(controllers_.begin(), controllers_.end(), std::back_inserter(others),
-               [this](const std::string& address) { return address != leader_; });
+  std::vector<std::string> others = followers();
   if (others.empty()) {
     return;
   }
   ++counters_.leader_queries;
-  const auto first = common::uniform(random_, 0, others.size() - 1);
-  std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(first), others.end());
-  others.resize(std::min(others.size(), options_.leader_search.queried_controllers));
   output_.hello = make_basic_hello(now);
-  output_.hello_to = std::move(others);
+  output_.hello_to = some_of(std::move(others));
+}
+
+void RouterCore::poll_follower(TimePoint now) {
+  freshness_.on_asked(now);
+  ++counters_.follower_polls;
+  output_.hello = make_basic_hello(now);
+  output_.hello_to = polls_.begin_poll(now, followers(), random_);
+  output_.hello_to_all = false;
+}
+
+std::vector<std::string> RouterCore::followers() const {
+  std::vector<std::string> followers;
+  std::copy_if(controllers_.begin(), controllers_.end(), std::back_inserter(followers),
+               [this](const std::string& address) { return address != leader_; });
+  return followers;
 }
 
 void RouterCore::report_key_loads(routing::RouterHello& hello) {
--- a/src/router/core/router_effects.hpp
+++ b/src/router/core/router_effects.hpp
@@ -185,6 +185,7 @@
   std::uint64_t refusals = 0;
   std::uint64_t table_updates = 0;
   std::uint64_t cancelled = 0;
+  std::uint64_t follower_polls = 0;        ///< polls of followers for changes of the table
   std::uint64_t leader_queries = 0;        ///< queries to other controllers about a silent leader
   std::uint64_t leader_announcements = 0;  ///< new leaders, named by any controller
   std::uint64_t crash_refusals = 0;        ///< requests refused because they crash their targets
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -43,6 +43,8 @@
   metrics_.set_gauge("planktray_limited_backends",
                      "Back ends that name how many requests a second they take.",
                      static_cast<double>(core_.limited_targets()));
+  metrics_.set_counter("planktray_follower_polls_total",
+                       "Polls of followers for changes of the table.", counters.follower_polls);
   metrics_.set_counter("planktray_follower_updates_total",
                        "Updates of the table that followers brought.", counters.follower_updates);
   metrics_.set_counter("planktray_refusals_total", "Refusals by back ends.", counters.refusals);
--- a/src/routing/shared_list.hpp
+++ b/src/routing/shared_list.hpp
@@ -12,9 +12,15 @@
 #include <vector>
 
 #include "common/codec.hpp"
+#include "common/compression.hpp"
 
 namespace planktray::routing {
 
+/// Encodings of this size or more are compressed for receivers that can read them.
+inline constexpr std::size_t kLeastCompressedBytes = 4096;
+/// Bound of a compressed list's original size.
+inline constexpr std::size_t kMaxListBytes = 64 * 1024 * 1024;
+
 /// A list of T with value semantics (copy-on-write).
 /// Invariant: a cached encoding always matches the elements.
 template <typename T>
@@ -24,9 +30,9 @@
 
   SharedList() = default;
   SharedList(std::initializer_list<T> elements)
-      : shared_(std::make_shared<Shared>(Shared{std::vector<T>(elements), {}})) {}
+      : shared_(std::make_shared<Shared>(Shared{std::vector<T>(elements), {}, {}})) {}
   explicit SharedList(std::vector<T> elements)
-      : shared_(std::make_shared<Shared>(Shared{std::move(elements), {}})) {}
+      : shared_(std::make_shared<Shared>(Shared{std::move(elements), {}, {}})) {}
 
   bool empty() const { return elements().empty(); }
   std::size_t size() const { return elements().size(); }
@@ -36,6 +42,8 @@
   const T& operator[](std::size_t position) const { return elements()[position]; }
   T& operator[](std::size_t position) { return detach()[position]; }
   void push_back(T element) { detach().push_back(std::move(element)); }
+  /// Sets whether this copy is encoded compressed if it is large: the receiver can read that.
+  void set_compressible(bool compressible) { compressible_ = compressible; }
 
   template <typename Packer>
   void msgpack_pack(Packer& packer) const {
@@ -46,32 +54,58 @@
     if (shared_->encoded.empty()) {
       shared_->encoded = common::encode(shared_->elements);
     }
+    if (compressible_ && shared_->encoded.size() >= kLeastCompressedBytes) {
+      if (shared_->compressed.empty()) {
+        shared_->compressed = common::compress(shared_->encoded);
+      }
+      packer.pack_bin(static_cast<std::uint32_t>(shared_->compressed.size()));
+      packer.pack_bin_body(shared_->compressed.data(),
+                           static_cast<std::uint32_t>(shared_->compressed.size()));
+      return;
+    }
     // pack_bin_body() copies the bytes verbatim; the cached encoding is a complete MessagePack
     // value.
     packer.pack_bin_body(shared_->encoded.data(),
                          static_cast<std::uint32_t>(shared_->encoded.size()));
   }
   void msgpack_unpack(const msgpack::object& object) {
-    shared_ = std::make_shared<Shared>(Shared{object.as<std::vector<T>>(), {}});
+    std::vector<T> elements = object.type == msgpack::type::BIN
+                                  ? read_compressed({object.via.bin.ptr, object.via.bin.size})
+                                  : object.as<std::vector<T>>();
+    shared_ = std::make_shared<Shared>(Shared{std::move(elements), {}, {}});
   }
 
  private:
   struct Shared {
     std::vector<T> elements;
-    std::string encoded;  ///< empty until first needed
+    std::string encoded;     ///< empty until first needed
+    std::string compressed;  ///< the same, of `encoded`
   };
 
+  static std::vector<T> read_compressed(std::string_view bytes) {
+    const auto encoded = common::decompress(bytes, kMaxListBytes);
+    if (!encoded.has_value()) {
+      throw msgpack::type_error();
+    }
+    auto elements = common::decode<std::vector<T>>(*encoded, "read compressed list", "");
+    if (!elements.has_value()) {
+      throw msgpack::type_error();
+    }
+    return std::move(*elements);
+  }
+
   const std::vector<T>& elements() const {
     static const std::vector<T> kNone;
     return shared_ == nullptr ? kNone : shared_->elements;
   }
   /// Copies the elements, without the encoding, and returns the copy for modification.
   std::vector<T>& detach() {
-    shared_ = std::make_shared<Shared>(Shared{elements(), {}});
+    shared_ = std::make_shared<Shared>(Shared{elements(), {}, {}});
     return shared_->elements;
   }
 
   std::shared_ptr<Shared> shared_;
+  bool compressible_ = false;
 };
 
 }  // namespace planktray::routing
--- a/src/routing/table_messages.hpp
+++ b/src/routing/table_messages.hpp
@@ -263,12 +263,23 @@
   common::ZoneName zone{};
   std::vector<ServiceId> unreachable{};  ///< services none of whose back ends it can reach
   std::uint64_t peers_digest = 0;        ///< of the relay peers that it has; see digest_of()
+  common::Term leader_term{};            ///< newest term in which it knows the leader
+  LogIndex controllers_index{};          ///< `index` of the newest list of controllers that it has
+  bool reads_compressed = false;         ///< it can read compressed lists of deltas
+  bool requests_snapshots = false;       ///< it requests a snapshot that it is offered
+  bool wants_snapshot = false;           ///< it requests a snapshot from the receiver
+  bool polls_followers = false;          ///< it gets changes of its table from followers
   MSGPACK_DEFINE_ARRAY(cell, router, address, clock_us, table_index, serving, loads, key_loads,
                        target_times, ended, lacks_update, limits, crashes, suspects_answered,
                        suspects_listed, leaving, backoffs, relay_address, zone, unreachable,
-                       peers_digest)
+                       peers_digest, leader_term, controllers_index, reads_compressed,
+                       requests_snapshots, wants_snapshot, polls_followers)
 };
 
+/// A TableUpdate::as_of_clock_us of an update that extends the table lease only: the leader has
+/// read the router's hello, and the router gets the changes that it lacks from a follower.
+inline constexpr std::int64_t kLeaseOnly = -1;
+
 /// Message from a controller to a router: confirms that the table is current, with its changes.
 struct TableUpdate {
   common::CellName cell;
@@ -281,7 +292,7 @@
   SharedList<TableDelta> deltas;
   std::uint32_t hello_interval_ms = 0;  ///< requested by the leader; 0: any
   /// Time of the router's clock: the table at `current_index` contains every change that was
-  /// acknowledged before. 0: not known to the sender.
+  /// acknowledged before. 0: not known to the sender; kLeaseOnly: the table may be old.
   std::int64_t as_of_clock_us = 0;
   /// The sender is a follower. It sends committed changes but has no data about the fleet, and does
   /// not extend the table lease: `router_rank`, `router_count`, `hello_interval_ms` and
@@ -298,10 +309,14 @@
   /// All relay peers of this router, if `peers_are_listed`; never set by followers.
   std::vector<RelayPeer> peers{};
   bool peers_are_listed = false;
+  /// How often the router should poll a follower for changes, as the leader sends it nothing but
+  /// answers to hellos; 0: not at all.
+  std::uint32_t poll_interval_ms = 0;
+  common::ZoneName sender_zone{};  ///< set by followers
   MSGPACK_DEFINE_ARRAY(cell, term, echo_clock_us, base_index, current_index, router_rank,
                        router_count, deltas, hello_interval_ms, as_of_clock_us, by_follower, limits,
                        limits_are_complete, suspects, crowded, queues_are_known, peers,
-                       peers_are_listed)
+                       peers_are_listed, poll_interval_ms, sender_zone)
 };
 
 /// Message from a follower to a router, in place of an answer to its hello: the addresses of the
@@ -311,7 +326,13 @@
   std::vector<std::string> addresses;  ///< "IP:port" for peer connections
   common::Term term{};                 ///< newest term that the sender knows
   std::string leader{};                ///< address of the leader of `term`; empty: not known
-  MSGPACK_DEFINE_ARRAY(cell, addresses, term, leader)
+  std::string sender{};                ///< address of the sender
+  common::ZoneName sender_zone{};
+  LogIndex index{};  ///< log index of the membership that `addresses` are of
+  /// The router needs a snapshot, which the sender sends on request: any one controller should send
+  /// it, as it is large.
+  bool offers_snapshot = false;
+  MSGPACK_DEFINE_ARRAY(cell, addresses, term, leader, sender, sender_zone, index, offers_snapshot)
 };
 
 }  // namespace planktray::routing
--- a/test/controller/fleet.hpp
+++ b/test/controller/fleet.hpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,7 +32,7 @@
 
 class Fleet {
  public:
-  Fleet() {
+  explicit Fleet(std::size_t routers = kRouters) {
     consensus::Membership members;
     for (std::size_t i = 0; i < kReplicas; ++i) {
       const std::string name = address_of(i);
@@ -46,7 +47,7 @@
                                                               common::RandomEngine(i + 1), now_));
       REQUIRE(controllers_[i]->create_cell(now_, members).has_value());
     }
-    for (std::size_t i = 0; i < kRouters; ++i) {
+    for (std::size_t i = 0; i < routers; ++i) {
       router::RouterOptions options;
       options.name = common::RouterName("r" + std::to_string(i));
       options.hello_interval = milliseconds(250);
@@ -66,7 +67,7 @@
         controllers_[i]->tick(now_);
         carry_out(i);
       }
-      for (std::size_t i = 0; i < kRouters; ++i) {
+      for (std::size_t i = 0; i < routers_.size(); ++i) {
         if (now_ >= start_of(i) && now_ >= routers_[i]->next_due()) {
           routers_[i]->tick(now_);
         }
@@ -93,6 +94,8 @@
     late_ = controller;
     late_delay_ = delay;
   }
+  /// @return the number of table updates that the controller has sent so far.
+  std::size_t tables_sent(std::size_t controller) const { return tables_sent_[controller]; }
   /// Submits a change of the routes to the leader.
   void change_routes(config::RouteChange change) {
     ControllerCore& core = *controllers_[leader().value()];
@@ -198,6 +201,7 @@
         controllers_[to]->on_heartbeat_report(now_, report);
       });
     }
+    tables_sent_[from] += output.tables.size();
     for (const OutgoingTable& table : output.tables) {
       const std::size_t router = index_of(table.router);
       send(
@@ -208,7 +212,7 @@
           router_latency(from));
     }
     if (output.announcement.has_value() && delivers_announcements_) {
-      for (std::size_t router = 0; router < kRouters; ++router) {
+      for (std::size_t router = 0; router < routers_.size(); ++router) {
         send(
             from,
             [this, router, list = *output.announcement] {
@@ -252,6 +256,7 @@
   router::RequestHandle next_handle_ = 1;
   bool delivers_announcements_ = true;
   std::optional<std::size_t> cut_;
+  std::array<std::size_t, kReplicas> tables_sent_{};
   std::vector<std::unique_ptr<ControllerCore>> controllers_;
   std::vector<std::unique_ptr<router::RouterCore>> routers_;
   std::optional<std::size_t> late_;
--- a/test/controller/table_distributor_test.cpp
+++ b/test/controller/table_distributor_test.cpp
@@ -23,7 +23,7 @@
     hello.table_index = common::LogIndex(index);
     hello.serving = index > 0;
     hello.lacks_update = lacks_update;
-    distributor.on_hello(at(time), hello);
+    distributor.on_hello(at(time), hello, state.applied());
   }
   /// Collects all due updates in as many sweeps as needed.
   std::vector<OutgoingTable> collect_all(std::int64_t time) {
@@ -261,5 +261,140 @@
   CHECK(answered == kRouters);
 }
 
+/// A fleet with back ends, whose snapshots are large.
+struct LargeFixture : Fixture {
+  std::uint64_t index = 5;
+
+  void register_backends(int count) {
+    for (int i = 0; i < count; ++i) {
+      const std::string name = "b" + std::to_string(++index);
+      ownership::RegisterBackend registration;
+      registration.machine = common::MachineName(name);
+      registration.address = name + ":80";
+      registration.pool = common::PoolName("service");
+      registration.incarnation = common::Incarnation(name);
+      distributor.on_delta(state.apply(common::LogIndex(index), registration).delta);
+    }
+  }
+};
+
+/// Guards against a snapshot made for each router while back ends register: with 10,000 of them and
+/// 985 routers, the leader did nothing else.
+TEST_CASE("a large snapshot is sent again with the changes since then, not made anew") {
+  LargeFixture fixture;
+  fixture.register_backends(640);
+  fixture.hello(1, 1, 0);
+  const auto first = fixture.distributor.answer(at(1), fixture.state, common::RouterName("r1"));
+  REQUIRE(first.has_value());
+  CHECK(first->update.current_index == common::LogIndex(fixture.index));
+  fixture.register_backends(3);
+  fixture.hello(2, 2, 0);
+  const auto second = fixture.distributor.answer(at(2), fixture.state, common::RouterName("r2"));
+  REQUIRE(second.has_value());
+  REQUIRE(second->update.deltas.size() == 1);
+  CHECK(second->update.deltas.front().is_snapshot);
+  CHECK(second->update.current_index == first->update.current_index);
+  // It lacks changes that may be acknowledged, so it confirms nothing.
+  CHECK(second->update.as_of_clock_us == 0);
+  CHECK(second->update.echo_clock_us == 0);
+  fixture.hello(3, 2, second->update.current_index.value);
+  const auto changes = fixture.distributor.answer(at(3), fixture.state, common::RouterName("r2"));
+  REQUIRE(changes.has_value());
+  CHECK(changes->update.deltas.size() == 3);
+  CHECK(changes->update.as_of_clock_us == 3000);
+  // Once many changes have followed it, a new one is cheaper.
+  fixture.register_backends(20);
+  fixture.hello(4, 3, 0);
+  const auto third = fixture.distributor.answer(at(4), fixture.state, common::RouterName("r3"));
+  REQUIRE(third.has_value());
+  CHECK(third->update.current_index == common::LogIndex(fixture.index));
+}
+
+/// Guards against a leader that sends each of a thousand routers every change by itself.
+TEST_CASE("routers that are too many for the rate of updates poll followers") {
+  LargeFixture fixture;
+  constexpr int kFew = 300;
+  constexpr int kMany = 1000;
+  for (int i = 0; i < kFew; ++i) {
+    fixture.hello(1, i, 5);
+  }
+  const auto answer = [&](std::int64_t time, int router) {
+    fixture.hello(time, router, fixture.index);
+    return fixture.distributor.answer(at(time), fixture.state,
+                                      common::RouterName("r" + std::to_string(router)));
+  };
+  CHECK(answer(2, 0)->update.poll_interval_ms == 0);
+  fixture.register_backends(1);
+  CHECK_FALSE(fixture.collect_all(500).empty());
+  for (int i = 0; i < kMany; ++i) {
+    CHECK(answer(501, i).has_value());
+  }
+  CHECK(answer(502, 0)->update.poll_interval_ms == 500);
+  fixture.register_backends(1);
+  CHECK(fixture.collect_all(1000).empty());
+  const auto changes = [&] {
+    fixture.hello(1001, 7, fixture.index - 1);
+    return fixture.distributor.answer(at(1001), fixture.state, common::RouterName("r7"));
+  }();
+  REQUIRE(changes.has_value());
+  CHECK(changes->update.deltas.size() == 1);
+}
+
+/// Guards against one leader that sends hundreds of restarted routers a table of megabytes each.
+TEST_CASE("a large snapshot is sent on request by any controller and offered before") {
+  LargeFixture fixture;
+  fixture.register_backends(2000);
+  routing::RouterHello hello;
+  hello.router = common::RouterName("r1");
+  hello.clock_us = 1000;
+  const auto answer = [&]() {
+    fixture.distributor.on_hello(at(1), hello, fixture.state.applied());
+    return fixture.distributor.answer(at(1), fixture.state, hello.router);
+  };
+  const auto follower_answer = [&]() {
+    return fixture.distributor.answer_as_follower(at(1), at(1), fixture.state, common::Term(1),
+                                                  hello);
+  };
+  // A router of an earlier version requests nothing: it gets the leader's snapshot.
+  CHECK_FALSE(fixture.distributor.offers_snapshot(fixture.state, hello));
+  CHECK(answer().has_value());
+  CHECK_FALSE(follower_answer().has_value());
+
+  hello.router = common::RouterName("r2");
+  hello.requests_snapshots = true;
+  CHECK(fixture.distributor.offers_snapshot(fixture.state, hello));
+  CHECK_FALSE(answer().has_value());
+  CHECK_FALSE(follower_answer().has_value());
+
+  hello.wants_snapshot = true;
+  CHECK_FALSE(fixture.distributor.offers_snapshot(fixture.state, hello));
+  CHECK(answer().has_value());
+  const auto snapshot = follower_answer();
+  REQUIRE(snapshot.has_value());
+  REQUIRE(snapshot->update.deltas.size() == 1);
+  CHECK(snapshot->update.by_follower);
+  CHECK(snapshot->update.as_of_clock_us == 0);
+}
+
+TEST_CASE("a follower bounds the snapshots that it has in flight") {
+  LargeFixture fixture;
+  fixture.register_backends(2000);
+  const auto request = [&](std::int64_t time, int router) {
+    routing::RouterHello hello;
+    hello.router = common::RouterName("r" + std::to_string(router));
+    hello.requests_snapshots = hello.wants_snapshot = true;
+    return fixture.distributor
+        .answer_as_follower(at(time), at(time), fixture.state, common::Term(1), hello)
+        .has_value();
+  };
+  int sent = 0;
+  for (int i = 0; i < 100; ++i) {
+    sent += request(1, i) ? 1 : 0;
+  }
+  CHECK(sent == 32);
+  CHECK_FALSE(request(4000, 99));
+  CHECK(request(5002, 99));
+}
+
 }  // namespace
 }  // namespace planktray::controller
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -253,6 +253,82 @@
   CHECK(output.hello_to_all);
 }
 
+/// Guards against a fleet that keeps its controllers from electing a leader: 985 routers sent all
+/// of ten controllers a hello every 250 ms until one of them led.
+TEST_CASE("a router that knows no leader asks a few controllers, and less often the longer") {
+  RouterOptions options = Fixture::options();
+  options.hello_interval = std::chrono::milliseconds(250);
+  RouterCore core(options, common::RandomEngine(1), at(0));
+  constexpr int kControllers = 10;
+  for (int i = 0; i < kControllers; ++i) {
+    core.add_controller("c" + std::to_string(i));
+  }
+  std::size_t sent = 0;
+  std::set<std::string> asked;
+  for (std::int64_t time = 1; time <= 10'000; time += 5) {
+    core.tick(at(time));
+    const RouterOutput output = core.take_output();
+    if (output.hello.has_value()) {
+      CHECK_FALSE(output.hello_to_all);
+      sent += output.hello_to.size();
+      asked.insert(output.hello_to.begin(), output.hello_to.end());
+    }
+  }
+  CHECK(sent <= 3 * 12);
+  CHECK(asked.size() == kControllers);
+}
+
+TEST_CASE("a router polls followers for changes while the leader says so") {
+  Fixture fixture;
+  fixture.core.add_controller("leader");
+  fixture.core.add_controller("f1");
+  routing::TableUpdate update;
+  update.term = common::Term(2);
+  update.echo_clock_us = common::to_microseconds(at(10));
+  update.base_index = update.current_index = common::LogIndex(10);
+  update.hello_interval_ms = 2000;
+  update.poll_interval_ms = 500;
+  fixture.core.on_table_update(at(10), update, "leader");
+  fixture.tick(at(11));
+  for (std::int64_t time = 12; time < 1900; time += 5) {
+    const RouterOutput output = fixture.tick(at(time));
+    if (output.hello.has_value()) {
+      CHECK(output.hello_to == std::vector<std::string>{"f1"});
+      routing::TableUpdate answer;
+      answer.by_follower = true;
+      answer.base_index = answer.current_index = common::LogIndex(10);
+      answer.as_of_clock_us = common::to_microseconds(at(time));
+      fixture.core.on_table_update(at(time), answer, "f1");
+    }
+  }
+  CHECK(fixture.core.counters().follower_polls == 3);
+}
+
+TEST_CASE("a router requests a snapshot from the controller of its zone that offers one") {
+  RouterOptions options = Fixture::options();
+  options.zone = common::ZoneName("a");
+  RouterCore core(options, common::RandomEngine(1), at(0));
+  core.tick(at(1));
+  (void)core.take_output();
+  const auto offer = [&](std::int64_t time, const std::string& sender, const std::string& zone) {
+    routing::ControllerList list;
+    list.cell = options.cell;
+    list.sender = sender;
+    list.sender_zone = common::ZoneName(zone);
+    list.offers_snapshot = true;
+    core.on_controller_list(at(time), list);
+    const RouterOutput output = core.take_output();
+    return output.hello.has_value() && output.hello->wants_snapshot ? output.hello_to
+                                                                    : std::vector<std::string>();
+  };
+  CHECK(offer(10, "b1", "b").empty());
+  CHECK(offer(11, "a1", "a") == std::vector<std::string>{"a1"});
+  CHECK(offer(12, "a2", "a").empty());  // one is on its way
+  CHECK(offer(1000, "b1", "b").empty());
+  // It did not come, and no controller of the own zone offers one any more.
+  CHECK(offer(2000, "b1", "b") == std::vector<std::string>{"b1"});
+}
+
 TEST_CASE("a router that lacks an update sends a hello at once, otherwise at its interval") {
   Fixture fixture;
   fixture.tick(at(1));
