An owner that sheds although it has room is asked again at once

Ruled out: repeats at owners that are full, or say nothing of their load (they are left alone as before).

Change: an owner that reports free slots and an empty queue with its refusal is not blocked, and the request is sent again at once, within the route's attempts and the budget.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -234,7 +234,9 @@
   void wait_for_target(TimePoint now, Request& request, routing::NotRunReason reason);
   void on_routed_attempt_done(TimePoint now, AttemptId id, const Attempt& attempt,
                               const AttemptResult& result);
-  void retry_routed(TimePoint now, Request& request);
+  /// @param owner_had_room the owner of the key has refused although it has room: it is asked again
+  ///   at once.
+  void retry_routed(TimePoint now, Request& request, bool owner_had_room);
   /// Chooses the service for a request on the route, by weighted round robin among its parts.
   const routing::RoutedTableService* choose_service(const config::Route& route);
   std::optional<TargetChoice> choose_target(TimePoint now, Request& request,
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -17,6 +17,14 @@
 /// Interval at which a waiting request tries again to find a target.
 constexpr Duration kRecheckInterval = std::chrono::milliseconds(20);
 
+/// Returns true if a back end has shed a request although, by its own report, slots are free and
+/// nothing waits: the next request may well be taken.
+bool had_room(const AttemptResult& result) {
+  const auto& load = result.load;
+  return result.refusal == Refusal::kShed && load.has_value() && load->running < load->slots &&
+         load->waiting == 0;
+}
+
 }  // namespace
 
 RouterCore::RoutedService& RouterCore::routed_service(common::ServiceId id) {
@@ -307,11 +315,12 @@
       }
       if (result.refusal == Refusal::kWrongIncarnation) {
         record_ended(now, attempt.backend, !result.answered_by.value.empty());
-      } else if (result.refusal == Refusal::kShed && !backoffs_.ends_at(now, attempt.backend)) {
+      } else if (result.refusal == Refusal::kShed && !backoffs_.ends_at(now, attempt.backend) &&
+                 !(request.keyed && had_room(result))) {
         book.block(now, attempt.backend);
       }
       request.next_send_is_repeat = true;
-      return retry_routed(now, request);
+      return retry_routed(now, request, had_room(result));
     case AttemptEnd::kBroken:
     case AttemptEnd::kForeign:
     case AttemptEnd::kAnswered:
@@ -325,18 +334,18 @@
         return answer_unknown(request);
       }
       request.next_send_is_repeat = true;
-      return retry_routed(now, request);
+      return retry_routed(now, request, false);
   }
 }
 
-void RouterCore::retry_routed(TimePoint now, Request& request) {
+void RouterCore::retry_routed(TimePoint now, Request& request, bool owner_had_room) {
   if (refuse_for_backoff(now, request)) {
     return;
   }
   if (request.attempts >= request.maximum_attempts) {
     return answer_not_run(request, NotRunReason::kNoTarget, options_.short_retry_after);
   }
-  if (!request.keyed) {
+  if (!request.keyed || owner_had_room) {
     return dispatch_routed(now, request);
   }
   // The owner has refused: a newer table or a short wait is needed.
--- a/src/router/core/router_core_writing.cpp
+++ b/src/router/core/router_core_writing.cpp
@@ -88,7 +88,7 @@
   }
   request.refused_by.insert(attempt.backend);
   request.next_send_is_repeat = true;
-  retry_routed(now, request);
+  retry_routed(now, request, false);
 }
 
 }  // namespace planktray::router
