--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -59,7 +59,7 @@
 
 void RouterCore::consider_offer(TimePoint now, const routing::ControllerList& list) {
   if (now >= offer_expires_) {
-    // The first offer since the last request.
+    // The first offer after a time without any.
     first_offer_ = now;
   }
   offer_expires_ = now + kOfferValidity;
