--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -6,10 +6,6 @@
 namespace planktray::consensus {
 namespace {
 
-/// Log entries kept before the snapshot index, so that a replica that is slightly behind needs no
-/// snapshot.
-constexpr std::size_t kRetainedEntries = 512;
-
 LogIndex next_index(LogIndex index) { return LogIndex(index.value + 1); }
 
 }  // namespace
@@ -153,8 +149,8 @@
   }
   next.data = std::move(data);
   snapshot_ = std::move(next);
-  while (log_.size() > kRetainedEntries + 1 &&
-         log_.front().index.value + kRetainedEntries < applied.value) {
+  while (log_.size() > options_.retained_entries + 1 &&
+         log_.front().index.value + options_.retained_entries < applied.value) {
     log_.pop_front();
   }
   PersistRequest request;
--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -43,6 +43,9 @@
   /// Learners get entries this often while commands are proposed, as no commit waits for them.
   Duration learner_interval = std::chrono::milliseconds(40);
   std::size_t snapshot_chunk_bytes = 256 * 1024;
+  /// Log entries kept before the snapshot index, so that a replica that is slightly behind needs no
+  /// snapshot.
+  std::size_t retained_entries = 512;
   std::size_t maximum_entries_per_message = 256;
   /// Safeguard: votes are refused shortly after contact with a leader. Disabled only in mutants.
   bool refuse_early_votes = true;
--- a/src/sim/controller_node.cpp
+++ b/src/sim/controller_node.cpp
@@ -138,12 +138,20 @@
   flush();
 }
 
+void ControllerNode::input(const Input& action) {
+  action(*core_, host().clock());
+  flush();
+}
+
 void ControllerNode::flush() {
   if (flushing_) {
     return;
   }
   flushing_ = true;
   controller::ControllerOutput output = core_->take_output();
+  if (output_hook_) {
+    output_hook_(output);
+  }
   std::move(output.persist.begin(), output.persist.end(), std::back_inserter(waiting_));
   persist_next();
   Network& network = environment_.network;
--- a/src/sim/controller_node.hpp
+++ b/src/sim/controller_node.hpp
@@ -21,6 +21,8 @@
   using ChangeReply = std::function<void(const common::Result<ownership::ChangeAnswer>&)>;
   using CommandReply = std::function<void(const common::Result<common::LogIndex>&)>;
   using ReadReply = std::function<void(const common::Result<void>&)>;
+  using OutputHook = std::function<void(controller::ControllerOutput&)>;
+  using Input = std::function<void(controller::ControllerCore&, TimePoint)>;
 
   ControllerNode(Environment& environment, Directory& directory, HostId host,
                  controller::ControllerOptions options);
@@ -47,6 +49,10 @@
   void move(const common::ServiceKey& service, common::ShardNumber shard,
             const common::MachineName& to, CommandReply reply);
   void read(ReadReply reply);
+  /// Passes any other input to the core, with the machine's clock, and carries out the output.
+  void input(const Input& action);
+  /// Calls `hook` with each output before it is carried out. The node carries out what is left.
+  void set_output_hook(OutputHook hook) { output_hook_ = std::move(hook); }
 
   Host& host() { return environment_.network.host(host_); }
   HostId host_id() const { return host_; }
@@ -75,6 +81,7 @@
   std::optional<storage::LogStore> store_;
   std::optional<controller::ControllerCore> core_;
   std::vector<consensus::PersistRequest> waiting_;
+  OutputHook output_hook_;
   bool persisting_ = false;
   bool flushing_ = false;
   bool led_ = false;
--- a/src/sim/host.hpp
+++ b/src/sim/host.hpp
@@ -74,6 +74,16 @@
     const auto elapsed = static_cast<double>(scheduler_->now().time_since_epoch().count());
     return TimePoint(offset_ + Duration(static_cast<Duration::rep>(elapsed * rate_)));
   }
+  /// The true time at which the machine's own clock reads `reading`.
+  TimePoint true_time(TimePoint reading) const {
+    const auto elapsed = static_cast<double>((reading.time_since_epoch() - offset_).count());
+    return TimePoint(Duration(static_cast<Duration::rep>(elapsed / rate_)));
+  }
+  /// The clock restarts, as it does when the machine boots. Its rate stays.
+  void restart_clock() {
+    const auto elapsed = static_cast<double>(scheduler_->now().time_since_epoch().count());
+    offset_ = -Duration(static_cast<Duration::rep>(elapsed * rate_));
+  }
 
  private:
   Scheduler* scheduler_;
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -16,6 +16,7 @@
 #include "sim/recorded.hpp"
 #include "sim/route_world.hpp"
 #include "sim/run.hpp"
+#include "sim/table_world.hpp"
 
 namespace planktray::sim {
 namespace {
@@ -42,8 +43,9 @@
   std::string subset = "aperture";
   std::string choice = "p2c";
   std::uint64_t seconds = 60;
-  std::uint32_t routers = 0;  ///< 0: as the deployment says
-  std::uint32_t scale = 1;    ///< targets are multiplied by this
+  std::uint32_t routers = 0;  ///< 0: as the deployment or the world says
+  std::size_t controllers = 5;
+  std::uint32_t scale = 1;  ///< targets are multiplied by this
 };
 
 struct SeedRange {
@@ -453,6 +455,35 @@
   return violated == 0 ? kExitOk : kExitViolation;
 }
 
+/// Runs tables of routers over many seeds, or with a safeguard taken away.
+int run_tables(const Arguments& arguments, const SeedRange& range) {
+  TableWorldOptions options;
+  options.faults = all_table_faults();
+  options.controllers = arguments.controllers;
+  options.routers = arguments.routers == 0 ? options.routers : arguments.routers;
+  for (const TableMutant mutant : all_table_mutants()) {
+    if (arguments.only == to_string(mutant)) {
+      options.mutant = mutant;
+    }
+  }
+  TableWorldResult sum;
+  const auto violated = run_world(options, range, run_table_world, [&](const auto& result) {
+    sum.acknowledged += result.acknowledged;
+    sum.configurations += result.configurations;
+    sum.tables_compared += result.tables_compared;
+    sum.elections += result.elections;
+    sum.snapshots_to_routers += result.snapshots_to_routers;
+    sum.snapshots_to_controllers += result.snapshots_to_controllers;
+    sum.follower_updates += result.follower_updates;
+  });
+  std::cout << sum.acknowledged << " acknowledgements, " << sum.configurations
+            << " configurations, " << sum.tables_compared << " tables compared, " << sum.elections
+            << " leaders, " << sum.snapshots_to_routers << " snapshots to routers, "
+            << sum.snapshots_to_controllers << " chunks of snapshots to controllers, "
+            << sum.follower_updates << " updates of followers\n";
+  return violated == 0 ? kExitOk : kExitViolation;
+}
+
 int main_with(int argc, char** argv) {
   CLI::App app{"Runs planktray under virtual time with faults and judges what happened"};
   app.require_subcommand(1);
@@ -500,6 +531,13 @@
       "routes", "Run requests on routes over many seeds; exits 1 on a violation");
   routes->add_option("--seeds", arguments.seeds, "FIRST-LAST");
   routes->add_option("--mutant", arguments.only, "Name of a safeguard to take away");
+  CLI::App* tables = app.add_subcommand(
+      "tables", "Compare tables of routers with what is acknowledged; exits 1 on a violation");
+  tables->add_option("--seeds", arguments.seeds, "FIRST-LAST");
+  tables->add_option("--mutant", arguments.only, "Name of a safeguard to take away");
+  tables->add_option("--controllers", arguments.controllers, "Number of controllers")
+      ->check(CLI::Range(3, 16));
+  tables->add_option("--routers", arguments.routers, "Number of routers");
   RecordedFiles recorded;
   CLI::App* judge_command =
       app.add_subcommand("judge", "Check what a fleet of real processes recorded");
@@ -537,6 +575,9 @@
   if (routes->parsed()) {
     return run_routes(arguments, *range);
   }
+  if (tables->parsed()) {
+    return run_tables(arguments, *range);
+  }
   return run_seeds(arguments, *options, *range);
 }
 
