--- a/src/consensus/messages.hpp
+++ b/src/consensus/messages.hpp
@@ -137,7 +137,8 @@
   std::uint64_t total = 0;
   std::string bytes;
   std::uint64_t round = 0;
-  MSGPACK_DEFINE_ARRAY(index, snapshot_term, membership, offset, total, bytes, round)
+  std::uint64_t digest = 0;  ///< of the whole snapshot's bytes; 0: not stated by the sender
+  MSGPACK_DEFINE_ARRAY(index, snapshot_term, membership, offset, total, bytes, round, digest)
 };
 
 /// Answers a SnapshotChunk.
--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -16,12 +16,12 @@
       self_(self),
       random_(random),
       hard_state_(state.hard_state),
-      snapshot_(std::move(state.snapshot)),
       log_(state.entries.begin(), state.entries.end()),
-      commit_(snapshot_.index),
       votes_refused_until_(now + options.minimum_election_timeout),
       leader_since_(now),
       lease_start_(TimePoint::min() + std::chrono::hours(1)) {
+  set_snapshot(std::move(state.snapshot));
+  commit_ = snapshot_.index;
   recompute_membership();
   durable_index_ = last_index();
   if (snapshot_.index.value > 0) {
@@ -84,7 +84,7 @@
   if (!membership_.members.empty() || last_index().value > 0) {
     return;
   }
-  snapshot_ = {LogIndex(1), Term(1), membership, std::move(data)};
+  set_snapshot({LogIndex(1), Term(1), membership, std::move(data)});
   commit_ = snapshot_.index;
   hard_state_.term = std::max(hard_state_.term, Term(1));
   recompute_membership();
@@ -148,7 +148,7 @@
     }
   }
   next.data = std::move(data);
-  snapshot_ = std::move(next);
+  set_snapshot(std::move(next));
   while (log_.size() > options_.retained_entries + 1 &&
          log_.front().index.value + options_.retained_entries < applied.value) {
     log_.pop_front();
--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -11,6 +11,7 @@
 ///    with a leader and after its own start. A leader lease that is shorter by the drift margin is
 ///    therefore safe.
 ///  - A replica id belongs to one data folder. A replaced disk has another id.
+///  - A snapshot is installed only if its bytes are those of one sender, by their digest.
 
 #include <deque>
 #include <map>
@@ -118,6 +119,8 @@
   const Membership& membership() const { return membership_; }
   /// Index of the entry or snapshot that contains the current membership.
   LogIndex membership_index() const { return membership_index_; }
+  /// Number of snapshots that arrived with other bytes than their sender's.
+  std::uint64_t damaged_snapshots() const { return damaged_snapshots_; }
   /// True while a membership entry is uncommitted.
   bool membership_change_pending() const { return membership_index_ > commit_; }
   /// The time as of which this replica is up to date: every entry acknowledged to any client before
@@ -173,6 +176,11 @@
   void broadcast(TimePoint now);
   void send_append(TimePoint now, ReplicaId peer, Progress& progress);
   void send_snapshot(TimePoint now, ReplicaId peer, Progress& progress);
+  /// Replaces the snapshot that this replica restarts from and sends to others.
+  void set_snapshot(Snapshot snapshot);
+  /// Adds a chunk to the snapshot being received.
+  /// @return true if the snapshot is complete and its digest is right.
+  bool receive_chunk(const SnapshotChunk& chunk);
   void handle(TimePoint now, const RaftMessage& message, const AppendRequest& request);
   void handle(TimePoint now, const RaftMessage& message, const AppendReply& reply);
   void handle(TimePoint now, const RaftMessage& message, const SnapshotChunk& chunk);
@@ -206,7 +214,8 @@
 
   HardState hard_state_;
   Snapshot snapshot_;
-  std::deque<Entry> log_;  ///< entries after the snapshot
+  std::uint64_t snapshot_digest_ = 0;  ///< of the bytes of `snapshot_`
+  std::deque<Entry> log_;              ///< entries after the snapshot
   Membership membership_;
   LogIndex membership_index_;
 
@@ -231,7 +240,9 @@
   TimePoint lease_start_;  ///< send time of the newest round that a majority acknowledged
   std::deque<PendingRead> pending_reads_;
 
-  Snapshot incoming_;  ///< snapshot being received
+  Snapshot incoming_;                  ///< snapshot being received
+  std::uint64_t incoming_digest_ = 0;  ///< as stated by the sender of `incoming_`
+  std::uint64_t damaged_snapshots_ = 0;
   std::uint64_t sequence_ = 0;
   std::uint64_t synced_sequence_ = 0;
   std::map<std::uint64_t, LogIndex> appended_by_sequence_;
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/hash.hpp"
 #include "consensus/raft.hpp"
 
 namespace planktray::consensus {
@@ -10,9 +11,14 @@
 
 /// A snapshot chunk without a reply is sent again after this many heartbeat intervals.
 constexpr int kChunkResendHeartbeats = 10;
+constexpr std::uint64_t kSnapshotDigestSeed = 0x736e6170;
 
 LogIndex next_index(LogIndex index) { return LogIndex(index.value + 1); }
 
+std::uint64_t digest_of(const std::string& bytes) {
+  return common::hash_bytes(bytes, kSnapshotDigestSeed);
+}
+
 }  // namespace
 
 void RaftNode::broadcast(TimePoint now) {
@@ -70,7 +76,8 @@
                       progress.snapshot_offset,
                       snapshot_.data.size(),
                       "",
-                      round_};
+                      round_,
+                      snapshot_digest_};
   const bool resend = now - progress.last_sent > options_.heartbeat * kChunkResendHeartbeats;
   if (is_new || resend || !progress.chunk_in_flight) {
     chunk.bytes = snapshot_.data.substr(progress.snapshot_offset, options_.snapshot_chunk_bytes);
@@ -187,17 +194,11 @@
     send_after_sync(message.from, SnapshotReply{chunk.index, chunk.total, true, chunk.round});
     return;
   }
-  if (incoming_.index != chunk.index || incoming_.term != chunk.snapshot_term) {
-    incoming_ = {chunk.index, chunk.snapshot_term, chunk.membership, ""};
-  }
-  if (chunk.offset == incoming_.data.size()) {
-    incoming_.data += chunk.bytes;
-  }
-  if (incoming_.data.size() < chunk.total) {
+  if (!receive_chunk(chunk)) {
     send(message.from, SnapshotReply{chunk.index, incoming_.data.size(), false, chunk.round});
     return;
   }
-  snapshot_ = std::exchange(incoming_, Snapshot());
+  set_snapshot(std::exchange(incoming_, Snapshot()));
   truncate_from(next_index(snapshot_.index));
   log_.clear();
   commit_ = snapshot_.index;
@@ -211,6 +212,33 @@
   send_after_sync(message.from, SnapshotReply{chunk.index, chunk.total, true, chunk.round});
 }
 
+bool RaftNode::receive_chunk(const SnapshotChunk& chunk) {
+  // Two leaders may send snapshots of one index whose bytes differ.
+  const bool continues = incoming_.index == chunk.index && incoming_.term == chunk.snapshot_term &&
+                         incoming_digest_ == chunk.digest;
+  if (!continues) {
+    incoming_ = {chunk.index, chunk.snapshot_term, chunk.membership, ""};
+    incoming_digest_ = chunk.digest;
+  }
+  if (chunk.offset == incoming_.data.size()) {
+    incoming_.data += chunk.bytes;
+  }
+  if (incoming_.data.size() < chunk.total) {
+    return false;
+  }
+  const bool is_intact = chunk.digest == 0 || digest_of(incoming_.data) == chunk.digest;
+  if (!is_intact) {
+    ++damaged_snapshots_;
+    incoming_ = Snapshot();  // the reply asks for it from its first byte
+  }
+  return is_intact;
+}
+
+void RaftNode::set_snapshot(Snapshot snapshot) {
+  snapshot_ = std::move(snapshot);
+  snapshot_digest_ = digest_of(snapshot_.data);
+}
+
 void RaftNode::handle(TimePoint now, const RaftMessage& message, const SnapshotReply& reply) {
   const auto found = progress_.find(message.from);
   if (role_ != Role::kLeader || message.term < hard_state_.term || found == progress_.end()) {
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -57,6 +57,9 @@
   }
   core_ = std::make_unique<ControllerCore>(settings_.options, store_->identity().replica,
                                            std::move(*state), random, boot_time_now());
+  if (core_->unreadable_state().has_value()) {
+    return tl::unexpected(*core_->unreadable_state());
+  }
   worker_ = std::make_unique<transport::StorageWorker>(
       *store_, [this](const auto& persisted) { on_persisted(persisted); },
       [this](const common::Error& error) {
@@ -173,6 +176,11 @@
     execute(output);
   }
   flushing_ = false;
+  if (core_->unreadable_state().has_value()) {
+    log_error("state_unreadable", *core_->unreadable_state());
+    exit_code_ = transport::kExitFailure;
+    return loop_.quit();
+  }
   log_leadership_change();
   alarm_.set(core_->next_due(boot_time_now()));
 }
@@ -555,6 +563,9 @@
                        "Damaged messages and foreign protocol versions.", total.refused);
   metrics_.set_counter("planktray_messages_overdue_total",
                        "Messages of routers dropped, as too many others waited.", total.overdue);
+  metrics_.set_counter("planktray_snapshots_damaged_total",
+                       "Snapshots of the log that did not arrive as they were sent.",
+                       core_->raft().damaged_snapshots());
   metrics_.set_counter("planktray_leases_sent_total", "Lease requests sent.", leases_sent_);
   metrics_.set_counter("planktray_lease_failures_total", "Lease requests without an answer.",
                        lease_failures_);
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -177,7 +177,10 @@
   step(now);
 }
 
-ControllerOutput ControllerCore::take_output() { return std::exchange(output_, {}); }
+ControllerOutput ControllerCore::take_output() {
+  ControllerOutput output = std::exchange(output_, {});
+  return unreadable_state_.has_value() ? ControllerOutput() : output;
+}
 
 TimePoint ControllerCore::next_due(TimePoint now) const {
   TimePoint due = std::min(raft_.next_due(), now + kMaxTickInterval);
@@ -258,12 +261,9 @@
 
 void ControllerCore::process_raft_output(TimePoint now) {
   consensus::RaftOutput raft_output = raft_.take_output();
-  if (raft_output.restored.has_value()) {
-    auto restored = ownership::CellState::decode_snapshot(raft_output.restored->data);
-    if (restored.has_value()) {
-      state_ = std::move(*restored);
-    }
-    distributor_.on_restore();
+  const bool is_readable = !raft_output.restored.has_value() || restore(raft_output.restored->data);
+  if (!is_readable || unreadable_state_.has_value()) {
+    return;  // entries that follow must not be applied to another state
   }
   for (const consensus::Entry& entry : raft_output.committed) {
     apply_entry(now, entry);
@@ -288,6 +288,17 @@
   }
 }
 
+bool ControllerCore::restore(const std::string& snapshot) {
+  auto restored = ownership::CellState::decode_snapshot(snapshot);
+  if (!restored.has_value()) {
+    unreadable_state_ = restored.error();
+    return false;
+  }
+  state_ = std::move(*restored);
+  distributor_.on_restore();
+  return true;
+}
+
 void ControllerCore::update_role(TimePoint now) {
   const bool leads = raft_.is_leader();
   if (leading_ && (!leads || raft_.term() != leading_term_)) {
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -211,6 +211,9 @@
 
   /// True while this replica holds the leader lease, and so may answer requests and grant keys.
   bool is_serving(TimePoint now) const { return raft_.has_leader_lease(now); }
+  /// Why the replicated state cannot be read, if so. Its content is then not that of its index:
+  /// take_output() returns nothing any more, and the process must end.
+  const std::optional<common::Error>& unreadable_state() const { return unreadable_state_; }
   const consensus::RaftNode& raft() const { return raft_; }
   const ownership::CellState& state() const { return state_; }
   const ownership::LeaseManager& leases() const { return leases_; }
@@ -249,6 +252,9 @@
   /// True if there are sessions, machines or services under the holder-clock lease contract.
   bool uses_leases() const;
   void process_raft_output(TimePoint now);
+  /// Replaces the state with that of a snapshot.
+  /// @return false if the snapshot cannot be read.
+  bool restore(const std::string& snapshot);
   void update_role(TimePoint now);
   void apply_entry(TimePoint now, const consensus::Entry& entry);
   void complete(TimePoint now, const consensus::Entry& entry, const ownership::ApplyResult& result);
@@ -320,6 +326,7 @@
   KeyMoveLog key_moves_;
   membership::MachineList machines_;
 
+  std::optional<common::Error> unreadable_state_;
   OperatorRequestId next_request_ = 1;
   bool leading_ = false;
   common::Term leading_term_;
--- a/src/sim/controller_node.cpp
+++ b/src/sim/controller_node.cpp
@@ -184,6 +184,10 @@
     complete(completion);
   }
   flushing_ = false;
+  if (core_->unreadable_state().has_value()) {
+    environment_.note(options_.name + " cannot read its state");
+    return host().after(Duration(0), [this] { kill(false); });
+  }
   note_role();
 }
 
--- a/test/consensus/raft_test.cpp
+++ b/test/consensus/raft_test.cpp
@@ -337,5 +337,29 @@
   CHECK(entries >= LearnerFixture::kLearners * 900);
 }
 
+// Guards against a state that is put together from the snapshots of two leaders.
+TEST_CASE("chunks of snapshots with other bytes are not put together") {
+  Membership members;
+  members.members = {{common::ReplicaId(1), "a", "", "", true},
+                     {common::ReplicaId(2), "b", "", "", true}};
+  RaftNode node(RaftOptions(), common::ReplicaId(1), DurableState(), common::RandomEngine(1),
+                at(0));
+  const auto receive = [&](std::uint64_t digest, std::uint64_t offset, const std::string& bytes) {
+    const SnapshotChunk chunk{LogIndex(9), Term(1), members, offset, 8, bytes, 1, digest};
+    node.receive(at(1), {common::ReplicaId(2), common::ReplicaId(1), Term(1), chunk});
+    return node.take_output();
+  };
+  const auto received = [](const RaftOutput& output) {
+    return std::get<SnapshotReply>(output.messages.front().body.value).received;
+  };
+  CHECK(received(receive(1, 0, "abcd")) == 4);
+  CHECK(received(receive(2, 4, "EFGH")) == 0);  // of another sender: from its first byte
+  CHECK(received(receive(2, 0, "ABCD")) == 4);
+  const RaftOutput damaged = receive(2, 4, "EFGH");  // 2 is not the digest of these bytes
+  CHECK_FALSE(damaged.restored.has_value());
+  CHECK(received(damaged) == 0);
+  CHECK(node.damaged_snapshots() == 1);
+}
+
 }  // namespace
 }  // namespace planktray::consensus
--- a/test/controller/controller_core_test.cpp
+++ b/test/controller/controller_core_test.cpp
@@ -524,5 +524,27 @@
   CHECK_FALSE(is_cold());
 }
 
+// Guards against a controller that goes on from its former state under the index of a snapshot.
+TEST_CASE("a controller that cannot read a snapshot answers nothing any more") {
+  ControllerOptions options;
+  options.name = "c1";
+  consensus::Membership members;
+  members.members = {{common::ReplicaId(1), "c1", "c1:1", "c1:2", true},
+                     {common::ReplicaId(2), "c2", "c2:1", "c2:2", true}};
+  ControllerCore core(options, common::ReplicaId(1), consensus::DurableState(),
+                      common::RandomEngine(1), at(0));
+  const std::string bytes = "no state";
+  consensus::SnapshotChunk chunk{common::LogIndex(9), common::Term(1), members, 0,
+                                 bytes.size(),        bytes,           1};
+  core.on_peer_message(at(1), {common::ReplicaId(2), common::ReplicaId(1), common::Term(1), chunk});
+  REQUIRE(core.unreadable_state().has_value());
+  CHECK(core.unreadable_state()->step == "read state snapshot");
+  CHECK(core.take_output().empty());
+  routing::RouterHello hello;
+  hello.router = common::RouterName("r1");
+  core.on_router_hello(at(2), hello);
+  CHECK(core.take_output().empty());
+}
+
 }  // namespace
 }  // namespace planktray::controller
