A refusal tells who confirmed the table and which configuration it has

Callers: nothing changes. The incident's hypotheses (a time stated too late; a table with an index and without its content; a router out of contact) could not be told apart by a line of a router that says 404: it told the age of the table, but not by whom it was called young, nor the version of the configuration in it. request_refused has confirmed_by and routes_version now. No change of logic. To be read together with the stating controller's own lines.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -100,6 +100,8 @@
   bool is_serving(TimePoint now) const;
   const routing::RoutingTable& table() const { return table_; }
   const routing::TableFreshness& freshness() const { return freshness_; }
+  /// Address of the controller that has stated freshness().as_of(); empty before the first.
+  const std::string& confirmed_by() const { return confirmed_by_; }
   const RouterCounters& counters() const { return counters_; }
   /// Returns true if requests and answers must come with digests. The result of an attempt whose
   /// connection ended always must.
@@ -424,6 +426,7 @@
   common::RandomEngine random_;
   routing::RoutingTable table_;
   routing::TableFreshness freshness_;
+  std::string confirmed_by_;
   WriteGuard writes_;
   link::SendWindow send_window_;
   routing::RetryBudget budget_;
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -96,6 +96,9 @@
   const bool confirms_age = update.as_of_clock_us != routing::kLeaseOnly;
   if (is_up_to_date && confirms_age && as_of > 0) {
     freshness_.on_confirmed(now, common::from_microseconds(as_of));
+    if (freshness_.as_of() != known_until) {
+      confirmed_by_ = from;
+    }
   }
   if (update.by_follower) {
     ++counters_.follower_updates;
--- a/src/router/request_log.cpp
+++ b/src/router/request_log.cpp
@@ -227,7 +227,7 @@
 }
 
 void RequestLog::request_refused(common::TimePoint now, const ParsedRequest& parsed,
-                                 const Answer& answer, const RefusalTimes& times) {
+                                 const Answer& answer, const RefusalContext& context) {
   if (!limit_.allows(now)) {
     return;
   }
@@ -238,16 +238,18 @@
              {"service", answer.service},
              {"key", key_text(parsed)},
              {"attempts", std::to_string(answer.attempts)},
-             {"took_ms", milliseconds_text(times.took)},
+             {"took_ms", milliseconds_text(context.took)},
              {"route", answer.route},
              {"stated_ms", std::to_string(parsed.request.timeout_ms)},
-             {"unread_ms", milliseconds_text(times.read_time)},
+             {"unread_ms", milliseconds_text(context.read_time)},
              {"expected_ms",
               answer.expected.has_value() ? milliseconds_text(*answer.expected) : "unknown"},
              {"retry_after_ms", milliseconds_text(answer.retry_after)},
              {"table_index", std::to_string(answer.table_index.value)},
              {"table_age_ms",
-              times.table_age.has_value() ? milliseconds_text(*times.table_age) : "unknown"}});
+              context.table_age.has_value() ? milliseconds_text(*context.table_age) : "unknown"},
+             {"confirmed_by", context.confirmed_by},
+             {"routes_version", std::to_string(context.routes_version)}});
 }
 
 void RequestLog::table_late(const LateUpdate& late) {
--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -60,11 +60,13 @@
 };
 
 /// Times of a request that ends without a back end's answer.
-struct RefusalTimes {
+struct RefusalContext {
   common::Duration took{0};       ///< since it was read completely
   common::Duration read_time{0};  ///< from its first byte until it was read completely
   /// Since the table was last confirmed to be up to date; nullopt if it never was.
   std::optional<common::Duration> table_age;
+  std::string confirmed_by;          ///< address of the controller that confirmed it
+  std::uint64_t routes_version = 0;  ///< of the route configuration in the table
 };
 
 class RequestLog {
@@ -112,7 +114,7 @@
   void backoff_requested(common::TimePoint now, const BackoffRequest& request);
   /// A request ends without a back end's answer.
   void request_refused(common::TimePoint now, const ParsedRequest& parsed, const Answer& answer,
-                       const RefusalTimes& times);
+                       const RefusalContext& context);
 
  private:
   transport::LineLimit limit_;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -670,7 +670,8 @@
   }
   const common::Duration read_time = caller.arrived - caller.exchange->first_byte();
   request_log_.request_refused(now, caller.parsed, answer,
-                               {took, read_time, core_.freshness().age(now)});
+                               {took, read_time, core_.freshness().age(now), core_.confirmed_by(),
+                                core_.table().routes().version()});
   dialect_->answer(*caller.exchange, caller.parsed, answer);
 }
 
