--- a/src/sim/table_audit.hpp
+++ b/src/sim/table_audit.hpp
@@ -34,7 +34,7 @@
   /// A controller has applied the log up to `state.applied()`.
   void on_applied(common::TimePoint now, const std::string& controller,
                   const ownership::CellState& state);
-  /// A client is told now that the entry at `index` is committed.
+  /// The entry at `index` is acknowledged to a client.
   void on_acknowledged(common::TimePoint now, common::LogIndex index);
   /// A router has received a table, or a statement about its age.
   /// @param as_of true time before which the router takes every acknowledged change to be in its
