--- a/src/router/request_log.hpp
+++ b/src/router/request_log.hpp
@@ -59,7 +59,7 @@
   common::Duration inbound_backlog{0};
 };
 
-/// Times of a request that ends without a back end's answer.
+/// Circumstances of a request that ends without a back end's answer.
 struct RefusalContext {
   common::Duration took{0};       ///< since it was read completely
   common::Duration read_time{0};  ///< from its first byte until it was read completely
