--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -1,6 +1,7 @@
 // The runs of the scripts under review/: cases NAME RECORD. Exits with 1 if the rule was broken, 0 if
 // it held and 2 if the case could not run. TROUBLE=0 leaves the disruption out; TROUBLE=answered leaves
 // out the late order alone.
+#include <filesystem>
 #include <random>
 #include <utility>
 
@@ -27,8 +28,8 @@
   bool answers = false;  ///< TROUBLE=answered: all but the late order, which is carried out and answered at once
 
   explicit Stage(int routers) {
-    char name[] = "/tmp/planktray-review-XXXXXX";
-    folder = mkdtemp(name);
+    std::string name = (std::filesystem::temp_directory_path() / "planktray-review-XXXXXX").string();
+    folder = mkdtemp(name.data());
     fleet = std::make_unique<Fleet>(folder, routers);
     const char* setting = std::getenv("TROUBLE");
     trouble = setting == nullptr || std::string(setting) != "0";
@@ -270,6 +271,79 @@
   return stage.result();
 }
 
+/// Another writer sends one heartbeat with a byte that is no UTF-8, as a target sends its own: every heartbeat
+/// interval, and to the next controller when it gets no acknowledgement. The platform starts ended processes
+/// again. Broken if processes of half of the core end by themselves three times.
+int unreadable_heartbeat() {
+  Stage stage(1);
+  Fleet& fleet = *stage.fleet;
+  if (!fleet.start_all()) {
+    return could_not_run("a program does not start");
+  }
+  if (fleet.wait_for_leader(20000) < 0) {
+    return could_not_run("no controller leads");
+  }
+  Target& t = stage.add_target("t-1", 1, stage.control());
+  if (!t.start()) {
+    return could_not_run("no port for t-1");
+  }
+  t.begin_heartbeats();
+  sleep_ms(1000);
+  if (fleet.order("/v1/configuration/put", kConfiguration, 10000) != 200) {
+    return could_not_run("the configuration is not acknowledged");
+  }
+  if (!stage.wait_until_held({&t}, 2000, 20000)) {
+    return could_not_run("t-1 does not come to hold all keys");
+  }
+  std::map<std::string, int> counts;
+  std::atomic<bool> stop_clients{false};
+  std::thread clients([&] { send_requests(fleet, stop_clients, counts); });
+  // It names no target to use. The name of its zone is Latin-1; without the disruption it is UTF-8.
+  const std::string body =
+      std::string("{\"address\":\"") + fleet.network() +
+      ".9.9:9000\",\"information\":{\"service\":\"not-ours\",\"version\":\"v1\",\"zone\":\"z" +
+      (stage.trouble ? "\xf4" : "\xc3\xb4") +
+      "ne\",\"slots\":3},\"status\":{\"state\":\"ready\",\"sequence\":1,\"cold_remaining\":\"0ms\"}}";
+  std::map<int, int> ends;
+  std::map<int, TimePoint> start_again;
+  int node = 0;
+  TimePoint next_heartbeat = Clock::now();
+  const TimePoint until = Clock::now() + std::chrono::seconds(25);
+  while (Clock::now() < until) {
+    for (int i = 0; i < 3; ++i) {
+      const std::string how = fleet.ended(fleet.controller(i));
+      if (!how.empty()) {
+        SAY("%s ended by itself: %s (%d times now)", fleet.controller(i).name.c_str(), how.c_str(), ++ends[i]);
+        start_again[i] = Clock::now() + Ms(500);
+      }
+      if (start_again.contains(i) && Clock::now() >= start_again[i]) {
+        start_again.erase(i);
+        fleet.start(fleet.controller(i));
+      }
+    }
+    if (Clock::now() >= next_heartbeat) {
+      const auto answer = call_control(fleet.control(node), "POST", "/v1/instances/w-1/heartbeat", body, 1000);
+      SAY("the other writer's heartbeat to %s: %d", fleet.controller(node).name.c_str(),
+          answer.has_value() ? answer->status() : 0);
+      const bool acknowledged = answer.has_value() && answer->status() / 100 == 2;
+      node = acknowledged ? node : (node + 1) % 3;
+      next_heartbeat = Clock::now() + Ms(acknowledged ? 1500 : 100);
+    }
+    sleep_ms(5);
+  }
+  stop_clients = true;
+  clients.join();
+  int often = 0;
+  for (const auto& [number, count] : ends) {
+    often += count >= 3 ? 1 : 0;
+  }
+  for (const auto& [outcome, count] : counts) {
+    SAY("client: %d requests ended with %s", count, outcome.c_str());
+  }
+  SAY("controllers that ended by themselves three times or more: %d of 3", often);
+  return often >= 2 ? kBroken : kHeld;
+}
+
 /// A target turns a request away and sends that answer twice; the second copy arrives late, where the answer
 /// to the next request on the connection is expected. The next request is the router's own repeat.
 int surplus_refusal() {
@@ -495,7 +569,9 @@
   Record::get().open(argv[2]);
   const std::string name = argv[1];
   int result = kCouldNotRun;
-  if (name == "late-heartbeat") {
+  if (name == "unreadable-heartbeat") {
+    result = unreadable_heartbeat();
+  } else if (name == "late-heartbeat") {
     result = late_heartbeat();
   } else if (name == "surplus-refusal") {
     result = surplus_refusal();
