--- a/src/controller/control_interface.hpp
+++ b/src/controller/control_interface.hpp
@@ -2,6 +2,7 @@
 /// Extension point of a deployment: an HTTP interface in addition to the product's operator API,
 /// and the encoding of orders to back ends that hold fenced grants.
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +23,9 @@
   virtual void handle(const transport::ExchangePointer& exchange) = 0;
   /// Answers the caller whose request has completed. Ignores requests of other interfaces.
   virtual void complete(const Completion& completion) = 0;
+  /// Returns the number of heartbeats whose sender closed its connection before the answer; 0 for
+  /// an interface without heartbeats.
+  virtual std::uint64_t abandoned_heartbeats() const { return 0; }
   /// Encodes an order for a back end. The caller sets address, timeout and connection options.
   virtual transport::HttpRequest to_request(const ownership::GrantOrder& order) const = 0;
   virtual transport::HttpRequest to_request(const ownership::ReleaseOrder& order) const = 0;
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -467,6 +467,7 @@
   totals.messages_sent = server_socket_->counters().sent;
   totals.bytes_sent = server_socket_->counters().bytes_sent;
   totals.accepted = control_server_ == nullptr ? 0 : control_server_->accepted();
+  totals.abandoned = control_ == nullptr ? 0 : control_->abandoned_heartbeats();
   return totals;
 }
 
@@ -474,6 +475,7 @@
   const LoadTotals totals = load_totals();
   const LoadTotals before = std::exchange(logged_totals_, totals);
   const ActivityMeter::Times times = meter_.take();
+  const common::Duration idle = loop_.take_idle_time();
   const common::Duration longest_turn = loop_.take_longest_turn();
   const common::Duration latest_call = alarm_.take_latest_call();
   const common::Duration longest_persist = worker_->take_longest_persist();
@@ -494,29 +496,34 @@
     log_promise_changes(core_->distributor().routers(now).size());
   }
   const auto slowest = leads ? core_->distributor().slowest_router(now) : std::nullopt;
-  log_event(leads ? "leader_load" : "follower_load",
-            {{"processor_ms", ms(totals.processor - before.processor)},
-             {"loop_ms", times_text},
-             {"longest_turn_ms", ms(longest_turn)},
-             {"latest_call_ms", ms(latest_call)},
-             {"longest_persist_ms", ms(longest_persist)},
-             {"entries", increase(totals.core.entries_applied, before.core.entries_applied)},
-             {"plans", increase(totals.core.range_plans, before.core.range_plans)},
-             {"hellos", increase(totals.core.hellos, before.core.hellos)},
-             {"heartbeats", increase(totals.core.heartbeats, before.core.heartbeats)},
-             {"accepted", increase(totals.accepted, before.accepted)},
-             {"connections",
-              std::to_string(control_server_ == nullptr ? 0 : control_server_->connections())},
-             {"messages", increase(totals.messages_sent, before.messages_sent)},
-             {"bytes", increase(totals.bytes_sent, before.bytes_sent)},
-             {"grants", increase(totals.orders.grants, before.orders.grants)},
-             {"releases", increase(totals.orders.releases, before.orders.releases)},
-             {"orders_failed", increase(totals.orders.failed, before.orders.failed)},
-             {"grants_open", std::to_string(orders_ == nullptr ? 0 : orders_->grants_open())},
-             {"releases_open", std::to_string(orders_ == nullptr ? 0 : orders_->releases_open())},
-             {"ranges", std::to_string(core_->ranges().grants().holdings())},
-             {"behind_ms", ms(slowest.has_value() ? slowest->age : common::Duration(0))},
-             {"behind_router", slowest.has_value() ? slowest->router.value : ""}});
+  log_event(
+      leads ? "leader_load" : "follower_load",
+      {{"processor_ms", ms(totals.processor - before.processor)},
+       {"loop_ms", times_text},
+       {"idle_ms", ms(idle)},
+       {"longest_turn_ms", ms(longest_turn)},
+       {"latest_call_ms", ms(latest_call)},
+       {"longest_persist_ms", ms(longest_persist)},
+       {"entries", increase(totals.core.entries_applied, before.core.entries_applied)},
+       {"plans", increase(totals.core.range_plans, before.core.range_plans)},
+       {"hellos", increase(totals.core.hellos, before.core.hellos)},
+       {"heartbeats", increase(totals.core.heartbeats, before.core.heartbeats)},
+       {"abandoned", increase(totals.abandoned, before.abandoned)},
+       {"updates_pushed", increase(totals.core.updates_pushed, before.core.updates_pushed)},
+       {"updates_answered", increase(totals.core.updates_answered, before.core.updates_answered)},
+       {"accepted", increase(totals.accepted, before.accepted)},
+       {"connections",
+        std::to_string(control_server_ == nullptr ? 0 : control_server_->connections())},
+       {"messages", increase(totals.messages_sent, before.messages_sent)},
+       {"bytes", increase(totals.bytes_sent, before.bytes_sent)},
+       {"grants", increase(totals.orders.grants, before.orders.grants)},
+       {"releases", increase(totals.orders.releases, before.orders.releases)},
+       {"orders_failed", increase(totals.orders.failed, before.orders.failed)},
+       {"grants_open", std::to_string(orders_ == nullptr ? 0 : orders_->grants_open())},
+       {"releases_open", std::to_string(orders_ == nullptr ? 0 : orders_->releases_open())},
+       {"ranges", std::to_string(core_->ranges().grants().holdings())},
+       {"behind_ms", ms(slowest.has_value() ? slowest->age : common::Duration(0))},
+       {"behind_router", slowest.has_value() ? slowest->router.value : ""}});
 }
 
 void ControllerProcess::log_promise_changes(std::size_t routers) {
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -128,6 +128,7 @@
     std::uint64_t messages_sent = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t accepted = 0;
+    std::uint64_t abandoned = 0;
   };
   LoadTotals logged_totals_;  ///< as of the last interval
   LoadTotals load_totals() const;
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -86,6 +86,7 @@
     mark_stated_departure(now, id);
   }
   if (auto table = distributor_.answer(now, state_, hello.router)) {
+    ++counters_.updates_answered;
     output_.tables.push_back(std::move(*table));
   } else if (distributor_.offers_snapshot(state_, hello)) {
     send_controller_list(hello);
@@ -251,6 +252,7 @@
   commit_grant_terms(now);
   commit_warmth(now);
   for (OutgoingTable& table : distributor_.collect(now, state_)) {
+    ++counters_.updates_pushed;
     output_.tables.push_back(std::move(table));
   }
 }
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -147,6 +147,8 @@
   std::uint64_t snapshots_taken = 0;
   std::uint64_t hellos = 0;              ///< received from routers while leading
   std::uint64_t tables_as_follower = 0;  ///< updates sent to routers as a follower
+  std::uint64_t updates_pushed = 0;      ///< sent to routers as the leader without a hello
+  std::uint64_t updates_answered = 0;    ///< sent to routers as the leader in answer to hellos
   std::uint64_t heartbeats = 0;          ///< received from back ends
   std::uint64_t updates_relayed = 0;     ///< heartbeats and deregistrations forwarded to the leader
   std::uint64_t range_plans = 0;         ///< proposed plans of key ranges
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -33,11 +33,12 @@
                                                       std::chrono::nanoseconds(value.tv_nsec));
 }
 
-/// Duration of the main loop's iterations, measured between its waits for events. Used only on the
-/// loop's thread.
+/// Duration of the main loop's iterations and of its waits for events. Used only on the loop's
+/// thread.
 struct TurnWatch {
   common::TimePoint began;
   common::Duration longest{0};
+  common::Duration idle{0};
 };
 
 /// Suspensions of the machine since the process started.
@@ -71,9 +72,11 @@
 
 gint poll_and_record(GPollFD* descriptors, guint count, gint timeout) {
   TurnWatch& watch = turn_watch();
-  watch.longest = std::max(watch.longest, boot_time_now() - watch.began);
+  const common::TimePoint ended = boot_time_now();
+  watch.longest = std::max(watch.longest, ended - watch.began);
   const gint ready = g_poll(descriptors, count, timeout);
   watch.began = boot_time_now();
+  watch.idle += watch.began - ended;
   record_suspension();
   return ready;
 }
@@ -143,6 +146,10 @@
   return std::exchange(turn_watch().longest, common::Duration(0));
 }
 
+common::Duration EventLoop::take_idle_time() {
+  return std::exchange(turn_watch().idle, common::Duration(0));
+}
+
 void EventLoop::quit() { g_main_loop_quit(loop_); }
 
 void Alarm::set(common::TimePoint when) {
