A full leader no longer feeds its own load: holders' heartbeats are relayed, updates are paced

Change: - Followers take heartbeats of holders and relay them together; the leader decides, and answers by incarnation and sequence. A heartbeat that waits is sent to the next leader, so a change of leader breaks no connection. Cells of up to 128 back ends keep to the leader: there, messages of all followers cost more than the connections. - The rate of pushed updates follows the loop's idle time; where it lets a router have less than four a second, routers poll followers, as those of large fleets did already. - Reports and answers look at the holdings of their sender, not at all; passes over deferred heartbeats have a pause that grows with their number.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -1,5 +1,6 @@
 #include "controller/controller_process.hpp"
 
+#include <cmath>
 #include <random>
 #include <tuple>
 #include <utility>
@@ -19,6 +20,9 @@
 constexpr std::size_t kConnectionsPerBackend = 8;
 /// Interval of the `leader_load` log lines of some 300 bytes each.
 constexpr common::Duration kLoadLogInterval = std::chrono::seconds(1);
+/// Interval of the samples of idle time. The loop's turns are shorter by far while it has time
+/// left.
+constexpr common::Duration kIdleSampleInterval = std::chrono::milliseconds(250);
 /// Maximum lease requests in flight to one machine, so that they do not pile up while it is frozen.
 constexpr int kMaxLeasesInFlight = 4;
 
@@ -133,6 +137,8 @@
   logged_totals_ = load_totals();
   tick();
   loop_.every(kLoadLogInterval, [this] { log_load(); });
+  sampled_at_ = boot_time_now();
+  loop_.every(kIdleSampleInterval, [this] { sample_idle_time(); });
   if (!settings_.platform_url.empty()) {
     poll_platform();
     loop_.every(settings_.platform_interval, [this] { poll_platform(); });
@@ -202,6 +208,12 @@
   if (output.heartbeat_report.has_value()) {
     send_to_leader(transport::WireMessage(*output.heartbeat_report));
   }
+  if (output.holder_heartbeats.has_value()) {
+    send_to_leader(transport::WireMessage(*output.holder_heartbeats));
+  }
+  for (const OutgoingAnswers& answers : output.relayed_answers) {
+    send_to_member(answers.to, transport::WireMessage(answers.message));
+  }
   for (const ownership::OutgoingLease& lease : output.leases) {
     send_lease(lease);
   }
@@ -316,9 +328,14 @@
 }
 
 void ControllerProcess::send_to_leader(const transport::WireMessage& message) {
-  const consensus::Member* leader = core_->raft().membership().find(core_->raft().leader());
-  if (leader != nullptr) {
-    if (transport::ZmqSocket* socket = dealer(leader->peer_address)) {
+  send_to_member(core_->raft().leader(), message);
+}
+
+void ControllerProcess::send_to_member(common::ReplicaId id,
+                                       const transport::WireMessage& message) {
+  const consensus::Member* member = core_->raft().membership().find(id);
+  if (member != nullptr) {
+    if (transport::ZmqSocket* socket = dealer(member->peer_address)) {
       socket->send(message);
     }
   }
@@ -338,6 +355,10 @@
     core_->on_join(now, *join);
   } else if (const auto* report = std::get_if<membership::HeartbeatReport>(&message.value)) {
     core_->on_heartbeat_report(now, *report);
+  } else if (const auto* relayed = std::get_if<ownership::HolderHeartbeats>(&message.value)) {
+    core_->on_holder_heartbeats(now, *relayed);
+  } else if (const auto* answers = std::get_if<ownership::RelayedAnswers>(&message.value)) {
+    core_->on_relayed_answers(now, *answers);
   } else if (const auto* hello = std::get_if<routing::RouterHello>(&message.value)) {
     if (!identity.empty()) {
       router_identities_[hello->router] = identity;
@@ -457,6 +478,16 @@
   }
 }
 
+void ControllerProcess::sample_idle_time() {
+  const common::TimePoint now = boot_time_now();
+  const common::Duration idle = loop_.idle_time();
+  const common::Duration length = now - std::exchange(sampled_at_, now);
+  const common::Duration waited = idle - std::exchange(sampled_idle_, idle);
+  if (length.count() > 0) {
+    core_->on_idle_share(static_cast<double>(waited.count()) / static_cast<double>(length.count()));
+  }
+}
+
 ControllerProcess::LoadTotals ControllerProcess::load_totals() const {
   LoadTotals totals;
   totals.processor = transport::process_time_used();
@@ -467,6 +498,7 @@
   totals.messages_sent = server_socket_->counters().sent;
   totals.bytes_sent = server_socket_->counters().bytes_sent;
   totals.accepted = control_server_ == nullptr ? 0 : control_server_->accepted();
+  totals.idle = loop_.idle_time();
   totals.abandoned = control_ == nullptr ? 0 : control_->abandoned_heartbeats();
   return totals;
 }
@@ -475,7 +507,6 @@
   const LoadTotals totals = load_totals();
   const LoadTotals before = std::exchange(logged_totals_, totals);
   const ActivityMeter::Times times = meter_.take();
-  const common::Duration idle = loop_.take_idle_time();
   const common::Duration longest_turn = loop_.take_longest_turn();
   const common::Duration latest_call = alarm_.take_latest_call();
   const common::Duration longest_persist = worker_->take_longest_persist();
@@ -500,7 +531,7 @@
       leads ? "leader_load" : "follower_load",
       {{"processor_ms", ms(totals.processor - before.processor)},
        {"loop_ms", times_text},
-       {"idle_ms", ms(idle)},
+       {"idle_ms", ms(totals.idle - before.idle)},
        {"longest_turn_ms", ms(longest_turn)},
        {"latest_call_ms", ms(latest_call)},
        {"longest_persist_ms", ms(longest_persist)},
@@ -508,6 +539,7 @@
        {"plans", increase(totals.core.range_plans, before.core.range_plans)},
        {"hellos", increase(totals.core.hellos, before.core.hellos)},
        {"heartbeats", increase(totals.core.heartbeats, before.core.heartbeats)},
+       {"relayed", increase(totals.core.heartbeats_relayed, before.core.heartbeats_relayed)},
        {"abandoned", increase(totals.abandoned, before.abandoned)},
        {"updates_pushed", increase(totals.core.updates_pushed, before.core.updates_pushed)},
        {"updates_answered", increase(totals.core.updates_answered, before.core.updates_answered)},
@@ -522,6 +554,7 @@
        {"grants_open", std::to_string(orders_ == nullptr ? 0 : orders_->grants_open())},
        {"releases_open", std::to_string(orders_ == nullptr ? 0 : orders_->releases_open())},
        {"ranges", std::to_string(core_->ranges().grants().holdings())},
+       {"update_rate", std::to_string(std::lround(core_->update_pacer().rate()))},
        {"behind_ms", ms(slowest.has_value() ? slowest->age : common::Duration(0))},
        {"behind_router", slowest.has_value() ? slowest->router.value : ""}});
 }
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -75,6 +75,8 @@
   void execute(ControllerOutput& output);
   void send_peer(const consensus::RaftMessage& message);
   void send_to_leader(const transport::WireMessage& message);
+  /// Sends to another controller; does nothing if it is no member.
+  void send_to_member(common::ReplicaId id, const transport::WireMessage& message);
   void send_lease(const ownership::OutgoingLease& lease);
   void send_release(const ownership::OutgoingRelease& release);
   void send_table(const OutgoingTable& table);
@@ -83,6 +85,8 @@
   void on_message(const std::string& identity, const transport::WireMessage& message);
   void on_persisted(const common::Result<std::uint64_t>& persisted);
   void log_leadership_change();
+  /// Tells the core how much time the main loop has left.
+  void sample_idle_time();
   /// Logs the load of the last second.
   void log_load();
   /// Evaluates the promises for this number of routers and logs each one whose state has changed
@@ -129,8 +133,11 @@
     std::uint64_t bytes_sent = 0;
     std::uint64_t accepted = 0;
     std::uint64_t abandoned = 0;
+    common::Duration idle{0};
   };
   LoadTotals logged_totals_;  ///< as of the last interval
+  common::Duration sampled_idle_{0};
+  common::TimePoint sampled_at_;
   LoadTotals load_totals() const;
   std::set<std::string> violated_promises_;  ///< names, as last logged
   bool was_leader_ = false;
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -35,10 +35,12 @@
       leases_(options_.cell, options_.lease),
       planner_(options_.planner),
       distributor_(options_.cell, options_.distributor),
+      update_pacer_(options_.update_pacer),
       suspects_(options_.crash_ledger),
       ranges_(options_.ranges),
       next_balance_(now),
       next_join_(now),
+      leader_known_at_(now),
       next_plan_(now) {
   process_raft_output(now);
 }
@@ -178,8 +180,14 @@
   step(now);
 }
 
+void ControllerCore::on_idle_share(double idle_share) {
+  update_pacer_.on_sample(idle_share);
+  distributor_.set_update_rate(update_pacer_.rate());
+}
+
 ControllerOutput ControllerCore::take_output() {
   ControllerOutput output = std::exchange(output_, {});
+  address_relayed_answers(output);
   return unreadable_state_.has_value() ? ControllerOutput() : output;
 }
 
@@ -189,6 +197,7 @@
     if (!heartbeats_.empty() || !updates_.empty()) {
       due = std::min(due, next_report_);
     }
+    due = std::min(due, relay_.next_due());
     return std::max(due, now + kMinTickInterval);
   }
   if (sweep_needed_ || uses_leases()) {
@@ -200,10 +209,11 @@
 
 bool ControllerOutput::empty() const {
   return peer_messages.empty() && !join.has_value() && !heartbeat_report.has_value() &&
-         persist.empty() && leases.empty() && releases.empty() && grants.empty() &&
-         key_releases.empty() && tables.empty() && controllers.empty() &&
-         !announcement.has_value() && completions.empty() && changed_backends.empty() &&
-         blocked_requests.empty() && keys_moving.empty() && keys_assigned.empty();
+         !holder_heartbeats.has_value() && relayed_answers.empty() && persist.empty() &&
+         leases.empty() && releases.empty() && grants.empty() && key_releases.empty() &&
+         tables.empty() && controllers.empty() && !announcement.has_value() &&
+         completions.empty() && changed_backends.empty() && blocked_requests.empty() &&
+         keys_moving.empty() && keys_assigned.empty();
 }
 
 // ---------------------------------------------------------------- replicated log
@@ -222,6 +232,7 @@
   }
   report_heartbeats(now);
   answer_relayed(now);
+  process_relayed_heartbeats(now);
   if (!is_serving(now)) {
     return;
   }
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -15,15 +16,19 @@
 #include "consensus/join.hpp"
 #include "consensus/raft.hpp"
 #include "controller/core/fleet_suspects.hpp"
+#include "controller/core/heartbeat.hpp"
+#include "controller/core/heartbeat_relay.hpp"
 #include "controller/core/key_move_log.hpp"
 #include "controller/core/range_controller.hpp"
 #include "controller/core/table_distributor.hpp"
+#include "controller/core/update_pacer.hpp"
 #include "membership/heartbeat_report.hpp"
 #include "membership/machine_list.hpp"
 #include "ownership/cell_state.hpp"
 #include "ownership/lease_manager.hpp"
 #include "ownership/load_view.hpp"
 #include "ownership/planner.hpp"
+#include "ownership/relayed_heartbeats.hpp"
 #include "routing/leader_search.hpp"
 
 namespace planktray::controller {
@@ -41,6 +46,7 @@
   ownership::LeaseOptions lease;
   ownership::PlannerOptions planner;
   DistributorOptions distributor;
+  UpdatePacerOptions update_pacer;
   routing::CrashLedgerOptions crash_ledger;
   RangeOptions ranges;
   /// The same as at routers.
@@ -66,25 +72,13 @@
   /// A member counts as present if a message of it arrived within this time: three heartbeats, and
   /// less than a machine takes to restart with an empty disk.
   Duration presence_window = std::chrono::milliseconds(90);
+  /// In a cell of up to this many back ends, holders send their heartbeats to the leader itself:
+  /// the messages of all followers would cost it more than the connections do.
+  std::size_t backends_without_relays = 128;
   /// Zones that an operator may evacuate; empty means any.
   std::set<common::ZoneName> zones;
 };
 
-/// A heartbeat of a back end that registers itself.
-struct Heartbeat {
-  common::Incarnation incarnation;
-  std::string address;  ///< "IP:port"
-  std::string service;
-  common::ZoneName zone;
-  std::uint32_t slots = 0;
-  bool draining = false;
-  std::uint64_t sequence = 0;
-  std::uint32_t cold_ms = 0;  ///< how much longer the back end is slow and can serve few requests
-  bool cold_is_unreadable = false;  ///< the heartbeat's cold time could not be parsed
-  /// Present if the back end learns from the answer which keys it holds.
-  std::optional<ownership::HoldingsReport> holdings;
-};
-
 struct ChangeCompleted {
   OperatorRequestId request = 0;
   common::Result<ownership::ChangeAnswer> answer;
@@ -110,10 +104,18 @@
   routing::ControllerList list;
 };
 
+/// Answers to heartbeats that a follower has relayed.
+struct OutgoingAnswers {
+  common::ReplicaId to;
+  ownership::RelayedAnswers message;
+};
+
 struct ControllerOutput {
   std::vector<consensus::RaftMessage> peer_messages;
-  std::optional<consensus::JoinRequest> join;                   ///< to every configured peer
-  std::optional<membership::HeartbeatReport> heartbeat_report;  ///< to the leader
+  std::optional<consensus::JoinRequest> join;                    ///< to every configured peer
+  std::optional<membership::HeartbeatReport> heartbeat_report;   ///< to the leader
+  std::optional<ownership::HolderHeartbeats> holder_heartbeats;  ///< to the leader
+  std::vector<OutgoingAnswers> relayed_answers;                  ///< to followers
   std::vector<consensus::PersistRequest> persist;
   std::vector<ownership::OutgoingLease> leases;
   std::vector<ownership::OutgoingRelease> releases;
@@ -151,6 +153,7 @@
   std::uint64_t updates_answered = 0;    ///< sent to routers as the leader in answer to hellos
   std::uint64_t heartbeats = 0;          ///< received from back ends
   std::uint64_t updates_relayed = 0;     ///< heartbeats and deregistrations forwarded to the leader
+  std::uint64_t heartbeats_relayed = 0;  ///< of holders, received from followers while leading
   std::uint64_t range_plans = 0;         ///< proposed plans of key ranges
 };
 
@@ -170,12 +173,17 @@
                         const ownership::ReleaseReply& reply);
   void on_release_failure(common::BackendId backend);
   void on_machine_list(TimePoint now, membership::MachineList list);
+  /// Reports the share of the time since the last report that the process had nothing to do.
+  void on_idle_share(double idle_share);
 
   void on_order_reply(TimePoint now, ownership::OrderId id, const ownership::OrderReply& reply);
   /// Completed once the content of the heartbeat is in the replicated state, which may be at once.
-  /// A follower accepts heartbeats without holdings and forwards their content to the leader.
+  /// A follower accepts heartbeats without holdings and forwards their content to the leader; it
+  /// relays those with holdings, and the leader's answer to them.
   void heartbeat(TimePoint now, OperatorRequestId request, const Heartbeat& heartbeat);
   void on_heartbeat_report(TimePoint now, const membership::HeartbeatReport& report);
+  void on_holder_heartbeats(TimePoint now, const ownership::HolderHeartbeats& relayed);
+  void on_relayed_answers(TimePoint now, const ownership::RelayedAnswers& relayed);
   /// Marks a back end as departed at its own request. Completed and forwarded like a heartbeat.
   void deregister(TimePoint now, OperatorRequestId request, const common::Incarnation& incarnation);
 
@@ -197,11 +205,11 @@
   /// Completed at a moment when the state may be read linearizably.
   void read(TimePoint now, OperatorRequestId request);
 
-  /// The address for the next heartbeat of a back end that does not learn its grants from the
-  /// answers. A leader names a follower that is present, of the sender's zone if one is known,
-  /// chosen by the sender's identity, so that back ends do not keep sending heartbeats to the
-  /// leader. A follower names itself; nullopt if there are controllers enough for the sender to
-  /// find one of its own zone.
+  /// The address for the next heartbeat of a back end. A leader names a follower that is present,
+  /// of the sender's zone if one is known, chosen by the sender's identity, so that back ends do
+  /// not keep sending heartbeats to the leader. A follower names itself; nullopt if there are
+  /// controllers enough for the sender to find one of its own zone. Holders of a small cell are
+  /// sent to the leader.
   std::optional<std::string> heartbeat_address(TimePoint now,
                                                const common::Incarnation& sender) const;
 
@@ -221,6 +229,7 @@
   const ownership::LeaseManager& leases() const { return leases_; }
   const RangeController& ranges() const { return ranges_; }
   const TableDistributor& distributor() const { return distributor_; }
+  const UpdatePacer& update_pacer() const { return update_pacer_; }
   const membership::MachineList& machines() const { return machines_; }
   const ControllerCounters& counters() const { return counters_; }
   const ControllerOptions& options() const { return options_; }
@@ -247,6 +256,13 @@
     TimePoint deadline;
   };
 
+  /// A heartbeat that a follower has relayed and that is not answered yet.
+  struct RelayedRequest {
+    common::ReplicaId follower;
+    common::Incarnation incarnation;
+    std::uint64_t sequence = 0;
+  };
+
   /// Processes the output of the log and, while this replica serves, makes all due output.
   void step(TimePoint now);
   /// Checks everything that may have changed, at most once every few milliseconds.
@@ -279,10 +295,21 @@
   void answer_holders(TimePoint now);
   /// Fails a request that a newer one has superseded, if there is one.
   void fail_superseded(std::optional<OperatorRequestId> request);
-  /// True if this follower has a leader and the state contains everything in the heartbeat.
   /// True if each zone has a controller besides the leader, by their number.
   bool has_controllers_in_all_zones() const;
+  /// True if this follower has a leader and the state contains everything in the heartbeat.
   bool may_answer_for_leader(const Heartbeat& heartbeat) const;
+  /// Decides on a heartbeat as the leader.
+  void accept_heartbeat(TimePoint now, OperatorRequestId request, const Heartbeat& heartbeat);
+  /// Keeps a holder's heartbeat for the leader.
+  void relay_heartbeat(TimePoint now, OperatorRequestId request, const Heartbeat& heartbeat);
+  /// Sends the heartbeats that wait to the leader, or decides on them if this replica leads now.
+  void process_relayed_heartbeats(TimePoint now);
+  void accept_relayed(TimePoint now, const ownership::HolderHeartbeats& relayed);
+  /// Replaces completions of relayed heartbeats by answers to the followers that sent them.
+  void address_relayed_answers(ControllerOutput& output);
+  /// True if holders of this cell should send their heartbeats to the leader itself.
+  bool prefers_direct_heartbeats() const;
   void report_heartbeats(TimePoint now);
   void relay_update(TimePoint now, OperatorRequestId request, membership::BackendUpdate update);
   bool is_committed(const RelayedUpdate& update) const;
@@ -323,6 +350,7 @@
   ownership::Planner planner_;
   ownership::LoadView loads_;
   TableDistributor distributor_;
+  UpdatePacer update_pacer_;
   FleetSuspects suspects_;
   RangeController ranges_;
   KeyMoveLog key_moves_;
@@ -353,6 +381,13 @@
   common::LogIndex relayed_checked_;  ///< the state that `relayed_` was last compared with
   TimePoint next_relay_deadline_ = TimePoint::max();  ///< of the first of `relayed_`
   TimePoint next_report_;
+  HeartbeatRelay relay_;
+  common::ReplicaId relay_leader_;  ///< that heartbeats are relayed to
+  common::Term relay_term_;         ///< of that leader
+  TimePoint leader_known_at_;       ///< when there was a leader last
+  /// Received since this replica was elected, until it is serving.
+  std::vector<ownership::HolderHeartbeats> early_heartbeats_;
+  std::unordered_map<OperatorRequestId, RelayedRequest> relayed_requests_;  ///< as the leader
   TimePoint next_plan_;
   TimePoint next_sweep_;
   bool sweep_needed_ = false;  ///< a change should not wait for the next sweep
--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -50,25 +50,31 @@
 
 void ControllerCore::heartbeat(TimePoint now, OperatorRequestId request,
                                const Heartbeat& heartbeat) {
-  const auto complete_now = [&](common::Result<common::LogIndex> index) {
-    output_.completions.emplace_back(CommandCompleted{request, std::move(index)});
-  };
   ++counters_.heartbeats;
-  if (!is_serving(now)) {
-    if (!may_answer_for_leader(heartbeat)) {
-      // Only the leader can grant keys.
-      return heartbeat.holdings.has_value()
-                 ? complete_now(tl::unexpected(not_leader("accept heartbeat")))
-                 : relay_update(now, request, update_of(heartbeat));
-    }
-    heartbeats_.push_back({heartbeat.incarnation, heartbeat.sequence, heartbeat.cold_ms});
-    complete_now(state_.applied());
+  if (is_serving(now)) {
+    accept_heartbeat(now, request, heartbeat);
     return step(now);
   }
+  if (heartbeat.holdings.has_value()) {
+    return relay_heartbeat(now, request, heartbeat);
+  }
+  if (!may_answer_for_leader(heartbeat)) {
+    return relay_update(now, request, update_of(heartbeat));
+  }
+  heartbeats_.push_back({heartbeat.incarnation, heartbeat.sequence, heartbeat.cold_ms});
+  output_.completions.emplace_back(CommandCompleted{request, state_.applied()});
+  step(now);
+}
+
+void ControllerCore::accept_heartbeat(TimePoint now, OperatorRequestId request,
+                                      const Heartbeat& heartbeat) {
+  const auto complete_now = [&] {
+    output_.completions.emplace_back(CommandCompleted{request, state_.applied()});
+  };
   const bool is_late = !ranges_.record_heartbeat(now, heartbeat.incarnation, heartbeat.sequence,
                                                  std::chrono::milliseconds(heartbeat.cold_ms));
   if (state_.has_departed(heartbeat.incarnation) || (is_late && !heartbeat.draining)) {
-    return complete_now(state_.applied());
+    return complete_now();
   }
   const ownership::BackendRecord* known = state_.find_incarnation(heartbeat.incarnation);
   if (known == nullptr) {
@@ -90,10 +96,9 @@
                             Command(ownership::MarkLeaving{known->id, true, false}));
   }
   if (!is_holder) {
-    return complete_now(state_.applied());
+    return complete_now();
   }
-  fail_superseded(ranges_.defer_heartbeat(now, known->id, request));
-  step(now);
+  fail_superseded(ranges_.defer_heartbeat(now, known->id, request, heartbeat.waited));
 }
 
 void ControllerCore::submit_heartbeat(TimePoint now, OperatorRequestId request,
@@ -103,7 +108,6 @@
     return fail_request(request, false, index.error());
   }
   pending_[*index] = {request, raft_.term(), false, holder, now};
-  step(now);
 }
 
 void ControllerCore::fail_superseded(std::optional<OperatorRequestId> request) {
@@ -225,6 +229,12 @@
 std::optional<std::string> ControllerCore::heartbeat_address(
     TimePoint now, const common::Incarnation& sender) const {
   const ownership::BackendRecord* backend = state_.find_incarnation(sender);
+  const bool is_holder =
+      backend != nullptr && backend->has_contract(ownership::OwnershipContract::kReportedGrant);
+  if (is_holder && prefers_direct_heartbeats()) {
+    const consensus::Member* leader = raft_.membership().find(raft_.leader());
+    return leader == nullptr ? options_.operator_address : leader->operator_address;
+  }
   const bool keeps_to_zones = backend != nullptr && has_controllers_in_all_zones();
   if (!raft_.is_leader()) {
     const bool is_own_zone = !keeps_to_zones || backend->zone == options_.zone;
--- a/src/controller/core/holder_answers.cpp
+++ b/src/controller/core/holder_answers.cpp
@@ -5,6 +5,14 @@
 #include <utility>
 
 namespace planktray::controller {
+namespace {
+
+/// Pause between passes for each entry that a pass visits, and its limit: small against the time
+/// for which a move of keys is noticed by callers.
+constexpr Duration kPausePerEntry = std::chrono::microseconds(20);
+constexpr Duration kLongestPause = std::chrono::milliseconds(25);
+
+}  // namespace
 
 std::optional<OperatorRequestId> HolderAnswers::defer(common::BackendId backend,
                                                       OperatorRequestId request, TimePoint received,
@@ -26,6 +34,14 @@
   if (deferred_.empty()) {
     return answers;
   }
+  pass_is_skipped_ = now < next_pass_;
+  if (pass_is_skipped_) {
+    return answers;
+  }
+  next_pass_ =
+      now + std::min<Duration>(
+                kPausePerEntry * static_cast<std::int64_t>(deferred_.size() + grants.holdings()),
+                kLongestPause);
   const std::set<common::BackendId> with_updates = grants.holders_to_notify(now);
   for (auto next = deferred_.begin(); next != deferred_.end();) {
     const auto& [backend, heartbeat] = *next;
@@ -53,7 +69,10 @@
   for (const auto& [backend, deferred] : deferred_) {
     due = std::min(due, deferred.answer_by);
   }
-  return due;
+  if (pass_is_skipped_ && !deferred_.empty()) {
+    due = std::min(due, next_pass_);
+  }
+  return std::max(due, next_pass_);
 }
 
 }  // namespace planktray::controller
--- a/src/controller/core/holder_answers.hpp
+++ b/src/controller/core/holder_answers.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <vector>
 
+#include "controller/core/heartbeat.hpp"
 #include "ownership/grant_manager.hpp"
 
 namespace planktray::controller {
@@ -20,9 +21,6 @@
 using common::Duration;
 using common::TimePoint;
 
-/// Identifies a request of an operator or a back end within this process.
-using OperatorRequestId = std::uint64_t;
-
 struct HolderAnswer {
   OperatorRequestId request = 0;
   ownership::GrantedHoldings holdings;
@@ -35,7 +33,9 @@
   ///   given that request up.
   std::optional<OperatorRequestId> defer(common::BackendId backend, OperatorRequestId request,
                                          TimePoint received, TimePoint answer_by);
-  /// Returns the answers that are due. Call only while the leader lease is held.
+  /// Returns the answers that are due. Each pass visits all deferred heartbeats and all grants, so
+  /// passes have a minimum interval that grows with their number. Call only while the leader lease
+  /// is held.
   std::vector<HolderAnswer> collect(TimePoint now, const ownership::CellState& state,
                                     ownership::GrantManager& grants);
   /// Drops all deferred heartbeats, when this replica stops leading. @return their requests.
@@ -53,6 +53,8 @@
   };
 
   std::map<common::BackendId, Deferred> deferred_;
+  TimePoint next_pass_;           ///< collect() does nothing before
+  bool pass_is_skipped_ = false;  ///< collect() was called before that
 };
 
 }  // namespace planktray::controller
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -121,10 +121,11 @@
   void on_holdings_report(TimePoint now, const ownership::CellState& state,
                           common::BackendId backend, const ownership::HoldingsReport& report);
   /// Defers the answer to the heartbeat of such a back end until there is an update for it.
+  /// @param waited since a follower received the heartbeat; counts towards the deferral.
   /// @return the request of an older heartbeat, which will not be answered any more.
   std::optional<OperatorRequestId> defer_heartbeat(TimePoint now, common::BackendId backend,
-                                                   OperatorRequestId request) {
-    return answers_.defer(backend, request, now, now + options_.answer_delay);
+                                                   OperatorRequestId request, Duration waited) {
+    return answers_.defer(backend, request, now, now + options_.answer_delay - waited);
   }
   /// The same, once the content of the heartbeat has been committed.
   std::optional<OperatorRequestId> defer_committed(TimePoint now, TimePoint received,
--- a/src/controller/core/table_distributor.cpp
+++ b/src/controller/core/table_distributor.cpp
@@ -35,6 +35,7 @@
   term_ = term;
   term_began_ = now;
   subscribers_.clear();
+  routers_poll_ = false;
   limits_ = {{}, false};
   suspects_.clear();
   crowded_.reset();
@@ -82,6 +83,7 @@
   subscriber.awaits_offer = hello.requests_snapshots && !hello.wants_snapshot;
   subscriber.hello_pending = true;
   relays_.on_hello(hello);
+  update_polling();
 }
 
 std::vector<OutgoingTable> TableDistributor::collect(common::TimePoint now,
@@ -93,6 +95,7 @@
     }
     return is_gone;
   });
+  update_polling();
   std::vector<OutgoingTable> outgoing;
   next_due_ = common::TimePoint::max();
   snapshots_counted_ = snapshots_in_flight(now);
@@ -194,7 +197,7 @@
   const common::LogIndex newest = deltas_.empty() ? common::LogIndex() : deltas_.back().to;
   const common::LogIndex have = std::max(subscriber.view.table_index, subscriber.sent);
   const bool waiting = awaits_snapshot(now, subscriber);
-  const bool has_update = have < newest && !waiting && !routers_poll();
+  const bool has_update = have < newest && !waiting && !routers_poll_;
   if (!subscriber.hello_pending && !has_update) {
     return std::nullopt;
   }
@@ -228,7 +231,7 @@
   update.router_rank = rank;
   update.router_count = static_cast<std::uint32_t>(subscribers_.size());
   update.hello_interval_ms = whole_milliseconds(hello_interval());
-  update.poll_interval_ms = routers_poll() ? whole_milliseconds(options_.poll_interval) : 0;
+  update.poll_interval_ms = routers_poll_ ? whole_milliseconds(options_.poll_interval) : 0;
   if (gets_no_changes) {
     update.base_index = update.current_index = subscriber.view.table_index;
     update.as_of_clock_us = routing::kLeaseOnly;
@@ -261,7 +264,7 @@
     }
   }
   subscriber.hello_pending = false;
-  subscriber.next_update = now + paced_interval(subscribers_.size(), options_.updates_per_second);
+  subscriber.next_update = now + paced_interval(subscribers_.size(), update_rate_);
   return OutgoingTable{name, std::move(update)};
 }
 
@@ -270,7 +273,7 @@
   const common::LogIndex has = subscriber.view.table_index;
   const bool keeps_up = subscriber.applied_at_earlier.value > 0 && has.value > 0 &&
                         has >= subscriber.applied_at_earlier;
-  return routers_poll() && subscriber.polls && keeps_up && has < newest;
+  return routers_poll_ && subscriber.polls && keeps_up && has < newest;
 }
 
 void TableDistributor::renew_snapshot(const ownership::CellState& state) {
@@ -284,9 +287,10 @@
   snapshot_index_ = state.applied();
 }
 
-bool TableDistributor::routers_poll() const {
-  return paced_interval(subscribers_.size(), options_.updates_per_second) >
-         options_.longest_update_interval;
+void TableDistributor::update_polling() {
+  const common::Duration interval = paced_interval(subscribers_.size(), update_rate_);
+  const bool has_slack = 2 * interval <= options_.longest_update_interval;
+  routers_poll_ = interval > options_.longest_update_interval || (routers_poll_ && !has_slack);
 }
 
 std::int64_t TableDistributor::as_of_clock_us(const Subscriber& subscriber,
--- a/src/controller/core/table_distributor.hpp
+++ b/src/controller/core/table_distributor.hpp
@@ -59,8 +59,9 @@
   /// of this many of its back ends. A new snapshot takes time proportional to the back ends, so the
   /// work for each delta stays the same in a fleet of any size.
   std::size_t backends_per_snapshot_delta = 64;
-  /// If the target rate of updates lets a router have one less often than this, the leader sends
-  /// routers only answers to their hellos, and routers poll followers for changes.
+  /// If the rate of updates lets a router have one less often than this, the leader sends routers
+  /// only answers to their hellos, and routers poll followers for changes. It pushes updates again
+  /// once the rate allows for twice as many, so that the way of updates does not change often.
   common::Duration longest_update_interval = std::chrono::milliseconds(250);
   /// How often such routers poll a follower.
   common::Duration poll_interval = std::chrono::milliseconds(500);
@@ -89,7 +90,7 @@
 class TableDistributor {
  public:
   TableDistributor(common::CellName cell, DistributorOptions options)
-      : cell_(std::move(cell)), options_(options) {}
+      : cell_(std::move(cell)), options_(options), update_rate_(options.updates_per_second) {}
 
   void begin_term(common::TimePoint now, common::Term term);
   /// Records a change of the table; called on every replica.
@@ -102,6 +103,8 @@
   }
   /// @param applied what the leader has applied.
   void on_hello(common::TimePoint now, const routing::RouterHello& hello, common::LogIndex applied);
+  /// Sets the rate of updates to all routers together; at most `updates_per_second` of the options.
+  void set_update_rate(double per_second) { update_rate_ = per_second; }
   /// Sets the limits of back ends that all further updates carry.
   void set_limits(FleetLimits::Published limits) { limits_ = std::move(limits); }
   /// Sets the crowded owners that all further updates carry; until the first call in a term, queues
@@ -190,6 +193,8 @@
 
   common::CellName cell_;
   DistributorOptions options_;
+  double update_rate_;
+  bool routers_poll_ = false;
   FleetLimits::Published limits_;
   std::vector<routing::SuspectRequest> suspects_;
   std::optional<std::vector<routing::AdmittedShare>> crowded_;
@@ -215,8 +220,8 @@
   bool needs_snapshot(const ownership::CellState& state, const routing::RouterHello& hello) const;
   /// True if routers get snapshots on request only.
   bool is_requested(const ownership::CellState& state) const;
-  /// True if there are too many routers to send each of them every change in time.
-  bool routers_poll() const;
+  /// Updates whether there are too many routers to send each of them every change in time.
+  void update_polling();
   /// True if the router lacks changes, but gets them from followers fast enough.
   bool gets_changes_by_polls(const Subscriber& subscriber) const;
 
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -134,6 +134,7 @@
     }
   }
   owners_ = owners.size();
+  index_reported_holdings();
   const auto is_removed = [&](BackendId id) { return state.find_backend(id) == nullptr; };
   std::erase_if(rounds_, [&](const auto& item) { return is_removed(item.first); });
   reach_.forget(is_removed);
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -33,6 +33,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "common/time.hpp"
@@ -264,6 +265,11 @@
     std::vector<ReleaseOrder>& releases;
   };
 
+  /// Rebuilds the index of holdings that are granted in the responses to heartbeats.
+  void index_reported_holdings();
+  /// Calls `visit` with the key and the holding for each such holding of the back end.
+  template <typename Visit>
+  void for_each_reported(BackendId backend, const Visit& visit);
   /// Returns how long an order with this hold time may last on the leader's clock.
   Duration max_duration(Duration hold) const;
   Duration renewal_interval() const;
@@ -306,6 +312,8 @@
   TimePoint next_due_;
   TimePoint paused_until_;  ///< collect() does nothing before
   Holdings holdings_;
+  /// The holdings of each owner with grants in the responses to its heartbeats.
+  std::unordered_map<BackendId, std::vector<HoldingKey>> reported_holdings_;
   std::map<BackendId, Round> rounds_;
   OwnerReach reach_;
   std::map<OrderId, Order> orders_;
--- a/src/ownership/grant_manager_reports.cpp
+++ b/src/ownership/grant_manager_reports.cpp
@@ -28,22 +28,39 @@
 
 }  // namespace
 
+void GrantManager::index_reported_holdings() {
+  reported_holdings_.clear();
+  for (const auto& [key, holding] : holdings_) {
+    if (holding.by_heartbeat) {
+      reported_holdings_[holding.owner].push_back(key);
+    }
+  }
+}
+
+template <typename Visit>
+void GrantManager::for_each_reported(BackendId backend, const Visit& visit) {
+  const auto found = reported_holdings_.find(backend);
+  if (found == reported_holdings_.end()) {
+    return;
+  }
+  for (const HoldingKey& key : found->second) {
+    visit(key, holdings_.at(key));
+  }
+}
+
 void GrantManager::on_holdings_report(TimePoint now, const CellState& state, BackendId backend,
                                       const HoldingsReport& report) {
   if (!active_) {
     return;
   }
   sync(now, state);
-  for (auto& [key, holding] : holdings_) {
-    if (holding.owner != backend || !holding.by_heartbeat) {
-      continue;
-    }
+  for_each_reported(backend, [&](const HoldingKey& key, Holding& holding) {
     if (holding.moving) {
       apply_report_to_moving(now, report, key, holding);
     } else {
       apply_report_to_owned(report, key, holding);
     }
-  }
+  });
   next_due_ = now;
 }
 
@@ -97,27 +114,27 @@
     return answer;
   }
   sync(now, state);
-  for (auto& [key, holding] : holdings_) {
-    if (holding.owner != backend || !holding.by_heartbeat || holding.owner_ended) {
-      continue;
+  for_each_reported(backend, [&](const HoldingKey& key, Holding& holding) {
+    if (holding.owner_ended) {
+      return;
     }
     // A range that is to move stays granted only until routers have had time to stop sending.
     const bool is_kept =
         holding.moving && holding.in_last_answer && !holding.released && now < holding.next_order;
     if (holding.refused || (holding.moving && !is_kept)) {
       holding.in_last_answer = false;
-      continue;
+      return;
     }
     const RangeRecord* record = state.find_range(key.service, key.keys, key.fence);
     if (record == nullptr) {
-      continue;
+      return;
     }
     holding.in_last_answer = true;
     holding.may_be_granted = true;
     holding.held_until =
         std::max(holding.held_until, received + max_duration(options_.reported_hold_time));
     answer.ranges.push_back({key.keys, key.fence, holding.established ? "" : record->handover});
-  }
+  });
   next_due_ = now;
   return answer;
 }
--- a/src/ownership/holdings_report.hpp
+++ b/src/ownership/holdings_report.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "common/codec.hpp"
 #include "common/time.hpp"
 #include "ownership/key_ranges.hpp"
 
@@ -14,12 +15,14 @@
 struct HeldKeys {
   KeyRange keys;
   Epoch fence;
+  MSGPACK_DEFINE_ARRAY(keys, fence)
 };
 
 /// Keys that a back end has released.
 struct ReleasedKeys {
   KeyRange keys;
   std::string handover;
+  MSGPACK_DEFINE_ARRAY(keys, handover)
 };
 
 /// Holdings that a back end reports in a heartbeat.
@@ -33,6 +36,7 @@
   KeyRange keys;
   Epoch fence;
   std::string handover;  ///< handover data of the previous holder; empty: none
+  MSGPACK_DEFINE_ARRAY(keys, fence, handover)
 };
 
 /// All keys granted in the response to a heartbeat. The back end releases all others.
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -146,9 +146,7 @@
   return std::exchange(turn_watch().longest, common::Duration(0));
 }
 
-common::Duration EventLoop::take_idle_time() {
-  return std::exchange(turn_watch().idle, common::Duration(0));
-}
+common::Duration EventLoop::idle_time() const { return turn_watch().idle; }
 
 void EventLoop::quit() { g_main_loop_quit(loop_); }
 
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -52,8 +52,8 @@
   /// Returns the longest loop iteration (time between two waits for events) since the last call and
   /// resets it.
   common::Duration take_longest_turn();
-  /// Returns how long the loop has waited for events since the last call and resets it.
-  common::Duration take_idle_time();
+  /// Returns how long the loop has waited for events since the process started.
+  common::Duration idle_time() const;
 
  private:
   GMainLoop* loop_;
--- a/src/transport/wire.hpp
+++ b/src/transport/wire.hpp
@@ -9,6 +9,7 @@
 #include "consensus/join.hpp"
 #include "consensus/messages.hpp"
 #include "membership/heartbeat_report.hpp"
+#include "ownership/relayed_heartbeats.hpp"
 #include "routing/table_messages.hpp"
 
 namespace planktray::transport {
@@ -18,7 +19,8 @@
 
 using WireMessage = common::EncodedVariant<consensus::RaftMessage, consensus::JoinRequest,
                                            routing::RouterHello, routing::TableUpdate,
-                                           membership::HeartbeatReport, routing::ControllerList>;
+                                           membership::HeartbeatReport, routing::ControllerList,
+                                           ownership::HolderHeartbeats, ownership::RelayedAnswers>;
 
 /// Returns true for the encoding of a consensus message, without decoding it.
 inline bool is_consensus_message(std::string_view body) {
