Simulated grants: heartbeats that are relayed again, and a mutant for answers to any heartbeat

Cause: holders' heartbeats now reach leaders by other controllers, which send one again to the next leader; copies may come up to 12 s late, beside their originals.

--- a/src/sim/grant_world.cpp
+++ b/src/sim/grant_world.cpp
@@ -61,6 +61,8 @@
   std::array<Block, kBlocks> blocks;
   bool reports = false;  ///< it hears of its keys in the answers to its heartbeats
   std::uint64_t sequence = 0;
+  std::uint64_t answered = 0;                 ///< sequence of the last heartbeat that was answered
+  TimePoint sent;                             ///< when the newest heartbeat was sent
   std::array<bool, kBlocks> told_released{};  ///< in the heartbeat that is under way
 };
 
@@ -70,6 +72,7 @@
   std::uint64_t sequence = 0;
   TimePoint sent;
   ownership::HoldingsReport report;
+  bool is_copy = false;
 };
 
 std::size_t first_block(const KeyRange& keys) { return keys.first / kBlockKeys; }
@@ -304,7 +307,13 @@
     } else if (now_ < holder.cut_until) {
       arrival = holder.cut_until + between(1, 40);
     }
+    holder.sent = now_;
     at(arrival, [this, heartbeat] { take_heartbeat(heartbeat); });
+    if (has(GrantFault::kRelays) && common::chance(random_, 0.2)) {
+      SentHeartbeat copy = heartbeat;
+      copy.is_copy = true;
+      at(now_ + between(0, kLongestDelayMs), [this, copy] { take_heartbeat(copy); });
+    }
     at(now_ + kHeartbeatTimeout, [this, id, sequence = heartbeat.sequence] {
       if (find_holder(id)->sequence == sequence) {
         send_heartbeat(id);
@@ -321,6 +330,7 @@
       return;
     }
     ++result_.reports;
+    result_.relayed_again += heartbeat.is_copy ? 1 : 0;
     manager_.on_holdings_report(now_, state_, heartbeat.holder, heartbeat.report);
     const std::uint64_t request = ++requests_;
     kept_[request] = heartbeat;
@@ -339,12 +349,16 @@
   }
   void take_answer(const SentHeartbeat& heartbeat, const ownership::GrantedHoldings& holdings) {
     Holder& holder = *find_holder(heartbeat.holder);
-    if (!holder.up || holder.sequence != heartbeat.sequence || now_ < holder.cut_until) {
-      return;  // it has given this heartbeat up
+    const bool is_for_newest =
+        holder.sequence == heartbeat.sequence || !options_.match_relayed_answers;
+    const bool is_answered = holder.answered == holder.sequence;
+    if (!holder.up || !is_for_newest || is_answered || now_ < holder.cut_until) {
+      return;  // it has given this heartbeat up, or has an answer
     }
+    holder.answered = holder.sequence;
     ++result_.answers_taken;
     const double hold = static_cast<double>(holdings.hold_time.count()) / holder.clock_rate;
-    const TimePoint end = heartbeat.sent + Duration(static_cast<Duration::rep>(hold));
+    const TimePoint end = holder.sent + Duration(static_cast<Duration::rep>(hold));
     bool is_releasing = false;
     for (std::size_t i = 0; i < kBlocks; ++i) {
       Holder::Block& block = holder.blocks[i];
@@ -364,7 +378,7 @@
     const Duration rest = is_releasing
                               ? between(10, kReleasingBeatMs)
                               : std::max<Duration>(milliseconds(1), options_.heartbeat_interval -
-                                                                        (now_ - heartbeat.sent));
+                                                                        (now_ - holder.sent));
     at(now_ + rest, [this, id = holder.id, sequence = holder.sequence] {
       if (find_holder(id)->sequence == sequence) {
         send_heartbeat(id);
@@ -543,6 +557,11 @@
          options.reporting_holders = options.holders;
          options.heartbeat.refuse_late = false;
        }},
+      {"answers-to-any-heartbeat", "a relayed answer is for the heartbeat that it names",
+       [](GrantWorldOptions& options) {
+         options.reporting_holders = options.holders;
+         options.match_relayed_answers = false;
+       }},
       {"trust-reporting-clocks", "a holder's clock may be slow, answers to heartbeats or not",
        [](GrantWorldOptions& options) {
          options.reporting_holders = options.holders;
--- a/src/sim/grant_world.hpp
+++ b/src/sim/grant_world.hpp
@@ -24,6 +24,7 @@
   kSlowClocks,     ///< holders measure 2% too slow
   kLeaderChanges,  ///< leaders end without a word, others follow
   kRestarts,       ///< a holder's process ends; another starts at its address
+  kRelays,         ///< heartbeats reach leaders again, up to 12 s later, by controllers that relay
 };
 
 struct GrantWorldOptions {
@@ -36,9 +37,13 @@
   common::Duration heartbeat_interval = std::chrono::milliseconds(870);
   ownership::GrantOptions grant;
   membership::HeartbeatOptions heartbeat;
+  /// Safeguard: a relayed answer reaches a holder in response to the heartbeat that it names only.
+  /// Off only in mutants.
+  bool match_relayed_answers = true;
   std::vector<GrantFault> faults = {GrantFault::kLateOrders,    GrantFault::kLostAnswers,
                                     GrantFault::kCutHolders,    GrantFault::kSlowClocks,
-                                    GrantFault::kLeaderChanges, GrantFault::kRestarts};
+                                    GrantFault::kLeaderChanges, GrantFault::kRestarts,
+                                    GrantFault::kRelays};
 };
 
 struct GrantWorldResult {
@@ -50,6 +55,7 @@
   std::uint64_t leaders = 0;
   std::uint64_t reports = 0;            ///< heartbeats that were taken as the newest
   std::uint64_t late_heartbeats = 0;    ///< heartbeats that came after a newer one
+  std::uint64_t relayed_again = 0;      ///< of these, those that a leader had not seen before
   std::uint64_t answers_taken = 0;      ///< by holders that hear of their keys so
   std::uint64_t reported_releases = 0;  ///< blocks that such holders have released
 };
--- a/test/sim/grant_world_test.cpp
+++ b/test/sim/grant_world_test.cpp
@@ -51,6 +51,7 @@
   CHECK(result.leaders > 3);
   CHECK(result.reports > 50);
   CHECK(result.late_heartbeats > 3);
+  CHECK(result.relayed_again > 0);
   CHECK(result.answers_taken > 50);
   CHECK(result.reported_releases > 20);
 }
