Text from outside that is no UTF-8 ends no process any more

Cause: the parser's message repeats the byte, nlohmann::json::dump() throws on it, and the exception leaves a callback of the main loop. Change: transport::json_text() encodes each answer and order that may hold text from outside and replaces what it can't encode; the HTTP server ends a connection whose handler throws, with a line and a counter. Looked at and left: documents that were parsed before, as the parser refuses other bytes; peer frames, whose decoder catches.

--- a/src/controller/operator_api.cpp
+++ b/src/controller/operator_api.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "transport/event_loop.hpp"
+#include "transport/json_text.hpp"
 
 namespace planktray::controller {
 namespace {
@@ -187,7 +188,7 @@
   if (!record.withdrawn) {
     body["declaration"] = json::parse(record.document);
   }
-  exchange.respond_json(kStatusOk, body.dump());
+  exchange.respond_json(kStatusOk, transport::json_text(body));
 }
 
 // ---------------------------------------------------------------- other commands
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -9,6 +9,8 @@
 #include <utility>
 
 #include "transport/event_loop.hpp"
+#include "transport/json_text.hpp"
+#include "transport/logging.hpp"
 
 namespace planktray::transport {
 namespace {
@@ -47,7 +49,7 @@
 }
 
 std::string error_json(std::string_view message, std::string_view step) {
-  return nlohmann::json{{"error", message}, {"step", step}, {"peer", ""}}.dump();
+  return json_text({{"error", message}, {"step", step}, {"peer", ""}});
 }
 
 }  // namespace
@@ -300,10 +302,23 @@
         weak_from_this(), next.number, std::move(*next.unstarted), next.first_byte);
     next.unstarted.reset();
     next.exchange = exchange;
-    server_.handler_(exchange);
+    handle(exchange);
     return true;
   }
 
+  /// Ends the connection if the handler throws: an exception must not leave the main loop's
+  /// callback, which would end the process.
+  void handle(const ExchangePointer& exchange) {
+    try {
+      server_.handler_(exchange);
+    } catch (const std::exception& error) {
+      ++server_.failed_handlers_;
+      log_error("request_handler_failed",
+                {common::ErrorCode::kInvalid, "handle request", "", error.what()});
+      shut_down();
+    }
+  }
+
   /// Queues an error response to a request that is not passed to a handler; the connection ends
   /// after it.
   void refuse(unsigned status, std::string_view message) {
@@ -454,7 +469,7 @@
                                {"code", std::string(common::to_string(error.code))},
                                {"step", error.step},
                                {"peer", error.peer}};
-  respond_json(status_of(error.code), body.dump());
+  respond_json(status_of(error.code), json_text(body));
 }
 
 void HttpExchange::on_client_closed() {
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -142,6 +142,8 @@
   /// Their requests are not read: a server without time left must not spend it on clients that have
   /// given up.
   std::uint64_t gone_unread() const { return gone_unread_; }
+  /// Returns the number of connections that ended as the handler of a request threw an exception.
+  std::uint64_t failed_handlers() const { return failed_handlers_; }
   /// Returns the number of connections accepted so far, without those.
   std::uint64_t accepted() const { return next_id_ - 1; }
 
@@ -165,6 +167,7 @@
   std::uint64_t next_id_ = 1;
   std::uint64_t refused_ = 0;
   std::uint64_t gone_unread_ = 0;
+  std::uint64_t failed_handlers_ = 0;
   std::map<std::uint64_t, std::shared_ptr<ServerConnection>> connections_;
 };
 
--- a/test/transport/http_server_test.cpp
+++ b/test/transport/http_server_test.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cstring>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -141,6 +142,30 @@
   CHECK(held.server->gone_unread() == kClients);
 }
 
+// Guards against bytes from outside that end the process: an error message that is no UTF-8 threw
+// in a callback of the main loop.
+TEST_CASE("an exception in a handler ends its connection only") {
+  int calls = 0;
+  auto listening = HttpServer::listen(
+      kAddress, options_with_body_limit(1024), [&](const ExchangePointer& exchange) {
+        ++calls;
+        if (exchange->path() == "/throws") {
+          throw std::invalid_argument("no UTF-8");
+        }
+        exchange->respond_error({common::ErrorCode::kInvalid, "read", "", "id \xff\xfe"});
+      });
+  REQUIRE(listening.has_value());
+  RawClient failing("GET /throws HTTP/1.1\r\nHost: x\r\n\r\n");
+  RawClient answered("GET /error HTTP/1.1\r\nHost: x\r\n\r\n");
+  run_for(kShortly);
+  CHECK(calls == 2);
+  CHECK(failing.ended());
+  CHECK(failing.received().empty());
+  CHECK((*listening)->failed_handlers() == 1);
+  CHECK(answered.received().starts_with("HTTP/1.1 400"));
+  CHECK(answered.received().find("read") != std::string::npos);
+}
+
 TEST_CASE("a client that closes while its request is pending is detected") {
   HeldServer held;
   RawClient client("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
