Review of the diff: one delay for what followers relay, the highest rate of updates from one setting

The delay of relays stood twice, the highest rate of updates in two options; the stand-in cell of the test kept counters that nothing read. No change of behaviour.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -32,7 +32,7 @@
       leases_(options_.cell, options_.lease),
       planner_(options_.planner),
       distributor_(options_.cell, options_.distributor),
-      update_pacer_(options_.update_pacer),
+      update_pacer_(options_.update_pacer, options_.distributor.updates_per_second),
       suspects_(options_.crash_ledger),
       ranges_(options_.ranges),
       next_balance_(now),
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -301,6 +301,8 @@
   bool may_answer_for_leader(const Heartbeat& heartbeat) const;
   /// Decides on a heartbeat as the leader.
   void accept_heartbeat(TimePoint now, OperatorRequestId request, const Heartbeat& heartbeat);
+  /// How long what this follower relays waits for more of it.
+  Duration relay_delay() const;
   /// Keeps a holder's heartbeat for the leader.
   void relay_heartbeat(TimePoint now, OperatorRequestId request, const Heartbeat& heartbeat);
   /// Sends the heartbeats that wait to the leader, or decides on them if this replica leads now.
--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -17,9 +17,10 @@
 /// How often a follower reports the heartbeats that it has answered.
 constexpr Duration kReportInterval = std::chrono::milliseconds(250);
 
-/// Updates are sent to the leader together, after this delay for each member of the cell: back ends
-/// are replaced by the dozen, and the leader gets as many reports a second however many followers
-/// it has. The delay is short, since the senders of the heartbeats wait for the answer.
+/// What followers relay is sent to the leader together, after this delay for each member of the
+/// cell: back ends are replaced by the dozen, and the leader gets as many messages a second however
+/// many followers it has. The delay is short, since the senders of the heartbeats wait for the
+/// answer.
 constexpr Duration kRelayDelayPerMember = std::chrono::microseconds(2500);
 /// A follower fails the request if the update is not committed within this time, and the sender
 /// tries another controller. Senders give a heartbeat up after one second.
@@ -150,11 +151,14 @@
   next_relay_deadline_ = std::min(next_relay_deadline_, now + kRelayTimeout);
   updates_.push_back(std::move(update));
   ++counters_.updates_relayed;
-  const auto members = static_cast<std::int64_t>(raft_.membership().members.size());
-  next_report_ = std::min(next_report_, now + kRelayDelayPerMember * members);
+  next_report_ = std::min(next_report_, now + relay_delay());
   step(now);
 }
 
+Duration ControllerCore::relay_delay() const {
+  return kRelayDelayPerMember * static_cast<std::int64_t>(raft_.membership().members.size());
+}
+
 bool ControllerCore::is_committed(const RelayedUpdate& update) const {
   const ownership::BackendRecord* known = state_.find_incarnation(update.incarnation);
   const bool contains_update = known != nullptr && (known->leaving || !update.draining);
--- a/src/controller/core/controller_core_relays.cpp
+++ b/src/controller/core/controller_core_relays.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-/// Heartbeats are sent to the leader together, after this delay for each member of the cell, so
-/// that the leader gets as many messages a second however many followers it has.
-constexpr Duration kRelayDelayPerMember = std::chrono::microseconds(2500);
 /// A follower fails a heartbeat that is not answered within this time, and the holder tries another
 /// controller. Holders give a heartbeat up after one second.
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(800);
@@ -76,9 +73,7 @@
   if (now - leader_known_at_ > kElectionPatience) {
     return fail_request(request, false, not_leader("accept heartbeat"));
   }
-  const auto members = static_cast<std::int64_t>(raft_.membership().members.size());
-  fail_superseded(relay_.add(now, request, heartbeat, now + kRelayDelayPerMember * members,
-                             now + kAnswerTimeout));
+  fail_superseded(relay_.add(now, request, heartbeat, now + relay_delay(), now + kAnswerTimeout));
   step(now);
 }
 
--- a/src/controller/core/update_pacer.cpp
+++ b/src/controller/core/update_pacer.cpp
@@ -10,7 +10,7 @@
   } else if (idle_share > options_.has_time) {
     rate_ *= options_.increase;
   }
-  rate_ = std::clamp(rate_, options_.lowest_rate, options_.highest_rate);
+  rate_ = std::clamp(rate_, options_.lowest_rate, highest_rate_);
 }
 
 }  // namespace planktray::controller
--- a/src/controller/core/update_pacer.hpp
+++ b/src/controller/core/update_pacer.hpp
@@ -11,8 +11,6 @@
 namespace planktray::controller {
 
 struct UpdatePacerOptions {
-  /// Updates a second of a leader that has time left.
-  double highest_rate = 1500;
   /// Updates a second however little time is left.
   double lowest_rate = 100;
   /// Below this idle share of the loop's time the rate falls.
@@ -26,8 +24,9 @@
 
 class UpdatePacer {
  public:
-  explicit UpdatePacer(UpdatePacerOptions options)
-      : options_(options), rate_(options.highest_rate) {}
+  /// @param highest_rate updates a second of a leader that has time left.
+  UpdatePacer(UpdatePacerOptions options, double highest_rate)
+      : options_(options), highest_rate_(highest_rate), rate_(highest_rate) {}
 
   /// Adapts the rate. @param idle_share of the time since the last sample, from 0 to 1.
   void on_sample(double idle_share);
@@ -36,6 +35,7 @@
 
  private:
   UpdatePacerOptions options_;
+  double highest_rate_;
   double rate_;
 };
 
--- a/test/controller/loaded_cell.hpp
+++ b/test/controller/loaded_cell.hpp
@@ -94,6 +94,8 @@
     cut_ = replica;
     inputs_[replica].clear();
   }
+  /// Begins to change the route configuration again and again.
+  void change_often() { next_change_ = now_; }
   /// Holders whose grants are valid.
   std::size_t holding() const {
     return static_cast<std::size_t>(
@@ -102,18 +104,6 @@
   }
   /// Heartbeats answered with grants in time, of all holders so far.
   std::uint64_t renewals() const { return renewals_; }
-  std::uint64_t give_ups() const { return give_ups_; }
-  /// Tables that the leaders have sent so far.
-  std::uint64_t tables() const { return tables_; }
-  /// The longest time that a router's table has been behind the route configuration.
-  Duration oldest_table() const {
-    Duration oldest{0};
-    for (const Router& router : routers_) {
-      const auto newer = committed_at_.upper_bound(router.table);
-      oldest = newer == committed_at_.end() ? oldest : std::max(oldest, now_ - newer->second);
-    }
-    return oldest;
-  }
 
  private:
   struct Holder {
@@ -237,7 +227,6 @@
                });
       }
       for (const OutgoingTable& table : output.tables) {
-        tables_ += core.raft().is_leader() ? 1 : 0;
         cost += core.raft().is_leader() ? options_.costs.table : Duration(0);
         take_table(std::stoul(table.router.value), table.update);
       }
@@ -254,7 +243,6 @@
     for (std::size_t i = 0; i < holders_.size(); ++i) {
       Holder& holder = holders_[i];
       if (holder.waits && now_ - holder.sent >= kPatience) {
-        ++give_ups_;
         holder.waits = false;
         holder.connected = false;
         holder.replica = (holder.replica + 1 + holder.sequence % (kReplicas - 1)) % kReplicas;
@@ -417,7 +405,6 @@
       route.parts.push_back({common::ServiceName("keyed"), 1.0});
       change.routes = {route};
       core.change_routes(now_, core.new_request(), std::move(change));
-      committed_at_[core.raft().last_index()] = now_;
     });
   }
 
@@ -432,15 +419,8 @@
   std::vector<Holder> holders_;
   std::vector<Router> routers_;
   std::map<std::pair<std::size_t, OperatorRequestId>, Call> calls_;
-  std::map<common::LogIndex, TimePoint> committed_at_;  ///< proposals of route changes
   TimePoint next_change_ = TimePoint::max();
   std::uint64_t renewals_ = 0;
-  std::uint64_t give_ups_ = 0;
-  std::uint64_t tables_ = 0;
-
- public:
-  /// Begins to change the route configuration again and again.
-  void change_often() { next_change_ = now_; }
 };
 
 }  // namespace planktray::controller::testing
--- a/test/controller/update_pacer_test.cpp
+++ b/test/controller/update_pacer_test.cpp
@@ -6,16 +6,16 @@
 namespace {
 
 TEST_CASE("the rate of updates falls without time left and rises slowly with it") {
-  UpdatePacer pacer({});
-  const double highest = pacer.rate();
+  constexpr double kHighest = 1500;
+  UpdatePacer pacer({}, kHighest);
   pacer.on_sample(0.2);
-  CHECK(pacer.rate() == highest);
+  CHECK(pacer.rate() == kHighest);
   pacer.on_sample(0.01);
   const double reduced = pacer.rate();
-  CHECK(reduced < highest);
+  CHECK(reduced < kHighest);
   pacer.on_sample(0.8);
   CHECK(pacer.rate() > reduced);
-  CHECK(pacer.rate() - reduced < highest - reduced);
+  CHECK(pacer.rate() - reduced < kHighest - reduced);
   for (int i = 0; i < 100; ++i) {
     pacer.on_sample(0);
   }
@@ -23,7 +23,7 @@
   for (int i = 0; i < 100; ++i) {
     pacer.on_sample(1);
   }
-  CHECK(pacer.rate() == highest);
+  CHECK(pacer.rate() == kHighest);
 }
 
 }  // namespace
