A relayed heartbeat that replaces one that is not sent yet is sent once

What callers would have seen: a holder that calls a follower twice within the 22 ms in which it collects heartbeats gets an answer without grants, and its keys are renewed only by its next heartbeat. Cause: HeartbeatRelay::add() listed the holder a second time, so its newest heartbeat stood twice in the message; the leader took the second for late and accepted it without grants, and the follower gave that answer to the holder.

--- a/src/controller/core/heartbeat_relay.cpp
+++ b/src/controller/core/heartbeat_relay.cpp
@@ -19,7 +19,9 @@
     superseded = waiting.request;
   }
   waiting = {request, std::move(heartbeat), now, deadline};
-  unsent_.push_back(incarnation);
+  if (std::find(unsent_.begin(), unsent_.end(), incarnation) == unsent_.end()) {
+    unsent_.push_back(incarnation);
+  }
   send_at_ = std::min(send_at_, send_by);
   next_deadline_ = std::min(next_deadline_, deadline);
   return superseded;
--- a/test/controller/heartbeat_relay_test.cpp
+++ b/test/controller/heartbeat_relay_test.cpp
@@ -37,6 +37,17 @@
   CHECK_FALSE(relay.take_answered(common::Incarnation("a"), 6).has_value());
 }
 
+// Guards against a copy beside its original in one message: the leader took the copy for late, and
+// its answer without grants was given to the holder.
+TEST_CASE("a heartbeat that replaces one that is not sent yet is sent once") {
+  HeartbeatRelay relay;
+  (void)relay.add(at(0), 1, heartbeat_of("a", 5), at(20), at(800));
+  (void)relay.add(at(0), 2, heartbeat_of("a", 6), at(20), at(800));
+  const std::vector<Heartbeat> sent = relay.take_unsent(at(20));
+  REQUIRE(sent.size() == 1);
+  CHECK(sent.front().sequence == 6);
+}
+
 TEST_CASE("a heartbeat that is not answered in time expires") {
   HeartbeatRelay relay;
   (void)relay.add(at(0), 1, heartbeat_of("a", 1), at(20), at(800));
