A late heartbeat of an earlier process no longer ends the running one at its address

Cause: RegisterBackend marked all other back ends at its address as ended. It took the order of registrations for the order of the processes' lives; a heartbeat that a cut holds up arrives after its sender's end and its successor's registration. 'ended' is final and frees the keys at once. Change: who runs is shown by an answer from the address. The process that answers an order is younger than all others that were registered there when the order was made, so these have ended, whether the order was for it or for one of them. A registration makes orders to owners at its address due at once; a newcomer without keys is assigned none while an owner there is not silent.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -155,12 +155,12 @@
 
 void ControllerCore::on_order_reply(TimePoint now, ownership::OrderId id,
                                     const ownership::OrderReply& reply) {
-  const auto backend = ranges_.on_order_reply(now, state_, id, reply);
-  const bool is_named = !reply.answered_by.value.empty();
-  if (backend.has_value() && reply.outcome == ownership::OrderOutcome::kReplaced && is_named) {
-    mark_ended(now, *backend);
-  } else if (backend.has_value() && reply.is_leaving) {
-    mark_stated_departure(now, *backend);
+  const auto order = ranges_.on_order_reply(now, state_, id, reply);
+  if (order.has_value()) {
+    settle_address(now, *order, reply);
+  }
+  if (order.has_value() && reply.is_leaving) {
+    mark_stated_departure(now, order->backend);
   }
   step(now);
 }
@@ -355,7 +355,8 @@
     state_.skip(entry.index);  // consistent across replicas: all have the same bytes
     return;
   }
-  if (const auto* registration = std::get_if<ownership::RegisterBackend>(&command->value)) {
+  const auto* registration = std::get_if<ownership::RegisterBackend>(&command->value);
+  if (registration != nullptr) {
     ++counters_.backends_registered;
     registering_.erase({registration->machine, registration->incarnation});
   }
@@ -381,6 +382,9 @@
     }
   }
   complete(now, entry, result);
+  if (leading_ && registration != nullptr) {
+    verify_owners_at(now, registration->address);
+  }
   if (leading_) {
     log_key_moves(now, entry.index, *command);
     output_.changed_backends.insert(output_.changed_backends.end(), result.delta.backends.begin(),
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -326,6 +326,12 @@
   /// Proposes that the back end's process has ended, since another incarnation answers at its
   /// address.
   void mark_ended(TimePoint now, common::BackendId id);
+  /// Makes orders to all owners with this address due if several back ends are registered with it.
+  void verify_owners_at(TimePoint now, const std::string& address);
+  /// Proposes that the other back ends with the order's address have ended if the reply shows which
+  /// process was running there after all of them had been registered.
+  void settle_address(TimePoint now, const ownership::AnsweredOrder& order,
+                      const ownership::OrderReply& reply);
   /// Proposes that the back end is leaving, since it has stated so in an answer.
   void mark_stated_departure(TimePoint now, common::BackendId id);
   void plan_ranges(TimePoint now);
--- a/src/controller/core/controller_core_backends.cpp
+++ b/src/controller/core/controller_core_backends.cpp
@@ -314,6 +314,40 @@
   }
 }
 
+void ControllerCore::verify_owners_at(TimePoint now, const std::string& address) {
+  const std::vector<common::BackendId> candidates = state_.candidates_at(address);
+  if (candidates.size() < 2) {
+    return;
+  }
+  for (const common::BackendId id : candidates) {
+    ranges_.verify_owner(now, id);
+  }
+}
+
+void ControllerCore::settle_address(TimePoint now, const ownership::AnsweredOrder& order,
+                                    const ownership::OrderReply& reply) {
+  const ownership::BackendRecord* asked = state_.find_backend(order.backend);
+  if (asked == nullptr) {
+    return;
+  }
+  const bool is_own_answer = reply.outcome == ownership::OrderOutcome::kAccepted ||
+                             reply.outcome == ownership::OrderOutcome::kFenced;
+  // Any other incarnation answers kReplaced, so an accepted order needs no name.
+  const common::Incarnation running =
+      reply.answered_by.value.empty() && is_own_answer ? asked->incarnation : reply.answered_by;
+  if (running.value.empty()) {
+    return;
+  }
+  for (const common::BackendId id : state_.candidates_at(asked->address)) {
+    // Processes at one address follow each other. One that was known when the order was made is
+    // older than the one that answered it. A later registration may belong to its successor.
+    const bool was_known = id.value <= order.made_at.value;
+    if (was_known && state_.find_backend(id)->incarnation != running) {
+      mark_ended(now, id);
+    }
+  }
+}
+
 void ControllerCore::mark_stated_departure(TimePoint now, common::BackendId id) {
   const ownership::BackendRecord* backend = state_.find_backend(id);
   const bool is_new =
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -75,11 +75,11 @@
   zones_returned_.clear();
 }
 
-std::optional<common::BackendId> RangeController::on_order_reply(
+std::optional<ownership::AnsweredOrder> RangeController::on_order_reply(
     TimePoint now, const CellState& state, ownership::OrderId id,
     const ownership::OrderReply& reply) {
-  const auto backend = grants_.on_reply(now, id, reply);
-  const BackendRecord* record = backend.has_value() ? state.find_backend(*backend) : nullptr;
+  const auto order = grants_.on_reply(now, id, reply);
+  const BackendRecord* record = order.has_value() ? state.find_backend(order->backend) : nullptr;
   const bool accepted = reply.outcome == ownership::OrderOutcome::kAccepted;
   if (record != nullptr && accepted) {
     heartbeats_.note_answer(now, record->incarnation);
@@ -88,7 +88,7 @@
   if (!is_renewal) {
     next_plan_ = now;  // keys may have become free, or must be taken away
   }
-  return backend;
+  return order;
 }
 
 void RangeController::on_holdings_report(TimePoint now, const CellState& state,
@@ -103,7 +103,21 @@
 bool RangeController::is_eligible(TimePoint now, const CellState& state,
                                   const BackendRecord& backend) const {
   return backend.has_fenced_grants() && !backend.leaving && !backend.ended &&
-         !state.is_evacuated(backend) && !heartbeats_.is_silent(now, backend.incarnation);
+         !state.is_evacuated(backend) && !heartbeats_.is_silent(now, backend.incarnation) &&
+         !is_beside_owner(now, state, backend);
+}
+
+bool RangeController::is_beside_owner(TimePoint now, const CellState& state,
+                                      const BackendRecord& backend) const {
+  const std::vector<common::BackendId> candidates = state.candidates_at(backend.address);
+  if (candidates.size() < 2 || state.owns_keys(backend.id)) {
+    return false;
+  }
+  return std::any_of(candidates.begin(), candidates.end(), [&](common::BackendId id) {
+    const BackendRecord* other = state.find_backend(id);
+    return id != backend.id && state.owns_keys(id) &&
+           !heartbeats_.is_silent(now, other->incarnation);
+  });
 }
 
 double RangeController::demand(const CellState& state, common::BackendId owner) const {
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -112,10 +112,13 @@
   /// Returns the back ends whose heartbeats show them to be cold or warm, contrary to the state;
   /// empty until the next check is due.
   ownership::SetWarmth warmth_changes(TimePoint now, const ownership::CellState& state);
-  /// @return the back end that the order was for, or nullopt if the order is no longer known.
-  std::optional<common::BackendId> on_order_reply(TimePoint now, const ownership::CellState& state,
-                                                  ownership::OrderId id,
-                                                  const ownership::OrderReply& reply);
+  /// Makes an order to the owner due immediately, which tells who has its address.
+  void verify_owner(TimePoint now, common::BackendId owner) { grants_.verify_owner(now, owner); }
+  /// @return the order, or nullopt if it is no longer known.
+  std::optional<ownership::AnsweredOrder> on_order_reply(TimePoint now,
+                                                         const ownership::CellState& state,
+                                                         ownership::OrderId id,
+                                                         const ownership::OrderReply& reply);
 
   /// Records the holdings that a back end reports.
   void on_holdings_report(TimePoint now, const ownership::CellState& state,
@@ -166,6 +169,10 @@
                                                    const BackendCheck& is_degraded);
   bool is_eligible(TimePoint now, const ownership::CellState& state,
                    const ownership::BackendRecord& backend) const;
+  /// Returns true if another back end that has not fallen silent owns keys at the same address. The
+  /// process there answers orders to both, which shows which of the two is running.
+  bool is_beside_owner(TimePoint now, const ownership::CellState& state,
+                       const ownership::BackendRecord& backend) const;
   /// Requests per second for the keys that the back end owns.
   double demand(const ownership::CellState& state, common::BackendId owner) const;
   /// Recomputes which owners are crowded.
--- a/src/ownership/cell_state.cpp
+++ b/src/ownership/cell_state.cpp
@@ -106,9 +106,6 @@
   record.cold = command.cold;
   record.leaving = command.leaving;
   result.delta.backends.push_back(backend_route(record));
-  if (record.has_fenced_grants()) {
-    end_predecessors(record, result);
-  }
   insert_backend(std::move(record));
 }
 
--- a/src/ownership/cell_state.hpp
+++ b/src/ownership/cell_state.hpp
@@ -47,7 +47,7 @@
   std::uint32_t slots = 0;    ///< concurrent requests; 0: the service's default
   bool cold = false;          ///< not warmed up: slow, with capacity for few requests per second
   bool departed = false;      ///< it has deregistered
-  bool ended = false;         ///< its process has ended: another incarnation has its address
+  bool ended = false;         ///< its process has ended: another incarnation answers at its address
   std::set<common::ShardRef> shards;  ///< derived from the services, not encoded
   MSGPACK_DEFINE_ARRAY(id, machine, address, zone, pool, incarnation, leaving, grants_index,
                        contract, slots, cold, departed, ended)
@@ -160,6 +160,10 @@
   const BackendRecord* find_incarnation(const common::Incarnation& incarnation) const;
   /// Returns true if the back end owns any keys, including keys that are moving.
   bool owns_keys(BackendId id) const;
+  /// Returns the back ends with fenced grants that are registered with this address and not known
+  /// to have ended. At most one of them is running: the order in which they were registered does
+  /// not tell which, as the first heartbeat of an earlier one may arrive after its successor's.
+  std::vector<BackendId> candidates_at(const std::string& address) const;
   /// Returns true if this incarnation must not be registered (again): it has deregistered, or was
   /// removed after it left or ended.
   bool has_departed(const common::Incarnation& incarnation) const;
@@ -204,8 +208,6 @@
                           ApplyResult& result);
   void insert_backend(BackendRecord record);
   bool erase_backend(BackendId id);
-  /// Marks other back ends with the address of a newly registered one as ended.
-  void end_predecessors(const BackendRecord& successor, ApplyResult& result);
   void remember_departure(const common::Incarnation& incarnation);
   void add_routes_snapshot(routing::TableDelta& table) const;
 
--- a/src/ownership/cell_state_routes.cpp
+++ b/src/ownership/cell_state_routes.cpp
@@ -95,16 +95,16 @@
   }
 }
 
-void CellState::end_predecessors(const BackendRecord& successor, ApplyResult& result) {
-  for (auto next = backends_by_address_.lower_bound({successor.address, BackendId()});
-       next != backends_by_address_.end() && next->first == successor.address; ++next) {
-    BackendRecord& backend = backends_.at(next->second);
-    if (backend.id != successor.id && backend.has_fenced_grants()) {
-      backend.ended = true;
-      backend.leaving = true;
-      result.delta.backends.push_back(backend_route(backend));
+std::vector<BackendId> CellState::candidates_at(const std::string& address) const {
+  std::vector<BackendId> candidates;
+  for (auto next = backends_by_address_.lower_bound({address, BackendId()});
+       next != backends_by_address_.end() && next->first == address; ++next) {
+    const BackendRecord& backend = backends_.at(next->second);
+    if (backend.has_fenced_grants() && !backend.ended) {
+      candidates.push_back(backend.id);
     }
   }
+  return candidates;
 }
 
 void CellState::apply_command(LogIndex index, const ChangeRoutes& command, ApplyResult& result) {
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -201,6 +201,7 @@
   paused_until_ = now + std::min<Duration>(options_.pause_per_holding *
                                                static_cast<std::int64_t>(holdings_.size()),
                                            options_.max_pause);
+  collected_at_ = state.applied();
   Outgoing outgoing{grants, releases};
   send_releases(now, state, outgoing);
   send_first_grants(now, state, outgoing);
@@ -384,6 +385,7 @@
 
 void GrantManager::note_sent(OrderId id, Order order) {
   order.is_probe = reach_.note_sent(order.backend);
+  order.made_at = collected_at_;
   orders_[id] = order;
 }
 
@@ -393,6 +395,20 @@
   }
 }
 
+void GrantManager::verify_owner(TimePoint now, BackendId owner) {
+  reach_.note_alive(now, owner);
+  const auto round = rounds_.find(owner);
+  if (round != rounds_.end()) {
+    round->second.next = std::min(round->second.next, now);
+  }
+  for (auto& [key, holding] : holdings_) {
+    if (holding.owner == owner) {
+      holding.next_order = std::min(holding.next_order, now + options_.release_delay);
+    }
+  }
+  next_due_ = now;
+}
+
 // ---------------------------------------------------------------- replies
 
 void GrantManager::note_reachability(TimePoint now, const Order& order, const OrderReply& reply) {
@@ -409,8 +425,8 @@
   }
 }
 
-std::optional<BackendId> GrantManager::on_reply(TimePoint now, OrderId id,
-                                                const OrderReply& reply) {
+std::optional<AnsweredOrder> GrantManager::on_reply(TimePoint now, OrderId id,
+                                                    const OrderReply& reply) {
   const auto found = orders_.find(id);
   if (!active_ || found == orders_.end()) {
     return std::nullopt;
@@ -450,7 +466,7 @@
   const bool affects_only_round =
       order.is_renewal && reply.outcome == OrderOutcome::kAccepted && !was_at_limit;
   next_due_ = affects_only_round ? std::min(next_due_, round->second.next) : now;
-  return order.backend;
+  return AnsweredOrder{order.backend, order.made_at};
 }
 
 GrantManager::Holdings::iterator GrantManager::first_affected_holding(const Order& order) {
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -151,6 +151,12 @@
   bool is_leaving = false;            ///< whether the reply reports that the back end is leaving
 };
 
+/// An order that has been answered.
+struct AnsweredOrder {
+  BackendId backend;  ///< that it was for
+  LogIndex made_at;   ///< of the state that it was made from
+};
+
 /// Returns true if the back end receives its grants in the responses to its heartbeats; no orders
 /// are sent to it.
 bool has_heartbeat_grants(const CellState& state, BackendId id);
@@ -170,10 +176,13 @@
   /// Notes a sign that the back end is alive. If it was unreachable, orders to it are due
   /// immediately.
   void note_alive(TimePoint now, BackendId backend);
+  /// Makes the next order to the owner due immediately, since its answer tells which process has
+  /// the owner's address.
+  void verify_owner(TimePoint now, BackendId owner);
   /// Returns true if any owner is unreachable.
   bool has_unreachable() const { return reach_.has_unreachable(); }
-  /// @return the back end that the order was sent to, or nothing for an unknown order.
-  std::optional<BackendId> on_reply(TimePoint now, OrderId id, const OrderReply& reply);
+  /// @return the order, or nothing for an unknown one.
+  std::optional<AnsweredOrder> on_reply(TimePoint now, OrderId id, const OrderReply& reply);
 
   /// Processes the holdings that a back end reports in a heartbeat, which must be newer than all
   /// its earlier ones. Call only while the leader lease is valid.
@@ -253,6 +262,7 @@
     bool is_release = false;
     bool is_renewal = false;
     bool is_probe = false;  ///< its back end was unreachable when it was sent
+    LogIndex made_at{};     ///< of the state that it was made from
   };
   /// Renewals of one back end. All its holdings are renewed together, on one connection.
   struct Round {
@@ -309,6 +319,7 @@
   std::optional<LogIndex> synced_;  ///< index of the ownership change that the holdings reflect
   Duration hold_{0};                ///< hold time of new orders
   TimePoint earlier_answers_end_;   ///< grants in responses of earlier leaders have expired by then
+  LogIndex collected_at_;           ///< of the state that orders are being made from
   TimePoint next_due_;
   TimePoint paused_until_;  ///< collect() does nothing before
   Holdings holdings_;
--- a/src/sim/grant_world.hpp
+++ b/src/sim/grant_world.hpp
@@ -24,7 +24,9 @@
   kSlowClocks,     ///< holders measure 2% too slow
   kLeaderChanges,  ///< leaders end without a word, others follow
   kRestarts,       ///< a holder's process ends; another starts at its address
-  kRelays,         ///< heartbeats reach leaders again, up to 12 s later, by controllers that relay
+  /// The first heartbeat of a process that has ended arrives after its successor's.
+  kLateRegistrations,
+  kRelays,  ///< heartbeats reach leaders again, up to 12 s later, by controllers that relay
 };
 
 struct GrantWorldOptions {
@@ -40,10 +42,10 @@
   /// Safeguard: a relayed answer reaches a holder in response to the heartbeat that it names only.
   /// Off only in mutants.
   bool match_relayed_answers = true;
-  std::vector<GrantFault> faults = {GrantFault::kLateOrders,    GrantFault::kLostAnswers,
-                                    GrantFault::kCutHolders,    GrantFault::kSlowClocks,
-                                    GrantFault::kLeaderChanges, GrantFault::kRestarts,
-                                    GrantFault::kRelays};
+  std::vector<GrantFault> faults = {GrantFault::kLateOrders,        GrantFault::kLostAnswers,
+                                    GrantFault::kCutHolders,        GrantFault::kSlowClocks,
+                                    GrantFault::kLeaderChanges,     GrantFault::kRestarts,
+                                    GrantFault::kLateRegistrations, GrantFault::kRelays};
 };
 
 struct GrantWorldResult {
@@ -53,6 +55,8 @@
   std::uint64_t releases = 0;
   std::uint64_t owners_changed = 0;
   std::uint64_t leaders = 0;
+  std::uint64_t registered_late = 0;    ///< processes that had ended before
+  std::uint64_t replaced = 0;           ///< back ends whose successor answered an order to them
   std::uint64_t reports = 0;            ///< heartbeats that were taken as the newest
   std::uint64_t late_heartbeats = 0;    ///< heartbeats that came after a newer one
   std::uint64_t relayed_again = 0;      ///< of these, those that a leader had not seen before
--- a/test/sim/grant_world_test.cpp
+++ b/test/sim/grant_world_test.cpp
@@ -35,6 +35,9 @@
   // Seeds at which the holder took that order after its keys had passed on.
   GrantWorldOptions options;
   options.reporting_holders = 0;
+  options.faults = {GrantFault::kLateOrders, GrantFault::kLostAnswers,   GrantFault::kCutHolders,
+                    GrantFault::kSlowClocks, GrantFault::kLeaderChanges, GrantFault::kRestarts,
+                    GrantFault::kRelays};
   for (const std::uint64_t seed : {271U, 517U, 1082U, 2879U, 2969U}) {
     CAPTURE(seed);
     options.seed = seed;
@@ -49,6 +52,8 @@
   CHECK(result.releases > 20);
   CHECK(result.owners_changed > 20);
   CHECK(result.leaders > 3);
+  CHECK(result.registered_late > 3);
+  CHECK(result.replaced > 0);
   CHECK(result.reports > 50);
   CHECK(result.late_heartbeats > 3);
   CHECK(result.relayed_again > 0);
