Bytes from outside: one boundary for input, one encoder, numbers that fit

This is the same cause on related paths: text from outside in JSON, exceptions that leave a callback of the main loop. Change: run_contained() drops input whose handling throws, with a line and a counter, for bytes and ends of connections, requests and answers (before: handlers of requests only). json_text() encodes every document; dump() was left in operators' views, native messages and declarations. Integers of heartbeats and native messages must fit their field (get() made other numbers of -1, 1.5, 1e300). A time beyond 32 bits of milliseconds, and a 'remove' that is no object, are refused. A signal during the reading of a peer's message (EINTR from ZeroMQ) reads it again. Values of the wrong type in drain and members calls get an error. Ruled out: frames between our processes (decoded to typed messages, common::decode catches); exceptions of handlers of such frames stay fatal, as the state machine's state must not be used any more. Conclusion: no path is known that ends a process by bytes from outside; h2, sanitizers and damaged files on disk were not tried.

--- a/src/config/declaration.cpp
+++ b/src/config/declaration.cpp
@@ -4,6 +4,9 @@
 #include <cctype>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <string>
+
+#include "common/json_text.hpp"
 
 namespace planktray::config {
 namespace {
@@ -60,8 +63,8 @@
     }
     const json& value = get(name);
     if (!value.is_number() || value.get<double>() < low || value.get<double>() > high) {
-      throw FieldError{field(name),
-                       "must be a number from " + json(low).dump() + " to " + json(high).dump()};
+      throw FieldError{field(name), "must be a number from " + common::json_text(json(low)) +
+                                        " to " + common::json_text(json(high))};
     }
     out = value.get<double>();
   }
@@ -276,7 +279,7 @@
   for (const ServiceTemplate& service : declaration.services) {
     services.push_back(service_to_json(service));
   }
-  return json{{"template", declaration.name.value}, {"service", services}}.dump();
+  return common::json_text(json{{"template", declaration.name.value}, {"service", services}});
 }
 
 std::string to_json(const Tenant& declaration) {
@@ -288,11 +291,10 @@
   for (const common::ZoneName& zone : declaration.zones) {
     zones.push_back(zone.value);
   }
-  return json{{"tenant", declaration.name.value},
-              {"template", declaration.template_name.value},
-              {"zones", zones},
-              {"targets", targets}}
-      .dump();
+  return common::json_text(json{{"tenant", declaration.name.value},
+                                {"template", declaration.template_name.value},
+                                {"zones", zones},
+                                {"targets", targets}});
 }
 
 common::Result<std::vector<ServiceConfig>> expand(const Template& declaration,
--- a/src/controller/operator_api.cpp
+++ b/src/controller/operator_api.cpp
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "common/json_text.hpp"
 #include "transport/event_loop.hpp"
-#include "transport/json_text.hpp"
 
 namespace planktray::controller {
 namespace {
@@ -165,7 +165,7 @@
   change.replaces = common::Revision(body["replaces"].get<std::uint64_t>());
   change.change_id = common::ChangeId(body["change_id"].get<std::string>());
   if (!withdraws) {
-    change.document = body["declaration"].dump();
+    change.document = common::json_text(body["declaration"]);
   }
   core_.change_declaration(now(), add_pending(exchange), std::move(change));
   flush_();
@@ -188,7 +188,7 @@
   if (!record.withdrawn) {
     body["declaration"] = json::parse(record.document);
   }
-  exchange.respond_json(kStatusOk, transport::json_text(body));
+  exchange.respond_json(kStatusOk, common::json_text(body));
 }
 
 // ---------------------------------------------------------------- other commands
@@ -200,7 +200,12 @@
   }
   ownership::DrainMachine drain;
   drain.machine = common::MachineName(machine);
-  drain.draining = body.value("draining", true);
+  const auto draining = body.find("draining");
+  if (draining != body.end() && !draining->is_boolean()) {
+    return refuse(*exchange, common::ErrorCode::kInvalid, "read drain",
+                  "draining must be true or false");
+  }
+  drain.draining = draining == body.end() || draining->get<bool>();
   core_.drain_machine(now(), add_pending(exchange), std::move(drain));
   flush_();
 }
@@ -231,7 +236,7 @@
   try {
     service.tenant.value = body.at("tenant").get<std::string>();
     service.service.value = body.at("service").get<std::string>();
-    shard.value = body.at("shard").get<std::uint32_t>();
+    shard.value = common::json_integer<std::uint32_t>(body.at("shard"));
     to.value = body.at("to").get<std::string>();
   } catch (const json::exception& error) {
     return refuse(*exchange, common::ErrorCode::kInvalid, "read move", error.what());
@@ -245,8 +250,12 @@
   if (!parse_body(*exchange, body)) {
     return;
   }
-  const std::string added = body.value("add", "");
-  const std::string removed = body.value("remove", "");
+  const auto name_in = [&body](const char* field) {
+    const auto found = body.find(field);
+    return found != body.end() && found->is_string() ? found->get<std::string>() : std::string();
+  };
+  const std::string added = name_in("add");
+  const std::string removed = name_in("remove");
   if (added.empty() == removed.empty()) {
     return refuse(*exchange, common::ErrorCode::kInvalid, "change members",
                   "exactly one of add and remove is needed");
@@ -325,7 +334,7 @@
   }
   if (const auto* command = std::get_if<CommandCompleted>(&completion)) {
     if (command->index.has_value()) {
-      exchange.respond_json(kStatusOk, json{{"index", command->index->value}}.dump());
+      exchange.respond_json(kStatusOk, common::json_text(json{{"index", command->index->value}}));
     } else {
       exchange.respond_error(command->index.error());
     }
@@ -337,19 +346,17 @@
   }
   switch (answer->change_status()) {
     case ownership::ChangeStatus::kAccepted:
-      exchange.respond_json(
-          kStatusOk,
-          json{{"revision", answer->revision.value}, {"index", answer->index.value}}.dump());
+      exchange.respond_json(kStatusOk, common::json_text(json{{"revision", answer->revision.value},
+                                                              {"index", answer->index.value}}));
       break;
     case ownership::ChangeStatus::kConflict:
-      exchange.respond_json(
-          kStatusConflict,
-          json{{"error", answer->message},
-               {"step", "accept change"},
-               {"peer", core_.options().name},
-               {"winner",
-                {{"revision", answer->revision.value}, {"change_id", answer->winner.value}}}}
-              .dump());
+      exchange.respond_json(kStatusConflict,
+                            common::json_text(json{{"error", answer->message},
+                                                   {"step", "accept change"},
+                                                   {"peer", core_.options().name},
+                                                   {"winner",
+                                                    {{"revision", answer->revision.value},
+                                                     {"change_id", answer->winner.value}}}}));
       break;
     case ownership::ChangeStatus::kInvalid:
       refuse(exchange, common::ErrorCode::kInvalid, "accept change", answer->message);
--- a/src/controller/operator_views.cpp
+++ b/src/controller/operator_views.cpp
@@ -3,7 +3,9 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "common/json_text.hpp"
 #include "controller/operator_api.hpp"
+#include "transport/containment.hpp"
 #include "transport/event_loop.hpp"
 
 namespace planktray::controller {
@@ -33,13 +35,12 @@
 }  // namespace
 
 std::string OperatorApi::identity_json() const {
-  return json{{"cell", core_.options().cell.value},
-              {"replica", replica_text(core_.raft().self())},
-              {"name", core_.options().name},
-              {"peer_address", core_.options().peer_address},
-              {"operator_address", core_.options().operator_address},
-              {"created", !core_.raft().membership().members.empty()}}
-      .dump();
+  return common::json_text(json{{"cell", core_.options().cell.value},
+                                {"replica", replica_text(core_.raft().self())},
+                                {"name", core_.options().name},
+                                {"peer_address", core_.options().peer_address},
+                                {"operator_address", core_.options().operator_address},
+                                {"created", !core_.raft().membership().members.empty()}});
 }
 
 std::string OperatorApi::status_json() const {
@@ -66,20 +67,19 @@
                         {"cold", backend.cold},
                         {"shards", backend.shards.size()}});
   }
-  return json{{"cell", core_.options().cell.value},
-              {"name", core_.options().name},
-              {"is_leader", core_.raft().is_leader()},
-              {"is_serving", core_.is_serving(now())},
-              {"leader", leader == nullptr ? "" : leader->operator_address},
-              {"term", core_.raft().term().value},
-              {"commit_index", core_.raft().commit_index().value},
-              {"applied_index", state.applied().value},
-              {"services", state.services().size()},
-              {"shards", shards},
-              {"unowned_shards", unowned},
-              {"moving_shards", state.moving().size()},
-              {"backends", backends}}
-      .dump();
+  return common::json_text(json{{"cell", core_.options().cell.value},
+                                {"name", core_.options().name},
+                                {"is_leader", core_.raft().is_leader()},
+                                {"is_serving", core_.is_serving(now())},
+                                {"leader", leader == nullptr ? "" : leader->operator_address},
+                                {"term", core_.raft().term().value},
+                                {"commit_index", core_.raft().commit_index().value},
+                                {"applied_index", state.applied().value},
+                                {"services", state.services().size()},
+                                {"shards", shards},
+                                {"unowned_shards", unowned},
+                                {"moving_shards", state.moving().size()},
+                                {"backends", backends}});
 }
 
 std::string OperatorApi::members_json() const {
@@ -96,11 +96,10 @@
     }
     members.push_back(std::move(item));
   }
-  return json{{"members", members},
-              {"is_leader", core_.raft().is_leader()},
-              {"fully_replicated", core_.is_fully_replicated(time)},
-              {"change_pending", core_.raft().membership_change_pending()}}
-      .dump();
+  return common::json_text(json{{"members", members},
+                                {"is_leader", core_.raft().is_leader()},
+                                {"fully_replicated", core_.is_fully_replicated(time)},
+                                {"change_pending", core_.raft().membership_change_pending()}});
 }
 
 std::string OperatorApi::evacuations_json() const {
@@ -108,7 +107,7 @@
   for (const common::ZoneName& zone : core_.state().evacuated_zones()) {
     zones.push_back(zone.value);
   }
-  return json{{"evacuated_zones", zones}}.dump();
+  return common::json_text(json{{"evacuated_zones", zones}});
 }
 
 std::string OperatorApi::sites_json() const {
@@ -123,7 +122,7 @@
   json body = {{"routers", routers}, {"applied_index", core_.state().applied().value}};
   const auto in_force = core_.distributor().in_force(time, core_.state());
   body["in_force_index"] = in_force.has_value() ? json(in_force->value) : json(nullptr);
-  return body.dump();
+  return common::json_text(body);
 }
 
 void OperatorApi::render_assignments(HttpExchange& exchange,
@@ -149,11 +148,10 @@
                       {"epoch", shard.epoch.value},
                       {"moving", shard.moving}});
   }
-  exchange.respond_json(kStatusOk, json{{"tenant", service.tenant.value},
-                                        {"service", service.service.value},
-                                        {"targets", targets},
-                                        {"shards", shards}}
-                                       .dump());
+  exchange.respond_json(kStatusOk, common::json_text(json{{"tenant", service.tenant.value},
+                                                          {"service", service.service.value},
+                                                          {"targets", targets},
+                                                          {"shards", shards}}));
 }
 
 std::string OperatorApi::metrics_text() {
@@ -180,6 +178,9 @@
                        counters.updates_relayed);
   metrics_.set_counter("planktray_snapshots_taken_total", "Snapshots taken.",
                        counters.snapshots_taken);
+  metrics_.set_counter("planktray_contained_exceptions_total",
+                       "Exceptions that input from peers has caused.",
+                       transport::contained_exceptions());
   metrics_.set_gauge("planktray_is_leader", "1 where this replica leads.",
                      core_.raft().is_leader() ? 1 : 0);
   metrics_.set_gauge("planktray_term", "Election term.",
--- a/src/router/native_dialect.cpp
+++ b/src/router/native_dialect.cpp
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "transport/json_text.hpp"
+#include "common/json_text.hpp"
 
 namespace planktray::router {
 namespace {
@@ -113,7 +113,7 @@
 void NativeDialect::refuse(transport::HttpExchange& exchange, const common::Error& error) const {
   const nlohmann::json body = {{"error", error.message}, {"step", error.step}, {"peer", ""}};
   exchange.respond_json(
-      kStatusBadRequest, transport::json_text(body),
+      kStatusBadRequest, common::json_text(body),
       {{kOutcome, "not-run"}, {kRequestId, std::string(exchange.header(kRequestId))}});
 }
 
@@ -174,7 +174,7 @@
   nlohmann::json body = {{"step", "route request"}, {"peer", router_}};
   if (answer.outcome == routing::Outcome::kUnknown) {
     body["error"] = "the request was sent, but no whole answer came; it may have run";
-    return exchange.respond_json(kStatusTimeout, transport::json_text(body), headers);
+    return exchange.respond_json(kStatusTimeout, common::json_text(body), headers);
   }
   body["error"] = "not run: " + std::string(routing::to_string(answer.reason));
   unsigned status = kStatusUnavailable;
@@ -184,7 +184,7 @@
   } else {
     headers.emplace_back("Retry-After", retry_after_seconds(answer.retry_after));
   }
-  exchange.respond_json(status, transport::json_text(body), headers);
+  exchange.respond_json(status, common::json_text(body), headers);
 }
 
 }  // namespace planktray::router
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "router/router_process.hpp"
+#include "transport/containment.hpp"
 
 namespace planktray::router {
 
@@ -12,6 +13,9 @@
 std::string RouterProcess::metrics_text() {
   const RouterCounters& counters = core_.counters();
   metrics_.set_counter("planktray_requests_total", "Requests from callers.", counters.requests);
+  metrics_.set_counter("planktray_contained_exceptions_total",
+                       "Exceptions that input from peers has caused.",
+                       transport::contained_exceptions());
   metrics_.set_counter("planktray_answered_total", "Requests answered by a back end.",
                        counters.answered);
   metrics_.set_counter("planktray_not_run_total", "Requests refused with proof of not run.",
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "transport/containment.hpp"
 #include "transport/event_loop.hpp"
 
 namespace planktray::transport {
@@ -397,7 +398,7 @@
     g_source_remove(call.timer);
   }
   call.connection.reset();
-  call.callback(response);
+  run_contained("handle answer", call.request.address, [&] { call.callback(response); });
 }
 
 void HttpClient::report_stage(std::uint64_t id, SendStage stage) {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -8,9 +8,9 @@
 #include <optional>
 #include <utility>
 
+#include "common/json_text.hpp"
+#include "transport/containment.hpp"
 #include "transport/event_loop.hpp"
-#include "transport/json_text.hpp"
-#include "transport/logging.hpp"
 
 namespace planktray::transport {
 namespace {
@@ -49,7 +49,7 @@
 }
 
 std::string error_json(std::string_view message, std::string_view step) {
-  return json_text({{"error", message}, {"step", step}, {"peer", ""}});
+  return common::json_text({{"error", message}, {"step", step}, {"peer", ""}});
 }
 
 }  // namespace
@@ -306,15 +306,10 @@
     return true;
   }
 
-  /// Ends the connection if the handler throws: an exception must not leave the main loop's
-  /// callback, which would end the process.
+  /// Ends the connection if the handler throws.
   void handle(const ExchangePointer& exchange) {
-    try {
-      server_.handler_(exchange);
-    } catch (const std::exception& error) {
+    if (!run_contained("handle request", exchange->path(), [&] { server_.handler_(exchange); })) {
       ++server_.failed_handlers_;
-      log_error("request_handler_failed",
-                {common::ErrorCode::kInvalid, "handle request", "", error.what()});
       shut_down();
     }
   }
@@ -469,7 +464,7 @@
                                {"code", std::string(common::to_string(error.code))},
                                {"step", error.step},
                                {"peer", error.peer}};
-  respond_json(status_of(error.code), json_text(body));
+  respond_json(status_of(error.code), common::json_text(body));
 }
 
 void HttpExchange::on_client_closed() {
--- a/src/transport/json_messages.cpp
+++ b/src/transport/json_messages.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <nlohmann/json.hpp>
 
+#include "common/json_text.hpp"
 #include "transport/http_server.hpp"
 
 namespace planktray::transport {
@@ -88,8 +89,8 @@
   std::vector<ownership::HeldShard> shards;
   for (const json& item : list) {
     shards.push_back({read_service(item),
-                      common::ShardNumber(item.at("shard").get<std::uint32_t>()),
-                      common::Epoch(item.at("epoch").get<std::uint64_t>())});
+                      common::ShardNumber(common::json_integer<std::uint32_t>(item.at("shard"))),
+                      common::Epoch(common::json_integer<std::uint64_t>(item.at("epoch")))});
   }
   return shards;
 }
@@ -98,9 +99,9 @@
 ownership::Grant read_grant(const json& item) {
   ownership::Grant grant;
   grant.service = read_service(item);
-  grant.first.value = item.at("first_shard").get<std::uint32_t>();
-  grant.last.value = item.at("last_shard").get<std::uint32_t>();
-  grant.epoch.value = item.at("epoch").get<std::uint64_t>();
+  grant.first.value = common::json_integer<std::uint32_t>(item.at("first_shard"));
+  grant.last.value = common::json_integer<std::uint32_t>(item.at("last_shard"));
+  grant.epoch.value = common::json_integer<std::uint64_t>(item.at("epoch"));
   if (grant.last < grant.first || grant.last.value >= config::kMaxShardsPerService) {
     throw json::out_of_range::create(kInvalidRangeId, "grants: no such range of shards", &item);
   }
@@ -127,7 +128,7 @@
     }
     body["grants"] = std::move(grants);
   }
-  return body.dump();
+  return common::json_text(body);
 }
 
 common::Result<ownership::LeaseRequest> parse_lease_request(std::string_view body,
@@ -135,10 +136,10 @@
   return parse<ownership::LeaseRequest>(body, "read lease", peer, [](const json& value) {
     ownership::LeaseRequest request;
     request.cell.value = value.at("cell").get<std::string>();
-    request.term.value = value.at("term").get<std::uint64_t>();
+    request.term.value = common::json_integer<std::uint64_t>(value.at("term"));
     request.incarnation.value = value.at("incarnation").get<std::string>();
-    request.expires_clock_us = value.at("expires_clock_us").get<std::int64_t>();
-    request.grants_index.value = value.at("grants_index").get<std::uint64_t>();
+    request.expires_clock_us = common::json_integer<std::int64_t>(value.at("expires_clock_us"));
+    request.grants_index.value = common::json_integer<std::uint64_t>(value.at("grants_index"));
     request.grants_digest = value.at("grants_digest").get<std::string>();
     request.has_grants = value.contains("grants");
     if (request.has_grants) {
@@ -162,7 +163,7 @@
   if (reply.status != LeaseStatus::kAccepted) {
     body["reason"] = reason_name(reply.status);
   }
-  return body.dump();
+  return common::json_text(body);
 }
 
 common::Result<ownership::LeaseReply> parse_lease_reply(unsigned status, std::string_view body,
@@ -174,12 +175,13 @@
   return parse<ownership::LeaseReply>(body, "read lease answer", peer, [&](const json& value) {
     ownership::LeaseReply reply;
     reply.incarnation.value = value.at("incarnation").get<std::string>();
-    reply.clock_us = value.at("clock_us").get<std::int64_t>();
+    reply.clock_us = common::json_integer<std::int64_t>(value.at("clock_us"));
     reply.grants_digest = value.at("grants_digest").get<std::string>();
     reply.state = state_of(value.at("state").get<std::string>());
     const json& load = value.at("load");
-    reply.load = {load.at("running").get<std::uint32_t>(), load.at("slots").get<std::uint32_t>(),
-                  load.at("queued").get<std::uint32_t>()};
+    reply.load = {common::json_integer<std::uint32_t>(load.at("running")),
+                  common::json_integer<std::uint32_t>(load.at("slots")),
+                  common::json_integer<std::uint32_t>(load.at("queued"))};
     if (status == kStatusConflict) {
       reply.status = status_of_reason(value.at("reason").get<std::string>());
     }
@@ -188,12 +190,11 @@
 }
 
 std::string to_json(const ownership::ReleaseRequest& request) {
-  return json{{"cell", request.cell.value},
-              {"term", request.term.value},
-              {"incarnation", request.incarnation.value},
-              {"shards", held_to_json(request.shards)},
-              {"wait_ms", request.wait_ms}}
-      .dump();
+  return common::json_text(json{{"cell", request.cell.value},
+                                {"term", request.term.value},
+                                {"incarnation", request.incarnation.value},
+                                {"shards", held_to_json(request.shards)},
+                                {"wait_ms", request.wait_ms}});
 }
 
 common::Result<ownership::ReleaseRequest> parse_release_request(std::string_view body,
@@ -201,19 +202,18 @@
   return parse<ownership::ReleaseRequest>(body, "read release", peer, [](const json& value) {
     ownership::ReleaseRequest request;
     request.cell.value = value.at("cell").get<std::string>();
-    request.term.value = value.at("term").get<std::uint64_t>();
+    request.term.value = common::json_integer<std::uint64_t>(value.at("term"));
     request.incarnation.value = value.at("incarnation").get<std::string>();
     request.shards = read_held(value.at("shards"));
-    request.wait_ms = value.at("wait_ms").get<std::uint32_t>();
+    request.wait_ms = common::json_integer<std::uint32_t>(value.at("wait_ms"));
     return request;
   });
 }
 
 std::string to_json(const ownership::ReleaseReply& reply, std::int64_t clock_us) {
-  return json{{"released", held_to_json(reply.released)},
-              {"running", held_to_json(reply.running)},
-              {"clock_us", clock_us}}
-      .dump();
+  return common::json_text(json{{"released", held_to_json(reply.released)},
+                                {"running", held_to_json(reply.running)},
+                                {"clock_us", clock_us}});
 }
 
 common::Result<ownership::ReleaseReply> parse_release_reply(unsigned status, std::string_view body,
@@ -239,7 +239,7 @@
                         {"pool", machine.pool.value},
                         {"state", machine.leaving ? "leaving" : "live"}});
   }
-  return json{{"version", list.version}, {"machines", machines}}.dump();
+  return common::json_text(json{{"version", list.version}, {"machines", machines}});
 }
 
 common::Result<membership::MachineList> parse_machine_list(std::string_view body,
@@ -247,7 +247,7 @@
   auto list =
       parse<membership::MachineList>(body, "read machine list", peer, [](const json& value) {
         membership::MachineList parsed;
-        parsed.version = value.at("version").get<std::uint64_t>();
+        parsed.version = common::json_integer<std::uint64_t>(value.at("version"));
         for (const json& item : value.at("machines")) {
           membership::Machine machine;
           machine.name.value = item.at("name").get<std::string>();
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -9,6 +9,8 @@
 #include <charconv>
 #include <utility>
 
+#include "transport/containment.hpp"
+
 namespace planktray::transport {
 namespace {
 
@@ -158,7 +160,12 @@
   const gssize count = g_socket_receive(socket_, buffer.data(), most, nullptr, &error);
   if (count > 0) {
     record_received(static_cast<std::size_t>(count));
-    handlers_.on_data({buffer.data(), static_cast<std::size_t>(count)});
+    const bool is_handled = run_contained("read connection", "", [&] {
+      handlers_.on_data({buffer.data(), static_cast<std::size_t>(count)});
+    });
+    if (!is_handled && is_open()) {
+      end(StreamEnd::kReset);
+    }
     return;
   }
   if (count == 0) {
@@ -247,7 +254,7 @@
   const std::function<void(StreamEnd)> on_end = handlers_.on_end;
   close();
   if (on_end) {
-    on_end(how);
+    run_contained("end connection", "", [&] { on_end(how); });
   }
 }
 
--- a/src/transport/zmq_socket.cpp
+++ b/src/transport/zmq_socket.cpp
@@ -3,6 +3,7 @@
 #include <glib-unix.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -130,8 +131,7 @@
 
 void ZmqSocket::receive_all() {
   const TurnBudget budget;
-  while ((socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0 && receive_one() &&
-         !budget.is_spent()) {
+  while (!budget.is_spent() && receive_one()) {
   }
   handle_waiting();
   if (budget.is_spent()) {
@@ -152,16 +152,36 @@
   }
 }
 
-bool ZmqSocket::receive_one() {
+bool ZmqSocket::read_frame(zmq::message_t& frame) {
+  while (true) {
+    try {
+      return socket_.recv(frame, zmq::recv_flags::dontwait).has_value();
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) {
+        throw;
+      }
+    }
+  }
+}
+
+std::vector<zmq::message_t> ZmqSocket::read_frames() {
   std::vector<zmq::message_t> frames;
   do {
     zmq::message_t frame;
-    if (!socket_.recv(frame, zmq::recv_flags::dontwait).has_value()) {
-      return false;
+    if (!read_frame(frame)) {
+      return {};
     }
     counters_.bytes_received += frame.size();
     frames.push_back(std::move(frame));
   } while (frames.back().more());
+  return frames;
+}
+
+bool ZmqSocket::receive_one() {
+  std::vector<zmq::message_t> frames = read_frames();
+  if (frames.empty()) {
+    return false;
+  }
   ++counters_.received;
   const std::size_t expected = is_router_ ? 3 : 2;
   if (frames.size() != expected) {
--- a/src/transport/zmq_socket.hpp
+++ b/src/transport/zmq_socket.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <vector>
 #include <zmq.hpp>
 
 #include "common/error.hpp"
@@ -69,6 +70,10 @@
     zmq::message_t body;
   };
   void receive_all();
+  /// Reads one frame, again if a signal interrupts the read. @return false if there is none.
+  bool read_frame(zmq::message_t& frame);
+  /// Returns the frames of one message; none if there is no message.
+  std::vector<zmq::message_t> read_frames();
   /// Reads one message and handles it if it is urgent, or queues it. @return false if there is
   /// none.
   bool receive_one();
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -6,9 +6,11 @@
 #include <gio/gio.h>
 #include <sys/socket.h>
 
+#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "transport/containment.hpp"
 #include "transport/event_loop.hpp"
 
 namespace planktray::transport {
@@ -360,6 +362,22 @@
   CHECK(client.connections_opened() == 2);
 }
 
+// Guards against an exception in the handler of an answer that leaves the main loop and ends the
+// process.
+TEST_CASE("an exception in the handler of an answer is counted and ends nothing else") {
+  RawServer server(Behaviour::kSurplusLater);
+  HttpClient client(options_with_four_connections());
+  const std::uint64_t before = contained_exceptions();
+  EventLoop loop;
+  client.send(marked_request(server, 1), [&loop](const HttpResponse& /*response*/) {
+    loop.after(milliseconds(20), [&loop] { loop.quit(); });
+    throw std::runtime_error("the answer cannot be handled");
+  });
+  loop.run();
+  CHECK(contained_exceptions() == before + 1);
+  CHECK(send_and_wait(client, marked_request(server, 2)).is_whole());
+}
+
 TEST_CASE("a request beyond the connection limit of a server fails as not sent") {
   RawServer server(Behaviour::kFreeze);
   HttpClientOptions options;
