A repeated request does not use the connection that delivered its earlier answer

Cause: answers are told apart by the caller's request id; a repeat carries the same id and took the connection used last, which had delivered the refusal. A late second copy of the refusal was the first answer with the right id. Ruled out: another id (it reaches the target unchanged), a new connection for each repeat (other idle ones do; a router that passes relayed attempts on does not know that they repeat each other), another owner (there is none). Change: HttpClient remembers the ids of the answers that a connection has delivered and gives it no other request with one of them. At the limit of connections an idle one makes room; a connection closes after 1,024 answers. Requests without an id use a connection of their own. Orders have ids of their own; targets need not send them back. The users' targets send none, so a late copy of the answer to an order still counts there: open, in the postmortem. Tests: "a repeated request does not use ..." fails without the rule (three repeats on the same connection); "each order has a request id of its own"; unmarked answers; the limit of connections.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "common/hash.hpp"
 #include "transport/containment.hpp"
 #include "transport/event_loop.hpp"
 
@@ -21,6 +22,14 @@
 /// A connection is reused only within this fraction of the server's keep-alive time: if the server
 /// closes the connection while a request is on its way, the outcome of that request is unknown.
 constexpr double kUsableShareOfIdle = 0.75;
+/// A connection is closed after this many responses, so that it can remember all that it has
+/// delivered in 8 KiB.
+constexpr std::size_t kMaxResponses = 1024;
+constexpr std::uint64_t kAnswerSeed = 0x616e7377;
+
+std::uint64_t answer_digest(const std::string& answer_value) {
+  return common::hash_bytes(answer_value, kAnswerSeed);
+}
 
 /// Returns the time in `Keep-Alive: timeout=N`, or nothing.
 std::optional<Duration> announced_idle(const HeaderList& headers) {
@@ -90,6 +99,7 @@
     fresh_only_ = request.fresh_connection;
     answer_header_ = request.answer_header;
     answer_value_ = request.answer_value;
+    accepts_unmarked_ = request.accepts_unmarked;
     expects_no_body_ = request.method == "HEAD";
     if (expects_no_body_) {
       reader_.expect_no_body();
@@ -111,6 +121,12 @@
 
   /// True if some bytes of the current call may have reached the server.
   bool was_sent() const { return used_before_ || stream_->has_sent(); }
+  /// True if the response to a request with this value has arrived here. May be true by chance for
+  /// another value, with a probability of 2^-64 for each response.
+  bool has_delivered(const std::string& answer_value) const {
+    return !answer_value.empty() && std::find(delivered_.begin(), delivered_.end(),
+                                              answer_digest(answer_value)) != delivered_.end();
+  }
   bool is_usable(TimePoint now) const {
     return stream_->is_open() &&
            now - last_used_ < std::chrono::duration_cast<Duration>(idle_ * kUsableShareOfIdle);
@@ -207,15 +223,17 @@
     if (message.status < kFirstFinalStatus) {
       return;  // an interim (1xx) response
     }
-    const bool is_own =
-        answer_header_.empty() || find_header(message.headers, answer_header_) == answer_value_;
-    if (!is_own) {
+    if (!is_own(message)) {
       has_surplus_ = true;
       return;
     }
     idle_ = announced_idle(message.headers).value_or(client_.options_.idle_timeout);
+    if (!answer_value_.empty()) {
+      delivered_.push_back(answer_digest(answer_value_));
+    }
     const bool reusable = message.keep_alive && is_last && !has_surplus_ && !fresh_only_ &&
-                          !stream_->is_writing() && stream_->is_open();
+                          !stream_->is_writing() && stream_->is_open() &&
+                          delivered_.size() < kMaxResponses;
     HttpResponse response;
     response.status = message.status;
     response.headers = std::move(message.headers);
@@ -223,6 +241,14 @@
     complete(std::move(response), reusable);
   }
 
+  bool is_own(const HttpMessage& message) const {
+    if (answer_header_.empty()) {
+      return true;
+    }
+    const std::string_view value = find_header(message.headers, answer_header_);
+    return value == answer_value_ || (value.empty() && accepts_unmarked_);
+  }
+
   void on_end(StreamEnd end) {
     const auto keep = shared_from_this();
     if (call_ == 0) {
@@ -272,8 +298,10 @@
   std::uint64_t calls_carried_ = 0;
   std::string answer_header_;
   std::string answer_value_;
-  bool has_begun_ = false;   ///< the kernel has accepted a byte of the current call
-  bool is_written_ = false;  ///< the kernel has accepted all of its bytes
+  bool accepts_unmarked_ = false;
+  std::vector<std::uint64_t> delivered_;  ///< digests of the answer values of its responses
+  bool has_begun_ = false;                ///< the kernel has accepted a byte of the current call
+  bool is_written_ = false;               ///< the kernel has accepted all of its bytes
   bool used_before_ = false;
   bool fresh_only_ = false;
   bool expects_no_body_ = false;
@@ -327,6 +355,9 @@
     call.connection = take_idle(call.request);
   }
   if (call.connection == nullptr) {
+    if (servers_[call.request.address].open >= options_.connections_per_server) {
+      close_one_idle(call.request.address);
+    }
     Server& server = servers_[call.request.address];
     if (server.open >= options_.connections_per_server) {
       fail_later(
@@ -357,17 +388,34 @@
     return nullptr;
   }
   const TimePoint now = boot_time_now();
-  while (!found->second.idle.empty()) {
-    auto connection = std::move(found->second.idle.back());
-    found->second.idle.pop_back();
+  const auto is_stale = [&](const auto& connection) {
     const bool is_idle_too_long =
         request.max_idle_time.count() > 0 && now - connection->last_used() > request.max_idle_time;
-    if (connection->is_usable(now) && !is_idle_too_long) {
-      return connection;
+    return is_idle_too_long || !connection->is_usable(now);
+  };
+  std::vector<std::shared_ptr<ClientConnection>> stale;
+  std::shared_ptr<ClientConnection> taken;
+  auto& idle = found->second.idle;
+  for (std::size_t i = idle.size(); i-- > 0 && taken == nullptr;) {
+    const bool is_closed = is_stale(idle[i]);
+    if (!is_closed && idle[i]->has_delivered(request.answer_value)) {
+      continue;
     }
+    (is_closed ? stale.emplace_back() : taken) = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  for (const auto& connection : stale) {
+    connection->close();
+  }
+  return taken;
+}
+
+void HttpClient::close_one_idle(const std::string& address) {
+  const auto found = servers_.find(address);
+  if (found != servers_.end() && !found->second.idle.empty()) {
+    const auto connection = found->second.idle.front();
     connection->close();
   }
-  return nullptr;
 }
 
 void HttpClient::fail_later(std::uint64_t id, common::Error error) {
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -7,6 +7,9 @@
 ///  - A response is delivered only when it is complete and, if the request sets `answer_header`,
 ///    carries the expected value; other responses are discarded.
 ///  - A connection is reused only if nothing but the complete response arrived on it.
+///  - A connection that has delivered the response to an `answer_value` carries no other request
+///  with
+///    that value: a copy of the response that arrives late could not be told from the second one.
 
 #include <cstdint>
 #include <functional>
@@ -48,6 +51,8 @@
   /// responses with another value belong to other requests. Empty: the next response is accepted.
   std::string answer_header;
   std::string answer_value;
+  /// Accepts a response without that header, too; one with another value is never accepted.
+  bool accepts_unmarked = false;
 };
 
 /// How much of a request has been handed to the kernel.
@@ -135,6 +140,8 @@
   void expire(std::uint64_t id);
   void sweep();
   std::shared_ptr<ClientConnection> take_idle(const HttpRequest& request);
+  /// Closes the connection that has been idle for longest, if any.
+  void close_one_idle(const std::string& address);
   void fail_later(std::uint64_t id, common::Error error);
   void finish(std::uint64_t id, HttpResponse response);
   void report_stage(std::uint64_t id, SendStage stage);
--- a/test/platform/request_dialect_test.cpp
+++ b/test/platform/request_dialect_test.cpp
@@ -288,6 +288,27 @@
   CHECK(answered(answer).status == 504);
 }
 
+// Guards against a late copy of the answer to one order that is taken for the answer to the next
+// one: keys would count as granted or released before the target has seen the order.
+TEST_CASE("each order has a request id of its own, by which its answer is recognized") {
+  controller::ControllerCore core({}, common::ReplicaId(1), {}, common::RandomEngine(1),
+                                  common::TimePoint());
+  const ControlApi api(core, [] {});
+  ownership::GrantOrder grant;
+  grant.id = 7;
+  ownership::ReleaseOrder release;
+  release.id = 8;
+  const transport::HttpRequest first = api.to_request(grant);
+  const transport::HttpRequest second = api.to_request(release);
+  for (const transport::HttpRequest& request : {first, second}) {
+    CHECK(request.answer_header == kRequestIdHeader);
+    CHECK_FALSE(request.answer_value.empty());
+    CHECK(request.accepts_unmarked);
+    CHECK(transport::find_header(request.headers, kRequestIdHeader) == request.answer_value);
+  }
+  CHECK(first.answer_value != second.answer_value);
+}
+
 TEST_CASE("orders to targets are encoded and their answers classified") {
   controller::ControllerCore core({}, common::ReplicaId(1), {}, common::RandomEngine(1),
                                   common::TimePoint());
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -29,6 +29,7 @@
   kUnstatedReset,     ///< the same, but the connection is reset
   kSurplusLater,      ///< from the second request on: the first response again, then the right one
   kSurplusAtOnce,     ///< two responses to each request
+  kCopyForNext,       ///< on each connection, the first response again in place of each later one
   kMalformed,         ///< bytes that are not an HTTP response
   kResetAtOnce,       ///< a new connection is reset before anything is read
 };
@@ -114,6 +115,8 @@
         return requests_ == 1 ? answer_to(1) : answer_to(1) + answer_to(requests_);
       case Behaviour::kSurplusAtOnce:
         return answer_to(requests_) + answer_to(requests_);
+      case Behaviour::kCopyForNext:
+        return answer_to(1);
       case Behaviour::kMalformed:
         return "\x01\x02 nonsense\r\n\r\n";
       case Behaviour::kClose:
@@ -126,6 +129,7 @@
   bool stays_open() const {
     return behaviour_ == Behaviour::kFreeze || behaviour_ == Behaviour::kSurplusLater ||
            behaviour_ == Behaviour::kSurplusAtOnce || behaviour_ == Behaviour::kMalformed ||
+           behaviour_ == Behaviour::kCopyForNext ||
            (behaviour_ == Behaviour::kAnswerOnceThenClose && requests_ == 1);
   }
   void respond(GSocketConnection* connection) {
@@ -362,6 +366,47 @@
   CHECK(client.connections_opened() == 2);
 }
 
+// Guards against a late copy of a refusal that is taken for the response to the repeated request:
+// the caller was told that its request had not run while it ran.
+TEST_CASE("a repeated request does not use the connection that delivered its earlier response") {
+  RawServer server(Behaviour::kCopyForNext);
+  HttpClient client(options_with_four_connections());
+  CHECK(send_and_wait(client, marked_request(server, 1)).is_whole());
+  for (std::size_t repeats = 1; repeats <= 3; ++repeats) {
+    const HttpResponse repeat = send_and_wait(client, marked_request(server, 1));
+    CHECK_FALSE(repeat.used_before);
+    CHECK(client.connections_opened() == 1 + repeats);
+    CHECK(client.connections() == 1 + repeats);  // each is kept for other requests
+  }
+}
+
+TEST_CASE("a response without the mark is accepted on demand, one with another mark never") {
+  RawServer server(Behaviour::kAnswerOnceThenClose);
+  HttpClient client(options_with_four_connections());
+  HttpRequest other = marked_request(server, 99);
+  other.accepts_unmarked = true;
+  other.timeout = milliseconds(100);
+  CHECK_FALSE(send_and_wait(client, other).is_whole());
+  RawServer unmarked(Behaviour::kAnswerOnceThenClose);
+  HttpRequest first = marked_request(unmarked, 1);
+  first.answer_header = "Absent-Mark";
+  first.accepts_unmarked = true;
+  CHECK(send_and_wait(client, first).is_whole());
+}
+
+// Guards against a repeated request that fails for want of a connection while unsuitable ones idle.
+TEST_CASE("a repeated request replaces an idle connection at the connection limit") {
+  RawServer server(Behaviour::kCopyForNext);
+  HttpClientOptions options;
+  options.connections_per_server = 1;
+  HttpClient client(options);
+  CHECK(send_and_wait(client, marked_request(server, 1)).is_whole());
+  const HttpResponse repeat = send_and_wait(client, marked_request(server, 1));
+  CHECK(repeat.is_whole());
+  CHECK_FALSE(repeat.used_before);
+  CHECK(client.connections() == 1);
+}
+
 // Guards against an exception in the handler of an answer that leaves the main loop and ends the
 // process.
 TEST_CASE("an exception in the handler of an answer is counted and ends nothing else") {
