What an order of an earlier leader may still do lasts until its time has run out

Cause: a new leader dropped the order that it presumes at each holder once that accepted any grant, though the protocol lets an unanswered order be taken after newer ones; and it presumed nothing for assignments of the term before that it applied only after its election. Ruled out: marks in the log before each order (renewals would stop with a stalled disk); waiting alone (keys of a holder lost within 15 s of an election would wait that long). Change: the presumed order ends when its time has run out, or when the holder accepts a fence of the new term; the first plan of a term gives all ranges such a fence, with owner and handover as they are. First grants wait up to 150 ms for it. Tests: "a grant that the new leader repeats ..." and "an assignment that is applied after the election ..." fail with the old rules. "a holder that has accepted a grant of the new leader holds for the time of that grant" asserted the fault; the first of these two replaces it, and the same bound is kept for a holder that has accepted a fence of the new term.

--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -113,6 +113,8 @@
   /// The known leader; id 0 if none is known.
   ReplicaId leader() const { return leader_; }
   LogIndex commit_index() const { return commit_; }
+  /// Returns the index of the first entry of the term that this replica leads or led last.
+  LogIndex term_start() const { return term_start_; }
   LogIndex last_index() const;
   LogIndex snapshot_index() const { return snapshot_.index; }
   std::size_t log_size() const { return log_.size(); }
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -325,7 +325,7 @@
     leading_term_ = raft_.term();
     ++counters_.elections_won;
     leases_.begin_term(now, raft_.term(), state_);
-    ranges_.begin_term(now, state_);
+    ranges_.begin_term(now, state_, raft_.term_start());
     planner_.begin_term();
     loads_.clear();
     distributor_.begin_term(now, raft_.term());
--- a/src/controller/core/range_controller.cpp
+++ b/src/controller/core/range_controller.cpp
@@ -53,9 +53,10 @@
       backoffs_(options.backoffs),
       admission_(options.admission) {}
 
-void RangeController::begin_term(TimePoint now, const CellState& state) {
+void RangeController::begin_term(TimePoint now, const CellState& state,
+                                 common::LogIndex term_start) {
   heartbeats_.begin_term(now);
-  grants_.begin_term(now, state);
+  grants_.begin_term(now, state, term_start);
   loads_.clear(now);
   times_.clear();
   limits_.begin_term();
@@ -341,6 +342,9 @@
   for (const ownership::RangeMove& move : grants_.withdrawals(now, state)) {
     plan.moves.push_back(move);
   }
+  for (const ownership::RangeJoin& range : grants_.ranges_to_fence(now, state)) {
+    plan.joins.push_back(range);
+  }
   plan.removed = removable(now, state, update_loads);
   next_plan_ = std::min(next_balance_, std::max(grants_.next_due(), now + kMinPlanInterval));
   return plan;
--- a/src/controller/core/range_controller.hpp
+++ b/src/controller/core/range_controller.hpp
@@ -75,7 +75,8 @@
  public:
   explicit RangeController(RangeOptions options);
 
-  void begin_term(TimePoint now, const ownership::CellState& state);
+  /// @param term_start index of the first entry of the leader's term.
+  void begin_term(TimePoint now, const ownership::CellState& state, common::LogIndex term_start);
   /// @return the requests of the heartbeats that have not been answered.
   std::vector<OperatorRequestId> end_term() {
     grants_.end_term();
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -66,8 +66,9 @@
                     hold_ / options_.renewals_per_hold, hold_ / options_.min_renewals_per_hold);
 }
 
-void GrantManager::begin_term(TimePoint now, const CellState& state) {
+void GrantManager::begin_term(TimePoint now, const CellState& state, LogIndex term_start) {
   active_ = true;
+  term_start_ = term_start;
   holdings_.clear();
   orders_.clear();
   grants_in_flight_ = 0;
@@ -94,8 +95,9 @@
         holding.held_until = now + max_duration(hold_);
         const auto& in_doubt = state.grant_terms().in_doubt;
         const bool is_marked = std::binary_search(in_doubt.begin(), in_doubt.end(), record.owner);
-        const TimePoint latest = now + options_.late_delivery + max_duration(hold_);
-        (is_marked ? holding.in_doubt_until : holding.presumed_until) = latest;
+        (is_marked ? holding.in_doubt_until : holding.presumed_until) = unanswered_end(now);
+        const bool awaits_fence = !is_marked && !is_fence_of_term(record.fence);
+        holding.next_order = awaits_fence ? now + options_.fence_wait : now;
       }
       holdings_[{id, record.keys, record.fence}] = holding;
     }
@@ -120,6 +122,9 @@
       const HoldingKey key{id, record.keys, record.fence};
       Holding holding = derive_holding(now, state, key, record, before);
       holding.may_be_granted = holding.may_be_granted || may_include_earlier_grants;
+      if (may_include_earlier_grants && !before.contains(key) && options_.wait_after_election) {
+        holding.presumed_until = unanswered_end(now);
+      }
       if (record.moving && !holding.moving) {
         holding.moving = true;
         holding.next_order = now + options_.release_delay;
@@ -170,8 +175,7 @@
     holding.in_doubt_until = std::max(holding.in_doubt_until, held.in_doubt_until);
     holding.presumed_until = std::max(holding.presumed_until, held.presumed_until);
     if (held.grants_in_flight > 0) {
-      holding.in_doubt_until =
-          std::max(holding.in_doubt_until, now + options_.late_delivery + max_duration(hold_));
+      holding.in_doubt_until = std::max(holding.in_doubt_until, unanswered_end(now));
     }
     // Another fence needs a new grant, which is due immediately.
     holding.established = other->first.fence == key.fence && held.established;
@@ -483,7 +487,9 @@
   switch (reply.outcome) {
     case OrderOutcome::kAccepted:
       holding.held_until = std::max(holding.held_until, now + max_duration(order.hold));
-      holding.presumed_until = TimePoint();
+      if (is_fence_of_term(order.fence) && order.keys.contains(key.keys)) {
+        holding.presumed_until = TimePoint();
+      }
       if (key.fence == order.fence) {
         holding.refused = false;
         holding.established = holding.established || order.keys.contains(key.keys);
@@ -534,6 +540,20 @@
   return moves;
 }
 
+std::vector<RangeJoin> GrantManager::ranges_to_fence(TimePoint now, const CellState& state) const {
+  std::vector<RangeJoin> ranges;
+  for (const auto& [key, holding] : holdings_) {
+    if (holding.by_heartbeat || holding.presumed_until <= now || is_fence_of_term(key.fence)) {
+      continue;
+    }
+    const RangeRecord* record = state.find_range(key.service, key.keys, key.fence);
+    if (record != nullptr && !record->moving) {
+      ranges.push_back({key.service, key.keys, record->owner});
+    }
+  }
+  return ranges;
+}
+
 GrantManager::Availability GrantManager::may_assign(TimePoint now, const CellState& state,
                                                     ServiceId service,
                                                     const RangeRecord& record) const {
--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -12,11 +12,12 @@
 ///    still be accepted.
 /// Each round of renewals and each release uses a connection of its own, opened for it. If the
 /// machine is down or partitioned off, the connection is never established, so the order is known
-/// not to have been sent. A new leader does not know the orders of its predecessor: it assumes that
-/// all orders sent until its election were accepted at that time. It also assumes one unanswered
-/// order at each back end that the state marks as in doubt or that has not yet replied to the new
-/// leader. (The mark alone is not enough: the predecessor may have ended between sending an order
-/// and committing the mark.)
+/// not to have been sent. A new leader does not know the orders of its predecessors: it assumes
+/// that all orders sent until its election were accepted at that time. It also assumes one
+/// unanswered order for each range, which a holder may still carry out after it has accepted newer
+/// ones, until that time has passed or the holder has accepted a grant under a fence of the new
+/// term: it refuses older fences from then on. (A mark in the state is not enough: the predecessor
+/// may have ended between sending an order and committing the mark.)
 ///
 /// Other back ends receive their grants in the responses to their heartbeats. Each response lists
 /// all keys that the back end holds, for a time that counts from the sending of the heartbeat. Keys
@@ -87,6 +88,10 @@
   /// The interval doubles with each repetition, as releases of one back end may wait for each
   /// other.
   Duration release_interval = std::chrono::milliseconds(400);
+  /// A new leader sends no first grants for this long to ranges that are about to get a fence of
+  /// its term, as it would have to send them again. Shorter than what is left of a hold after an
+  /// election.
+  Duration fence_wait = std::chrono::milliseconds(150);
   /// An order that has been in flight for this long counts as in doubt.
   Duration doubt_after = std::chrono::milliseconds(40);
   /// How long a grant in the response to a heartbeat holds, from the sending of the heartbeat:
@@ -167,7 +172,10 @@
   explicit GrantManager(GrantOptions options) : options_(options), reach_(options.reach) {}
 
   /// Rebuilds the holdings from the state and starts as the leader of a new term.
-  void begin_term(TimePoint now, const CellState& state);
+  /// @param term_start index of the term's first entry. Entries of earlier terms may still be
+  /// missing
+  ///   from the state; the first collect() has to see all of them.
+  void begin_term(TimePoint now, const CellState& state, LogIndex term_start);
   void end_term() { active_ = false; }
 
   /// Appends the orders that are due. Call only while the leader lease is valid.
@@ -198,6 +206,9 @@
   /// Returns moves for keys whose holder cannot or does not keep them: routers should stop sending
   /// requests for them, so that they can be reassigned.
   std::vector<RangeMove> withdrawals(TimePoint now, const CellState& state) const;
+  /// Returns the ranges that need a fence of this term, so that their owners refuse what is left of
+  /// the orders of earlier leaders.
+  std::vector<RangeJoin> ranges_to_fence(TimePoint now, const CellState& state) const;
 
   /// Whether the keys of a range may be assigned to another owner now.
   struct Availability {
@@ -230,8 +241,9 @@
     BackendId owner;
     TimePoint held_until;      ///< orders with a reply have expired by then
     TimePoint in_doubt_until;  ///< orders without a reply have expired by then
-    TimePoint presumed_until;  ///< orders of earlier leaders without a reply have expired by then;
-                               ///< unset once the owner has accepted a grant in this term
+    TimePoint presumed_until;  ///< orders under lower fences without a reply have expired by then;
+                               ///< unset once the owner has accepted a grant under a fence of this
+                               ///< term
     TimePoint next_order;      ///< when a first grant or a release is due; renewals go in rounds
     std::size_t grants_in_flight = 0;
     bool established = false;     ///< the owner has accepted it in this term: renewed in rounds
@@ -287,6 +299,11 @@
   void sync(TimePoint now, const CellState& state);
   Holding derive_holding(TimePoint now, const CellState& state, const HoldingKey& key,
                          const RangeRecord& record, const Holdings& before) const;
+  /// Returns when an order that was sent until now without a reply has expired.
+  TimePoint unanswered_end(TimePoint now) const {
+    return now + options_.late_delivery + max_duration(hold_);
+  }
+  bool is_fence_of_term(Epoch fence) const { return fence.value > term_start_.value; }
   void send_first_grants(TimePoint now, const CellState& state, Outgoing& outgoing);
   void send_rounds(TimePoint now, const CellState& state, Outgoing& outgoing);
   /// Returns the back ends whose renewals are due, as many as may be sent now, longest due first.
@@ -318,6 +335,7 @@
   bool active_ = false;
   std::optional<LogIndex> synced_;  ///< index of the ownership change that the holdings reflect
   Duration hold_{0};                ///< hold time of new orders
+  LogIndex term_start_;             ///< index of the term's first entry
   TimePoint earlier_answers_end_;   ///< grants in responses of earlier leaders have expired by then
   LogIndex collected_at_;           ///< of the state that orders are being made from
   TimePoint next_due_;
--- a/src/ownership/key_ranges.cpp
+++ b/src/ownership/key_ranges.cpp
@@ -76,6 +76,9 @@
   }
   RangeRecord joined;
   joined.keys = keys;
+  if (std::next(first) == end) {
+    joined.handover = first->second.handover;  // its first grant may not have been sent yet
+  }
   joined.owner = owner;
   joined.fence = Epoch(index.value);
   records_.erase(first, end);
--- a/src/ownership/key_ranges.hpp
+++ b/src/ownership/key_ranges.hpp
@@ -72,7 +72,8 @@
   bool assign(LogIndex index, const KeyRange& keys, Epoch expected_fence, BackendId owner,
               std::string handover);
 
-  /// Joins the ranges within `keys` into one range under a new fence.
+  /// Joins the ranges within `keys` into one range under a new fence. A single range keeps its
+  /// handover data.
   /// @return false without any change unless `keys` covers whole ranges of `owner`, none of which
   /// is moving.
   bool join(LogIndex index, const KeyRange& keys, BackendId owner);
--- a/src/sim/grant_world.cpp
+++ b/src/sim/grant_world.cpp
@@ -124,7 +124,10 @@
 
   // ------------------------------------------------------------ the log
 
-  void apply(const ownership::Command& command) { state_.apply(LogIndex(++index_), command); }
+  void apply(const ownership::Command& command) {
+    earlier_state_ = state_;
+    state_.apply(LogIndex(++index_), command);
+  }
   /// Commits after a while; what a leader that has ended proposed may be lost.
   void propose(ownership::Command command) {
     proposing_ = true;
@@ -197,7 +200,9 @@
     leads_ = true;
     proposing_ = false;
     manager_ = ownership::GrantManager(options_.grant);
-    manager_.begin_term(now_, state_);
+    // It applies the last entry of the term before only after its election.
+    manager_.begin_term(now_, earlier_state_, LogIndex(++index_));
+    state_.skip(LogIndex(index_));
     monitor_.begin_term(now_);
     answers_.cancel_all();
     kept_.clear();
@@ -283,6 +288,9 @@
     if (plan.empty() && common::chance(random_, 0.005)) {
       plan.joins = joinable();
     }
+    for (const ownership::RangeJoin& range : manager_.ranges_to_fence(now_, state_)) {
+      plan.joins.push_back(range);
+    }
     result_.owners_changed += plan.assignments.size();
     return plan;
   }
@@ -541,6 +549,7 @@
   TimePoint now_;
   EventQueue events_;
   ownership::CellState state_;
+  ownership::CellState earlier_state_;  ///< without the last entry
   std::uint64_t index_ = 0;
   common::ServiceId service_;
   ownership::GrantManager manager_;
--- a/test/controller/fleet_backoffs_test.cpp
+++ b/test/controller/fleet_backoffs_test.cpp
@@ -115,7 +115,7 @@
       plan.assignments.push_back({service, {first, last}, fence, owners.back(), ""});
     }
     apply(plan);
-    ranges.begin_term(at(0), state);
+    ranges.begin_term(at(0), state, common::LogIndex());
     for (const auto& [id, backend] : state.backends()) {
       ranges.record_heartbeat(at(0), backend.incarnation, 1, milliseconds(0));
     }
--- a/test/ownership/grant_manager_reports_test.cpp
+++ b/test/ownership/grant_manager_reports_test.cpp
@@ -39,7 +39,7 @@
     x = add_backend("x");
     y = add_backend("y");
     assign(kAll, x, "");
-    manager.begin_term(at(0), state);
+    manager.begin_term(at(0), state, LogIndex());
   }
 
   void apply(const Command& command) { state.apply(LogIndex(++index), command); }
--- a/test/ownership/grant_manager_test.cpp
+++ b/test/ownership/grant_manager_test.cpp
@@ -38,7 +38,7 @@
     x = add_backend("x");
     y = add_backend("y");
     assign(kAll, x);
-    manager.begin_term(at(0), state);
+    manager.begin_term(at(0), state, LogIndex());  // nothing is of an earlier term
   }
 
   void apply(const Command& command) { state.apply(LogIndex(++index), command); }
@@ -65,6 +65,12 @@
     plan.moves.push_back({service, keys, record(keys.first).fence, y});
     apply(plan);
   }
+  /// Gives all ranges that need it a fence of the current term.
+  void fence_anew(std::int64_t time) {
+    ApplyRangePlan plan;
+    plan.joins = manager.ranges_to_fence(at(time), state);
+    apply(plan);
+  }
   void collect(std::int64_t time) {
     grants.clear();
     releases.clear();
@@ -182,7 +188,8 @@
   CHECK(fixture.may_assign(701));
 }
 
-// Guards against the late registration of an earlier process that frees the keys of the running one.
+// Guards against the late registration of an earlier process that frees the keys of the running
+// one.
 TEST_CASE("the registration of another incarnation at the address proves nothing") {
   Fixture fixture;
   fixture.run(0, OrderOutcome::kAccepted);
@@ -203,7 +210,7 @@
   GrantManager next(fixture.options);
   const std::int64_t late = 9000 + fixture.options.late_delivery.count() / 1000;
   SUBCASE("as accepted late by holders that have not replied to the new leader") {
-    next.begin_term(at(9000), fixture.state);
+    next.begin_term(at(9000), fixture.state, LogIndex(fixture.index));
     fixture.manager = next;
     fixture.collect(9000);
     CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(9000) + 1000));
@@ -212,7 +219,7 @@
   }
   SUBCASE("as accepted late by holders that the state marks as in doubt") {
     fixture.apply(SetGrantTerms{{{fixture.x}, 0}});
-    next.begin_term(at(9000), fixture.state);
+    next.begin_term(at(9000), fixture.state, LogIndex(fixture.index));
     fixture.manager = next;
     fixture.collect(9000);
     CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(9000) + 1000));
@@ -220,17 +227,64 @@
   }
 }
 
-TEST_CASE("a holder that has accepted a grant of the new leader holds for the time of that grant") {
+// Guards against an unanswered order of the leader before that the holder carries out after it has
+// accepted newer ones: its keys had passed on under a higher fence.
+TEST_CASE("a grant that the new leader repeats does not end an order of the leader before") {
   Fixture fixture;
   fixture.run(0, OrderOutcome::kAccepted);
-  fixture.manager.begin_term(at(9000), fixture.state);
+  fixture.manager.begin_term(at(9000), fixture.state, LogIndex(fixture.index));
+  fixture.run(9200, OrderOutcome::kAccepted);
+  fixture.begin_move(kAll);
+  fixture.collect(9210);
+  const std::int64_t late = 9000 + fixture.options.late_delivery.count() / 1000;
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(9201) + 1));
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(late) - 2));
+  CHECK(fixture.may_assign(fixture.end_of_hold(late) + 1));
+}
+
+TEST_CASE("a holder that has accepted a fence of the new term holds for the time of that grant") {
+  Fixture fixture;
+  fixture.run(0, OrderOutcome::kAccepted);
+  fixture.manager.begin_term(at(9000), fixture.state, LogIndex(fixture.index));
+  fixture.fence_anew(9000);
+  CHECK(fixture.record().fence.value == fixture.index);
   fixture.run(9001, OrderOutcome::kAccepted);
+  CHECK(fixture.manager.ranges_to_fence(at(9003), fixture.state).empty());
   fixture.begin_move(kAll);
   fixture.collect(9010);
   CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(9002) - 2));
   CHECK(fixture.may_assign(fixture.end_of_hold(9002) + 1));
 }
 
+// Guards against a first grant of the leader before whose assignment the new leader applies only
+// after its election: it counted as never sent.
+TEST_CASE("an assignment that is applied after the election may have been granted before") {
+  Fixture fixture;
+  fixture.run(0, OrderOutcome::kAccepted);
+  const LogIndex term_start(fixture.index + 2);
+  fixture.manager.begin_term(at(9000), fixture.state, term_start);
+  fixture.assign(kAll, fixture.y);
+  fixture.run(9001, OrderOutcome::kNotSent);
+  fixture.begin_move(kAll);
+  fixture.collect(9010);
+  const std::int64_t late = 9001 + fixture.options.late_delivery.count() / 1000;
+  CHECK_FALSE(fixture.may_assign(fixture.end_of_hold(late) - 2));
+  CHECK(fixture.may_assign(fixture.end_of_hold(late) + 1));
+}
+
+TEST_CASE("a range that is given a fence of the term keeps the handover of its assignment") {
+  Fixture fixture;
+  ApplyRangePlan plan;
+  plan.assignments.push_back({fixture.service, kAll, fixture.record().fence, fixture.y, "token"});
+  fixture.apply(plan);
+  fixture.manager.begin_term(at(0), fixture.state, LogIndex(fixture.index));
+  fixture.fence_anew(0);
+  fixture.collect(1);
+  REQUIRE(fixture.grants.size() == 1);
+  CHECK(fixture.grants[0].fence.value == fixture.index);
+  CHECK(fixture.grants[0].handover == "token");
+}
+
 TEST_CASE("the parts of a split range are held as long as the whole range was") {
   Fixture fixture;
   fixture.run(5000, OrderOutcome::kAccepted);
@@ -359,7 +413,7 @@
   // A new leader waits for the longest hold time of its predecessor.
   fixture.begin_move(kAll);
   GrantManager next(options);
-  next.begin_term(at(9000), fixture.state);
+  next.begin_term(at(9000), fixture.state, LogIndex(fixture.index));
   fixture.manager = next;
   fixture.collect(9000);
   fixture.options.hold_time = milliseconds(8000);
@@ -376,11 +430,11 @@
   for (std::uint32_t i = 1; i < kRanges; ++i) {
     fixture.assign({i * 100, config::kKeyCount - 1}, i % 2 == 0 ? fixture.x : fixture.y);
   }
-  fixture.manager.begin_term(at(0), fixture.state);
+  fixture.manager.begin_term(at(0), fixture.state, LogIndex());
   CHECK_FALSE(fixture.manager.is_busy());
   fixture.collect(0);
   CHECK(fixture.manager.is_busy());
-  fixture.manager.begin_term(at(0), fixture.state);
+  fixture.manager.begin_term(at(0), fixture.state, LogIndex());
   std::size_t sent = 0;
   for (std::int64_t time = 0; time < 50; ++time) {
     fixture.collect(time);
