--- /dev/null
+++ b/src/transport/client_connection.hpp
@@ -0,0 +1,90 @@
+#pragma once
+/// One connection of HttpClient. Internal to the HTTP client.
+
+#include <glib.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/error.hpp"
+#include "common/time.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_message.hpp"
+#include "transport/tcp_stream.hpp"
+
+namespace planktray::transport {
+
+/// One connection to a server: carries one call at a time and is idle in between.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(HttpClient& client, std::string address, std::shared_ptr<TcpStream> stream);
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
+  ~ClientConnection();
+
+  /// Starts to connect, or to read where the connection is established.
+  void start();
+  /// Starts a call; the connection must be new or idle.
+  void start_call(std::uint64_t call, const HttpRequest& request);
+
+  /// True if some bytes of the current call may have reached the server.
+  bool was_sent() const { return used_before_ || stream_->has_sent(); }
+  /// True if the response to a request with this value has arrived here. May be true by chance for
+  /// another value, with a probability of 2^-64 for each response.
+  bool has_delivered(const std::string& answer_value) const;
+  /// True if it is open and has not been idle for too long to carry another call.
+  bool is_usable(common::TimePoint now) const;
+
+  /// While held, no further bytes of the call are handed to the kernel.
+  void hold(bool held) { stream_->hold_writing(held); }
+  common::TimePoint last_used() const { return last_used_; }
+  /// Closes the connection; its call, if any, is abandoned.
+  void close();
+
+ private:
+  static gboolean on_connect_timeout(gpointer self);
+  static gboolean on_settled(gpointer self);
+  static void stop_timer(guint& timer);
+
+  void on_connected();
+  void on_sent();
+  void on_drained();
+  void on_data(std::string_view bytes);
+  /// @param is_last no bytes have arrived after this message.
+  void take_message(bool is_last);
+  /// True if the message is the response to the current call.
+  bool is_own(const HttpMessage& message) const;
+  void on_end(StreamEnd end);
+  void fail(common::Error error);
+  /// Ends the current call. @param reusable whether the connection may carry another one.
+  void complete(HttpResponse response, bool reusable);
+
+  HttpClient& client_;
+  std::string address_;
+  std::shared_ptr<TcpStream> stream_;
+  HttpReader reader_;
+  common::Duration idle_;
+  common::TimePoint last_used_;  ///< when it was opened or completed its last call
+  std::uint64_t call_ = 0;       ///< 0: idle
+  std::uint64_t calls_carried_ = 0;
+  std::string answer_header_;
+  std::string answer_value_;
+  bool accepts_unmarked_ = false;
+  std::vector<std::uint64_t> delivered_;  ///< digests of the answer values of its responses
+  bool has_begun_ = false;                ///< the kernel has accepted a byte of the current call
+  bool is_written_ = false;               ///< the kernel has accepted all of its bytes
+  bool used_before_ = false;
+  bool fresh_only_ = false;
+  bool expects_no_body_ = false;
+  bool has_surplus_ = false;
+  bool removed_ = false;
+  guint connect_timer_ = 0;
+  guint settle_timer_ = 0;
+  common::Duration settle_time_{0};
+  std::string unsettled_;  ///< a request that waits for its connection to settle
+};
+
+}  // namespace planktray::transport
