--- a/src/ownership/grant_manager.hpp
+++ b/src/ownership/grant_manager.hpp
@@ -173,8 +173,7 @@
 
   /// Rebuilds the holdings from the state and starts as the leader of a new term.
   /// @param term_start index of the term's first entry. Entries of earlier terms may still be
-  /// missing
-  ///   from the state; the first collect() has to see all of them.
+  ///   missing from the state; the first collect() has to see all of them.
   void begin_term(TimePoint now, const CellState& state, LogIndex term_start);
   void end_term() { active_ = false; }
 
