--- a/review/src-2/kit.hpp
+++ b/review/src-2/kit.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -437,9 +438,11 @@
  public:
   std::vector<Process> controllers, routers;
   std::string folder, network;
+  int tolerated = 1;  // fault_tolerance.machines
+  std::vector<std::string> chosen_seeds;  // of settings written after the first start; empty: any three
   int front_port = 0, ready_port = 0, control_port = 0, internal_port = 0, target_port = 0;
 
-  Fleet(std::string data, int routers_wanted) : folder(std::move(data)) {
+  Fleet(std::string data, int routers_wanted, int controllers_wanted = 3) : folder(std::move(data)) {
     std::random_device device;
     network = "127." + std::to_string(30 + device() % 200);
     const int base = 21000 + static_cast<int>(device() % 200) * 50;
@@ -448,11 +451,9 @@
     control_port = base + 2;
     target_port = base + 3;
     internal_port = base + 10;
-    for (int i = 0; i < 3; ++i) {
-      Process one;
-      one.name = "core-" + std::to_string(i + 1);
-      one.control = network + ".1." + std::to_string(i + 1) + ":" + std::to_string(control_port);
-      controllers.push_back(one);
+    controllers.reserve(100);  // references stay valid
+    for (int i = 0; i < controllers_wanted; ++i) {
+      add_controller();
     }
     for (int i = 0; i < routers_wanted; ++i) {
       Process one;
@@ -465,44 +466,56 @@
     }
   }
   ~Fleet() { end_all(); }
+  // A machine with an address of its own; not started yet.
+  Process& add_controller() {
+    Process one;
+    const std::string number = std::to_string(controllers.size() + 1);
+    one.name = "core-" + number;
+    one.control = network + ".1." + number + ":" + std::to_string(control_port);
+    controllers.push_back(one);
+    return controllers.back();
+  }
+  // `seeds`: any three of the running controllers; at the first start the first three.
+  std::vector<std::string> seeds(bool first) const {
+    std::vector<std::string> some;
+    if (!first && !chosen_seeds.empty()) {
+      return chosen_seeds;
+    }
+    for (const auto& one : controllers) {
+      if (first || one.pid > 0) {
+        some.push_back(one.control);
+      }
+    }
+    if (!first) {
+      std::shuffle(some.begin(), some.end(), std::mt19937(std::random_device{}()));
+    }
+    some.resize(std::min<std::size_t>(some.size(), 3));
+    return some;
+  }
   std::string target_address(int number) const {
     return network + ".3." + std::to_string(number) + ":" + std::to_string(target_port);
   }
   std::vector<std::string> control() const {
     std::vector<std::string> all;
     for (const auto& one : controllers) {
-      all.push_back(one.control);
+      if (one.pid > 0) {
+        all.push_back(one.control);
+      }
     }
     return all;
   }
 
-  // `router`, `controller`: the commands of deploy/system.toml. The bounds are those of the small
-  // sites (SYSTEM.md); `memory_mb` and the others of a machine too.
-  bool start(const std::string& router, const std::string& controller) {
-    for (auto& one : controllers) {
-      one.program = controller;
-      if (!launch(one, true)) {
-        return false;
-      }
-    }
-    for (auto& one : routers) {
-      one.program = router;
-      if (!launch(one, true)) {
-        return false;
-      }
-    }
-    return true;
-  }
-  bool launch(Process& one, bool first) {
-    Values values = {
+  // The fields of a process's settings, as the platform has them now.
+  Values settings(const Process& one, bool first) const {
+    return {
         {"node_name", {one.name}},
         {"zone", {"hala-a"}},
         {"zones", {"hala-a"}},
-        {"seeds", control()},
+        {"seeds", seeds(first)},
         {"internal_port_range", {std::to_string(internal_port), std::to_string(internal_port + 15)}},
         {"heartbeat_interval", {"1300ms"}},
         {"bootstrap", {first ? "true" : "false"}},
-        {"fault_tolerance.machines", {"1"}},
+        {"fault_tolerance.machines", {std::to_string(tolerated)}},
         {"bounds.retry_budget_ratio", {"0.2"}},
         {"bounds.retry_budget_extra", {"62"}},
         {"bounds.budget_window", {"10s"}},
@@ -519,20 +532,59 @@
         {"listen_addresses.control", {one.control}},
         {"data_directory", {folder + "/" + one.name}},
     };
+  }
+  // Fills the template of the process's role and puts it in place of the settings file.
+  static bool write_settings(const Process& one, const Values& values) {
     std::ifstream in(one.is_router ? "deploy/router.conf" : "deploy/controller.conf");
     if (!in) {
       return false;
     }
     std::stringstream text;
     text << in.rdbuf();
+    std::ofstream(one.conf + ".new") << fill(text.str(), values);
+    return rename((one.conf + ".new").c_str(), one.conf.c_str()) == 0;
+  }
+  // The settings change with the list of `control` addresses: all running processes get their files anew.
+  void rewrite_settings() {
+    for (auto* group : {&controllers, &routers}) {
+      for (const Process& one : *group) {
+        if (one.pid > 0) {
+          write_settings(one, settings(one, false));
+        }
+      }
+    }
+  }
+
+  // `router`, `controller`: the commands of deploy/system.toml. The bounds are those of the small
+  // sites (SYSTEM.md); `memory_mb` and the others of a machine too.
+  bool start(const std::string& router, const std::string& controller) {
+    for (auto& one : controllers) {
+      one.program = controller;
+      if (!launch(one, true)) {
+        return false;
+      }
+    }
+    for (auto& one : routers) {
+      one.program = router;
+      if (!launch(one, true)) {
+        return false;
+      }
+    }
+    return true;
+  }
+  bool launch(Process& one, bool first) {
+    const Values values = settings(one, first);
     one.conf = folder + "/" + one.name + ".conf";
     one.log = folder + "/" + one.name + ".log";
-    std::ofstream(one.conf) << fill(text.str(), values);
+    if (!write_settings(one, values)) {
+      return false;
+    }
     if (!one.is_router) {
       mkdir((folder + "/" + one.name).c_str(), 0755);
     }
     one.pid = fork();
     if (one.pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with this process, however that ends
       const int out = open(one.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
@@ -559,6 +611,23 @@
       one.pid = 0;
     }
   }
+  // SIGTERM, and SIGKILL after `grace_s`.
+  void terminate(Process& one, double grace_s) {
+    if (one.pid <= 0) {
+      return;
+    }
+    kill(one.pid, SIGTERM);
+    const double until = now_s() + grace_s;
+    while (now_s() < until && waitpid(one.pid, nullptr, WNOHANG) != one.pid) {
+      sleep_ms(20);
+    }
+    if (now_s() >= until) {
+      kill(one.pid, SIGKILL);
+      waitpid(one.pid, nullptr, 0);
+    }
+    one.pid = 0;
+    record().line("platform: %s is gone for good", one.name.c_str());
+  }
   void end_all() {
     for (auto& one : controllers) {
       end(one);
@@ -638,6 +707,7 @@
     int slots = 3;
     double work_ms = 5;
     std::string born;  // stated in heartbeats where it is given
+    std::function<int(const std::string& body)> status{};  // of an answer to a request; 200 without it
   };
   // Called for each request that runs, in its thread: returns the body of the answer.
   using Run = std::function<std::string(const Message& request)>;
@@ -686,7 +756,8 @@
     }
     return live;
   }
-  std::atomic<bool> beats_on{true};
+  // The platform's list of `control` addresses, where it changes.
+  std::function<std::vector<std::string>()> control_now{};
 
  private:
   void beat() {
@@ -694,7 +765,10 @@
     std::string next;
     std::size_t turn = static_cast<std::size_t>(rand());
     while (alive_) {
-      if (beats_on) {
+      {
+        if (control_now) {
+          control_ = control_now();
+        }
         const std::string body =
             "{\"address\":\"" + options_.address + "\"," +
             (options_.born.empty() ? "" : "\"born\":" + options_.born + ",") + "\"information\":{\"service\":\"" +
@@ -754,7 +828,7 @@
       return false;
     }
     headers.emplace_back("X-Planktray-Server-Seal", "seal-" + id);
-    return answer(200, body);
+    return answer(options_.status ? options_.status(body) : 200, body);
   }
   template <typename Answer>
   bool keys(const Message& request, const Answer& answer, Headers& headers) {
