A request to join reaches the leader whichever member is asked

What was seen: new controllers answered 503 for good; after two planned replacements of two controllers each the cell had one of five voters left, and the configuration could not be read.

Cause: on_join ignored a request unless the receiver led, and the request went to the seeds of the settings only. The seeds are members, but need not name the leader.

Ruled out: late or wrong seeds (three running members each time), a full cell, membership changes that block each other (the leader never read a request).

Change: a follower forwards a request to its leader, once. Every member that is asked answers with the members of the cell, and a candidate asks its seeds, the members it was named and those of its own log. So it gets in when its seeds have gone since, and a member that was removed while it was cut off comes back. The leader states why it refuses (log line, counter).

The same request serves a lost disk (test).

--- a/src/consensus/join.hpp
+++ b/src/consensus/join.hpp
@@ -5,11 +5,13 @@
 
 namespace planktray::consensus {
 
-/// Sent to every configured peer until the leader has added the sender as a member.
+/// Sent to the controllers that the candidate knows until the leader has added it as a member. A
+/// follower forwards the request to the leader.
 struct JoinRequest {
   common::CellName cell;
   Member candidate;
-  MSGPACK_DEFINE_ARRAY(cell, candidate)
+  bool is_forwarded = false;  ///< a follower has sent it; it is not forwarded again
+  MSGPACK_DEFINE_ARRAY(cell, candidate, is_forwarded)
 };
 
 }  // namespace planktray::consensus
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -63,6 +63,7 @@
   if (core_->unreadable_state().has_value()) {
     return tl::unexpected(*core_->unreadable_state());
   }
+  core_->set_seeds(settings_.peers);
   worker_ = std::make_unique<transport::StorageWorker>(
       *store_, [this](const auto& persisted) { on_persisted(persisted); },
       [this](const common::Error& error) {
@@ -161,8 +162,8 @@
     return log_error("settings_refused", fresh.error());
   }
   // Only these settings apply to a running process. All others take effect at its next start.
-  settings_.peers = fresh->peers;
-  log_event("settings_reloaded", {{"peers", std::to_string(settings_.peers.size())}});
+  core_->set_seeds(fresh->peers);
+  log_event("settings_reloaded", {{"peers", std::to_string(fresh->peers.size())}});
 }
 
 void ControllerProcess::tick() {
@@ -197,13 +198,7 @@
   for (const consensus::RaftMessage& message : output.peer_messages) {
     send_peer(message);
   }
-  if (output.join.has_value()) {
-    for (const std::string& peer : settings_.peers) {
-      if (transport::ZmqSocket* socket = dealer(peer)) {
-        socket->send(transport::WireMessage(*output.join));
-      }
-    }
-  }
+  send_joins(output);
   if (output.heartbeat_report.has_value()) {
     send_to_leader(transport::WireMessage(*output.heartbeat_report));
   }
@@ -326,6 +321,31 @@
   }
 }
 
+void ControllerProcess::send_joins(const ControllerOutput& output) {
+  if (output.join.has_value()) {
+    for (const std::string& address : output.join->to) {
+      if (transport::ZmqSocket* socket = dealer(address)) {
+        socket->send(transport::WireMessage(output.join->request));
+      }
+    }
+  }
+  for (const consensus::JoinRequest& request : output.forwarded_joins) {
+    send_to_leader(transport::WireMessage(request));
+  }
+  for (const OutgoingMembers& members : output.member_lists) {
+    const auto identity = replica_identities_.find(members.candidate);
+    if (identity != replica_identities_.end()) {
+      server_socket_->send(identity->second, transport::WireMessage(members.list));
+    }
+  }
+  for (const RefusedJoin& refused : output.refused_joins) {
+    if (join_limit_.allows(boot_time_now())) {
+      log_event("join_refused", {{"candidate", refused.candidate},
+                                 {"reason", std::string(to_string(refused.reason))}});
+    }
+  }
+}
+
 void ControllerProcess::send_to_leader(const transport::WireMessage& message) {
   send_to_member(core_->raft().leader(), message);
 }
@@ -351,7 +371,12 @@
     }
     core_->on_peer_message(now, *raft);
   } else if (const auto* join = std::get_if<consensus::JoinRequest>(&message.value)) {
+    if (!identity.empty() && !join->is_forwarded) {
+      replica_identities_[join->candidate.id] = identity;
+    }
     core_->on_join(now, *join);
+  } else if (const auto* list = std::get_if<routing::ControllerList>(&message.value)) {
+    core_->on_controller_list(*list);
   } else if (const auto* report = std::get_if<membership::HeartbeatReport>(&message.value)) {
     core_->on_heartbeat_report(now, *report);
   } else if (const auto* relayed = std::get_if<ownership::HolderHeartbeats>(&message.value)) {
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -74,6 +74,8 @@
   void flush();
   void execute(ControllerOutput& output);
   void send_peer(const consensus::RaftMessage& message);
+  /// Sends requests to join, those of others to the leader, and the answers to candidates.
+  void send_joins(const ControllerOutput& output);
   void send_to_leader(const transport::WireMessage& message);
   /// Sends to another controller; does nothing if it is no member.
   void send_to_member(common::ReplicaId id, const transport::WireMessage& message);
@@ -118,6 +120,8 @@
   std::map<common::RouterName, std::string> router_identities_;
   /// Replacing a service moves hundreds of ranges within some seconds.
   transport::LineLimit key_move_limit_{{.lines_per_second = 20, .burst = 100}};
+  /// A candidate repeats its request until it is a member.
+  transport::LineLimit join_limit_{{.lines_per_second = 1, .burst = 20}};
   /// Thousands of back ends register when a large fleet starts.
   transport::LineLimit backend_change_limit_{{.lines_per_second = 50, .burst = 200}};
   std::map<common::MachineName, int> leases_in_flight_;
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -205,7 +205,8 @@
 }
 
 bool ControllerOutput::empty() const {
-  return peer_messages.empty() && !join.has_value() && !heartbeat_report.has_value() &&
+  return peer_messages.empty() && !join.has_value() && forwarded_joins.empty() &&
+         member_lists.empty() && refused_joins.empty() && !heartbeat_report.has_value() &&
          !holder_heartbeats.has_value() && relayed_answers.empty() && persist.empty() &&
          leases.empty() && releases.empty() && grants.empty() && key_releases.empty() &&
          tables.empty() && controllers.empty() && !announcement.has_value() &&
@@ -217,16 +218,7 @@
 
 void ControllerCore::step(TimePoint now) {
   process_raft_output(now);
-  // A replica that receives nothing from a leader may have been removed without a notification.
-  const bool is_outside = raft_.membership().find(raft_.self()) == nullptr;
-  if (is_outside || (options_.admits_anyone && raft_.leader().value == 0)) {
-    if (now >= next_join_) {
-      next_join_ = now + options_.join_interval;
-      output_.join = consensus::JoinRequest{
-          options_.cell,
-          {raft_.self(), options_.name, options_.peer_address, options_.operator_address, false}};
-    }
-  }
+  request_join(now);
   report_heartbeats(now);
   answer_relayed(now);
   process_relayed_heartbeats(now);
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -29,6 +30,7 @@
 #include "ownership/load_view.hpp"
 #include "ownership/planner.hpp"
 #include "ownership/relayed_heartbeats.hpp"
+#include "routing/controller_directory.hpp"
 #include "routing/leader_search.hpp"
 
 namespace planktray::controller {
@@ -104,6 +106,32 @@
   routing::ControllerList list;
 };
 
+/// A request to join the cell and the controllers that it goes to.
+struct OutgoingJoin {
+  consensus::JoinRequest request;
+  std::vector<std::string> to;  ///< "IP:port" for peer connections
+};
+
+/// The answer to a controller that asks to join: the members of the cell.
+struct OutgoingMembers {
+  common::ReplicaId candidate;
+  routing::ControllerList list;
+};
+
+/// Why the leader has not added a controller that asks to join.
+enum class JoinRefusal : std::uint8_t {
+  kNameInUse,      ///< a member of its name is running, or was until a moment ago
+  kNotAllowed,     ///< no operator has allowed its name
+  kCellIsFull,     ///< the cell has its maximum number of members
+  kChangePending,  ///< another change of the members is not committed yet
+};
+std::string_view to_string(JoinRefusal refusal);
+
+struct RefusedJoin {
+  std::string candidate;  ///< name
+  JoinRefusal reason = JoinRefusal::kNameInUse;
+};
+
 /// Answers to heartbeats that a follower has relayed.
 struct OutgoingAnswers {
   common::ReplicaId to;
@@ -112,7 +140,10 @@
 
 struct ControllerOutput {
   std::vector<consensus::RaftMessage> peer_messages;
-  std::optional<consensus::JoinRequest> join;                    ///< to every configured peer
+  std::optional<OutgoingJoin> join;
+  std::vector<consensus::JoinRequest> forwarded_joins;           ///< to the leader
+  std::vector<OutgoingMembers> member_lists;                     ///< to candidates
+  std::vector<RefusedJoin> refused_joins;                        ///< for the leader's log
   std::optional<membership::HeartbeatReport> heartbeat_report;   ///< to the leader
   std::optional<ownership::HolderHeartbeats> holder_heartbeats;  ///< to the leader
   std::vector<OutgoingAnswers> relayed_answers;                  ///< to followers
@@ -155,6 +186,8 @@
   std::uint64_t updates_relayed = 0;     ///< heartbeats and deregistrations forwarded to the leader
   std::uint64_t heartbeats_relayed = 0;  ///< of holders, received from followers while leading
   std::uint64_t range_plans = 0;         ///< proposed plans of key ranges
+  std::uint64_t joins_forwarded = 0;     ///< requests to join sent to the leader
+  std::uint64_t joins_refused = 0;       ///< as the leader
 };
 
 class ControllerCore {
@@ -164,7 +197,15 @@
 
   void tick(TimePoint now);
   void on_peer_message(TimePoint now, const consensus::RaftMessage& message);
+  /// Sets the controllers that the settings name. They are asked if no member is known.
+  void set_seeds(std::vector<std::string> seeds) { directory_.set_seeds(std::move(seeds)); }
+  /// Adds the candidate to the cell, or forwards its request to the leader. The candidate is sent
+  /// the members of the cell, of which its seeds may name none any more.
   void on_join(TimePoint now, const consensus::JoinRequest& request);
+  /// The members of the cell, in answer to a request to join.
+  void on_controller_list(const routing::ControllerList& list);
+  /// Returns the addresses of the controllers that this one may have to reach.
+  std::vector<std::string> known_controllers() const;
   void on_persisted(TimePoint now, std::uint64_t sequence);
   void on_router_hello(TimePoint now, const routing::RouterHello& hello);
   void on_lease_reply(TimePoint now, const common::MachineName& machine, common::BackendId backend,
@@ -279,6 +320,10 @@
   void fail_pending_requests();
   void fail_request(OperatorRequestId request, bool is_change, const common::Error& error);
   void take_snapshot();
+  /// Asks to join the cell if this replica is no member, or hears no leader and may be none.
+  void request_join(TimePoint now);
+  /// Adds the candidate as a member. @return why it was not added, if so.
+  std::optional<JoinRefusal> admit(TimePoint now, const consensus::Member& candidate);
   void maintain_members(TimePoint now);
   /// Returns the current membership with one due change, or nullopt if none is due.
   std::optional<consensus::Membership> next_membership(TimePoint now) const;
@@ -382,6 +427,7 @@
   common::LogIndex planned_state_;     ///< the state that the last plan was made from
   TimePoint next_balance_;
   TimePoint next_join_;
+  routing::ControllerDirectory directory_;
   std::map<common::ReplicaId, common::ZoneName> follower_zones_;  ///< as they report
   std::vector<membership::BackendHeartbeat> heartbeats_;  ///< on a follower, since its last report
   std::vector<membership::BackendUpdate> updates_;  ///< on a follower, not yet sent to the leader
--- a/src/controller/core/controller_members.cpp
+++ b/src/controller/core/controller_members.cpp
@@ -12,15 +12,83 @@
 
 }  // namespace
 
+std::string_view to_string(JoinRefusal refusal) {
+  switch (refusal) {
+    case JoinRefusal::kNameInUse:
+      return "name_in_use";
+    case JoinRefusal::kNotAllowed:
+      return "name_not_allowed";
+    case JoinRefusal::kCellIsFull:
+      return "cell_is_full";
+    case JoinRefusal::kChangePending:
+      return "change_pending";
+  }
+  return "unknown";
+}
+
+void ControllerCore::request_join(TimePoint now) {
+  // A replica that receives nothing from a leader may have been removed without a notification.
+  const bool is_outside = raft_.membership().find(raft_.self()) == nullptr;
+  const bool may_be_outside = options_.admits_anyone && raft_.leader().value == 0;
+  if ((!is_outside && !may_be_outside) || now < next_join_) {
+    return;
+  }
+  next_join_ = now + options_.join_interval;
+  OutgoingJoin join;
+  join.request = {
+      options_.cell,
+      {raft_.self(), options_.name, options_.peer_address, options_.operator_address, false}};
+  join.to = known_controllers();
+  std::erase(join.to, options_.peer_address);
+  output_.join = std::move(join);
+}
+
+std::vector<std::string> ControllerCore::known_controllers() const {
+  std::vector<std::string> known = directory_.all();
+  for (const consensus::Member& member : raft_.membership().members) {
+    if (!directory_.contains(member.peer_address)) {
+      known.push_back(member.peer_address);
+    }
+  }
+  return known;
+}
+
+void ControllerCore::on_controller_list(const routing::ControllerList& list) {
+  if (list.cell == options_.cell) {
+    (void)directory_.update(list);
+  }
+}
+
 void ControllerCore::on_join(TimePoint now, const consensus::JoinRequest& request) {
-  const consensus::Membership& current = raft_.membership();
-  if (request.cell != options_.cell || !is_serving(now) ||
-      current.find(request.candidate.id) != nullptr) {
+  const bool is_member = raft_.membership().find(request.candidate.id) != nullptr;
+  if (request.cell != options_.cell || is_member || raft_.membership().members.empty()) {
     return;
   }
-  bool known = allowed_names_.contains(request.candidate.name);
+  if (!request.is_forwarded) {
+    output_.member_lists.push_back({request.candidate.id, controller_list()});
+  }
+  if (is_serving(now)) {
+    if (const auto refusal = admit(now, request.candidate)) {
+      ++counters_.joins_refused;
+      output_.refused_joins.push_back({request.candidate.name, *refusal});
+    }
+    return step(now);
+  }
+  const bool follows = !raft_.is_leader() && raft_.leader().value != 0;
+  if (follows && !request.is_forwarded) {
+    ++counters_.joins_forwarded;
+    consensus::JoinRequest forwarded = request;
+    forwarded.is_forwarded = true;
+    output_.forwarded_joins.push_back(std::move(forwarded));
+  }
+}
+
+std::optional<JoinRefusal> ControllerCore::admit(TimePoint now,
+                                                 const consensus::Member& candidate) {
+  const consensus::Membership& current = raft_.membership();
+  bool known = allowed_names_.contains(candidate.name);
   for (const consensus::Member& member : current.members) {
-    if (member.name != request.candidate.name) {
+    if (member.name != candidate.name) {
       continue;
     }
     // The member's data folder was lost: the candidate has its name and a new folder.
@@ -29,20 +97,23 @@
     const bool silent = now - raft_.leader_since() > options_.replace_after &&
                         (!last_contact.has_value() || now - *last_contact > options_.replace_after);
     if (member.id == raft_.self() || !silent) {
-      return;  // the name is in use
+      return JoinRefusal::kNameInUse;
     }
     known = true;
   }
-  known = known || (options_.admits_anyone && current.members.size() < options_.maximum_members);
-  if (!known) {
-    return;
+  if (!known && !options_.admits_anyone) {
+    return JoinRefusal::kNotAllowed;
+  }
+  if (!known && current.members.size() >= options_.maximum_members) {
+    return JoinRefusal::kCellIsFull;
   }
   consensus::Membership next = current;
-  next.members.push_back(request.candidate);
+  next.members.push_back(candidate);
   next.members.back().voter = false;
-  // A refusal means that another membership change is in progress; the candidate retries.
-  (void)raft_.propose_membership(now, next);
-  step(now);
+  if (!raft_.propose_membership(now, next).has_value()) {
+    return JoinRefusal::kChangePending;  // the candidate asks again
+  }
+  return std::nullopt;
 }
 
 void ControllerCore::maintain_members(TimePoint now) {
--- a/src/controller/operator_views.cpp
+++ b/src/controller/operator_views.cpp
@@ -169,6 +169,10 @@
                        counters.backends_lost);
   metrics_.set_counter("planktray_shards_assigned_total", "Shards given to an owner.",
                        counters.shards_assigned);
+  metrics_.set_counter("planktray_joins_forwarded_total", "Requests to join sent to the leader.",
+                       counters.joins_forwarded);
+  metrics_.set_counter("planktray_joins_refused_total", "Requests to join refused as the leader.",
+                       counters.joins_refused);
   metrics_.set_counter("planktray_moves_begun_total", "Planned moves begun.", counters.moves_begun);
   metrics_.set_counter("planktray_tables_as_follower_total",
                        "Tables brought to routers that did not hear the leader in time.",
--- a/src/sim/controller_node.cpp
+++ b/src/sim/controller_node.cpp
@@ -1,5 +1,6 @@
 #include "sim/controller_node.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "sim/backend_node.hpp"
@@ -34,6 +35,11 @@
   }
   core_.emplace(options_, store_->identity().replica, std::move(*state),
                 common::RandomEngine(environment_.random()), host().clock());
+  std::vector<std::string> seeds;
+  for (const ControllerNode* peer : directory_.controllers()) {
+    seeds.push_back(peer->options_.peer_address);
+  }
+  core_->set_seeds(std::move(seeds));
   waiting_.clear();
   persisting_ = false;
   led_ = false;
@@ -86,6 +92,10 @@
   flush();
 }
 
+void ControllerNode::receive(const routing::ControllerList& list) {
+  core_->on_controller_list(list);
+}
+
 void ControllerNode::receive(const routing::RouterHello& hello) {
   core_->on_router_hello(host().clock(), hello);
   flush();
@@ -161,13 +171,7 @@
                    [peer, message = std::move(message)] { peer->receive(message); });
     }
   }
-  if (output.join.has_value()) {
-    for (ControllerNode* peer : directory_.controllers()) {
-      if (peer != this) {
-        network.send(host_, peer->host_id(), [peer, join = *output.join] { peer->receive(join); });
-      }
-    }
-  }
+  send_joins(output);
   for (const ownership::OutgoingLease& lease : output.leases) {
     send_lease(lease);
   }
@@ -226,6 +230,30 @@
   });
 }
 
+void ControllerNode::send_joins(const controller::ControllerOutput& output) {
+  const auto send = [this](ControllerNode* to, auto message) {
+    environment_.network.send(host_, to->host_id(), [to, message] { to->receive(message); });
+  };
+  if (output.join.has_value()) {
+    for (ControllerNode* peer : directory_.controllers()) {
+      const auto& to = output.join->to;
+      if (std::find(to.begin(), to.end(), peer->options_.peer_address) != to.end()) {
+        send(peer, output.join->request);
+      }
+    }
+  }
+  for (const consensus::JoinRequest& request : output.forwarded_joins) {
+    if (ControllerNode* leader = directory_.find_controller(core_->raft().leader())) {
+      send(leader, request);
+    }
+  }
+  for (const controller::OutgoingMembers& members : output.member_lists) {
+    if (ControllerNode* candidate = directory_.find_controller(members.candidate)) {
+      send(candidate, members.list);
+    }
+  }
+}
+
 void ControllerNode::send_lease(const ownership::OutgoingLease& lease) {
   BackendNode* backend = directory_.find_backend(lease.address);
   if (backend == nullptr) {
--- a/src/sim/controller_node.hpp
+++ b/src/sim/controller_node.hpp
@@ -38,6 +38,7 @@
 
   void receive(const consensus::RaftMessage& message);
   void receive(const consensus::JoinRequest& request);
+  void receive(const routing::ControllerList& list);
   void receive(const routing::RouterHello& hello);
   void receive_lease_reply(const common::MachineName& machine, common::BackendId backend,
                            const ownership::LeaseReply& reply);
@@ -68,6 +69,7 @@
   void poll_platform();
   void flush();
   void note_role();
+  void send_joins(const controller::ControllerOutput& output);
   void send_lease(const ownership::OutgoingLease& lease);
   void send_release(const ownership::OutgoingRelease& release);
   void persist_next();
