A new member is not removed before it can answer

What was seen: in a simulated cell with planned replacements, the two new controllers of the fourth round were added and removed for 4 s without end (38 refusals in that time, no member).

Cause: next_standby_change removes members that were not heard for abandon_after, and a member that was never heard counted as such from its first moment on, once the leader had led for longer than that.

Ruled out: the maximum of members (five), pending changes (none pending), names in use.

Change: a member counts as new for abandon_after from the moment at which this leader added it. Raft's own contact times stay as they are: promotion still needs a message of the member.

Before: 'planned replacements keep the cell' fails in round 4, 'a new member is kept until it has had time to answer' fails. After: both pass, 20 rounds.

--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -326,6 +326,7 @@
     marking_.clear();
     ending_.clear();
     replaced_.clear();
+    admitted_.clear();
     key_moves_.begin_term();
     plan_index_ = common::LogIndex();
     range_plan_index_ = common::LogIndex();
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -420,6 +420,8 @@
   std::set<common::BackendId> ending_;  ///< proposed as ended, not applied yet
   std::set<std::string> allowed_names_;
   std::set<common::ReplicaId> replaced_;  ///< members whose data folder was replaced
+  /// When this replica, as the leader, has added a member that it may not have heard yet.
+  std::map<common::ReplicaId, TimePoint> admitted_;
   common::LogIndex plan_index_;  ///< the last proposed plan; the next one waits until it is applied
   common::LogIndex range_plan_index_;  ///< the same for plans of key ranges
   common::LogIndex terms_index_;       ///< the same for terms of grants
--- a/src/controller/core/controller_members.cpp
+++ b/src/controller/core/controller_members.cpp
@@ -113,10 +113,13 @@
   if (!raft_.propose_membership(now, next).has_value()) {
     return JoinRefusal::kChangePending;  // the candidate asks again
   }
+  admitted_[candidate.id] = now;
   return std::nullopt;
 }
 
 void ControllerCore::maintain_members(TimePoint now) {
+  std::erase_if(admitted_,
+                [&](const auto& item) { return now - item.second > options_.abandon_after; });
   if (raft_.membership_change_pending()) {
     return;
   }
@@ -172,7 +175,11 @@
   const consensus::Membership& current = raft_.membership();
   const bool settled = now - raft_.leader_since() > options_.abandon_after;
   const auto is_abandoned = [&](const consensus::Member& member) {
-    return settled && !is_present(now, member.id, options_.abandon_after);
+    // A new member has not been heard yet.
+    const auto admitted = admitted_.find(member.id);
+    const bool is_new =
+        admitted != admitted_.end() && now - admitted->second <= options_.abandon_after;
+    return settled && !is_new && !is_present(now, member.id, options_.abandon_after);
   };
   const auto abandoned = std::find_if(current.members.begin(), current.members.end(), is_abandoned);
   if (abandoned == current.members.end()) {
--- a/test/controller/controller_join_test.cpp
+++ b/test/controller/controller_join_test.cpp
@@ -18,12 +18,34 @@
 /// The shortest time that deployments allow a new machine until it counts.
 constexpr auto kCatchUp = milliseconds(4000);
 
+Addresses first_three(Addresses addresses) {
+  addresses.resize(std::min<std::size_t>(addresses.size(), 3));
+  return addresses;
+}
+
 TEST_CASE("a new controller joins although its only seed does not lead") {
   TurnoverCell cell;
   const std::string added = cell.add_controller({cell.followers().front()});
   CHECK(cell.run_until([&] { return cell.is_member(added); }, kCatchUp));
 }
 
+TEST_CASE("planned replacements keep the cell although the leader is never among the seeds") {
+  TurnoverCell cell;
+  constexpr int kRounds = 20;
+  for (int round = 0; round < kRounds; ++round) {
+    CAPTURE(round);
+    const Addresses seeds = first_three(cell.followers());
+    const Addresses leaving = {cell.running()[0], cell.running()[1]};
+    const std::string first = cell.add_controller(seeds);
+    const std::string second = cell.add_controller(seeds);
+    REQUIRE(
+        cell.run_until([&] { return cell.is_member(first) && cell.is_member(second); }, kCatchUp));
+    cell.stop(leaving[0]);
+    cell.stop(leaving[1]);
+    REQUIRE(cell.run_until([&] { return cell.is_settled(); }, milliseconds(10'000)));
+  }
+}
+
 TEST_CASE("a controller that lost its disk joins through a follower") {
   TurnoverCell cell;
   const std::string lost = cell.followers().back();
@@ -53,6 +75,21 @@
   CHECK(cell.run_until([&] { return cell.is_member(removed); }, kCatchUp));
 }
 
+/// Guards against a leader that removes a new member before the first message can reach it: a
+/// member that was never heard counted as silent from the start.
+TEST_CASE("a new member is kept until it has had time to answer, and then removed") {
+  TurnoverCell cell;
+  cell.run_for(milliseconds(5000));
+  const std::string added = cell.add_controller({});
+  cell.cut(added, true);
+  consensus::JoinRequest request;
+  request.candidate = {cell.controller(added).raft().self(), added, added, added, false};
+  cell.leader()->on_join(cell.now(), request);
+  cell.run_for(milliseconds(2000));
+  CHECK(cell.is_member(added));
+  CHECK(cell.run_until([&] { return !cell.is_member(added); }, milliseconds(10'000)));
+}
+
 TEST_CASE("a follower forwards a request to join once") {
   TurnoverCell cell;
   ControllerCore& follower = cell.controller(cell.followers().front());
