A newer list of controllers replaces the older one

What was seen: after 28 planned replacements of controllers both routers ran all requests by the service of an old configuration for good, and were ready all the while.

Cause: a router kept the first 24 addresses of controllers that it heard of and removed none, so the only ones that were running were dropped without a word, new seeds of a reload too. Out of contact, it served its last table, as it should when it is cut off. Beside it, a leader's answers to hellos did not name the members.

Change: ControllerDirectory holds the newest list of members, by its log index, and the seeds beside it as the way back; the leader's own list replaces members of an entry that was never committed. A leader adds the list to its answer where the hello shows that the router lacks it. Routers and controllers close connections to controllers that have gone and count their bytes on; controllers forget identities after a minute of silence. Queries choose from a shuffled list.

Same growth elsewhere: zones of followers, sockets and identities of controllers, mended here; 4,096 remembered departures, open.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -22,6 +22,9 @@
 /// Interval of the samples of idle time. The loop's turns are shorter by far while it has time
 /// left.
 constexpr common::Duration kIdleSampleInterval = std::chrono::milliseconds(250);
+/// How often connections to controllers that are no members any more are closed: each of them
+/// costs two attempts to reconnect a second.
+constexpr common::Duration kPeerReview = std::chrono::milliseconds(5000);
 /// Maximum lease requests in flight to one machine, so that they do not pile up while it is frozen.
 constexpr int kMaxLeasesInFlight = 4;
 
@@ -139,6 +142,7 @@
   loop_.every(kLoadLogInterval, [this] { log_load(); });
   sampled_at_ = boot_time_now();
   loop_.every(kIdleSampleInterval, [this] { sample_idle_time(); });
+  loop_.every(kPeerReview, [this] { forget_gone_peers(); });
   if (!settings_.platform_url.empty()) {
     poll_platform();
     loop_.every(settings_.platform_interval, [this] { poll_platform(); });
@@ -229,12 +233,12 @@
   for (const OutgoingControllers& controllers : output.controllers) {
     const auto identity = router_identities_.find(controllers.router);
     if (identity != router_identities_.end()) {
-      server_socket_->send(identity->second, transport::WireMessage(controllers.list));
+      server_socket_->send(identity->second.identity, transport::WireMessage(controllers.list));
     }
   }
   if (output.announcement.has_value()) {
-    for (const auto& [router, identity] : router_identities_) {
-      server_socket_->send(identity, transport::WireMessage(*output.announcement));
+    for (const auto& [router, peer] : router_identities_) {
+      server_socket_->send(peer.identity, transport::WireMessage(*output.announcement));
     }
   }
   for (const routing::BackendRoute& backend : output.changed_backends) {
@@ -317,7 +321,7 @@
   // A joining replica replies to a leader whose address it does not have yet.
   const auto identity = replica_identities_.find(message.to);
   if (identity != replica_identities_.end()) {
-    server_socket_->send(identity->second, transport::WireMessage(message));
+    server_socket_->send(identity->second.identity, transport::WireMessage(message));
   }
 }
 
@@ -335,7 +339,7 @@
   for (const OutgoingMembers& members : output.member_lists) {
     const auto identity = replica_identities_.find(members.candidate);
     if (identity != replica_identities_.end()) {
-      server_socket_->send(identity->second, transport::WireMessage(members.list));
+      server_socket_->send(identity->second.identity, transport::WireMessage(members.list));
     }
   }
   for (const RefusedJoin& refused : output.refused_joins) {
@@ -367,12 +371,12 @@
   const auto now = boot_time_now();
   if (const auto* raft = std::get_if<consensus::RaftMessage>(&message.value)) {
     if (!identity.empty()) {
-      replica_identities_[raft->from] = identity;
+      replica_identities_[raft->from] = {identity, now};
     }
     core_->on_peer_message(now, *raft);
   } else if (const auto* join = std::get_if<consensus::JoinRequest>(&message.value)) {
     if (!identity.empty() && !join->is_forwarded) {
-      replica_identities_[join->candidate.id] = identity;
+      replica_identities_[join->candidate.id] = {identity, now};
     }
     core_->on_join(now, *join);
   } else if (const auto* list = std::get_if<routing::ControllerList>(&message.value)) {
@@ -385,7 +389,7 @@
     core_->on_relayed_answers(now, *answers);
   } else if (const auto* hello = std::get_if<routing::RouterHello>(&message.value)) {
     if (!identity.empty()) {
-      router_identities_[hello->router] = identity;
+      router_identities_[hello->router] = {identity, now};
     }
     core_->on_router_hello(now, *hello);
   }
@@ -466,7 +470,7 @@
   const ActivityMeter::Span span(meter_, Activity::kTables);
   const auto identity = router_identities_.find(table.router);
   if (identity != router_identities_.end()) {
-    server_socket_->send(identity->second, transport::WireMessage(table.update));
+    server_socket_->send(identity->second.identity, transport::WireMessage(table.update));
   }
 }
 
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -94,6 +94,9 @@
   /// Evaluates the promises for this number of routers and logs each one whose state has changed
   /// since the last evaluation.
   void log_promise_changes(std::size_t routers);
+  /// Closes connections to controllers that have gone and forgets processes that are silent. Not
+  /// called while a message of one of them is handled.
+  void forget_gone_peers();
   void update_metrics();
   /// Returns the connection to a controller, creating it if needed; nullptr if that fails.
   transport::ZmqSocket* dealer(const std::string& address);
@@ -116,8 +119,14 @@
   std::unique_ptr<transport::HttpClient> http_client_;
   std::unique_ptr<transport::ZmqSocket> server_socket_;
   std::map<std::string, std::unique_ptr<transport::ZmqSocket>> dealers_;
-  std::map<common::ReplicaId, std::string> replica_identities_;
-  std::map<common::RouterName, std::string> router_identities_;
+  transport::SocketCounters closed_dealers_;  ///< sums of the dealers that were closed
+  /// The sender of messages to the server socket.
+  struct PeerIdentity {
+    std::string identity;  ///< of its ZeroMQ socket
+    common::TimePoint last_message;
+  };
+  std::map<common::ReplicaId, PeerIdentity> replica_identities_;
+  std::map<common::RouterName, PeerIdentity> router_identities_;
   /// Replacing a service moves hundreds of ranges within some seconds.
   transport::LineLimit key_move_limit_{{.lines_per_second = 20, .burst = 100}};
   /// A candidate repeats its request until it is a member.
--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -84,11 +84,15 @@
   for (const common::BackendId id : hello.leaving) {
     mark_stated_departure(now, id);
   }
-  if (auto table = distributor_.answer(now, state_, hello.router)) {
+  auto table = distributor_.answer(now, state_, hello.router);
+  const bool offers_snapshot = !table.has_value() && distributor_.offers_snapshot(state_, hello);
+  if (table.has_value()) {
     ++counters_.updates_answered;
     output_.tables.push_back(std::move(*table));
-  } else if (distributor_.offers_snapshot(state_, hello)) {
-    send_controller_list(hello);
+  }
+  // A router that hears the leader only must still learn which controllers come and go.
+  if (offers_snapshot || hello.controllers_index < raft_.membership_index()) {
+    send_controller_list(hello.router, offers_snapshot);
   }
   step(now);
 }
@@ -128,15 +132,15 @@
   const bool has_list = hello.controllers_index >= raft_.membership_index();
   // A router that gets no answer at all takes itself to be cut off.
   if (!is_confirmed || !knows_leader || !has_list) {
-    send_controller_list(hello);
+    send_controller_list(hello.router, distributor_.offers_snapshot(state_, hello));
   }
 }
 
-void ControllerCore::send_controller_list(const routing::RouterHello& hello) {
+void ControllerCore::send_controller_list(const common::RouterName& router, bool offers_snapshot) {
   routing::ControllerList list = controller_list();
-  list.offers_snapshot = distributor_.offers_snapshot(state_, hello);
+  list.offers_snapshot = offers_snapshot;
   if (!list.addresses.empty()) {
-    output_.controllers.push_back({hello.router, std::move(list)});
+    output_.controllers.push_back({router, std::move(list)});
   }
 }
 
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -366,7 +366,7 @@
   /// Sends a router the updates that this follower can provide, and the list of controllers.
   void answer_as_follower(TimePoint now, const routing::RouterHello& hello);
   /// Answers a hello with the list of controllers.
-  void send_controller_list(const routing::RouterHello& hello);
+  void send_controller_list(const common::RouterName& router, bool offers_snapshot);
   routing::ControllerList controller_list() const;
   /// Proposes that the back end's process has ended, since another incarnation answers at its
   /// address.
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -25,6 +25,7 @@
 #include "router/core/router_effects.hpp"
 #include "router/core/router_options.hpp"
 #include "router/core/write_guard.hpp"
+#include "routing/controller_directory.hpp"
 #include "routing/crash_suspects.hpp"
 #include "routing/crowded_owners.hpp"
 #include "routing/failure_block.hpp"
@@ -56,8 +57,11 @@
 
   void tick(TimePoint now);
   /// Adds a controller that the router may query. Addresses beyond a few dozen are ignored.
-  void add_controller(const std::string& address);
-  const std::vector<std::string>& controllers() const { return controllers_; }
+  /// Sets the controllers that the settings name. @param seeds "IP:port" for peer connections.
+  void set_seeds(std::vector<std::string> seeds) { directory_.set_seeds(std::move(seeds)); }
+  /// Returns the addresses of the controllers that hellos may go to: the members of the newest
+  /// list, the seeds, and the last known leader.
+  std::vector<std::string> controllers() const;
   /// @param from address of the controller that sent the update.
   void on_table_update(TimePoint now, const routing::TableUpdate& update,
                        const std::string& from = "");
@@ -396,8 +400,8 @@
   std::vector<std::string> some_of(std::vector<std::string> controllers);
   /// Asks a follower for changes of the table.
   void poll_follower(TimePoint now);
-  /// Returns the addresses of the controllers other than the leader.
-  std::vector<std::string> followers() const;
+  /// Returns these addresses without that of the leader.
+  std::vector<std::string> without_leader(std::vector<std::string> controllers) const;
   void update_targets(TimePoint now, const routing::TargetChanges& changes);
   /// Calls `visit(id, backend)` for the back ends of the table that may have changed.
   template <typename Visit>
@@ -473,10 +477,9 @@
   std::set<RequestHandle> routed_waiting_;
   TimePoint next_hello_;
   TimePoint last_hello_;
-  std::vector<std::string> controllers_;  ///< addresses
-  common::LogIndex controllers_index_;    ///< of the newest list of controllers
-  std::string leader_;                    ///< address of the last known leader
-  common::Term leader_term_;              ///< of the newest leader that sent an update or was named
+  routing::ControllerDirectory directory_;
+  std::string leader_;        ///< address of the last known leader
+  common::Term leader_term_;  ///< of the newest leader that sent an update or was named
   /// Time at which the leader sent its last update or was named.
   std::optional<TimePoint> leader_last_seen_;
   std::string last_follower_;  ///< address of the follower that sent the last update
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -18,27 +18,24 @@
 constexpr Duration kOfferValidity = std::chrono::milliseconds(3000);
 /// A requested snapshot that has not arrived after this time is requested again.
 constexpr Duration kSnapshotRequestInterval = std::chrono::milliseconds(1500);
-/// Maximum number of controllers that a router keeps addresses of.
-constexpr std::size_t kMaxControllers = 24;
 
 }  // namespace
 
-void RouterCore::add_controller(const std::string& address) {
-  const bool is_known =
-      std::find(controllers_.begin(), controllers_.end(), address) != controllers_.end();
-  if (!is_known && controllers_.size() < kMaxControllers) {
-    controllers_.push_back(address);
+std::vector<std::string> RouterCore::controllers() const {
+  std::vector<std::string> controllers = directory_.all();
+  if (!leader_.empty() && !directory_.contains(leader_)) {
+    controllers.push_back(leader_);
   }
+  return controllers;
 }
 
 void RouterCore::on_controller_list(TimePoint now, const routing::ControllerList& list) {
   if (list.cell != options_.cell) {
     return;
   }
-  for (const std::string& address : list.addresses) {
-    add_controller(address);
+  if (directory_.update(list)) {
+    polls_.keep_only(directory_.members());
   }
-  controllers_index_ = std::max(controllers_index_, list.index);
   if (!list.leader.empty()) {
     freshness_.on_answered();
   }
@@ -288,7 +285,7 @@
   hello.unreachable = paths_.lost();
   hello.peers_digest = peers_.digest();
   hello.leader_term = leader_term_;
-  hello.controllers_index = controllers_index_;
+  hello.controllers_index = directory_.index();
   hello.reads_compressed = true;
   hello.requests_snapshots = true;
   hello.polls_followers = polls_.next_due() != TimePoint::max();
@@ -298,18 +295,21 @@
 void RouterCore::search_for_leader(TimePoint now) {
   // A fleet that sends hellos to all controllers at once, at the rate at which one leader is sent
   // hellos, leaves them no time to elect a leader.
-  const bool are_few = controllers_.size() <= options_.leader_search.queried_controllers;
+  const bool are_few = directory_.all().size() <= options_.leader_search.queried_controllers;
   output_.hello_to_all = are_few;
-  output_.hello_to = are_few ? std::vector<std::string>() : some_of(controllers_);
+  output_.hello_to = are_few ? std::vector<std::string>() : some_of(directory_.all());
   next_hello_ = now + search_interval_;
   search_interval_ = std::min(2 * search_interval_, options_.leader_search.max_query_interval);
 }
 
 std::vector<std::string> RouterCore::some_of(std::vector<std::string> controllers) {
-  const auto first = common::uniform(random_, 0, controllers.size() - 1);
-  std::rotate(controllers.begin(), controllers.begin() + static_cast<std::ptrdiff_t>(first),
-              controllers.end());
-  controllers.resize(std::min(controllers.size(), options_.leader_search.queried_controllers));
+  // A shuffled choice: addresses that have gone may stand side by side.
+  const std::size_t count =
+      std::min(controllers.size(), options_.leader_search.queried_controllers);
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(controllers[i], controllers[common::uniform(random_, i, controllers.size() - 1)]);
+  }
+  controllers.resize(count);
   return controllers;
 }
 
@@ -326,7 +326,7 @@
     ++counters_.leader_queries;
     return;
   }
-  std::vector<std::string> others = followers();
+  std::vector<std::string> others = without_leader(directory_.all());
   if (others.empty()) {
     return;
   }
@@ -339,15 +339,16 @@
   freshness_.on_asked(now);
   ++counters_.follower_polls;
   output_.hello = make_basic_hello(now);
-  output_.hello_to = polls_.begin_poll(now, followers(), random_);
+  // Seeds that are no members have no table.
+  const bool knows_members = !directory_.members().empty();
+  output_.hello_to = polls_.begin_poll(
+      now, without_leader(knows_members ? directory_.members() : directory_.all()), random_);
   output_.hello_to_all = false;
 }
 
-std::vector<std::string> RouterCore::followers() const {
-  std::vector<std::string> followers;
-  std::copy_if(controllers_.begin(), controllers_.end(), std::back_inserter(followers),
-               [this](const std::string& address) { return address != leader_; });
-  return followers;
+std::vector<std::string> RouterCore::without_leader(std::vector<std::string> controllers) const {
+  std::erase(controllers, leader_);
+  return controllers;
 }
 
 void RouterCore::report_key_loads(routing::RouterHello& hello) {
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -108,15 +108,16 @@
   metrics_.set_gauge("planktray_requests_waiting_for_link",
                      "Large requests that wait for their turn at the link.",
                      static_cast<double>(core_.waiting_for_link()));
-  std::uint64_t bytes = 0;
-  std::uint64_t refused = 0;
+  transport::SocketCounters total = closed_controllers_;
   for (const auto& [address, controller] : controllers_) {
-    bytes += controller->counters().bytes_sent + controller->counters().bytes_received;
-    refused += controller->counters().refused;
+    total += controller->counters();
   }
-  metrics_.set_counter("planktray_control_bytes_total", "ZeroMQ body bytes, both ways.", bytes);
+  metrics_.set_gauge("planktray_controllers", "Controllers that the router is connected to.",
+                     static_cast<double>(controllers_.size()));
+  metrics_.set_counter("planktray_control_bytes_total", "ZeroMQ body bytes, both ways.",
+                       total.bytes_sent + total.bytes_received);
   metrics_.set_counter("planktray_messages_refused_total",
-                       "Damaged messages and foreign protocol versions.", refused);
+                       "Damaged messages and foreign protocol versions.", total.refused);
   add_link_metrics();
   add_time_metrics();
   add_path_metrics();
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -39,6 +39,10 @@
 /// some time later.
 constexpr common::Duration kPathSettleTime = std::chrono::milliseconds(100);
 
+/// How often connections to controllers that are no members any more are closed: each of them
+/// costs two attempts to reconnect a second.
+constexpr common::Duration kConnectionReview = std::chrono::milliseconds(5000);
+
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -98,11 +102,13 @@
     return listening;
   }
   client_ = std::make_unique<transport::HttpClient>(client_options(settings_, pacer_.get()));
+  core_.set_seeds(settings_.controllers);
   for (const std::string& address : settings_.controllers) {
     if (auto connected = connect_controller(address); !connected) {
       return connected;
     }
   }
+  loop_.every(kConnectionReview, [this] { close_unused_connections(); });
   log_event("started", {{"address", settings_.options.address}});
   return {};
 }
@@ -142,6 +148,12 @@
 
 void RouterProcess::on_controller_list(const routing::ControllerList& list) {
   core_.on_controller_list(boot_time_now(), list);
+  connect_controllers();
+  flush();
+}
+
+std::size_t RouterProcess::connect_controllers() {
+  std::size_t added = 0;
   for (const std::string& address : core_.controllers()) {
     if (controllers_.contains(address)) {
       continue;
@@ -150,9 +162,22 @@
       transport::log_error("controller_refused", connected.error());
       continue;
     }
+    ++added;
     log_event("controller_learnt", {{"peer", address}});
   }
-  flush();
+  return added;
+}
+
+void RouterProcess::close_unused_connections() {
+  const std::vector<std::string> used = core_.controllers();
+  std::erase_if(controllers_, [&](const auto& item) {
+    const bool is_used = std::find(used.begin(), used.end(), item.first) != used.end();
+    if (!is_used) {
+      closed_controllers_ += item.second->counters();
+      log_event("controller_gone", {{"peer", item.first}});
+    }
+    return !is_used;
+  });
 }
 
 void RouterProcess::on_table_update(const routing::TableUpdate& update, const std::string& from) {
@@ -183,7 +208,6 @@
   if (!socket.has_value()) {
     return tl::unexpected(socket.error());
   }
-  core_.add_controller(address);
   controllers_[address] = std::move(*socket);
   return {};
 }
@@ -215,16 +239,8 @@
   // Only these settings apply to a running process. All others take effect at its next start.
   settings_.drain_timeout = fresh->drain_timeout;
   settings_.accept_while_draining = fresh->accept_while_draining;
-  std::string added;
-  for (const std::string& address : fresh->controllers) {
-    const bool is_new = !controllers_.contains(address);
-    if (auto connected = connect_controller(address); !connected) {
-      transport::log_error("controller_refused", connected.error());
-    } else if (is_new) {
-      added += (added.empty() ? "" : ",") + address;
-    }
-  }
-  log_event("settings_reloaded", {{"controllers_added", added}});
+  core_.set_seeds(fresh->controllers);
+  log_event("settings_reloaded", {{"controllers_added", std::to_string(connect_controllers())}});
 }
 
 // ---------------------------------------------------------------- stopping
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -82,6 +82,11 @@
   common::Result<void> listen();
   common::Result<void> listen_for_relays();
   common::Result<void> connect_controller(const std::string& address);
+  /// Connects to the controllers that the core knows. @return the number of new connections.
+  std::size_t connect_controllers();
+  /// Closes connections to controllers that the core does not know any more. Not called while a
+  /// message of one of them is handled.
+  void close_unused_connections();
   /// Connects to controllers that are not in the settings.
   void on_controller_list(const routing::ControllerList& list);
   void on_table_update(const routing::TableUpdate& update, const std::string& from);
@@ -153,6 +158,7 @@
   transport::ReachChecker reach_checker_;
   transport::ReachChecker path_checker_;
   std::map<std::string, std::unique_ptr<transport::ZmqSocket>> controllers_;  ///< by endpoint
+  transport::SocketCounters closed_controllers_;  ///< sums of the connections that were closed
   std::unordered_map<RequestHandle, Caller> callers_;
   std::unordered_map<AttemptId, PendingAttempt> attempts_;
   RequestLog request_log_;
--- a/src/routing/follower_polls.cpp
+++ b/src/routing/follower_polls.cpp
@@ -17,6 +17,12 @@
   zones_[address] = zone;
 }
 
+void FollowerPolls::keep_only(const std::vector<std::string>& controllers) {
+  std::erase_if(zones_, [&](const auto& item) {
+    return std::find(controllers.begin(), controllers.end(), item.first) == controllers.end();
+  });
+}
+
 void FollowerPolls::on_answered(const std::string& address) {
   if (answering_.empty() || is_own_zone(address)) {
     answering_ = address;
--- a/src/routing/follower_polls.hpp
+++ b/src/routing/follower_polls.hpp
@@ -24,6 +24,8 @@
   void on_zone(const std::string& address, const common::ZoneName& zone);
   /// The follower at this address has answered a poll.
   void on_answered(const std::string& address);
+  /// Forgets the zones of all other controllers.
+  void keep_only(const std::vector<std::string>& controllers);
   /// When the next poll is due; max: never.
   common::TimePoint next_due() const { return next_due_; }
   /// Begins a poll and returns whom to send it to: the follower that has answered the last one or,
--- a/src/transport/zmq_socket.cpp
+++ b/src/transport/zmq_socket.cpp
@@ -31,6 +31,17 @@
 
 }  // namespace
 
+SocketCounters& SocketCounters::operator+=(const SocketCounters& other) {
+  sent += other.sent;
+  send_dropped += other.send_dropped;
+  received += other.received;
+  bytes_sent += other.bytes_sent;
+  bytes_received += other.bytes_received;
+  refused += other.refused;
+  overdue += other.overdue;
+  return *this;
+}
+
 std::string encode_wire(const WireMessage& message) { return common::encode(message); }
 
 common::Result<WireMessage> decode_wire(std::string_view version, std::string_view body,
--- a/src/transport/zmq_socket.hpp
+++ b/src/transport/zmq_socket.hpp
@@ -24,6 +24,8 @@
   std::uint64_t bytes_received = 0;
   std::uint64_t refused = 0;  ///< malformed, or of another protocol version
   std::uint64_t overdue = 0;  ///< received, but dropped as too many others waited
+
+  SocketCounters& operator+=(const SocketCounters& other);
 };
 
 /// Encodes and decodes the frames of one message.
