A change of weights applies from the next request on

What was seen: after a change from 900 and 100 to 0 and 1, up to 400 requests in a row at each router went to the part with weight 0, until 22 s after the acknowledgement.

Cause: the credits of the smooth weighted round robin were kept by the route's name, in units of weights that were no longer in force.

Ways weighed: clearing the credits on a change, leaving out parts of weight 0 (hides it for 0, not for 1 after 900), a random part for each request (0.03 off in 200 requests), a position between 0 and 1 that advances by the golden ratio. The last one has no state in terms of weights.

Change: TrafficSplits, the last way; its random start also spreads the first requests of many routers over the parts, which all went to the heaviest one. Routes that have gone are forgotten.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -43,6 +43,7 @@
 #include "routing/table_freshness.hpp"
 #include "routing/target_book.hpp"
 #include "routing/target_changes.hpp"
+#include "routing/traffic_splits.hpp"
 #include "routing/zone_subset.hpp"
 
 namespace planktray::router {
@@ -472,7 +473,7 @@
   routing::FleetSize fleet_size_;
   /// Evacuated zones, with the time at which this router learned of each evacuation.
   std::map<common::ZoneName, TimePoint> evacuations_;
-  std::map<std::string, std::vector<double>> part_credits_;  ///< by route name
+  routing::TrafficSplits splits_;
   std::map<std::pair<common::ServiceId, std::uint32_t>, std::uint32_t> key_loads_;
   std::set<RequestHandle> routed_waiting_;
   TimePoint next_hello_;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -97,22 +97,8 @@
   if (route.parts.size() == 1) {
     return table_.routes().find_service(route.parts.front().service);
   }
-  // Smooth weighted round robin: each part gains its weight as credit; the part with the highest
-  // credit is chosen and pays the total weight.
-  std::vector<double>& credits = part_credits_[route.name];
-  credits.resize(route.parts.size(), 0.0);
-  double total = 0;
-  std::size_t chosen = 0;
-  for (std::size_t i = 0; i < route.parts.size(); ++i) {
-    credits[i] += route.parts[i].weight;
-    total += route.parts[i].weight;
-    chosen = credits[i] > credits[chosen] ? i : chosen;
-  }
-  if (total <= 0) {
-    return nullptr;
-  }
-  credits[chosen] -= total;
-  return table_.routes().find_service(route.parts[chosen].service);
+  const auto part = splits_.choose(route, random_);
+  return part.has_value() ? table_.routes().find_service(route.parts[*part].service) : nullptr;
 }
 
 void RouterCore::dispatch_routed(TimePoint now, Request& request) {
--- a/src/router/core/router_core_table.cpp
+++ b/src/router/core/router_core_table.cpp
@@ -126,6 +126,7 @@
   }
   if (has_changes) {
     update_write_guard(departures, known_until, changes);
+    splits_.keep_only([this](const std::string& name) { return table_.routes().has_route(name); });
     output_.departures = std::move(departures);
     redispatch_all(now);
   }
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -52,6 +52,7 @@
   /// Returns the route of `host` with the longest path prefix of `path`, or nullptr.
   /// @param host may include a port. @param path without the query.
   const config::Route* find(std::string_view host, std::string_view path) const;
+  bool has_route(const std::string& name) const { return routes_.contains(name); }
   /// @return the service, or nullptr.
   const RoutedTableService* find_service(const common::ServiceName& name) const;
   const RoutedTableService* find_service(ServiceId id) const;
