Simulated tables: routers stay on the side of a leader that is cut off

In a staggered cut routers kept hearing the other controllers, so hardly any asked the deposed leader.

Change: about half of the routers are cut off from the other controllers together with the leader.

--- a/src/sim/table_world.cpp
+++ b/src/sim/table_world.cpp
@@ -19,6 +19,7 @@
 using common::LogIndex;
 using std::chrono::milliseconds;
 
+constexpr Duration kStaggeredCutLength = milliseconds(2000);
 constexpr Duration kLinkDelay = milliseconds(1);
 constexpr std::size_t kFounders = 3;
 constexpr std::size_t kZones = 3;
@@ -603,23 +604,37 @@
     }
     const HostId host = node->host_id();
     const consensus::Membership membership = node->core().raft().membership();
+    // Some routers stay on the leader's side and hear no other controller.
+    std::vector<HostId> side = {host};
+    for (const TableRouter& router : routers_) {
+      if (pick(2) == 0) {
+        side.push_back(router.host_id());
+      }
+    }
     Duration wait(0);
     for (ControllerNode* other : controller_list_) {
       if (other == node || !other->is_up() || !membership.is_voter(other->replica())) {
         continue;
       }
-      after(wait, [this, host, id = other->host_id()] {
-        environment_.network.cut(host, id);
-        environment_.network.cut(id, host);
-      });
-      after(milliseconds(2000), [this, host, id = other->host_id()] {
-        environment_.network.mend(host, id);
-        environment_.network.mend(id, host);
-      });
+      for (const HostId id : side) {
+        cut_both_ways(id, other->host_id(), wait, kStaggeredCutLength);
+      }
       wait += between(150, 350);
     }
   }
 
+  /// Cuts two hosts off from each other after `wait`, until `end`.
+  void cut_both_ways(HostId one, HostId other, Duration wait, Duration end) {
+    after(wait, [this, one, other] {
+      environment_.network.cut(one, other);
+      environment_.network.cut(other, one);
+    });
+    after(end, [this, one, other] {
+      environment_.network.mend(one, other);
+      environment_.network.mend(other, one);
+    });
+  }
+
   void freeze(HostId id, Duration length) {
     Host& host = environment_.network.host(id);
     host.pause();
