Whether an answer has a body is told per request, and interim answers have an end

What was seen: after a HEAD, the next answer on the connection to the target came to its client as a 200 with the seal and without its body.

Cause: take_message marked the reader for the final answer behind an interim one after every message of a HEAD call, the final one too; the mark outlived the exchange.

Ruled out: late copies of answers (none are sent), the reader's reset (it works as written).

Change: the reader is told for each request, so there is nothing to clear. The table of exchanges that was written for it found three more faults of framing, mended with it: a 304 with a Content-Length (waited for a body), a POST that offers an upgrade and whose body comes later (400), and interim answers without end, which were read until the deadline: the 17th ends the connection.

Conclusion: mended for targets' answers of HTTP/1.1. Slow streams without end stay open.

--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -22,6 +22,9 @@
 /// A connection is closed after this many responses, so that it can remember all that it has
 /// delivered in 8 KiB.
 constexpr std::size_t kMaxResponses = 1024;
+/// Maximum interim (1xx) responses before the final one; servers send one or two. Each of them may
+/// be as large as the limit of a header.
+constexpr std::size_t kMaxInterimAnswers = 16;
 /// Upper bound of the idle time that a server states.
 constexpr std::int64_t kLongestIdleSeconds = 3600;
 constexpr std::uint64_t kAnswerSeed = 0x616e7377;
@@ -86,10 +89,8 @@
   answer_header_ = request.answer_header;
   answer_value_ = request.answer_value;
   accepts_unmarked_ = request.accepts_unmarked;
-  expects_no_body_ = request.method == "HEAD";
-  if (expects_no_body_) {
-    reader_.expect_no_body();
-  }
+  interim_answers_ = 0;
+  reader_.set_answers_head(request.method == "HEAD");
   HeaderList headers = request.headers;
   if (find_header(headers, "Host").empty()) {
     headers.emplace_back("Host", address_);
@@ -198,11 +199,11 @@
 
 void ClientConnection::take_message(bool is_last) {
   HttpMessage message = reader_.take();
-  if (expects_no_body_) {
-    reader_.expect_no_body();
-  }
   if (message.status < kFirstFinalStatus) {
-    return;  // an interim (1xx) response
+    if (++interim_answers_ > kMaxInterimAnswers) {
+      fail({ErrorCode::kCorrupt, "read answer", address_, "interim answers do not end"});
+    }
+    return;
   }
   if (!is_own(message)) {
     has_surplus_ = true;
--- a/src/transport/client_connection.hpp
+++ b/src/transport/client_connection.hpp
@@ -78,7 +78,7 @@
   bool is_written_ = false;               ///< the kernel has accepted all of its bytes
   bool used_before_ = false;
   bool fresh_only_ = false;
-  bool expects_no_body_ = false;
+  std::size_t interim_answers_ = 0;  ///< to the current call
   bool has_surplus_ = false;
   bool removed_ = false;
   guint connect_timer_ = 0;
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -95,7 +95,7 @@
   if (whole_) {
     return taken;
   }
-  const bool stopped = HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0;
+  const bool stopped = HTTP_PARSER_ERRNO(&parser_) != HPE_OK;
   if (stopped && !has_failed()) {
     failure_ = ReadFailure::kMalformed;
   }
@@ -116,14 +116,13 @@
 
 std::size_t HttpReader::body_left() const {
   constexpr std::uint64_t kNoLength = UINT64_MAX;
-  const bool stated = has_head_ && !skip_body_ && (parser_.flags & F_CHUNKED) == 0 &&
+  const bool stated = has_head_ && !is_bodyless() && (parser_.flags & F_CHUNKED) == 0 &&
                       parser_.content_length != kNoLength;
   return stated && !whole_ ? parser_.content_length : 0;
 }
 
 HttpMessage HttpReader::take() {
   HttpMessage taken = std::move(message_);
-  skip_body_ = false;
   reset();
   return taken;
 }
@@ -177,11 +176,18 @@
   }
   constexpr std::uint64_t kNoLength = UINT64_MAX;
   const bool stated = parser_.content_length != kNoLength;
-  if (stated && parser_.content_length > limits_.body_bytes && !skip_body_) {
+  if (is_bodyless()) {
+    return kNoBodyFollows;
+  }
+  if (stated && parser_.content_length > limits_.body_bytes) {
     failure_ = ReadFailure::kBodyTooLarge;
     return -1;
   }
-  return skip_body_ ? kNoBodyFollows : kContinueParsing;
+  return kContinueParsing;
+}
+
+bool HttpReader::is_bodyless() const {
+  return role_ == HttpRole::kResponse && (answers_head_ || !allows_body(message_.status));
 }
 
 int HttpReader::on_body(http_parser* parser, const char* at, std::size_t length) {
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -64,9 +64,9 @@
   std::size_t feed(std::string_view bytes);
   /// Reports that the peer closed its sending side in an orderly way.
   void finish();
-  /// Marks the current response as the response to a HEAD request: it has no body regardless of its
-  /// headers.
-  void expect_no_body() { skip_body_ = true; }
+  /// Sets whether the responses from now on answer a HEAD request, and so have no body regardless
+  /// of their headers. Set for each request: an interim response may come before the final one.
+  void set_answers_head(bool answers_head) { answers_head_ = answers_head; }
   void set_limits(HttpLimits limits) { limits_ = limits; }
 
   bool is_whole() const { return whole_; }
@@ -97,6 +97,8 @@
   void reset();
   bool count_header(std::size_t bytes);
   int end_head();
+  /// True if no body follows the head of the current message, whatever its headers say.
+  bool is_bodyless() const;
 
   HttpRole role_;
   HttpLimits limits_;
@@ -107,7 +109,7 @@
   bool begun_ = false;
   bool has_head_ = false;
   bool whole_ = false;
-  bool skip_body_ = false;
+  bool answers_head_ = false;
   bool in_value_ = false;
 };
 
