The core says when an attempt is over, and the router erases on that word alone

What was seen: each 500 to a safe request that was tried again stayed in its router's memory with its whole body, until the router was over memory_mb and was ended.

Cause: two owners of an attempt. The process kept an answer for send_answer, the core tried again, and nobody erased the entry. Two early returns of on_response did not erase either.

Change: RouterOutput::ended lists attempts that ended by themselves, cancels the others, each once.

--- a/src/router/core/router_core.cpp
+++ b/src/router/core/router_core.cpp
@@ -239,6 +239,7 @@
   const Attempt attempt = found->second;
   on_attempt_written(id);  // nothing more of the attempt will be written
   attempts_.erase(found);
+  output_.ended.push_back(id);
   if (requests_.at(attempt.handle).routed) {
     on_routed_attempt_done(now, id, attempt, result);
     return dispatch_waiting(now);
--- a/src/router/core/router_effects.hpp
+++ b/src/router/core/router_effects.hpp
@@ -137,6 +137,9 @@
 struct RouterOutput {
   std::vector<Forward> forwards;
   std::vector<AttemptId> cancels;
+  /// Attempts that have ended by themselves. After the answers of this output, nothing of them is
+  /// used any more. Each attempt is listed once, here or in `cancels`.
+  std::vector<AttemptId> ended;
   /// Decisions about attempts that are not completely written. The shell carries out holds and
   /// resumes; the others are also in `cancels` and are listed here for logs.
   std::vector<WriteDecision> write_decisions;
@@ -155,10 +158,10 @@
 
   /// Returns true if there is nothing to carry out.
   bool empty() const {
-    return forwards.empty() && cancels.empty() && write_decisions.empty() && answers.empty() &&
-           limit_changes.empty() && departures.empty() && stated_departures.empty() &&
-           backoffs.empty() && reachability_probes.empty() && path_probes.empty() &&
-           path_notices.empty() && !hello.has_value();
+    return forwards.empty() && cancels.empty() && ended.empty() && write_decisions.empty() &&
+           answers.empty() && limit_changes.empty() && departures.empty() &&
+           stated_departures.empty() && backoffs.empty() && reachability_probes.empty() &&
+           path_probes.empty() && path_notices.empty() && !hello.has_value();
   }
 };
 
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -101,6 +101,8 @@
                      age.has_value() ? std::chrono::duration<double>(*age).count() : -1);
   metrics_.set_gauge("planktray_serving", "1 where the table is confirmed.",
                      core_.is_serving(boot_time_now()) ? 1 : 0);
+  metrics_.set_gauge("planktray_attempts_kept", "Attempts that the process has a record of.",
+                     static_cast<double>(attempts_.size()));
   metrics_.set_gauge("planktray_requests_in_flight", "Attempts under way.",
                      static_cast<double>(core_.in_flight()));
   metrics_.set_gauge("planktray_requests_waiting", "Requests that wait for a target.",
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -13,21 +13,6 @@
 using transport::boot_time_now;
 using transport::log_event;
 
-/// Interval at which a draining router checks whether it has finished.
-constexpr common::Duration kDrainPoll = std::chrono::milliseconds(20);
-/// After it has stopped accepting, a router keeps new connections open for this long, since their
-/// first requests may still be in transit. About ten times the network latency of a caller, which
-/// is a few milliseconds.
-constexpr common::Duration kFirstRequestWait = std::chrono::milliseconds(150);
-
-/// Updates that took at least this long from their sender until they were applied are logged: about
-/// ten round trips between controllers and routers, and a fifth of the shortest promised time.
-constexpr common::Duration kLateUpdate = std::chrono::milliseconds(400);
-
-/// Requests whose last byte was written this long after the table confirmed their back end are
-/// logged: half of the time after which a leaving back end must not receive anything.
-constexpr common::Duration kLateWrite = std::chrono::milliseconds(1000);
-
 /// Delay from the end of a back end's connection until a probe whether it still listens, as an
 /// ending process closes its connections first. About fifty times the time that a process takes to
 /// end.
@@ -146,72 +131,6 @@
   return {};
 }
 
-void RouterProcess::on_controller_list(const routing::ControllerList& list) {
-  core_.on_controller_list(boot_time_now(), list);
-  connect_controllers();
-  flush();
-}
-
-std::size_t RouterProcess::connect_controllers() {
-  std::size_t added = 0;
-  for (const std::string& address : core_.controllers()) {
-    if (controllers_.contains(address)) {
-      continue;
-    }
-    if (auto connected = connect_controller(address); !connected) {
-      transport::log_error("controller_refused", connected.error());
-      continue;
-    }
-    ++added;
-    log_event("controller_learnt", {{"peer", address}});
-  }
-  return added;
-}
-
-void RouterProcess::close_unused_connections() {
-  const std::vector<std::string> used = core_.controllers();
-  std::erase_if(controllers_, [&](const auto& item) {
-    const bool is_used = std::find(used.begin(), used.end(), item.first) != used.end();
-    if (!is_used) {
-      closed_controllers_ += item.second->counters();
-      log_event("controller_gone", {{"peer", item.first}});
-    }
-    return !is_used;
-  });
-}
-
-void RouterProcess::on_table_update(const routing::TableUpdate& update, const std::string& from) {
-  const common::TimePoint now = boot_time_now();
-  const common::Duration age = core_.freshness().age(now).value_or(common::Duration(0));
-  core_.on_table_update(now, update, from);
-  flush();
-  const common::Duration delay = now - common::from_microseconds(update.as_of_clock_us);
-  if (update.as_of_clock_us > 0 && delay >= kLateUpdate) {
-    request_log_.table_late(
-        {now, from, delay, age, core_.table().index(), loop_.take_longest_turn()});
-  }
-}
-
-common::Result<void> RouterProcess::connect_controller(const std::string& address) {
-  if (controllers_.contains(address)) {
-    return {};
-  }
-  auto socket = transport::ZmqSocket::connect(
-      context_, address, "router/" + settings_.options.name.value,
-      [this, address](const std::string& /*identity*/, const auto& message) {
-        if (const auto* update = std::get_if<routing::TableUpdate>(&message.value)) {
-          on_table_update(*update, address);
-        } else if (const auto* list = std::get_if<routing::ControllerList>(&message.value)) {
-          on_controller_list(*list);
-        }
-      });
-  if (!socket.has_value()) {
-    return tl::unexpected(socket.error());
-  }
-  controllers_[address] = std::move(*socket);
-  return {};
-}
-
 int RouterProcess::run() {
   tick();
   loop_.on_terminate([this] { begin_drain(); });
@@ -243,53 +162,6 @@
   log_event("settings_reloaded", {{"controllers_added", std::to_string(connect_controllers())}});
 }
 
-// ---------------------------------------------------------------- stopping
-
-void RouterProcess::begin_drain() {
-  if (draining_) {
-    return;
-  }
-  draining_ = true;
-  drain_plan_ =
-      DrainPlan::from(boot_time_now(), settings_.accept_while_draining, settings_.drain_timeout);
-  server_->announce_close();
-  core_.stop_relaying(boot_time_now());
-  if (relay_server_ != nullptr) {
-    relay_server_->announce_close();
-  }
-  log_event("draining", {{"in_flight", std::to_string(callers_.size())}});
-  loop_.every(kDrainPoll, [this] { continue_drain(); });
-  continue_drain();
-}
-
-void RouterProcess::continue_drain() {
-  const common::TimePoint now = boot_time_now();
-  if (now < drain_plan_.accept_until) {
-    return;
-  }
-  if (accepting_) {
-    accepting_ = false;
-    core_.begin_drain();
-    server_->stop_listening();
-    if (relay_server_ != nullptr) {
-      relay_server_->stop_listening();
-    }
-  }
-  if (now < drain_plan_.accept_until + kFirstRequestWait) {
-    return;
-  }
-  server_->close_idle();
-  std::size_t unfinished = server_->unfinished();
-  if (relay_server_ != nullptr) {
-    relay_server_->close_idle();
-    unfinished += relay_server_->unfinished();
-  }
-  const bool finished = callers_.empty() && unfinished == 0;
-  if (finished || now >= drain_plan_.end_at) {
-    loop_.quit();
-  }
-}
-
 // ---------------------------------------------------------------- callers
 
 bool RouterProcess::is_ready() const {
@@ -375,21 +247,6 @@
   return longest;
 }
 
-bool RouterProcess::refuse_while_draining(const transport::ExchangePointer& exchange,
-                                          const ParsedRequest& parsed) {
-  if (!parsed.request.route.has_value() ||
-      drain_plan_.admits(boot_time_now(), longest_time(parsed.request))) {
-    return false;  // the core refuses requests without a route
-  }
-  ++refused_while_draining_;
-  Answer answer;
-  answer.outcome = routing::Outcome::kNotRun;
-  answer.reason = routing::NotRunReason::kDrainingRouter;
-  answer.retry_after = settings_.options.short_retry_after;
-  dialect_->answer(*exchange, parsed, answer);
-  return true;
-}
-
 // ---------------------------------------------------------------- effects
 
 void RouterProcess::flush() {
@@ -448,8 +305,14 @@
   for (const Answer& answer : output.answers) {
     send_answer(answer);
   }
+  for (const AttemptId attempt : output.ended) {
+    attempts_.erase(attempt);
+  }
   for (const Forward& forward : output.forwards) {
-    send_forward(forward);
+    const bool is_cancelled = !core_.handle_of(forward.attempt).has_value();
+    if (!is_cancelled) {
+      send_forward(forward);
+    }
   }
 }
 
@@ -538,157 +401,4 @@
   }
 }
 
-void RouterProcess::send_forward(const Forward& forward) {
-  const auto found = callers_.find(forward.handle);
-  if (found == callers_.end()) {
-    return;
-  }
-  const Caller& caller = found->second;
-  transport::HttpRequest request = dialect_->to_backend(*caller.exchange, caller.parsed, forward);
-  request.address = forward.address;
-  if (!forward.repeatable) {
-    request.settle_time = settings_.settle_time;
-  }
-  const AttemptId attempt = forward.attempt;
-  const common::TimePoint now = boot_time_now();
-  if (forward.peer.empty()) {
-    strip_relay_headers(request.headers);
-  } else {
-    encode_relay(settings_.options.cell, forward, request);
-    request_log_.request_relayed(now, caller.parsed, forward);
-  }
-  if (forward.number > 1) {
-    request_log_.request_repeated(now, caller.parsed, forward);
-  }
-  SentAttempt& sent = attempts_[attempt].attempt;
-  sent.address = forward.address;
-  sent.incarnation = forward.incarnation;
-  sent.peer = forward.peer;
-  sent.service = forward.service;
-  sent.request_id = caller.parsed.request_id;
-  sent.number = forward.number;
-  sent.sent_at = now;
-  sent.bytes = request.body.size();
-  sent.table_age = core_.freshness().age(now);
-  if (sent.table_age.has_value()) {
-    table_age_.Observe(std::chrono::duration<double>(*sent.table_age).count());
-  }
-  attempts_[attempt].call = client_->send(
-      std::move(request),
-      [this, attempt](transport::HttpResponse& response) { on_response(attempt, response); },
-      [this, attempt](transport::SendStage stage) { on_progress(attempt, stage); });
-}
-
-void RouterProcess::on_progress(AttemptId attempt, transport::SendStage stage) {
-  const auto found = attempts_.find(attempt);
-  if (found == attempts_.end()) {
-    return;
-  }
-  const common::TimePoint now = boot_time_now();
-  SentAttempt& sent = found->second.attempt;
-  const common::Duration took = now - sent.sent_at;
-  if (stage == transport::SendStage::kConnected) {
-    sent.connected = took;
-    return;
-  }
-  if (stage == transport::SendStage::kBegun) {
-    sent.begun = took;
-    core_.on_attempt_started(attempt);
-    write_begun_.Observe(std::chrono::duration<double>(took).count());
-    return;
-  }
-  sent.written = took;
-  core_.on_attempt_written(attempt);
-  if (core_.waiting_for_link() > 0) {
-    alarm_.set(core_.next_due());
-  }
-  write_done_.Observe(std::chrono::duration<double>(took).count());
-  if (sent.table_age.value_or(common::Duration(0)) + took >= kLateWrite) {
-    request_log_.written_late(now, sent);
-  }
-}
-
-void RouterProcess::log_departure(const Departure& departure) {
-  UnwrittenAttempts unwritten;
-  for (const auto& [id, pending] : attempts_) {
-    const SentAttempt& sent = pending.attempt;
-    const bool is_unwritten =
-        sent.incarnation == departure.incarnation && !sent.written.has_value();
-    if (is_unwritten) {
-      ++unwritten.attempts;
-      unwritten.begun += sent.begun.has_value() ? 1 : 0;
-      unwritten.bytes += sent.bytes;
-    }
-  }
-  if (unwritten.attempts > 0) {
-    request_log_.leaving_while_written(boot_time_now(), departure, unwritten);
-  }
-}
-
-void RouterProcess::on_response(AttemptId attempt, transport::HttpResponse& response) {
-  const auto found = attempts_.find(attempt);
-  const auto handle = core_.handle_of(attempt);
-  if (found == attempts_.end() || !handle.has_value()) {
-    return;
-  }
-  const auto caller = callers_.find(*handle);
-  if (caller == callers_.end()) {
-    attempts_.erase(found);
-    return;
-  }
-  const SentAttempt& sent = found->second.attempt;
-  AttemptResult result = sent.peer.empty()
-                             ? dialect_->classify(caller->second.parsed, sent.incarnation, response)
-                             : read_relayed(caller->second, sent, response);
-  if (result.connection_ended || core_.needs_digests()) {
-    result.digest = dialect_->digest(*caller->second.exchange);
-  }
-  result.is_new_connection = response.is_whole() && !response.used_before;
-  const common::TimePoint now = boot_time_now();
-  if (!result.unparsed_load.empty()) {
-    request_log_.load_unread(now, found->second.attempt, result.unparsed_load);
-  }
-  for (const UnrecognizedHeader& header : result.unrecognized_headers) {
-    request_log_.header_unread(now, found->second.attempt, header);
-  }
-  // What a relayed request's back end has answered goes back in any case.
-  const bool is_passed_on = result.end == routing::AttemptEnd::kAnswered ||
-                            (!caller->second.relayed_attempt.empty() && response.is_whole());
-  if (is_passed_on) {
-    found->second.response = std::move(response);
-  } else {
-    request_log_.attempt_failed(now, caller->second.parsed, found->second.attempt, result,
-                                response);
-    attempts_.erase(found);
-  }
-  core_.on_attempt_done(now, attempt, result);
-  flush();
-}
-
-void RouterProcess::send_answer(const Answer& answer) {
-  const auto found = callers_.find(answer.handle);
-  if (found == callers_.end()) {
-    return;
-  }
-  const Caller caller = std::move(found->second);
-  callers_.erase(found);
-  if (!caller.relayed_attempt.empty()) {
-    return answer_relayed(caller, answer);
-  }
-  const common::TimePoint now = boot_time_now();
-  const common::Duration took = now - caller.arrived;
-  latency_.Observe(std::chrono::duration<double>(took).count());
-  if (answer.outcome == routing::Outcome::kAnswered) {
-    const auto sent = attempts_.find(answer.attempt);
-    dialect_->forward_response(*caller.exchange, caller.parsed, sent->second.response);
-    attempts_.erase(sent);
-    return;
-  }
-  const common::Duration read_time = caller.arrived - caller.exchange->first_byte();
-  request_log_.request_refused(now, caller.parsed, answer,
-                               {took, read_time, core_.freshness().age(now), core_.confirmed_by(),
-                                core_.table().routes().version()});
-  dialect_->answer(*caller.exchange, caller.parsed, answer);
-}
-
 }  // namespace planktray::router
--- a/src/router/router_process_relays.cpp
+++ b/src/router/router_process_relays.cpp
@@ -89,9 +89,7 @@
   statement.load = static_cast<std::uint32_t>(core_.peer_requests());
   statement.refusal = answer.relay_refusal;
   if (answer.outcome == routing::Outcome::kAnswered) {
-    const auto sent = attempts_.find(answer.attempt);
-    const transport::HttpResponse response = std::move(sent->second.response);
-    attempts_.erase(sent);
+    const transport::HttpResponse response = std::move(attempts_.at(answer.attempt).response);
     statement.is_answer = true;
     transport::HeaderList headers = forwardable_headers(response.headers, kRelayPrefix);
     for (auto& header : encode_statement(caller.relayed_attempt, statement)) {
--- a/test/router/route_fixture.hpp
+++ b/test/router/route_fixture.hpp
@@ -132,6 +132,7 @@
       forwards.insert(forwards.end(), output.forwards.begin(), output.forwards.end());
       answers.insert(answers.end(), output.answers.begin(), output.answers.end());
       cancels.insert(cancels.end(), output.cancels.begin(), output.cancels.end());
+      ended.insert(ended.end(), output.ended.begin(), output.ended.end());
       probes.insert(probes.end(), output.reachability_probes.begin(),
                     output.reachability_probes.end());
       path_probes.insert(path_probes.end(), output.path_probes.begin(), output.path_probes.end());
@@ -152,6 +153,7 @@
   std::vector<Forward> forwards;
   std::vector<Answer> answers;
   std::vector<AttemptId> cancels;
+  std::vector<AttemptId> ended;
   std::vector<routing::RouterHello> hellos;
   std::vector<ReachabilityProbe> probes;
   std::vector<routing::PathProbe> path_probes;
