Bytes that are no answer and do not end are given up before the deadline, for nine kinds

The test plays nine kinds at full speed: no HTTP, interim answers, one header, many headers, bodies until close, with chunks, in one chunk, announced ones, and trailers.

After: all pass, with the connection closed.

Beside it: the replacement of two controllers stands once, in turnover.hpp (was in two tests); a comment on choose_service named the weighted round robin that is no more. No change of the product but that comment.

--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -244,7 +244,7 @@
   /// @param owner_had_room the owner of the key has refused although it has room: it is asked again
   ///   at once.
   void retry_routed(TimePoint now, Request& request, bool owner_had_room);
-  /// Chooses the service for a request on the route, by weighted round robin among its parts.
+  /// Chooses the service for a request on the route, by the weights of its parts.
   const routing::RoutedTableService* choose_service(const config::Route& route);
   std::optional<TargetChoice> choose_target(TimePoint now, Request& request,
                                             const routing::RoutedTableService& service);
--- a/test/controller/controller_join_test.cpp
+++ b/test/controller/controller_join_test.cpp
@@ -34,15 +34,7 @@
   constexpr int kRounds = 20;
   for (int round = 0; round < kRounds; ++round) {
     CAPTURE(round);
-    const Addresses seeds = first_three(cell.followers());
-    const Addresses leaving = {cell.running()[0], cell.running()[1]};
-    const std::string first = cell.add_controller(seeds);
-    const std::string second = cell.add_controller(seeds);
-    REQUIRE(
-        cell.run_until([&] { return cell.is_member(first) && cell.is_member(second); }, kCatchUp));
-    cell.stop(leaving[0]);
-    cell.stop(leaving[1]);
-    REQUIRE(cell.run_until([&] { return cell.is_settled(); }, milliseconds(10'000)));
+    REQUIRE(cell.replace_two(first_three(cell.followers()), kCatchUp));
   }
 }
 
--- a/test/controller/controller_turnover_test.cpp
+++ b/test/controller/controller_turnover_test.cpp
@@ -20,19 +20,6 @@
 /// The shortest time that deployments allow a new machine until it counts.
 constexpr auto kCatchUp = milliseconds(4000);
 
-/// Replaces the two oldest controllers as an operator does: the new ones join first.
-void replace_two(TurnoverCell& cell) {
-  const Addresses leaving = {cell.running()[0], cell.running()[1]};
-  const Addresses seeds = cell.running();
-  const std::string first = cell.add_controller(seeds);
-  const std::string second = cell.add_controller(seeds);
-  REQUIRE(
-      cell.run_until([&] { return cell.is_member(first) && cell.is_member(second); }, kCatchUp));
-  cell.stop(leaving[0]);
-  cell.stop(leaving[1]);
-  REQUIRE(cell.run_until([&] { return cell.is_settled(); }, milliseconds(10'000)));
-}
-
 config::RouteChange change_to(std::uint64_t version) {
   config::RouteChange change;
   change.version = version;
@@ -48,7 +35,7 @@
   constexpr std::uint64_t kRounds = 50;
   for (std::uint64_t round = 1; round <= kRounds; ++round) {
     CAPTURE(round);
-    replace_two(cell);
+    REQUIRE(cell.replace_two(cell.running(), kCatchUp));
     cell.change_routes(change_to(round));
     CHECK(cell.run_until([&] { return router.table().routes().version() == round; }, kConfigApply));
     // The members, and the seeds as the way back.
--- a/test/controller/turnover.hpp
+++ b/test/controller/turnover.hpp
@@ -25,6 +25,8 @@
 class TurnoverCell {
  public:
   static constexpr std::size_t kVoters = 5;
+  /// Longer than a silent member is kept, for each of two, and the changes of the members.
+  static constexpr milliseconds kSettling{10'000};
 
   TurnoverCell() {
     consensus::Membership founders;
@@ -56,6 +58,19 @@
     start(address, next_replica());
     controllers_.at(address)->set_seeds(seeds);
   }
+  /// Replaces the two oldest controllers as an operator does: the new ones join first.
+  /// @return false if they are no members within `limit`, or the cell does not settle afterwards.
+  bool replace_two(const Addresses& seeds, milliseconds limit) {
+    const Addresses leaving = {order_[0], order_[1]};
+    const std::string first = add_controller(seeds);
+    const std::string second = add_controller(seeds);
+    if (!run_until([&] { return is_member(first) && is_member(second); }, limit)) {
+      return false;
+    }
+    stop(leaving[0]);
+    stop(leaving[1]);
+    return run_until([&] { return is_settled(); }, kSettling);
+  }
   void stop(const std::string& address) {
     std::erase(order_, address);
     controllers_.erase(address);
--- a/test/transport/answer_framing_test.cpp
+++ b/test/transport/answer_framing_test.cpp
@@ -162,17 +162,46 @@
   CHECK(client.connections_opened() == 1);
 }
 
+/// Bytes that are no answer, as a beginning and what follows it without end.
+struct EndlessAnswer {
+  const char* name;
+  std::string beginning;
+  std::string rest;
+};
+
+std::vector<EndlessAnswer> endless_answers() {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string block(4096, 'a');
+  return {
+      {"no HTTP", "", block},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"one header", ok + "Name: ", block},
+      {"headers", ok, "Name: value\r\n"},
+      {"body until close", ok + "\r\n", block},
+      {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n"},
+      {"one chunk", ok + "Transfer-Encoding: chunked\r\n\r\nfffffff0\r\n", block},
+      {"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+      {"announced body", ok + "Content-Length: 99999999999\r\n\r\n", block},
+  };
+}
+
 /// Guards against an answer that never comes and is read until the request's deadline.
-TEST_CASE("interim answers without end are given up at once") {
-  ScriptedServer server([](const std::string& /*head*/, const Write& write) {
-    while (write("HTTP/1.1 100 Continue\r\n\r\n")) {
-    }
-  });
-  HttpClient client(HttpClientOptions{});
-  const HttpResponse response = exchange(client, server.address(), "GET");
-  CHECK_FALSE(response.is_whole());
-  CHECK(response.was_sent);
-  CHECK(response.error.code == common::ErrorCode::kCorrupt);
+TEST_CASE("bytes that are no answer and do not end are given up before the deadline") {
+  for (const EndlessAnswer& endless : endless_answers()) {
+    CAPTURE(endless.name);
+    ScriptedServer server([&endless](const std::string& /*head*/, const Write& write) {
+      bool is_open = write(endless.beginning + endless.rest);
+      while (is_open) {
+        is_open = write(endless.rest);
+      }
+    });
+    HttpClient client(HttpClientOptions{});
+    const HttpResponse response = exchange(client, server.address(), "GET");
+    CHECK_FALSE(response.is_whole());
+    CHECK(response.was_sent);
+    CHECK(response.error.code == common::ErrorCode::kCorrupt);
+    CHECK(client.connections() == 0);
+  }
 }
 
 /// Guards against a request that offers an upgrade and is refused since its body comes later.
