A router answers what it has in hand at the end of a planned stop

What callers saw: uploads that a stopping router had read ended 5.75 s after its SIGTERM with a closed connection and no answer.

Cause: all requests of the first 3 s are admitted, as their callers cannot know of the stop. Uploads may wait for a narrow link until their own deadline of 10 s, or still be written, and the process ended when the time for the stop was over, whatever was in hand.

The process ends when these answers are written, at most 100 ms later.

That the uploads of the record waited for the link or were being written is inferred; the new line answering_last tells it from now on.

--- a/src/link/send_window.cpp
+++ b/src/link/send_window.cpp
@@ -1,6 +1,7 @@
 #include "link/send_window.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace planktray::link {
 
@@ -36,6 +37,14 @@
   return ticket;
 }
 
+std::vector<SendWindow::Ticket> SendWindow::take_waiting() {
+  std::vector<Ticket> tickets;
+  for (const auto& [ticket, bytes] : std::exchange(waiting_, {})) {
+    tickets.push_back(ticket);
+  }
+  return tickets;
+}
+
 void SendWindow::bind(TimePoint now, Ticket ticket, std::size_t bytes) {
   release(ticket);
   bound_bytes_ += bytes;
--- a/src/link/send_window.hpp
+++ b/src/link/send_window.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "common/time.hpp"
 #include "link/link_scheduler.hpp"
@@ -43,6 +44,8 @@
   void wait(Ticket ticket, std::size_t bytes);
   /// Removes and returns the next waiting body if it may be bound now.
   std::optional<Ticket> next(TimePoint now);
+  /// Removes all waiting bodies and returns their tickets, in the order of arrival.
+  std::vector<Ticket> take_waiting();
   /// Binds a body, whose receiver has been chosen.
   void bind(TimePoint now, Ticket ticket, std::size_t bytes);
   /// Removes a body that has been transferred or is no longer needed.
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -22,6 +22,7 @@
 #include "common/time.hpp"
 #include "link/send_window.hpp"
 #include "router/core/caller_request.hpp"
+#include "router/core/pending_request.hpp"
 #include "router/core/router_effects.hpp"
 #include "router/core/router_options.hpp"
 #include "router/core/write_guard.hpp"
@@ -57,7 +58,6 @@
   RouterCore(RouterOptions options, common::RandomEngine random, TimePoint now);
 
   void tick(TimePoint now);
-  /// Adds a controller that the router may query. Addresses beyond a few dozen are ignored.
   /// Sets the controllers that the settings name. @param seeds "IP:port" for peer connections.
   void set_seeds(std::vector<std::string> seeds) { directory_.set_seeds(std::move(seeds)); }
   /// Returns the addresses of the controllers that hellos may go to: the members of the newest
@@ -83,8 +83,14 @@
   void on_caller_disconnected(TimePoint now, RequestHandle handle);
   /// Takes no more requests that other routers relay, and has them choose other peers.
   void stop_relaying(TimePoint now);
+  /// The process ends at `end`, or when all requests have finished: those that cannot be answered
+  /// by then are refused as soon as that is known.
+  void set_end(TimePoint now, TimePoint end);
   /// Rejects new requests; those in flight finish.
   void begin_drain() { draining_ = true; }
+  /// Answers all requests, since the process ends: those that have reached no back end are refused,
+  /// the outcome of the others is unknown.
+  void answer_all(TimePoint now);
   bool is_drained() const { return requests_.empty(); }
 
   /// Returns the request that an attempt belongs to; nothing if the attempt has ended.
@@ -131,59 +137,6 @@
  private:
   /// Returns the time of the next planned action of tick().
   TimePoint next_timer() const;
-  /// Queue in which a request waits: for one back end, or for any target of a service (back end 0).
-  using QueueKey = std::pair<common::ServiceId, BackendId>;
-
-  struct Request {
-    CallerRequest caller;
-    common::ServiceId service;
-    common::ShardNumber shard;
-    bool keyed = false;
-    bool repeatable = false;
-    bool may_have_run = false;  ///< an attempt ended without proof that it did not run
-    bool is_queued = false;
-    QueueKey queue;
-    TimePoint deadline;
-    AttemptId attempt = 0;    ///< 0: waiting
-    std::uint32_t sends = 0;  ///< attempts so far, including those that were never sent
-    std::set<BackendId> refused_by;
-    /// Peers that did not pass the request on, and number of times that it was relayed.
-    std::set<std::string> tried_peers;
-    std::uint32_t relays = 0;
-    std::uint32_t failed_connections = 0;
-    Duration backoff{0};
-    // Requests on routes only.
-    bool routed = false;
-    std::string route;
-    Duration timeout{0};
-    std::optional<Duration> expected;  ///< time until the answer, at the last estimate
-    std::uint32_t key = 0;
-    std::uint32_t attempts = 0;  ///< number of targets that the request was sent to
-    std::uint32_t maximum_attempts = 1;
-    bool next_send_is_repeat = false;  ///< an attempt has arrived: the next counts as a repeat
-    Duration max_wait{0};              ///< how long the request may wait for a target
-    TimePoint wait_until;  ///< time at which the request is refused unless it can be sent
-    TimePoint not_before;  ///< time until which an owner that refused is not tried again
-    /// Whether the limit and the queue of this owner have capacity for the request; decided once
-    /// for each owner.
-    struct Admission {
-      BackendId owner;
-      bool admitted = true;
-      bool is_crowded = false;  ///< not admitted because of the queue
-    };
-    std::optional<Admission> admission;
-  };
-  struct Attempt {
-    RequestHandle handle;
-    BackendId backend;
-    TimePoint sent;
-    std::string peer{};  ///< the router that relays it; empty: none
-  };
-  /// The back end for a request, and the peer that has to relay it, if any.
-  struct TargetChoice {
-    BackendId backend;
-    std::string peer{};
-  };
   /// State of one routed service.
   struct RoutedService {
     RoutedService(const routing::TargetBookOptions& book, const routing::RetryWindowOptions& window)
@@ -218,6 +171,12 @@
   void drain_queue(TimePoint now, const QueueKey& key);
   void redispatch_all(TimePoint now);
   void expire(TimePoint now, Request& request);
+  /// Refuses a request that no back end has got a byte of, since the process ends.
+  void refuse_unsent(TimePoint now, Request& request);
+  /// Returns how long the request may still take: until its deadline, or until the process ends.
+  Duration usable_time(TimePoint now, const Request& request) const {
+    return std::min(request.deadline, end_) - now;
+  }
 
   // Requests on routes.
   void on_route_request(TimePoint now, const CallerRequest& caller);
@@ -437,6 +396,7 @@
   link::SendWindow send_window_;
   routing::RetryBudget budget_;
   bool draining_ = false;
+  TimePoint end_ = TimePoint::max();  ///< of the process, once it is known
   bool had_table_ = false;
   TimePoint confirmed_until_;
   std::uint32_t router_rank_ = 0;
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -169,7 +169,7 @@
   const auto scale = [](Duration whole, double factor) {
     return std::chrono::duration_cast<Duration>(whole * factor);
   };
-  const Duration own = scale(request.deadline - now, options_.usable_deadline_fraction);
+  const Duration own = scale(usable_time(now, request), options_.usable_deadline_fraction);
   const bool is_bounded_by_leader = request.keyed && crowded_.has_current_list(now);
   if (options_.latency_bound_fraction <= 0 || is_bounded_by_leader ||
       !service.shortest_objective.has_value()) {
--- a/src/router/core/router_core_targets.cpp
+++ b/src/router/core/router_core_targets.cpp
@@ -125,8 +125,8 @@
   return end;
 }
 
-std::optional<RouterCore::TargetChoice> RouterCore::choose_target(
-    TimePoint now, Request& request, const routing::RoutedTableService& service) {
+std::optional<TargetChoice> RouterCore::choose_target(TimePoint now, Request& request,
+                                                      const routing::RoutedTableService& service) {
   if (request.keyed) {
     return choose_owner(now, request, service);
   }
@@ -157,8 +157,8 @@
   return best.has_value() ? std::optional(TargetChoice{*best}) : std::nullopt;
 }
 
-std::optional<RouterCore::TargetChoice> RouterCore::choose_owner(
-    TimePoint now, Request& request, const routing::RoutedTableService& service) {
+std::optional<TargetChoice> RouterCore::choose_owner(TimePoint now, Request& request,
+                                                     const routing::RoutedTableService& service) {
   const BackendId owner = table_.routes().owner_of(request.service, request.key);
   const bool refuses = request.refused_by.contains(owner) && now < request.not_before;
   if (owner.value == 0 || refuses) {
--- a/src/router/core/router_core_writing.cpp
+++ b/src/router/core/router_core_writing.cpp
@@ -14,8 +14,10 @@
   const std::size_t bytes = request.caller.body_bytes;
   const Duration typical = routed_service(request.service).targets.typical_time();
   request.expected = send_window_.delay(bytes) + typical;
-  if (*request.expected > (request.deadline - now) * options_.usable_deadline_fraction) {
-    return answer_not_run(request, NotRunReason::kOverload, retry_after(NotRunReason::kOverload));
+  if (*request.expected > usable_time(now, request) * options_.usable_deadline_fraction) {
+    const bool is_ending = end_ < request.deadline;
+    const NotRunReason reason = is_ending ? NotRunReason::kDrainingRouter : NotRunReason::kOverload;
+    return answer_not_run(request, reason, retry_after(reason));
   }
   send_window_.wait(request.caller.handle, bytes);
 }
--- a/src/router/drain_plan.hpp
+++ b/src/router/drain_plan.hpp
@@ -17,19 +17,23 @@
 /// the stop. Must be shorter than any time for which a stopping router accepts connections.
 constexpr common::Duration kStopReactionTime = std::chrono::milliseconds(150);
 
+/// Time to write the answers to the last requests before the process ends.
+constexpr common::Duration kLastAnswerTime = std::chrono::milliseconds(100);
+
 struct DrainPlan {
   /// New connections are accepted until then, as the platform may not have noticed the stop.
   common::TimePoint accept_until{};
-  /// The process ends then, even with requests in flight.
+  /// Requests in flight are answered then, as their outcome is known. The process ends when the
+  /// answers are written, at most kLastAnswerTime later.
   common::TimePoint end_at{};
 
-  /// @param accept how long callers may be unaware of the stop. @param drain time until the process
-  /// ends.
+  /// @param accept how long callers may be unaware of the stop. @param drain time until the last
+  /// requests are answered.
   static DrainPlan from(common::TimePoint now, common::Duration accept, common::Duration drain) {
     return {now + std::min(accept, drain), now + drain};
   }
 
-  /// Whether a request that arrives now is admitted: either it times out before the process ends,
+  /// Whether a request that arrives now is admitted: either it times out before `end_at`,
   /// or its caller could not have been aware of the stop. The time to write a large answer is not
   /// included.
   /// @param longest the maximum time that the request may be in flight; nullopt if it is unbounded.
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -132,6 +132,8 @@
   void reload();
   void begin_drain();
   void continue_drain();
+  /// Answers the requests that are still in hand when the time for the stop is over.
+  void answer_last(common::TimePoint now);
   std::string metrics_text();
   void add_link_metrics();
   void add_time_metrics();
--- a/src/router/router_process_drain.cpp
+++ b/src/router/router_process_drain.cpp
@@ -29,6 +29,8 @@
       DrainPlan::from(boot_time_now(), settings_.accept_while_draining, settings_.drain_timeout);
   server_->announce_close();
   core_.stop_relaying(boot_time_now());
+  core_.set_end(boot_time_now(), drain_plan_.end_at);
+  flush();
   if (relay_server_ != nullptr) {
     relay_server_->announce_close();
   }
@@ -60,9 +62,20 @@
     unfinished += relay_server_->unfinished();
   }
   const bool finished = callers_.empty() && unfinished == 0;
-  if (finished || now >= drain_plan_.end_at) {
-    loop_.quit();
+  if (finished || now >= drain_plan_.end_at + kLastAnswerTime) {
+    return loop_.quit();
   }
+  if (now >= drain_plan_.end_at && !callers_.empty()) {
+    answer_last(now);
+  }
+}
+
+void RouterProcess::answer_last(common::TimePoint now) {
+  log_event("answering_last", {{"requests", std::to_string(callers_.size())},
+                               {"waiting_for_link", std::to_string(core_.waiting_for_link())},
+                               {"in_flight", std::to_string(core_.in_flight())}});
+  core_.answer_all(now);
+  flush();
 }
 
 bool RouterProcess::refuse_while_draining(const transport::ExchangePointer& exchange,
