An answer that shows by its head or its amount that it is none is given up at once

Cause: the client judged an answer when it was whole only. A body until the connection's close without the request's id, or a success without its seal, can never become a usable answer, and answers to other requests could go on without any bound.

Ruled out: a time without progress, and a bound on the time of a body (a slow answer is an answer); a smaller bound for header lines (16 KiB is a usual head).

Change: ClientConnection judges the head of an answer as soon as it is read.

--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -22,9 +22,12 @@
 /// A connection is closed after this many responses, so that it can remember all that it has
 /// delivered in 8 KiB.
 constexpr std::size_t kMaxResponses = 1024;
-/// Maximum interim (1xx) responses before the final one; servers send one or two. Each of them may
-/// be as large as the limit of a header.
-constexpr std::size_t kMaxInterimAnswers = 16;
+/// Maximum interim (1xx) responses and responses to other requests before the own one; servers send
+/// one or two. Each of them may be as large as the limit of a header.
+constexpr std::size_t kMaxSkippedAnswers = 16;
+/// Maximum body bytes of responses to other requests before the own one: some late copies of usual
+/// size.
+constexpr std::size_t kMaxOtherBytes = 128 * 1024;
 /// Upper bound of the idle time that a server states.
 constexpr std::int64_t kLongestIdleSeconds = 3600;
 constexpr std::uint64_t kAnswerSeed = 0x616e7377;
@@ -89,7 +92,9 @@
   answer_header_ = request.answer_header;
   answer_value_ = request.answer_value;
   accepts_unmarked_ = request.accepts_unmarked;
-  interim_answers_ = 0;
+  success_header_ = request.success_header;
+  skipped_answers_ = 0;
+  other_bytes_ = 0;
   reader_.set_answers_head(request.method == "HEAD");
   HeaderList headers = request.headers;
   if (find_header(headers, "Host").empty()) {
@@ -193,20 +198,47 @@
       take_message(bytes.empty());
     } else {
       stream_->expect(reader_.body_left(), HangUp::kReadOn);
+      review_partial();
     }
   }
 }
 
+void ClientConnection::review_partial() {
+  const HttpMessage& message = reader_.message();
+  if (!reader_.has_head() || message.status < kFirstFinalStatus) {
+    return;
+  }
+  if (is_own(message)) {
+    const bool lacks_header = !success_header_.empty() && is_success(message.status) &&
+                              find_header(message.headers, success_header_).empty();
+    if (lacks_header) {
+      fail({ErrorCode::kCorrupt, "read answer", address_, "a success without " + success_header_});
+    }
+    return;
+  }
+  // The own response may follow on the connection, but not behind one that only its end ends.
+  const bool is_last = reader_.ends_with_connection();
+  if (is_last || other_bytes_ + message.body.size() > kMaxOtherBytes) {
+    fail({ErrorCode::kCorrupt, "read answer", address_, "answers to others do not end"});
+  }
+}
+
+void ClientConnection::skip_answer() {
+  if (++skipped_answers_ > kMaxSkippedAnswers) {
+    fail({ErrorCode::kCorrupt, "read answer", address_, "the answer does not come"});
+  }
+}
+
 void ClientConnection::take_message(bool is_last) {
   HttpMessage message = reader_.take();
   if (message.status < kFirstFinalStatus) {
-    if (++interim_answers_ > kMaxInterimAnswers) {
-      fail({ErrorCode::kCorrupt, "read answer", address_, "interim answers do not end"});
-    }
+    skip_answer();
     return;
   }
   if (!is_own(message)) {
     has_surplus_ = true;
+    other_bytes_ += message.body.size();
+    skip_answer();
     return;
   }
   idle_ = announced_idle(message.headers).value_or(client_.options_.idle_timeout);
--- a/src/transport/client_connection.hpp
+++ b/src/transport/client_connection.hpp
@@ -57,6 +57,10 @@
   void take_message(bool is_last);
   /// True if the message is the response to the current call.
   bool is_own(const HttpMessage& message) const;
+  /// Ends the call if no usable response can come on the connection, or what comes does not end.
+  void review_partial();
+  /// Counts a response that is not the call's own final one; ends the call after too many.
+  void skip_answer();
   void on_end(StreamEnd end);
   void fail(common::Error error);
   /// Ends the current call. @param reusable whether the connection may carry another one.
@@ -73,12 +77,14 @@
   std::string answer_header_;
   std::string answer_value_;
   bool accepts_unmarked_ = false;
+  std::string success_header_;
   std::vector<std::uint64_t> delivered_;  ///< digests of the answer values of its responses
   bool has_begun_ = false;                ///< the kernel has accepted a byte of the current call
   bool is_written_ = false;               ///< the kernel has accepted all of its bytes
   bool used_before_ = false;
   bool fresh_only_ = false;
-  std::size_t interim_answers_ = 0;  ///< to the current call
+  std::size_t skipped_answers_ = 0;  ///< interim or to other requests, in the current call
+  std::size_t other_bytes_ = 0;      ///< body bytes of answers to other requests, as above
   bool has_surplus_ = false;
   bool removed_ = false;
   guint connect_timer_ = 0;
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -53,6 +53,9 @@
   std::string answer_value;
   /// Accepts a response without that header, too; one with another value is never accepted.
   bool accepts_unmarked = false;
+  /// Name of a header that each success (2xx) to this request has. A success without it is given up
+  /// before its body has come. Empty: none.
+  std::string success_header;
 };
 
 /// How much of a request has been handed to the kernel.
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -9,6 +9,7 @@
 constexpr unsigned kStatusNoContent = 204;
 constexpr unsigned kStatusNotModified = 304;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kFirstRedirect = 300;
 constexpr int kContinueParsing = 0;
 constexpr int kStopParsing = 1;
 constexpr int kNoBodyFollows = 1;
@@ -51,6 +52,8 @@
   return equals_ignoring_case(text.substr(0, prefix.size()), prefix);
 }
 
+bool is_success(unsigned status) { return status >= kFirstFinalStatus && status < kFirstRedirect; }
+
 std::string_view find_header(const HeaderList& headers, std::string_view name) {
   const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto& header) {
     return equals_ignoring_case(header.first, name);
@@ -115,10 +118,19 @@
 }
 
 std::size_t HttpReader::body_left() const {
+  return has_length() && !whole_ ? parser_.content_length : 0;
+}
+
+bool HttpReader::ends_with_connection() const {
+  const bool is_chunked = (parser_.flags & F_CHUNKED) != 0;
+  return role_ == HttpRole::kResponse && has_head_ && !is_bodyless() && !is_chunked &&
+         !has_length();
+}
+
+bool HttpReader::has_length() const {
   constexpr std::uint64_t kNoLength = UINT64_MAX;
-  const bool stated = has_head_ && !is_bodyless() && (parser_.flags & F_CHUNKED) == 0 &&
-                      parser_.content_length != kNoLength;
-  return stated && !whole_ ? parser_.content_length : 0;
+  return has_head_ && !is_bodyless() && (parser_.flags & F_CHUNKED) == 0 &&
+         parser_.content_length != kNoLength;
 }
 
 HttpMessage HttpReader::take() {
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -24,6 +24,9 @@
 bool equals_ignoring_case(std::string_view left, std::string_view right);
 bool begins_with_ignoring_case(std::string_view text, std::string_view prefix);
 
+/// True for statuses that report success (2xx).
+bool is_success(unsigned status);
+
 /// A complete request or response. `method` and `target` belong to requests, `status` to responses.
 struct HttpMessage {
   std::string method;
@@ -69,6 +72,8 @@
   void set_answers_head(bool answers_head) { answers_head_ = answers_head; }
   void set_limits(HttpLimits limits) { limits_ = limits; }
 
+  /// True if the head of the current message is read and its body has no end but the connection's.
+  bool ends_with_connection() const;
   bool is_whole() const { return whole_; }
   bool has_failed() const { return failure_ != ReadFailure::kNone; }
   ReadFailure failure() const { return failure_; }
@@ -97,6 +102,8 @@
   void reset();
   bool count_header(std::size_t bytes);
   int end_head();
+  /// True if the head of the current message is read and states the length of its body.
+  bool has_length() const;
   /// True if no body follows the head of the current message, whatever its headers say.
   bool is_bodyless() const;
 
--- a/test/transport/answer_framing_test.cpp
+++ b/test/transport/answer_framing_test.cpp
@@ -4,71 +4,16 @@
 /// connection came without its body.
 
 #include <doctest/doctest.h>
-#include <gio/gio.h>
 
-#include <functional>
 #include <string>
 #include <vector>
 
 #include "common/random.hpp"
-#include "transport/event_loop.hpp"
-#include "transport/http_client.hpp"
+#include "scripted_server.hpp"
 
 namespace planktray::transport {
 namespace {
 
-using std::chrono::milliseconds;
-
-/// Writes bytes to the client. @return false if the client has closed the connection.
-using Write = std::function<bool(const std::string& bytes)>;
-/// Answers one request head.
-using Script = std::function<void(const std::string& head, const Write& write)>;
-
-/// A server that runs a script for each request, in a thread for each connection.
-class ScriptedServer {
- public:
-  explicit ScriptedServer(Script script) : script_(std::move(script)) {
-    constexpr int kThreads = 8;
-    service_ = g_threaded_socket_service_new(kThreads);
-    port_ = g_socket_listener_add_any_inet_port(G_SOCKET_LISTENER(service_), nullptr, nullptr);
-    g_signal_connect(service_, "run", G_CALLBACK(on_run), this);
-    g_socket_service_start(service_);
-  }
-  ScriptedServer(const ScriptedServer&) = delete;
-  ScriptedServer& operator=(const ScriptedServer&) = delete;
-  ~ScriptedServer() {
-    g_socket_service_stop(service_);
-    g_object_unref(service_);
-  }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-
- private:
-  static gboolean on_run(GThreadedSocketService* /*service*/, GSocketConnection* connection,
-                         GObject* /*source*/, gpointer data) {
-    const auto* self = static_cast<ScriptedServer*>(data);
-    GInputStream* input = g_io_stream_get_input_stream(G_IO_STREAM(connection));
-    GOutputStream* output = g_io_stream_get_output_stream(G_IO_STREAM(connection));
-    const Write write = [output](const std::string& bytes) {
-      return g_output_stream_write_all(output, bytes.data(), bytes.size(), nullptr, nullptr,
-                                       nullptr) == TRUE;
-    };
-    std::string received;
-    char buffer[4096];
-    for (gssize count = 1; count > 0;) {
-      count = g_input_stream_read(input, buffer, sizeof(buffer), nullptr, nullptr);
-      received.append(buffer, count > 0 ? static_cast<std::size_t>(count) : 0);
-      if (received.ends_with("\r\n\r\n")) {
-        self->script_(std::exchange(received, ""), write);
-      }
-    }
-    return TRUE;
-  }
-
-  Script script_;
-  GSocketService* service_ = nullptr;
-  std::uint16_t port_ = 0;
-};
-
 /// One exchange: a request and the answer that the server gives.
 struct Row {
   std::string method;
@@ -115,22 +60,6 @@
   return row;
 }
 
-/// Sends a request and waits for its answer.
-HttpResponse exchange(HttpClient& client, const std::string& address, const std::string& method) {
-  EventLoop loop;
-  HttpResponse result;
-  HttpRequest request;
-  request.method = method;
-  request.address = address;
-  request.timeout = milliseconds(2000);
-  client.send(request, [&](const HttpResponse& response) {
-    result = response;
-    loop.quit();
-  });
-  loop.run();
-  return result;
-}
-
 TEST_CASE("answers of every framing arrive whole one after the other on a kept connection") {
   common::RandomEngine random(1);
   Row row;
@@ -144,7 +73,7 @@
     CAPTURE(row.method);
     CAPTURE(row.status);
     CAPTURE(row.is_chunked);
-    const HttpResponse response = exchange(client, server.address(), row.method);
+    const HttpResponse response = exchange(client, request_for(server, row.method));
     REQUIRE(response.status == row.status);
     REQUIRE(response.body == (row.is_bodyless() ? std::string() : row.body));
   }
@@ -156,54 +85,12 @@
   ScriptedServer server(
       [&row](const std::string& /*head*/, const Write& write) { write(row.answer()); });
   HttpClient client(HttpClientOptions{});
-  CHECK(exchange(client, server.address(), "HEAD").body.empty());
+  CHECK(exchange(client, request_for(server, "HEAD")).body.empty());
   row.method = std::string("GET");
-  CHECK(exchange(client, server.address(), "GET").body == row.body);
+  CHECK(exchange(client, request_for(server, "GET")).body == row.body);
   CHECK(client.connections_opened() == 1);
 }
 
-/// Bytes that are no answer, as a beginning and what follows it without end.
-struct EndlessAnswer {
-  const char* name;
-  std::string beginning;
-  std::string rest;
-};
-
-std::vector<EndlessAnswer> endless_answers() {
-  const std::string ok = "HTTP/1.1 200 OK\r\n";
-  const std::string block(4096, 'a');
-  return {
-      {"no HTTP", "", block},
-      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-      {"one header", ok + "Name: ", block},
-      {"headers", ok, "Name: value\r\n"},
-      {"body until close", ok + "\r\n", block},
-      {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n"},
-      {"one chunk", ok + "Transfer-Encoding: chunked\r\n\r\nfffffff0\r\n", block},
-      {"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
-      {"announced body", ok + "Content-Length: 99999999999\r\n\r\n", block},
-  };
-}
-
-/// Guards against an answer that never comes and is read until the request's deadline.
-TEST_CASE("bytes that are no answer and do not end are given up before the deadline") {
-  for (const EndlessAnswer& endless : endless_answers()) {
-    CAPTURE(endless.name);
-    ScriptedServer server([&endless](const std::string& /*head*/, const Write& write) {
-      bool is_open = write(endless.beginning + endless.rest);
-      while (is_open) {
-        is_open = write(endless.rest);
-      }
-    });
-    HttpClient client(HttpClientOptions{});
-    const HttpResponse response = exchange(client, server.address(), "GET");
-    CHECK_FALSE(response.is_whole());
-    CHECK(response.was_sent);
-    CHECK(response.error.code == common::ErrorCode::kCorrupt);
-    CHECK(client.connections() == 0);
-  }
-}
-
 /// Guards against a request that offers an upgrade and is refused since its body comes later.
 TEST_CASE("a request that offers an upgrade is read with its body") {
   HttpReader reader(HttpRole::kRequest, HttpLimits());
