ServerConnection and the controller's peers get files of their own

ServerConnection moves to server_connection.hpp and .cpp with its functions out of line; connections to controllers and routers, with the forgetting of gone ones, move to controller_process_peers.cpp. No change of behaviour.

--- a/src/controller/controller_process_load.cpp
+++ b/src/controller/controller_process_load.cpp
@@ -1,6 +1,5 @@
 /// The part of ControllerProcess that measures and reports its load.
 
-#include <algorithm>
 #include <cmath>
 #include <string>
 #include <utility>
@@ -13,14 +12,6 @@
 using transport::boot_time_now;
 using transport::log_event;
 
-namespace {
-
-/// The identity of a process that has sent nothing for this long is forgotten: many intervals
-/// between the messages of any process that is running.
-constexpr common::Duration kSilentIdentityKept = std::chrono::seconds(60);
-
-}  // namespace
-
 void ControllerProcess::sample_idle_time() {
   const common::TimePoint now = boot_time_now();
   const common::Duration idle = loop_.idle_time();
@@ -121,22 +112,6 @@
   }
 }
 
-void ControllerProcess::forget_gone_peers() {
-  const std::vector<std::string> known = core_->known_controllers();
-  std::erase_if(dealers_, [&](const auto& item) {
-    const bool is_gone = std::find(known.begin(), known.end(), item.first) == known.end();
-    if (is_gone) {
-      closed_dealers_ += item.second->counters();
-      log_event("peer_gone", {{"peer", item.first}});
-    }
-    return is_gone;
-  });
-  const common::TimePoint oldest = boot_time_now() - kSilentIdentityKept;
-  const auto is_silent = [oldest](const auto& item) { return item.second.last_message < oldest; };
-  std::erase_if(router_identities_, is_silent);
-  std::erase_if(replica_identities_, is_silent);
-}
-
 void ControllerProcess::update_metrics() {
   transport::SocketCounters total = server_socket_->counters();
   total += closed_dealers_;
--- a/test/router/router_stop_test.cpp
+++ b/test/router/router_stop_test.cpp
@@ -38,10 +38,8 @@
 
 TEST_CASE("uploads that the link cannot carry before the router ends are refused at once") {
   RouteFixture router(false, narrow_link());
-  std::vector<RequestHandle> uploads;
-  for (int i = 0; i < 12; ++i) {
-    uploads.push_back(upload(router, 10));
-  }
+  std::vector<RequestHandle> uploads(12);
+  std::generate(uploads.begin(), uploads.end(), [&] { return upload(router, 10); });
   REQUIRE(router.core.waiting_for_link() > 8);
   router.core.set_end(at(20), at(3020));
   router.collect();
--- a/test/transport/answer_framing_test.cpp
+++ b/test/transport/answer_framing_test.cpp
@@ -42,7 +42,7 @@
  private:
   static std::string to_hex(std::size_t value) {
     char* text = g_strdup_printf("%zx", value);
-    const std::string hex = text;
+    std::string hex = text;
     g_free(text);
     return hex;
   }
--- a/test/transport/endless_answers_test.cpp
+++ b/test/transport/endless_answers_test.cpp
@@ -121,9 +121,10 @@
 
 TEST_CASE("an answer behind late ones to other requests is taken") {
   ScriptedServer server([](const std::string& /*head*/, const Write& write) {
-    const std::string body(30'000, 'a');
+    std::string late = kOk + "Mark: other\r\nContent-Length: 30000\r\n\r\n";
+    late.append(30'000, 'a');
     for (int i = 0; i < 3; ++i) {
-      write(kOk + "Mark: other\r\nContent-Length: 30000\r\n\r\n" + body);
+      write(late);
     }
     write(kOk + "Mark: own\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok");
   });
