The soak checks that routers keep no attempt at rest, and refuses a folder without the programs

And a soak without its programs reported each seed as broken ("ENDED ... with status 32512"), which reads like a finding.

Change: after recovery nothing is sent for 3 s, longer than any deadline; then RestCheck reads each router's metrics: records of attempts, attempts under way and waiting requests must be 0. A missing program is an error of its own (exit status 2) before the first seed. program_of() names the programs once.

Ruled out: a bound on resident memory (the allocator keeps pages; not tried over many rounds).

--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -6,11 +6,14 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <iostream>
+#include <optional>
 
 #include "soak/clients.hpp"
 #include "soak/operator.hpp"
 #include "soak/processes.hpp"
+#include "soak/rest_check.hpp"
 #include "soak/targets.hpp"
 #include "transport/event_loop.hpp"
 
@@ -28,10 +31,15 @@
 /// to serve.
 constexpr Duration kSettle = milliseconds(6'000);
 constexpr Duration kRecovery = milliseconds(20'000);
+/// Time without requests before the routers' counters are read: longer than any request's deadline.
+constexpr Duration kRest = milliseconds(3'000);
 /// Cuts between routers and targets use a separate random engine, so they don't change the other
 /// faults of a seed.
 constexpr std::uint64_t kCutSeed = 2'000'000;
 
+/// Exit status for settings with which no seed can be run.
+constexpr int kExitSettings = 2;
+
 struct SoakOptions {
   std::string bin = "build/release";
   std::string data = "run/soak";
@@ -55,7 +63,8 @@
         operator_(control_addresses(), seed + 1),
         clients_(processes_, operator_, promises_, seed + 2),
         targets_(processes_.network(), options.size.targets, control_addresses(), seed + 3,
-                 [this](const Arrival& arrival) { clients_.on_arrival(arrival); }) {}
+                 [this](const Arrival& arrival) { clients_.on_arrival(arrival); }),
+        rest_check_(processes_) {}
 
   /// @return the violated guarantees.
   std::vector<std::string> run() {
@@ -88,7 +97,7 @@
   }
 
  private:
-  enum class Phase { kStarting, kFaults, kSettling, kRecovering, kDone };
+  enum class Phase { kStarting, kFaults, kSettling, kRecovering, kResting, kDone };
   struct Restart {
     std::size_t process;
     TimePoint when;
@@ -131,6 +140,8 @@
       case Phase::kRecovering:
         send(now);
         return await_recovery(now);
+      case Phase::kResting:
+        return check_rest(now);
       case Phase::kDone:
         return loop_.quit();
     }
@@ -332,12 +343,22 @@
       ask_all(routes_to_check_.back(), [this] {
         routes_to_check_.pop_back();
         if (routes_to_check_.empty()) {
-          enter(Phase::kDone, boot_time_now());
+          enter(Phase::kResting, boot_time_now());
         }
       });
     }
   }
 
+  void check_rest(TimePoint now) {
+    if (now - entered_ < kRest || std::exchange(is_checking_rest_, true)) {
+      return;
+    }
+    rest_check_.run([this](const std::vector<std::string>& violations) {
+      failures_.insert(failures_.end(), violations.begin(), violations.end());
+      enter(Phase::kDone, boot_time_now());
+    });
+  }
+
   SoakOptions options_;
   Promises promises_;
   common::RandomEngine random_;
@@ -347,6 +368,7 @@
   Operator operator_;
   Clients clients_;
   Targets targets_;
+  RestCheck rest_check_;
   Phase phase_ = Phase::kStarting;
   TimePoint began_;
   TimePoint entered_;
@@ -357,6 +379,7 @@
   TimePoint settle_until_;
   double requests_due_ = 0;
   bool is_asking_ = false;
+  bool is_checking_rest_ = false;
   std::size_t last_served_ = 0;
   std::uint64_t faults_ = 0;
   std::uint64_t cuts_ = 0;
@@ -381,6 +404,17 @@
   return violations.empty();
 }
 
+/// Returns the first program that is missing in the folder, if any.
+std::optional<std::filesystem::path> missing_program(const std::string& folder) {
+  for (const Role role : {Role::kController, Role::kRouter}) {
+    std::filesystem::path program = std::filesystem::path(folder) / program_of(role);
+    if (!std::filesystem::exists(program)) {
+      return program;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 }  // namespace planktray::soak
 
@@ -403,6 +437,10 @@
   app.add_option("--troubles", options.faults_per_second, "Troubles a second, on average")
       ->check(CLI::Range(0.0, 100.0));
   CLI11_PARSE(app, argc, argv);
+  if (const auto missing = planktray::soak::missing_program(options.bin)) {
+    std::cerr << "--bin: there is no program " << missing->string() << std::endl;
+    return planktray::soak::kExitSettings;
+  }
   std::signal(SIGPIPE, SIG_IGN);
   std::uint64_t broken = 0;
   std::uint64_t runs = 0;
--- a/test/platform/soak/processes.cpp
+++ b/test/platform/soak/processes.cpp
@@ -29,6 +29,10 @@
 
 }  // namespace
 
+std::string_view program_of(Role role) {
+  return role == Role::kController ? "planktray-platform-controller" : "planktray-platform-router";
+}
+
 Processes::Processes(std::filesystem::path bin, std::filesystem::path data, FleetSize size,
                      std::uint64_t seed)
     : bin_(std::move(bin)),
@@ -96,9 +100,7 @@
   const std::filesystem::path log = data_ / (process.name + ".log");
   std::filesystem::create_directories(data_ / process.name);
   std::ofstream(settings) << settings_of(process);
-  const bool controls = process.role == Role::kController;
-  const std::string program =
-      (bin_ / (controls ? "planktray-platform-controller" : "planktray-platform-router")).string();
+  const std::string program = (bin_ / program_of(process.role)).string();
   const pid_t pid = fork();
   if (pid == 0) {
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
--- a/test/platform/soak/processes.hpp
+++ b/test/platform/soak/processes.hpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/time.hpp"
@@ -32,6 +33,9 @@
 
 enum class Role { kController, kRouter };
 
+/// Returns the file name of the role's program.
+std::string_view program_of(Role role);
+
 struct Process {
   Role role = Role::kRouter;
   std::string name;
