--- a/test/router/large_requests_test.cpp
+++ b/test/router/large_requests_test.cpp
@@ -7,20 +7,13 @@
 namespace planktray::router {
 namespace {
 
-constexpr std::size_t kLarge = 200'000;
 constexpr std::size_t kSmall = 1'000;
 
-RouterOptions narrow_link() {
-  RouterOptions options = RouteFixture::deployed_options();
-  options.send_window.bytes_per_second = 525'000;
-  return options;
-}
-
 // Guards against choosing a back end seconds before the request can be written to it.
 TEST_CASE("a large request gets no back end until the requests before it are written") {
-  RouteFixture fixture(false, narrow_link());
-  fixture.send_request(10, kLarge);
-  fixture.send_request(11, kLarge);
+  RouteFixture fixture(false, RouteFixture::narrow_link());
+  fixture.send_request(10, RouteFixture::kLarge);
+  fixture.send_request(11, RouteFixture::kLarge);
   fixture.send_request(12, kSmall);
   CHECK(fixture.forwards.size() == 2);
   CHECK(fixture.core.waiting_for_link() == 1);
@@ -31,9 +24,9 @@
 }
 
 TEST_CASE("a large request goes to a back end that accepts work when the link has capacity") {
-  RouteFixture fixture(false, narrow_link());
-  fixture.send_request(10, kLarge);
-  fixture.send_request(11, kLarge);
+  RouteFixture fixture(false, RouteFixture::narrow_link());
+  fixture.send_request(10, RouteFixture::kLarge);
+  fixture.send_request(11, RouteFixture::kLarge);
   fixture.mark_leaving(100, 1);
   fixture.mark_leaving(100, 2);
   const std::size_t moved = fixture.forwards.size() - 1;  // 1 if the first was recalled
@@ -44,9 +37,9 @@
 }
 
 TEST_CASE("a large request whose caller disconnects while it waits is not sent") {
-  RouteFixture fixture(false, narrow_link());
-  fixture.send_request(10, kLarge);
-  const RequestHandle waiting = fixture.send_request(11, kLarge);
+  RouteFixture fixture(false, RouteFixture::narrow_link());
+  fixture.send_request(10, RouteFixture::kLarge);
+  const RequestHandle waiting = fixture.send_request(11, RouteFixture::kLarge);
   fixture.core.on_caller_disconnected(at(11), waiting);
   fixture.core.on_attempt_written(fixture.forwards[0].attempt);
   fixture.run_until(100);
@@ -55,9 +48,9 @@
 }
 
 TEST_CASE("a large request that the link cannot carry in time is refused at once") {
-  RouteFixture fixture(false, narrow_link());
-  fixture.send_request(10, kLarge);
-  const RequestHandle late = fixture.send_request(11, kLarge, std::nullopt, 500);
+  RouteFixture fixture(false, RouteFixture::narrow_link());
+  fixture.send_request(10, RouteFixture::kLarge);
+  const RequestHandle late = fixture.send_request(11, RouteFixture::kLarge, std::nullopt, 500);
   REQUIRE(fixture.answer_to(late).has_value());
   CHECK(fixture.answer_to(late)->outcome == routing::Outcome::kNotRun);
   CHECK(fixture.answer_to(late)->reason == routing::NotRunReason::kOverload);
@@ -66,9 +59,9 @@
 
 // Guards against a body that its back end does not read and that blocks all others.
 TEST_CASE("a large request that makes no progress blocks others for a bounded time only") {
-  RouteFixture fixture(false, narrow_link());
-  fixture.send_request(10, kLarge);
-  fixture.send_request(11, kLarge);
+  RouteFixture fixture(false, RouteFixture::narrow_link());
+  fixture.send_request(10, RouteFixture::kLarge);
+  fixture.send_request(11, RouteFixture::kLarge);
   for (std::int64_t time = 100; time <= 3000; time += 100) {
     fixture.update_table(time);
     fixture.run_until(time);
@@ -79,10 +72,10 @@
 // Guards against limits for the age of the table and the length of the body that hold separately,
 // but whose sum exceeds the promised time.
 TEST_CASE("a larger request requires a fresher table") {
-  RouteFixture fixture(false, narrow_link());
+  RouteFixture fixture(false, RouteFixture::narrow_link());
   fixture.send_request(1400, kSmall);
   CHECK(fixture.forwards.size() == 1);
-  fixture.send_request(1400, kLarge);
+  fixture.send_request(1400, RouteFixture::kLarge);
   CHECK(fixture.forwards.size() == 1);
   fixture.update_table(1450);
   fixture.run_until(1480);
--- a/test/router/route_fixture.hpp
+++ b/test/router/route_fixture.hpp
@@ -22,6 +22,7 @@
  public:
   static constexpr const char* kHost = "host.example";
   static constexpr std::uint32_t kBackends = 3;
+  static constexpr std::size_t kLarge = 200'000;  ///< bytes
 
   static RouterOptions deployed_options() {
     RouterOptions options;
@@ -31,6 +32,13 @@
     return options;
   }
 
+  /// Options of a router whose link takes about 0.4 s for a body of kLarge bytes.
+  static RouterOptions narrow_link() {
+    RouterOptions options = deployed_options();
+    options.send_window.bytes_per_second = 525'000;
+    return options;
+  }
+
   /// Starts with back ends 1 to kBackends; if the service is keyed, each owns an equal range of
   /// keys.
   explicit RouteFixture(bool keyed = false, const RouterOptions& options = deployed_options(),
--- a/test/router/router_stop_test.cpp
+++ b/test/router/router_stop_test.cpp
@@ -14,17 +14,10 @@
 using routing::NotRunReason;
 using routing::Outcome;
 
-constexpr std::size_t kLarge = 200'000;
 constexpr std::uint32_t kLongTimeoutMs = 10'000;
 
-RouterOptions narrow_link() {
-  RouterOptions options = RouteFixture::deployed_options();
-  options.send_window.bytes_per_second = 525'000;
-  return options;
-}
-
 RequestHandle upload(RouteFixture& router, std::int64_t now) {
-  return router.send_request(now, kLarge, std::nullopt, kLongTimeoutMs);
+  return router.send_request(now, RouteFixture::kLarge, std::nullopt, kLongTimeoutMs);
 }
 
 /// Returns the answers of each request.
@@ -37,7 +30,7 @@
 }
 
 TEST_CASE("uploads that the link cannot carry before the router ends are refused at once") {
-  RouteFixture router(false, narrow_link());
+  RouteFixture router(false, RouteFixture::narrow_link());
   std::vector<RequestHandle> uploads(12);
   std::generate(uploads.begin(), uploads.end(), [&] { return upload(router, 10); });
   REQUIRE(router.core.waiting_for_link() > 8);
@@ -54,7 +47,7 @@
 }
 
 TEST_CASE("an upload that arrives too late for the link before the router ends is refused") {
-  RouteFixture router(false, narrow_link());
+  RouteFixture router(false, RouteFixture::narrow_link());
   router.core.set_end(at(10), at(1000));
   upload(router, 20);
   upload(router, 20);
@@ -65,7 +58,7 @@
 
 TEST_CASE(
     "a router that ends refuses what it has not sent, and the outcome of the rest is unknown") {
-  RouteFixture router(false, narrow_link());
+  RouteFixture router(false, RouteFixture::narrow_link());
   const RequestHandle written = router.send_request(10);
   const RequestHandle begun = upload(router, 10);
   const RequestHandle waiting = upload(router, 10);
@@ -88,7 +81,7 @@
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     CAPTURE(seed);
     common::RandomEngine random(seed);
-    RouteFixture router(seed % 2 == 0, narrow_link(), seed % 3 == 0);
+    RouteFixture router(seed % 2 == 0, RouteFixture::narrow_link(), seed % 3 == 0);
     std::int64_t now = 1;
     std::size_t requests = 0;
     for (int step = 0; step < 200; ++step) {
@@ -96,7 +89,7 @@
       router.run_until(now);
       const auto choice = common::uniform(random, 0, 9);
       if (choice < 6) {
-        const std::size_t bytes = choice < 3 ? kLarge : 0;
+        const std::size_t bytes = choice < 3 ? RouteFixture::kLarge : 0;
         const auto key = static_cast<std::uint32_t>(common::uniform(random, 0, 65'535));
         router.send_request(now, bytes, key, kLongTimeoutMs);
         ++requests;
