--- a/test/controller/turnover.hpp
+++ b/test/controller/turnover.hpp
@@ -47,7 +47,7 @@
 
   /// Starts a controller with an empty data folder at a new address.
   std::string add_controller(const Addresses& seeds) {
-    const std::string address = next_address();
+    std::string address = next_address();
     start(address, next_replica());
     controllers_.at(address)->set_seeds(seeds);
     return address;
--- a/test/router/router_core_test.cpp
+++ b/test/router/router_core_test.cpp
@@ -261,6 +261,7 @@
   RouterCore core(options, common::RandomEngine(1), at(0));
   constexpr int kControllers = 10;
   std::vector<std::string> controllers;
+  controllers.reserve(kControllers);
   for (int i = 0; i < kControllers; ++i) {
     controllers.push_back("c" + std::to_string(i));
   }
