--- a/src/controller/core/controller_core.cpp
+++ b/src/controller/core/controller_core.cpp
@@ -90,7 +90,7 @@
     ++counters_.updates_answered;
     output_.tables.push_back(std::move(*table));
   }
-  // A router that hears the leader only must still learn which controllers come and go.
+  // The leader is the only source of membership changes for a router that no follower answers.
   if (offers_snapshot || hello.controllers_index < raft_.membership_index()) {
     send_controller_list(hello.router, offers_snapshot);
   }
--- a/src/controller/core/controller_core.hpp
+++ b/src/controller/core/controller_core.hpp
@@ -320,7 +320,7 @@
   void fail_pending_requests();
   void fail_request(OperatorRequestId request, bool is_change, const common::Error& error);
   void take_snapshot();
-  /// Asks to join the cell if this replica is no member, or hears no leader and may be none.
+  /// Requests to join the cell if this replica is not a member, or may have been removed.
   void request_join(TimePoint now);
   /// Adds the candidate as a member. @return why it was not added, if so.
   std::optional<JoinRefusal> admit(TimePoint now, const consensus::Member& candidate);
@@ -420,7 +420,7 @@
   std::set<common::BackendId> ending_;  ///< proposed as ended, not applied yet
   std::set<std::string> allowed_names_;
   std::set<common::ReplicaId> replaced_;  ///< members whose data folder was replaced
-  /// When this replica, as the leader, has added a member that it may not have heard yet.
+  /// Times at which this leader added members that may not have answered yet.
   std::map<common::ReplicaId, TimePoint> admitted_;
   common::LogIndex plan_index_;  ///< the last proposed plan; the next one waits until it is applied
   common::LogIndex range_plan_index_;  ///< the same for plans of key ranges
--- a/src/controller/core/controller_members.cpp
+++ b/src/controller/core/controller_members.cpp
@@ -175,7 +175,7 @@
   const consensus::Membership& current = raft_.membership();
   const bool settled = now - raft_.leader_since() > options_.abandon_after;
   const auto is_abandoned = [&](const consensus::Member& member) {
-    // A new member has not been heard yet.
+    // A new member has had no time to answer.
     const auto admitted = admitted_.find(member.id);
     const bool is_new =
         admitted != admitted_.end() && now - admitted->second <= options_.abandon_after;
--- a/src/sim/table_world_faults.cpp
+++ b/src/sim/table_world_faults.cpp
@@ -137,7 +137,7 @@
   }
   const HostId host = node->host_id();
   const consensus::Membership membership = node->core().raft().membership();
-  // Some routers stay on the leader's side and hear no other controller.
+  // Some routers stay connected to the leader only.
   std::vector<HostId> side = {host};
   for (const TableRouter& router : routers_) {
     if (pick(2) == 0) {
