Controllers take the limits of their machine, as routers do

Ruled out: a second copy of the settings in controller/settings.cpp. Neither is enforced by this commit. Conclusion: tests can state the limits of both kinds of machine; enforcement follows.

--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "config/machine_limits.hpp"
 #include "controller/activity_meter.hpp"
 #include "controller/control_interface.hpp"
 #include "controller/core/controller_core.hpp"
@@ -31,6 +32,7 @@
 struct ControllerSettings {
   ControllerOptions options;
   std::string data_folder;
+  config::MachineLimits machine;
   /// "IP:port" of the product's operator API; empty: options.operator_address, which is the address
   /// that other members use.
   std::string operator_listen;
--- a/src/controller/settings.cpp
+++ b/src/controller/settings.cpp
@@ -1,5 +1,6 @@
 #include "controller/settings.hpp"
 
+#include "transport/machine_settings.hpp"
 #include "transport/settings.hpp"
 
 namespace planktray::controller {
@@ -13,6 +14,7 @@
       ->required();
   app.add_option("--data", settings.data_folder, "Data folder, used by this process alone")
       ->required();
+  transport::add_machine_limits(app, settings.machine);
   add_milliseconds(app, "--heartbeat-ms", options.raft.heartbeat, 5, 10'000, "Leader heartbeat");
   add_milliseconds(app, "--election-min-ms", options.raft.minimum_election_timeout, 20, 60'000,
                    "Shortest election timeout");
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -1,48 +1,19 @@
 #include "router/settings.hpp"
 
+#include "transport/machine_settings.hpp"
 #include "transport/settings.hpp"
 
 namespace planktray::router {
 
 using transport::add_milliseconds;
 
-namespace {
-
-/// Adds the limits of the machine. A resource without a stated limit is unlimited.
-void add_machine_limits(CLI::App& app, config::MachineLimits& machine) {
-  constexpr double kBitsPerMegabit = 1e6;
-  constexpr std::size_t kBytesPerMebibyte = std::size_t{1} << 20U;
-  /// Upper bound of all limits, far beyond any machine. Links below 0.1 Mbit/s are too slow for
-  /// requests.
-  constexpr double kMaxLimit = 1e6;
-  constexpr double kMinLinkRate = 0.1;
-  const auto add = [&app](const std::string& name, const std::string& help, auto take) {
-    return app.add_option_function<double>(name, std::move(take), help);
-  };
-  add("--link-mbps", "Rate of the machine's link in each direction, in Mbit/s; 0: not stated",
-      [&machine](double value) { machine.link_bits_per_second = value * kBitsPerMegabit; })
-      ->check(CLI::Range(kMinLinkRate, kMaxLimit) | CLI::Range(0.0, 0.0));
-  add("--memory-mb", "Memory that the process may take, in MiB; not enforced yet",
-      [&machine](double value) {
-        machine.memory_bytes = static_cast<std::size_t>(value * kBytesPerMebibyte);
-      })
-      ->check(CLI::Range(0.0, kMaxLimit));
-  add("--processor-share", "Share of a core that the process gets; not enforced yet",
-      [&machine](double value) { machine.processor_share = value; })
-      ->check(CLI::Range(0.0, kMaxLimit));
-  app.add_option("--descriptors", machine.descriptors,
-                 "File descriptors that the process may open; not enforced yet");
-}
-
-}  // namespace
-
 void add_common_settings(CLI::App& app, RouterSettings& settings) {
   auto& options = settings.options;
   app.add_option("--cell", options.cell.value, "Name of the cell")->default_val("cell-1");
   app.add_option("--name", options.name.value, "Name of this router, unique in the cell")
       ->required();
   app.add_option("--zone", options.zone.value, "Zone of this router")->required();
-  add_machine_limits(app, settings.machine);
+  transport::add_machine_limits(app, settings.machine);
   app.add_option("--maximum-body", settings.maximum_body, "Longest request body, in bytes")
       ->default_val(settings.maximum_body)
       ->check(CLI::Range(std::size_t{1024}, std::size_t{1} << 30U));
--- /dev/null
+++ b/src/transport/machine_settings.cpp
@@ -0,0 +1,37 @@
+#include "transport/machine_settings.hpp"
+
+#include <string>
+#include <utility>
+
+namespace planktray::transport {
+namespace {
+
+constexpr double kBitsPerMegabit = 1e6;
+constexpr std::size_t kBytesPerMebibyte = std::size_t{1} << 20U;
+/// Upper bound of all limits, far beyond any machine.
+constexpr double kMaxLimit = 1e6;
+/// Slower links, in Mbit/s, are too slow for requests.
+constexpr double kMinLinkRate = 0.1;
+
+}  // namespace
+
+void add_machine_limits(CLI::App& app, config::MachineLimits& machine) {
+  const auto add = [&app](const std::string& name, const std::string& help, auto take) {
+    return app.add_option_function<double>(name, std::move(take), help);
+  };
+  add("--link-mbps", "Rate of the machine's link in each direction, in Mbit/s; 0: not stated",
+      [&machine](double value) { machine.link_bits_per_second = value * kBitsPerMegabit; })
+      ->check(CLI::Range(kMinLinkRate, kMaxLimit) | CLI::Range(0.0, 0.0));
+  add("--memory-mb", "Memory that the process may take, in MiB; not enforced yet",
+      [&machine](double value) {
+        machine.memory_bytes = static_cast<std::size_t>(value * kBytesPerMebibyte);
+      })
+      ->check(CLI::Range(0.0, kMaxLimit));
+  add("--processor-share", "Share of a core that the process gets; not enforced yet",
+      [&machine](double value) { machine.processor_share = value; })
+      ->check(CLI::Range(0.0, kMaxLimit));
+  app.add_option("--descriptors", machine.descriptors,
+                 "File descriptors that the process may open; not enforced yet");
+}
+
+}  // namespace planktray::transport
