Connections to each listener are bounded by the descriptors of the machine

Cause: every listener accepted until accept() failed. From then on the main loop tried again at once, before anything else. Ruled out: a shorter idle time: clients may use connections that have rested up to four fifths of the limit in force. A limit for each address: the platform passes all clients on from a few. One more connection closes the one that has been idle for longest and has no whole request; if none is idle, the new one is closed unread, which lets any client repeat. New counters tell evictions.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -4,8 +4,10 @@
 #include <tuple>
 #include <utility>
 
+#include "limits/connection_limits.hpp"
 #include "transport/json_messages.hpp"
 #include "transport/logging.hpp"
+#include "transport/machine_settings.hpp"
 #include "transport/settings.hpp"
 
 namespace planktray::controller {
@@ -76,7 +78,15 @@
   return {};
 }
 
+transport::HttpServerOptions ControllerProcess::server_options(std::size_t max_connections) {
+  transport::HttpServerOptions options = transport::options_with_body_limit(kMaxOperatorBody);
+  options.max_connections = max_connections;
+  return options;
+}
+
 common::Result<void> ControllerProcess::open_sockets() {
+  const limits::ControllerConnections connections =
+      limits::controller_connections(transport::descriptor_limit(settings_.machine));
   auto socket = transport::ZmqSocket::bind(
       context_, settings_.options.peer_address,
       [this](const std::string& identity, const auto& message) { on_message(identity, message); },
@@ -98,7 +108,7 @@
           flush();
         });
     auto control = transport::HttpServer::listen(
-        settings_.control_address, transport::options_with_body_limit(kMaxOperatorBody),
+        settings_.control_address, server_options(connections.control),
         [this](const transport::ExchangePointer& exchange) {
           const ActivityMeter::Span span(meter_, Activity::kControl);
           control_->handle(exchange);
@@ -109,7 +119,7 @@
     control_server_ = std::move(*control);
   }
   auto server = transport::HttpServer::listen(
-      settings_.operator_listen_address(), transport::options_with_body_limit(kMaxOperatorBody),
+      settings_.operator_listen_address(), server_options(connections.operators),
       [this](const transport::ExchangePointer& exchange) { api_->handle(exchange); });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -71,6 +71,8 @@
  private:
   common::Result<void> open_data_folder();
   common::Result<void> open_sockets();
+  /// Returns the options of a listener for operators or back ends.
+  static transport::HttpServerOptions server_options(std::size_t max_connections);
   void reload();
   void tick();
   void flush();
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -123,6 +123,7 @@
   add_link_metrics();
   add_time_metrics();
   add_path_metrics();
+  add_limit_metrics();
   return metrics_.serialize();
 }
 
@@ -202,4 +203,20 @@
   add("outbound", pacer_->outbound().scheduler());
 }
 
+void RouterProcess::add_limit_metrics() {
+  const auto sum = [this](std::uint64_t (transport::HttpServer::*count)() const) {
+    std::uint64_t total = 0;
+    for (const auto* server : {server_.get(), relay_server_.get(), status_server_.get()}) {
+      total += server == nullptr ? 0 : (server->*count)();
+    }
+    return total;
+  };
+  metrics_.set_counter("planktray_connections_evicted_total",
+                       "Idle connections closed since new ones needed their descriptors.",
+                       sum(&transport::HttpServer::evicted));
+  metrics_.set_counter("planktray_connections_turned_away_total",
+                       "New connections closed since no descriptor was free for them.",
+                       sum(&transport::HttpServer::turned_away));
+}
+
 }  // namespace planktray::router
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "transport/logging.hpp"
+#include "transport/machine_settings.hpp"
 #include "transport/turn_budget.hpp"
 
 namespace planktray::router {
@@ -74,6 +75,7 @@
       write_done_(metrics_.latency_histogram(
           "planktray_write_done_seconds",
           "Time from the choice of a back end until the system had taken a request's last byte.")),
+      connections_(limits::router_connections(transport::descriptor_limit(settings_.machine))),
       reach_checker_(kReachabilityDelay, kReachabilityTimeout),
       path_checker_(common::Duration(0), std::min(settings_.connect_timeout, kReachabilityTimeout),
                     kPathSettleTime) {}
@@ -101,6 +103,7 @@
 common::Result<void> RouterProcess::listen() {
   transport::HttpServerOptions options = transport::options_with_body_limit(settings_.maximum_body);
   options.pacer = pacer_.get();
+  options.max_connections = connections_.callers;
   auto server = transport::HttpServer::listen(
       settings_.options.address, options,
       [this](const transport::ExchangePointer& exchange) { on_http(exchange); });
@@ -116,9 +119,10 @@
   if (settings_.status_address.empty()) {
     return {};
   }
+  transport::HttpServerOptions status_options = transport::options_with_body_limit(0);
+  status_options.max_connections = connections_.status;
   auto status = transport::HttpServer::listen(
-      settings_.status_address, transport::options_with_body_limit(0),
-      [this](const transport::ExchangePointer& exchange) {
+      settings_.status_address, status_options, [this](const transport::ExchangePointer& exchange) {
         if (!answer_status(exchange)) {
           exchange->respond_error(
               {common::ErrorCode::kNotFound, "route request", "", "no such page"});
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "config/machine_limits.hpp"
+#include "limits/connection_limits.hpp"
 #include "router/arrival_time.hpp"
 #include "router/core/router_core.hpp"
 #include "router/drain_plan.hpp"
@@ -138,6 +139,7 @@
   void add_link_metrics();
   void add_time_metrics();
   void add_path_metrics();
+  void add_limit_metrics();
 
   RouterSettings settings_;
   std::unique_ptr<RequestDialect> dialect_;
@@ -152,6 +154,7 @@
   prometheus::Histogram& table_age_;
   prometheus::Histogram& write_begun_;
   prometheus::Histogram& write_done_;
+  limits::RouterConnections connections_;
   std::unique_ptr<transport::LinkPacer> pacer_;  ///< nullptr if the link rate is not stated
   std::unique_ptr<transport::HttpServer> server_;
   std::unique_ptr<transport::HttpServer> status_server_;
--- a/src/router/router_process_relays.cpp
+++ b/src/router/router_process_relays.cpp
@@ -28,6 +28,7 @@
   options.limits.header_bytes += kRelayHeaderBytes;
   options.pacer = pacer_.get();
   options.idle_timeout = kRelayIdleTimeout;
+  options.max_connections = connections_.relays;
   auto server = transport::HttpServer::listen(
       settings_.options.relay_address, options,
       [this](const transport::ExchangePointer& exchange) { on_relayed_http(exchange); });
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -151,8 +151,7 @@
     g_error_free(error);
     return common::fail(common::ErrorCode::kIo, "listen", address, message);
   }
-  server->accept_source_ = g_unix_fd_add_full(G_PRIORITY_HIGH, g_socket_get_fd(server->listener_),
-                                              G_IO_IN, on_incoming, server.get(), nullptr);
+  server->start_accepting();
   server->sweep_source_ = g_timeout_add_seconds(kSweepSeconds, on_sweep, server.get());
   return server;
 }
@@ -173,6 +172,19 @@
   }
 }
 
+void HttpServer::start_accepting() {
+  if (accept_source_ == 0 && listener_ != nullptr) {
+    accept_source_ = g_unix_fd_add_full(G_PRIORITY_HIGH, g_socket_get_fd(listener_), G_IO_IN,
+                                        on_incoming, this, nullptr);
+  }
+}
+
+void HttpServer::pause_accepting() {
+  if (accept_source_ != 0) {
+    g_source_remove(std::exchange(accept_source_, 0));
+  }
+}
+
 gboolean HttpServer::on_incoming(gint /*fd*/, GIOCondition /*condition*/, gpointer self) {
   auto* server = static_cast<HttpServer*>(self);
   for (int i = 0; i < kAcceptBatch && server->accept_one(); ++i) {
@@ -181,15 +193,30 @@
 }
 
 bool HttpServer::accept_one() {
-  GSocket* socket = g_socket_accept(listener_, nullptr, nullptr);
+  GError* error = nullptr;
+  GSocket* socket = g_socket_accept(listener_, nullptr, &error);
   if (socket == nullptr) {
-    return false;  // none is waiting, or no descriptor is free: the sweep frees some
+    const bool is_full =
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_TOO_MANY_OPEN_FILES) != FALSE;
+    g_error_free(error);
+    if (is_full && !evict_one()) {
+      // The main loop would try again at once, and do nothing else.
+      pause_accepting();
+    }
+    return false;
   }
   if (is_closed_by_client(socket)) {
     ++gone_unread_;
     g_object_unref(socket);
     return true;
   }
+  const bool is_full =
+      options_.max_connections > 0 && connections_.size() >= options_.max_connections;
+  if (is_full && !evict_one()) {
+    ++turned_away_;
+    g_object_unref(socket);
+    return true;
+  }
   const std::uint64_t id = next_id_++;
   auto connection = std::make_shared<ServerConnection>(
       *this, id, TcpStream::adopt(socket, options_.unacknowledged_timeout, options_.pacer));
@@ -204,7 +231,23 @@
   return G_SOURCE_CONTINUE;
 }
 
+bool HttpServer::evict_one() {
+  for (ServerConnection* connection : by_activity_) {
+    if (connection->may_be_evicted()) {
+      ++evicted_;
+      connection->shut_down();
+      return true;
+    }
+  }
+  return false;
+}
+
+void HttpServer::touch(std::list<ServerConnection*>::iterator place) {
+  by_activity_.splice(by_activity_.end(), by_activity_, place);
+}
+
 void HttpServer::sweep() {
+  start_accepting();
   const common::TimePoint now = boot_time_now();
   const auto connections = connections_;
   for (const auto& [id, connection] : connections) {
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -13,6 +13,7 @@
 ///    connection is closed after its idle timeout or when close_idle() is called.
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -100,6 +101,9 @@
   common::Duration unacknowledged_timeout{0};
   /// Limits the rate of large bodies; must outlive the server; null: no limit.
   LinkPacer* pacer = nullptr;
+  /// Maximum number of open connections; 0: unlimited. For one more, the connection that has been
+  /// idle for longest is closed.
+  std::size_t max_connections = 0;
 };
 
 /// Returns options with a limit of body bytes and defaults for all other values.
@@ -146,6 +150,10 @@
   /// Their requests are not read: a server without time left must not spend it on clients that have
   /// given up.
   std::uint64_t gone_unread() const { return gone_unread_; }
+  /// Returns the number of connections closed since a new one needed their descriptor.
+  std::uint64_t evicted() const { return evicted_; }
+  /// Returns the number of new connections closed unread since no open one was idle.
+  std::uint64_t turned_away() const { return turned_away_; }
   /// Returns the number of connections that ended as the handler of a request threw an exception.
   std::uint64_t failed_handlers() const { return failed_handlers_; }
   /// Returns the number of connections accepted so far, without those.
@@ -158,6 +166,13 @@
   static gboolean on_sweep(gpointer self);
   /// @return false if no connection is waiting or none can be accepted.
   bool accept_one();
+  void start_accepting();
+  /// Stops accepting until the next sweep, as no descriptor is free.
+  void pause_accepting();
+  /// Closes the connection that has been idle for longest. @return false if none is idle.
+  bool evict_one();
+  /// Marks the connection as the one that was active last.
+  void touch(std::list<ServerConnection*>::iterator place);
   void sweep();
   void remove_connection(std::uint64_t id);
 
@@ -172,6 +187,9 @@
   std::uint64_t refused_ = 0;
   std::uint64_t gone_unread_ = 0;
   std::uint64_t failed_handlers_ = 0;
+  std::uint64_t evicted_ = 0;
+  std::uint64_t turned_away_ = 0;
+  std::list<ServerConnection*> by_activity_;  ///< the one that was active last at the back
   std::map<std::uint64_t, std::shared_ptr<ServerConnection>> connections_;
 };
 
--- a/src/transport/machine_settings.cpp
+++ b/src/transport/machine_settings.cpp
@@ -1,5 +1,8 @@
 #include "transport/machine_settings.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -15,6 +18,13 @@
 
 }  // namespace
 
+std::size_t descriptor_limit(const config::MachineLimits& machine) {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  const std::size_t system = limit.rlim_cur;
+  return machine.descriptors == 0 ? system : std::min<std::size_t>(system, machine.descriptors);
+}
+
 void add_machine_limits(CLI::App& app, config::MachineLimits& machine) {
   const auto add = [&app](const std::string& name, const std::string& help, auto take) {
     return app.add_option_function<double>(name, std::move(take), help);
@@ -31,7 +41,7 @@
       [&machine](double value) { machine.processor_share = value; })
       ->check(CLI::Range(0.0, kMaxLimit));
   app.add_option("--descriptors", machine.descriptors,
-                 "File descriptors that the process may open; not enforced yet");
+                 "File descriptors that the process may open; bounds its connections");
 }
 
 }  // namespace planktray::transport
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -38,7 +38,10 @@
       id_(id),
       stream_(std::move(stream)),
       reader_(HttpRole::kRequest, server.options().limits),
-      last_activity_(boot_time_now()) {}
+      last_activity_(boot_time_now()),
+      place_(server.by_activity_.insert(server.by_activity_.end(), this)) {}
+
+ServerConnection::~ServerConnection() { server_.by_activity_.erase(place_); }
 
 void ServerConnection::start() {
   TcpStream::Handlers handlers;
@@ -165,6 +168,7 @@
   if (!reader_.has_begun()) {
     last_activity_ = boot_time_now();
     first_byte_ = arrived;
+    server_.touch(place_);
     reader_.set_limits(server_.options().limits);
   }
   if (stream_->is_paced()) {
@@ -188,6 +192,11 @@
   return taken;
 }
 
+bool ServerConnection::may_be_evicted() const {
+  const bool is_unread = !reader_.has_begun() && stream_->has_unread();
+  return pipeline_.empty() && !writing_ && !is_unread;
+}
+
 void ServerConnection::send_continue() {
   if (continue_pending_ && pipeline_.empty() && !writing_) {
     continue_pending_ = false;
@@ -297,6 +306,7 @@
   const auto keep = shared_from_this();
   writing_ = false;
   last_activity_ = boot_time_now();
+  server_.touch(place_);
   if (is_ending_) {
     stream_->finish_writing();  // then the client or the sweep closes the connection
     return;
--- a/src/transport/server_connection.hpp
+++ b/src/transport/server_connection.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(HttpServer& server, std::uint64_t id, std::shared_ptr<TcpStream> stream);
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+  ~ServerConnection();
 
   void start();
   /// Sends the response to the request with this number once those before it are written.
@@ -35,6 +39,8 @@
   void close_if_idle();
   /// Refuses a request that has not come whole in time, and closes an idle connection.
   void sweep(common::TimePoint now);
+  /// True if closing the connection loses no request that has come whole, and no response.
+  bool may_be_evicted() const;
 
  private:
   /// A response that waits for those before it.
@@ -104,7 +110,8 @@
   std::size_t held_bytes_ = 0;       ///< body bytes of responses that wait for those before them
   common::TimePoint last_activity_;  ///< last response, or first byte of the current request
   common::TimePoint first_byte_;  ///< arrival of the first byte of the request that is being read
-  common::TimePoint waiting_since_;  ///< when the first of the waiting bytes arrived
+  common::TimePoint waiting_since_;               ///< when the first of the waiting bytes arrived
+  std::list<ServerConnection*>::iterator place_;  ///< in the server's order of activity
   bool advancing_ = false;
   bool writing_ = false;
   bool is_paused_ = false;
