Routers account for what the connections of clients hold

Cause: limits held for one message and one connection; nothing added up what all of them hold. Heads count, too: 16 KiB of fields of one letter take 1 MiB. Change: limits::MemoryAccount, a state machine that knows from the machine's memory what connections may hold, and from each connection what it holds, in which phase it is and when its peer last made progress. A request that does not fit is refused by its head, with 503, the promise that it has not run, and Retry-After; one that has made no progress for a second gives way, the one that holds most for longest first; an eighth is kept for small messages; a request that runs is never touched. A trickle of single bytes is no progress, neither for the account nor for the time-out of a slowly read body. The same holds at the relay address, where the refusal is one that the other router knows (`busy`). Large blocks of memory go back at once. Conclusion: clients that send cannot take more memory than the machine has.

--- a/src/config/machine_limits.hpp
+++ b/src/config/machine_limits.hpp
@@ -6,7 +6,7 @@
 
 namespace planktray::config {
 
-/// Resource limits; 0: not stated. Only the network link limit is enforced.
+/// Resource limits; 0: not stated. The processor share is not enforced.
 struct MachineLimits {
   double link_bits_per_second = 0;  ///< per direction
   double processor_share = 0;       ///< fraction of one core
--- a/src/router/core/router_core.hpp
+++ b/src/router/core/router_core.hpp
@@ -68,6 +68,11 @@
                        const std::string& from = "");
   void on_controller_list(TimePoint now, const routing::ControllerList& list);
   void on_request(TimePoint now, const CallerRequest& request);
+  /// Refuses a request whose body is not read: for the reason that its head gives, or else for lack
+  /// of memory.
+  void on_unread_request(TimePoint now, const CallerRequest& request);
+  /// Returns whether the table has a route for the call, and is young enough to say so.
+  bool has_route(TimePoint now, const RouteCall& call) const;
   void on_attempt_done(TimePoint now, AttemptId attempt, const AttemptResult& result);
   /// The operating system has taken the first byte of an attempt. Until then the attempt may be
   /// recalled.
--- a/src/router/core/router_core_routed.cpp
+++ b/src/router/core/router_core_routed.cpp
@@ -93,6 +93,24 @@
   dispatch_routed(now, stored);
 }
 
+bool RouterCore::has_route(TimePoint now, const RouteCall& call) const {
+  return has_routes() && freshness_.status(now) != TableStatus::kTooOld &&
+         table_.routes().find(call.host, call.path) != nullptr;
+}
+
+void RouterCore::on_unread_request(TimePoint now, const CallerRequest& caller) {
+  const bool is_routed = caller.route.has_value() && !caller.relay.has_value();
+  if (is_routed && !has_route(now, *caller.route)) {
+    return on_request(now, caller);  // refused by its head
+  }
+  ++counters_.not_run;
+  Answer answer{caller.handle, Outcome::kNotRun,           0, NotRunReason::kNoMemory,
+                false,         options_.memory_retry_after};
+  answer.relay_refusal = routing::RelayRefusal::kBusy;
+  answer.table_index = table_.index();
+  output_.answers.push_back(std::move(answer));
+}
+
 const routing::RoutedTableService* RouterCore::choose_service(const config::Route& route) {
   if (route.parts.size() == 1) {
     return table_.routes().find_service(route.parts.front().service);
--- a/src/router/core/router_options.hpp
+++ b/src/router/core/router_options.hpp
@@ -7,6 +7,7 @@
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
+#include "limits/memory_account.hpp"
 #include "link/send_window.hpp"
 #include "router/core/write_guard.hpp"
 #include "routing/crash_suspects.hpp"
@@ -98,6 +99,9 @@
   /// misread; its duration bounds the cost of such a mistake. Leaders give up a holder within a
   /// hold (9 s at most), so a router sends to the same ended back end at most twice.
   Duration ended_retention = std::chrono::milliseconds(5000);
+  /// Retry-After of requests without memory: clients that make no progress have given theirs up by
+  /// then.
+  Duration memory_retry_after = limits::kStallTime;
   /// Retry-After for callers that should retry soon.
   Duration short_retry_after = std::chrono::milliseconds(150);
   /// Retry-After of requests whose key has no owner: requests at the previous owner have to end,
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -211,6 +211,19 @@
     }
     return total;
   };
+  metrics_.set_gauge("planktray_connection_memory_bytes",
+                     "Bytes that connections hold: requests, responses and what waits to be sent.",
+                     static_cast<double>(memory_.held()));
+  metrics_.set_gauge("planktray_connection_memory_limit_bytes",
+                     "Bytes that connections may hold; 0: unlimited.",
+                     static_cast<double>(memory_.capacity()));
+  metrics_.set_counter("planktray_memory_revoked_total",
+                       "Clients without progress whose request was refused or whose connection was "
+                       "closed, since others needed the memory.",
+                       memory_.revoked());
+  metrics_.set_counter("planktray_requests_unread_total",
+                       "Requests refused before their body was read whole.",
+                       sum(&transport::HttpServer::unread));
   metrics_.set_counter("planktray_connections_evicted_total",
                        "Idle connections closed since new ones needed their descriptors.",
                        sum(&transport::HttpServer::evicted));
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -75,12 +75,14 @@
       write_done_(metrics_.latency_histogram(
           "planktray_write_done_seconds",
           "Time from the choice of a back end until the system had taken a request's last byte.")),
+      memory_(limits::connection_memory(settings_.machine.memory_bytes)),
       connections_(limits::router_connections(transport::descriptor_limit(settings_.machine))),
       reach_checker_(kReachabilityDelay, kReachabilityTimeout),
       path_checker_(common::Duration(0), std::min(settings_.connect_timeout, kReachabilityTimeout),
                     kPathSettleTime) {}
 
 common::Result<void> RouterProcess::start() {
+  transport::return_free_memory();
   const double link_rate = settings_.machine.link_bytes_per_second();
   if (link_rate > 0) {
     pacer_ = std::make_unique<transport::LinkPacer>(link_rate);
@@ -103,6 +105,7 @@
 common::Result<void> RouterProcess::listen() {
   transport::HttpServerOptions options = transport::options_with_body_limit(settings_.maximum_body);
   options.pacer = pacer_.get();
+  options.memory = &memory_;
   options.max_connections = connections_.callers;
   auto server = transport::HttpServer::listen(
       settings_.options.address, options,
@@ -113,6 +116,10 @@
   server_ = std::move(*server);
   server_->run_concurrently(
       [this](const transport::HttpMessage& request) { return may_run_concurrently(request); });
+  server_->check_heads(
+      nullptr, [this](const transport::ExchangePointer& exchange, transport::UnreadReason reason) {
+        on_unread(exchange, reason);
+      });
   if (auto relays = listen_for_relays(); !relays) {
     return relays;
   }
@@ -120,6 +127,7 @@
     return {};
   }
   transport::HttpServerOptions status_options = transport::options_with_body_limit(0);
+  status_options.memory = &memory_;
   status_options.max_connections = connections_.status;
   auto status = transport::HttpServer::listen(
       settings_.status_address, status_options, [this](const transport::ExchangePointer& exchange) {
@@ -206,8 +214,17 @@
   accept_request(exchange, std::move(*parsed), "");
 }
 
+void RouterProcess::on_unread(const transport::ExchangePointer& exchange,
+                              transport::UnreadReason reason) {
+  auto parsed = dialect_->parse(*exchange);
+  if (!parsed.has_value()) {
+    return dialect_->refuse(*exchange, parsed.error());
+  }
+  accept_request(exchange, std::move(*parsed), "", reason);
+}
+
 void RouterProcess::accept_request(const transport::ExchangePointer& exchange, ParsedRequest parsed,
-                                   std::string relayed_attempt) {
+                                   std::string relayed_attempt, transport::UnreadReason unread) {
   const RequestHandle handle = next_handle_++;
   parsed.request.handle = handle;
   parsed.request.body_bytes = exchange->body().size();
@@ -221,7 +238,11 @@
     core_.on_caller_disconnected(boot_time_now(), handle);
     flush();
   });
-  core_.on_request(boot_time_now(), caller.parsed.request);
+  if (unread == transport::UnreadReason::kNone) {
+    core_.on_request(boot_time_now(), caller.parsed.request);
+  } else {
+    core_.on_unread_request(boot_time_now(), caller.parsed.request);
+  }
   flush();
 }
 
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -11,6 +11,7 @@
 
 #include "config/machine_limits.hpp"
 #include "limits/connection_limits.hpp"
+#include "limits/memory_account.hpp"
 #include "router/arrival_time.hpp"
 #include "router/core/router_core.hpp"
 #include "router/drain_plan.hpp"
@@ -94,10 +95,13 @@
   void tick();
   void on_http(const transport::ExchangePointer& exchange);
   /// Takes a request that another router relays.
-  void on_relayed_http(const transport::ExchangePointer& exchange);
+  void on_relayed_http(const transport::ExchangePointer& exchange, transport::UnreadReason unread);
   /// Hands a complete request to the core.
   void accept_request(const transport::ExchangePointer& exchange, ParsedRequest parsed,
-                      std::string relayed_attempt);
+                      std::string relayed_attempt,
+                      transport::UnreadReason unread = transport::UnreadReason::kNone);
+  /// Answers a request whose body is not read.
+  void on_unread(const transport::ExchangePointer& exchange, transport::UnreadReason reason);
   /// Whether the request may run concurrently with others of its connection: its route is
   /// repeatable and has small answers.
   bool may_run_concurrently(const transport::HttpMessage& request) const;
@@ -154,6 +158,7 @@
   prometheus::Histogram& table_age_;
   prometheus::Histogram& write_begun_;
   prometheus::Histogram& write_done_;
+  limits::MemoryAccount memory_;  ///< of all connections
   limits::RouterConnections connections_;
   std::unique_ptr<transport::LinkPacer> pacer_;  ///< nullptr if the link rate is not stated
   std::unique_ptr<transport::HttpServer> server_;
--- a/src/router/router_process_relays.cpp
+++ b/src/router/router_process_relays.cpp
@@ -28,18 +28,25 @@
   options.limits.header_bytes += kRelayHeaderBytes;
   options.pacer = pacer_.get();
   options.idle_timeout = kRelayIdleTimeout;
+  options.memory = &memory_;
   options.max_connections = connections_.relays;
   auto server = transport::HttpServer::listen(
-      settings_.options.relay_address, options,
-      [this](const transport::ExchangePointer& exchange) { on_relayed_http(exchange); });
+      settings_.options.relay_address, options, [this](const transport::ExchangePointer& exchange) {
+        on_relayed_http(exchange, transport::UnreadReason::kNone);
+      });
   if (!server.has_value()) {
     return tl::unexpected(server.error());
   }
   relay_server_ = std::move(*server);
+  relay_server_->check_heads(
+      nullptr, [this](const transport::ExchangePointer& exchange, transport::UnreadReason reason) {
+        on_relayed_http(exchange, reason);
+      });
   return {};
 }
 
-void RouterProcess::on_relayed_http(const transport::ExchangePointer& exchange) {
+void RouterProcess::on_relayed_http(const transport::ExchangePointer& exchange,
+                                    transport::UnreadReason unread) {
   const auto relayed = decode_relay(settings_.options.cell, exchange->headers());
   if (!relayed.has_value()) {
     ++rejected_relays_;
@@ -53,7 +60,7 @@
     return exchange->respond(kStatusBadRequest, encode_statement(relayed->attempt, {}), "");
   }
   parsed->request.relay = relayed->call;
-  accept_request(exchange, std::move(*parsed), relayed->attempt);
+  accept_request(exchange, std::move(*parsed), relayed->attempt, unread);
 }
 
 AttemptResult RouterProcess::read_relayed(const Caller& caller, const SentAttempt& attempt,
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -62,6 +62,8 @@
       return "target-backoff";
     case NotRunReason::kTargetLimit:
       return "target-limit";
+    case NotRunReason::kNoMemory:
+      return "no-memory";
     case NotRunReason::kNoPath:
       return "no-path";
   }
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -31,6 +31,7 @@
   kCrashesTargets,  ///< consecutive targets have crashed while running it
   kTargetLimit,     ///< the rate limits of all possible targets are exhausted
   kTargetBackoff,   ///< all possible targets have requested a backoff
+  kNoMemory,        ///< this router has no memory for its body
   kNoPath,          ///< neither this router nor a peer can reach a target
 };
 
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -56,6 +56,15 @@
 
 bool is_success(unsigned status) { return status >= kFirstFinalStatus && status < kFirstRedirect; }
 
+std::size_t message_memory(const HttpMessage& message) {
+  std::size_t head =
+      message.target.size() + message.headers.size() * sizeof(HeaderList::value_type);
+  for (const auto& [name, value] : message.headers) {
+    head += name.size() + value.size();
+  }
+  return 2 * head + message.body.size();
+}
+
 std::string_view find_header(const HeaderList& headers, std::string_view name) {
   const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto& header) {
     return equals_ignoring_case(header.first, name);
@@ -124,6 +133,11 @@
   return has_length() && !whole_ ? parser_.content_length : 0;
 }
 
+std::size_t HttpReader::memory() const {
+  return header_bytes_ + message_.body.size() +
+         message_.headers.capacity() * sizeof(HeaderList::value_type);
+}
+
 bool HttpReader::ends_with_connection() const {
   const bool is_chunked = (parser_.flags & F_CHUNKED) != 0;
   return role_ == HttpRole::kResponse && has_head_ && !is_bodyless() && !is_chunked &&
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -40,6 +40,10 @@
   bool keep_alive = false;
 };
 
+/// Returns the memory that a request takes until it is answered, about: its head is kept as it came
+/// and as it is passed on, its body once.
+std::size_t message_memory(const HttpMessage& message);
+
 /// Maximum sizes of a received message, in bytes.
 struct HttpLimits {
   std::size_t header_bytes = 16 * 1024;
@@ -88,6 +92,8 @@
   /// Returns the number of body bytes that the head of the current message states; 0 if it states
   /// none.
   std::size_t stated_body() const { return stated_body_; }
+  /// Returns the bytes of memory that the current message takes.
+  std::size_t memory() const;
   /// Returns the part of the message that has been received.
   const HttpMessage& message() const { return message_; }
   /// Returns the complete message and resets the reader for the next one.
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -11,6 +11,9 @@
 ///    while reading is paused because too many requests are in flight.
 ///  - The last response before the server closes a connection carries `Connection: close`; an idle
 ///    connection is closed after its idle timeout or when close_idle() is called.
+///  - What connections hold stays within the memory account, and their number within its limit: a
+///    request that does not fit is refused, and a client that makes no progress loses its
+///    connection.
 
 #include <functional>
 #include <list>
@@ -21,6 +24,7 @@
 #include <vector>
 
 #include "common/error.hpp"
+#include "limits/memory_account.hpp"
 #include "transport/http_message.hpp"
 #include "transport/shared_bytes.hpp"
 #include "transport/tcp_stream.hpp"
@@ -30,6 +34,9 @@
 class HttpServer;
 class ServerConnection;
 
+/// Returns the body of a response to a request that no handler has answered.
+std::string error_json(std::string_view message, std::string_view step);
+
 /// One request that awaits its response. A second response, or one after the client has
 /// disconnected, is ignored.
 class HttpExchange {
@@ -101,11 +108,20 @@
   common::Duration unacknowledged_timeout{0};
   /// Limits the rate of large bodies; must outlive the server; null: no limit.
   LinkPacer* pacer = nullptr;
+  /// Accounts for the memory of the connections; must outlive the server; null: no limit.
+  limits::MemoryAccount* memory = nullptr;
   /// Maximum number of open connections; 0: unlimited. For one more, the connection that has been
   /// idle for longest is closed.
   std::size_t max_connections = 0;
 };
 
+/// Why a request is refused by its head, before its body has come whole.
+enum class UnreadReason : std::uint8_t {
+  kNone,
+  kNotWanted,  ///< the head check does not allow such a body
+  kNoMemory,   ///< the process has no memory for it
+};
+
 /// Returns options with a limit of body bytes and defaults for all other values.
 HttpServerOptions options_with_body_limit(std::size_t bytes);
 
@@ -116,6 +132,11 @@
   /// repeated, and its response is short enough to be buffered. Called once for each complete
   /// request.
   using Classifier = std::function<bool(const HttpMessage& request)>;
+  /// Returns the number of body bytes that are read for a request with this head; 0 if it is
+  /// refused whatever its body. Called for requests whose body comes after their head.
+  using HeadCheck = std::function<std::size_t(const HttpMessage& head)>;
+  /// Answers a request whose body is not read; the exchange has an empty body.
+  using UnreadHandler = std::function<void(ExchangePointer exchange, UnreadReason reason)>;
 
   /// Listens at "IP:port". @return kIo or kInvalid.
   static common::Result<std::unique_ptr<HttpServer>> listen(const std::string& address,
@@ -129,6 +150,13 @@
   void run_concurrently(Classifier runs_beside_others) {
     runs_beside_others_ = std::move(runs_beside_others);
   }
+  /// Sets who decides by its head whether a request is read, and who answers one that is not. The
+  /// connection ends after that answer. If none is set, all are read, and one without memory gets
+  /// status 503.
+  void check_heads(HeadCheck check, UnreadHandler handler) {
+    head_check_ = std::move(check);
+    unread_handler_ = std::move(handler);
+  }
   /// Sets the options for later connections and requests.
   void set_options(HttpServerOptions options);
   const HttpServerOptions& options() const { return options_; }
@@ -150,6 +178,9 @@
   /// Their requests are not read: a server without time left must not spend it on clients that have
   /// given up.
   std::uint64_t gone_unread() const { return gone_unread_; }
+  /// Returns the number of requests refused before their body was read whole, or for lack of
+  /// memory.
+  std::uint64_t unread() const { return unread_; }
   /// Returns the number of connections closed since a new one needed their descriptor.
   std::uint64_t evicted() const { return evicted_; }
   /// Returns the number of new connections closed unread since no open one was idle.
@@ -179,6 +210,8 @@
   HttpServerOptions options_;
   Handler handler_;
   Classifier runs_beside_others_;
+  HeadCheck head_check_;
+  UnreadHandler unread_handler_;
   GSocket* listener_ = nullptr;
   guint accept_source_ = 0;
   guint sweep_source_ = 0;
@@ -187,6 +220,7 @@
   std::uint64_t refused_ = 0;
   std::uint64_t gone_unread_ = 0;
   std::uint64_t failed_handlers_ = 0;
+  std::uint64_t unread_ = 0;
   std::uint64_t evicted_ = 0;
   std::uint64_t turned_away_ = 0;
   std::list<ServerConnection*> by_activity_;  ///< the one that was active last at the back
--- a/src/transport/machine_settings.cpp
+++ b/src/transport/machine_settings.cpp
@@ -1,5 +1,6 @@
 #include "transport/machine_settings.hpp"
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -9,6 +10,10 @@
 namespace planktray::transport {
 namespace {
 
+/// Larger blocks are mapped each by itself.
+constexpr int kMappedBlockBytes = 512 * 1024;
+/// Free bytes at the end of the heap that are kept for later use.
+constexpr int kFreeHeapBytes = 2 * 1024 * 1024;
 constexpr double kBitsPerMegabit = 1e6;
 constexpr std::size_t kBytesPerMebibyte = std::size_t{1} << 20U;
 /// Upper bound of all limits, far beyond any machine.
@@ -25,6 +30,11 @@
   return machine.descriptors == 0 ? system : std::min<std::size_t>(system, machine.descriptors);
 }
 
+void return_free_memory() {
+  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, kFreeHeapBytes);
+}
+
 void add_machine_limits(CLI::App& app, config::MachineLimits& machine) {
   const auto add = [&app](const std::string& name, const std::string& help, auto take) {
     return app.add_option_function<double>(name, std::move(take), help);
@@ -32,7 +42,7 @@
   add("--link-mbps", "Rate of the machine's link in each direction, in Mbit/s; 0: not stated",
       [&machine](double value) { machine.link_bits_per_second = value * kBitsPerMegabit; })
       ->check(CLI::Range(kMinLinkRate, kMaxLimit) | CLI::Range(0.0, 0.0));
-  add("--memory-mb", "Memory that the process may take, in MiB; not enforced yet",
+  add("--memory-mb", "Memory that the process may take, in MiB; bounds what its connections hold",
       [&machine](double value) {
         machine.memory_bytes = static_cast<std::size_t>(value * kBytesPerMebibyte);
       })
--- a/src/transport/machine_settings.hpp
+++ b/src/transport/machine_settings.hpp
@@ -12,6 +12,10 @@
 /// than the system lets it.
 std::size_t descriptor_limit(const config::MachineLimits& machine);
 
+/// Sets how the allocator of this process returns memory: large blocks go back to the system as
+/// soon as they are free.
+void return_free_memory();
+
 /// Adds the limits of the machine. A resource without a stated limit is unlimited.
 void add_machine_limits(CLI::App& app, config::MachineLimits& machine);
 
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -13,6 +13,12 @@
 constexpr unsigned kStatusTimeout = 408;
 constexpr unsigned kStatusBodyTooLarge = 413;
 constexpr unsigned kStatusHeaderTooLarge = 431;
+constexpr unsigned kStatusUnavailable = 503;
+/// When a client whose request did not fit may come again, in seconds: stalled ones have been
+/// revoked by then.
+constexpr const char* kRetryAfterSeconds = "1";
+/// Memory of a connection without a request, about.
+constexpr std::size_t kConnectionBytes = 2048;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 unsigned status_of_failure(ReadFailure failure) {
@@ -39,7 +45,12 @@
       stream_(std::move(stream)),
       reader_(HttpRole::kRequest, server.options().limits),
       last_activity_(boot_time_now()),
-      place_(server.by_activity_.insert(server.by_activity_.end(), this)) {}
+      share_(server.options().memory, *this),
+      place_(server.by_activity_.insert(server.by_activity_.end(), this)),
+      received_at_(last_activity_),
+      sent_at_(last_activity_) {
+  update_share();
+}
 
 ServerConnection::~ServerConnection() { server_.by_activity_.erase(place_); }
 
@@ -47,6 +58,7 @@
   TcpStream::Handlers handlers;
   handlers.on_data = [this](std::string_view bytes) { on_data(bytes); };
   handlers.on_end = [this](StreamEnd /*end*/) { on_end(); };
+  handlers.on_sent = [this] { note_sent(); };
   handlers.on_drained = [this] { on_drained(); };
   stream_->start(std::move(handlers));
 }
@@ -84,6 +96,7 @@
 
 void ServerConnection::sweep(common::TimePoint now) {
   const HttpServerOptions& options = server_.options();
+  update_share();
   const bool is_held = stream_->is_read_paused() || continue_pending_;
   if (is_held || (!has_last_request_ && !may_read())) {
     return;  // the missing bytes may have arrived or are delayed by the server itself
@@ -121,6 +134,7 @@
   }
   advancing_ = false;
   hold_or_read();
+  update_share();
 }
 
 bool ServerConnection::may_read() const {
@@ -168,35 +182,140 @@
   if (!reader_.has_begun()) {
     last_activity_ = boot_time_now();
     first_byte_ = arrived;
+    received_at_ = last_activity_;
+    received_since_ = 0;
     server_.touch(place_);
     reader_.set_limits(server_.options().limits);
   }
-  if (stream_->is_paced()) {
-    // The server limits the rate; the client only has to keep sending.
-    last_activity_ = boot_time_now();
-  }
   const bool had_head = reader_.has_head();
   const std::size_t taken = reader_.feed(bytes);
+  note_received(taken);
   if (reader_.has_failed()) {
     refuse(status_of_failure(reader_.failure()), "the request cannot be read");
   } else if (reader_.is_whole()) {
     append_request(reader_.take());
   } else {
-    stream_->expect(reader_.body_left(), HangUp::kEnds);
-    if (!had_head && reader_.has_head()) {
-      continue_pending_ =
-          equals_ignoring_case(find_header(reader_.message().headers, "Expect"), "100-continue");
-      send_continue();
-    }
+    review_partial(had_head);
   }
   return taken;
 }
 
+void ServerConnection::review_partial(bool had_head) {
+  update_share();
+  const UnreadReason reason = reason_not_to_read(had_head);
+  if (has_last_request_ || !stream_->is_open()) {
+    return;  // another connection had to give way, and with it went what this one waited for
+  }
+  if (reason != UnreadReason::kNone) {
+    return give_up(reason);
+  }
+  stream_->expect(reader_.body_left(), HangUp::kEnds);
+  if (!had_head && reader_.has_head()) {
+    continue_pending_ =
+        equals_ignoring_case(find_header(reader_.message().headers, "Expect"), "100-continue");
+    send_continue();
+  }
+}
+
+UnreadReason ServerConnection::reason_not_to_read(bool had_head) {
+  limits::MemoryAccount* memory = server_.options().memory;
+  const common::TimePoint now = boot_time_now();
+  const std::size_t stated = reader_.stated_body();
+  if (!had_head && reader_.has_head()) {
+    body_limit_ = server_.head_check_ ? server_.head_check_(reader_.message())
+                                      : server_.options().limits.body_bytes;
+    if (body_limit_ == 0 || stated > body_limit_) {
+      return UnreadReason::kNotWanted;
+    }
+    if (memory != nullptr && stated > limits::kSmallMessageBytes &&
+        !memory->admit_large(now, stated)) {
+      return UnreadReason::kNoMemory;
+    }
+  }
+  if (reader_.has_head() && reader_.message().body.size() > body_limit_) {
+    return UnreadReason::kNotWanted;
+  }
+  return memory == nullptr || memory->keep_within(now, share_) ? UnreadReason::kNone
+                                                               : UnreadReason::kNoMemory;
+}
+
+void ServerConnection::give_up(UnreadReason reason) {
+  ++server_.unread_;
+  if (!reader_.has_head() || !server_.unread_handler_) {
+    const bool is_too_large = reason == UnreadReason::kNotWanted;
+    return refuse(is_too_large ? kStatusBodyTooLarge : kStatusUnavailable,
+                  is_too_large ? "the request is too large" : "no memory for the request",
+                  is_too_large ? HeaderList{} : HeaderList{{"Retry-After", kRetryAfterSeconds}});
+  }
+  HttpMessage head = reader_.take();
+  head.body = {};
+  waiting_ = {};
+  append_request(std::move(head));
+  PipelinedRequest& request = pipeline_.back();
+  request.unread = reason;
+  request.closes = true;
+  request.runs_beside_others = true;
+  has_last_request_ = true;
+}
+
+void ServerConnection::note_received(std::size_t bytes) {
+  received_since_ += bytes;
+  // A grant of the pacer that is used up counts, however small it was.
+  if (received_since_ < limits::kProgressBytes && !stream_->is_read_paused()) {
+    return;
+  }
+  received_since_ = 0;
+  received_at_ = boot_time_now();
+  server_.touch(place_);
+  if (stream_->is_paced()) {
+    // The server limits the rate; the client only has to keep sending.
+    last_activity_ = received_at_;
+  }
+}
+
+void ServerConnection::note_sent() {
+  const std::size_t unsent = stream_->unsent();
+  if (unsent > 0 && unsent + limits::kProgressBytes <= unsent_then_) {
+    unsent_then_ = unsent;
+    sent_at_ = boot_time_now();
+  }
+}
+
+void ServerConnection::update_share() {
+  limits::Holding holding;
+  holding.bytes = kConnectionBytes + reader_.memory() + waiting_.capacity() + stream_->unsent();
+  for (const PipelinedRequest& request : pipeline_) {
+    holding.bytes +=
+        request.memory + (request.answer.has_value() ? request.answer->body.size() : 0);
+  }
+  const bool waits_for_client = reader_.has_begun() && !stream_->is_read_paused();
+  if (writing_ && !stream_->is_write_paused()) {
+    holding.phase = limits::Phase::kSending;
+    holding.last_progress = sent_at_;
+  } else if (waits_for_client) {
+    holding.phase = limits::Phase::kReceiving;
+    holding.last_progress = received_at_;
+    holding.announced = reader_.stated_body();
+  }
+  share_.set(holding);
+}
+
 bool ServerConnection::may_be_evicted() const {
   const bool is_unread = !reader_.has_begun() && stream_->has_unread();
   return pipeline_.empty() && !writing_ && !is_unread;
 }
 
+void ServerConnection::revoke_memory() {
+  const auto keep = shared_from_this();
+  if (writing_) {
+    return shut_down();
+  }
+  if (reader_.has_begun() && !has_last_request_) {
+    give_up(UnreadReason::kNoMemory);
+    advance();
+  }
+}
+
 void ServerConnection::send_continue() {
   if (continue_pending_ && pipeline_.empty() && !writing_) {
     continue_pending_ = false;
@@ -211,6 +330,7 @@
   next.number = next_number_++;
   next.first_byte = first_byte_;
   next.closes = !request.keep_alive;
+  next.memory = message_memory(request);
   next.runs_beside_others = server_.runs_beside_others_ && server_.runs_beside_others_(request);
   next.unstarted = std::move(request);
   has_last_request_ = next.closes;
@@ -230,28 +350,36 @@
                                                        std::move(*next.unstarted), next.first_byte);
   next.unstarted.reset();
   next.exchange = exchange;
-  handle(exchange);
+  handle(exchange, next.unread);
   return true;
 }
 
-void ServerConnection::handle(const ExchangePointer& exchange) {
-  if (!run_contained("handle request", exchange->path(), [&] { server_.handler_(exchange); })) {
+void ServerConnection::handle(const ExchangePointer& exchange, UnreadReason unread) {
+  const auto call_handler = [&] {
+    if (unread == UnreadReason::kNone) {
+      server_.handler_(exchange);
+    } else {
+      server_.unread_handler_(exchange, unread);
+    }
+  };
+  if (!run_contained("handle request", exchange->path(), call_handler)) {
     ++server_.failed_handlers_;
     shut_down();
   }
 }
 
-void ServerConnection::refuse(unsigned status, std::string_view message) {
+void ServerConnection::refuse(unsigned status, std::string_view message, HeaderList headers) {
   ++server_.refused_;
   PipelinedRequest refused;
   refused.number = next_number_++;
   refused.closes = true;
   has_last_request_ = true;
   reader_.discard();
+  waiting_ = {};
+  headers.emplace_back("Content-Type", "application/json");
   pipeline_.push_back(std::move(refused));
-  hold_answer(
-      pipeline_.back(),
-      {status, {{"Content-Type", "application/json"}}, error_json(message, "read request"), false});
+  hold_answer(pipeline_.back(),
+              {status, std::move(headers), error_json(message, "read request"), false});
 }
 
 void ServerConnection::hold_answer(PipelinedRequest& request, HeldAnswer answer) {
@@ -281,11 +409,14 @@
     discard_remaining();
   }
   writing_ = true;
+  sent_at_ = boot_time_now();
+  const bool has_body = !is_head && allows_body(status);
   const std::string head = serialize_response_head(status, all, body.size());
-  if (is_head || !allows_body(status)) {
-    stream_->write(head);
-  } else {
+  unsent_then_ = head.size() + (has_body ? body.size() : 0);
+  if (has_body) {
     stream_->write(head, body);
+  } else {
+    stream_->write(head);
   }
 }
 
@@ -293,7 +424,7 @@
   has_last_request_ = true;
   is_ending_ = true;
   pipeline_.clear();
-  waiting_.clear();
+  waiting_ = {};
   if (reader_.has_begun()) {
     reader_.discard();
   }
@@ -308,6 +439,7 @@
   last_activity_ = boot_time_now();
   server_.touch(place_);
   if (is_ending_) {
+    update_share();
     stream_->finish_writing();  // then the client or the sweep closes the connection
     return;
   }
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -97,6 +97,8 @@
   bool has_unread() const;
   /// True while nothing is read: after pause_reading(), or until the pacer grants bytes.
   bool is_read_paused() const { return paused_ || (reading_.body != 0 && reading_.granted == 0); }
+  /// True while written bytes wait until the pacer grants them, or for the end of hold_writing().
+  bool is_write_paused() const { return is_writing() && may_send() == 0; }
   /// True while a large body is read at the pacer's rate.
   bool is_paced() const { return reading_.body != 0; }
   /// True while written bytes wait to be accepted by the kernel.
