Answers count in the router's memory, and a client that does not read loses its connection

What callers saw: a router over its memory: sixteen clients that asked for 7 MiB each and did not read, 139 MiB of 40. Ruled out: failing answers that do not fit at once: back pressure costs the client nothing while others finish. Change: a large answer is read from its back end once there is memory for its whole length; clients that have not read for a second give theirs up for it; one that has not read for the idle time loses its connection in any case. Conclusion: answers stay within the account.

--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -38,13 +38,15 @@
 }
 
 transport::HttpClientOptions client_options(const RouterSettings& settings,
-                                            transport::LinkPacer* pacer) {
+                                            transport::LinkPacer* pacer,
+                                            limits::MemoryAccount* memory) {
   transport::HttpClientOptions options;
   options.connections_per_server = static_cast<std::size_t>(settings.connections_per_backend);
   options.connect_timeout = settings.connect_timeout;
   options.unacknowledged_timeout = settings.unacknowledged_timeout;
   options.limits.body_bytes = settings.maximum_body;
   options.pacer = pacer;
+  options.memory = memory;
   return options;
 }
 
@@ -90,7 +92,8 @@
   if (auto listening = listen(); !listening) {
     return listening;
   }
-  client_ = std::make_unique<transport::HttpClient>(client_options(settings_, pacer_.get()));
+  client_ =
+      std::make_unique<transport::HttpClient>(client_options(settings_, pacer_.get(), &memory_));
   core_.set_seeds(settings_.controllers);
   for (const std::string& address : settings_.controllers) {
     if (auto connected = connect_controller(address); !connected) {
--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -16,6 +16,9 @@
 using common::TimePoint;
 
 constexpr unsigned kFirstFinalStatus = 200;
+/// How often a response that waits for memory tries again. Stalled clients give theirs up after a
+/// second.
+constexpr guint kMemoryCheckMs = 50;
 /// A connection is reused only within this fraction of the server's keep-alive time: if the server
 /// closes the connection while a request is on its way, the outcome of that request is unknown.
 constexpr double kUsableShareOfIdle = 0.75;
@@ -62,11 +65,13 @@
       stream_(std::move(stream)),
       reader_(HttpRole::kResponse, client.options_.limits),
       idle_(client.options_.idle_timeout),
-      last_used_(boot_time_now()) {}
+      last_used_(boot_time_now()),
+      share_(client.options_.memory, *this) {}
 
 ClientConnection::~ClientConnection() {
   stop_timer(connect_timer_);
   stop_timer(settle_timer_);
+  stop_timer(memory_timer_);
 }
 
 void ClientConnection::start() {
@@ -95,6 +100,7 @@
   success_header_ = request.success_header;
   skipped_answers_ = 0;
   other_bytes_ = 0;
+  is_admitted_ = false;
   reader_.set_answers_head(request.method == "HEAD");
   HeaderList headers = request.headers;
   if (find_header(headers, "Host").empty()) {
@@ -128,6 +134,7 @@
   const bool abandons_call = std::exchange(call_, 0) != 0;
   stop_timer(connect_timer_);
   stop_timer(settle_timer_);
+  stop_timer(memory_timer_);
   if (abandons_call) {
     stream_->abort();  // bytes of the call in transit should not arrive later
   } else {
@@ -204,6 +211,50 @@
       review_partial();
     }
   }
+  if (call_ != 0) {
+    review_memory();
+  }
+}
+
+void ClientConnection::update_share() {
+  limits::Holding holding;
+  holding.bytes = reader_.memory();
+  holding.announced = is_admitted_ ? reader_.stated_body() : 0;
+  share_.set(holding);
+}
+
+void ClientConnection::review_memory() {
+  limits::MemoryAccount* memory = client_.options_.memory;
+  if (memory == nullptr || !reader_.has_head() || is_admitted_) {
+    return update_share();
+  }
+  const TimePoint now = boot_time_now();
+  const std::size_t stated = reader_.stated_body();
+  update_share();
+  if (stated == 0) {
+    if (!memory->keep_within(now, share_)) {
+      fail({ErrorCode::kCorrupt, "read answer", address_, "no memory for the answer"});
+    }
+    return;
+  }
+  is_admitted_ = stated <= limits::kSmallMessageBytes || memory->admit_large(now, stated);
+  update_share();
+  if (!is_admitted_ && memory_timer_ == 0) {
+    stream_->pause_reading();
+    memory_timer_ = g_timeout_add(kMemoryCheckMs, on_memory_check, this);
+  }
+}
+
+gboolean ClientConnection::on_memory_check(gpointer self) {
+  auto* connection = static_cast<ClientConnection*>(self);
+  const auto keep = connection->shared_from_this();
+  connection->review_memory();
+  if (!connection->is_admitted_) {
+    return G_SOURCE_CONTINUE;
+  }
+  connection->memory_timer_ = 0;
+  connection->stream_->resume_reading();
+  return G_SOURCE_REMOVE;
 }
 
 void ClientConnection::review_partial() {
@@ -297,6 +348,7 @@
   response.used_before = used_before_;
   const std::uint64_t call = std::exchange(call_, 0);
   last_used_ = boot_time_now();
+  update_share();
   if (reusable) {
     client_.add_idle(address_, shared_from_this());
   } else {
--- a/src/transport/client_connection.hpp
+++ b/src/transport/client_connection.hpp
@@ -18,12 +18,13 @@
 namespace planktray::transport {
 
 /// One connection to a server: carries one call at a time and is idle in between.
-class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>,
+                         public limits::MemoryHolder {
  public:
   ClientConnection(HttpClient& client, std::string address, std::shared_ptr<TcpStream> stream);
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
-  ~ClientConnection();
+  ~ClientConnection() override;
 
   /// Starts to connect, or to read where the connection is established.
   void start();
@@ -43,6 +44,8 @@
   common::TimePoint last_used() const { return last_used_; }
   /// Closes the connection; its call, if any, is abandoned.
   void close();
+  /// Never called: a response that is being received is not given up for another.
+  void revoke_memory() override {}
 
  private:
   static gboolean on_connect_timeout(gpointer self);
@@ -59,6 +62,11 @@
   bool is_own(const HttpMessage& message) const;
   /// Ends the call if no usable response can come on the connection, or what comes does not end.
   void review_partial();
+  /// Pauses reading while there is no memory for the rest of the response; ends the call if its
+  /// length is not known and it has none.
+  void review_memory();
+  void update_share();
+  static gboolean on_memory_check(gpointer self);
   /// Counts a response that is not the call's own final one; ends the call after too many.
   void skip_answer();
   void on_end(StreamEnd end);
@@ -92,6 +100,9 @@
   common::Duration settle_time_{0};
   std::string unsettled_head_;  ///< of a request that waits for its connection to settle
   SharedBytes unsettled_body_;
+  limits::MemoryAccount::Share share_;
+  bool is_admitted_ = false;  ///< there is memory for the response
+  guint memory_timer_ = 0;
 };
 
 }  // namespace planktray::transport
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -22,6 +22,7 @@
 
 #include "common/error.hpp"
 #include "common/time.hpp"
+#include "limits/memory_account.hpp"
 #include "transport/http_message.hpp"
 #include "transport/shared_bytes.hpp"
 #include "transport/tcp_stream.hpp"
@@ -94,6 +95,9 @@
   HttpLimits limits{64 * 1024, 64 * 1024 * 1024};
   /// Limits the rate of large bodies; must outlive the client; null: no limit.
   LinkPacer* pacer = nullptr;
+  /// Accounts for the memory of responses that are being received; must outlive the client; null:
+  /// no limit. A large response waits until there is memory for it.
+  limits::MemoryAccount* memory = nullptr;
 };
 
 class ClientConnection;
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -97,6 +97,9 @@
 void ServerConnection::sweep(common::TimePoint now) {
   const HttpServerOptions& options = server_.options();
   update_share();
+  if (writing_ && !stream_->is_write_paused() && now - sent_at_ > options.idle_timeout) {
+    return shut_down();  // the client does not read
+  }
   const bool is_held = stream_->is_read_paused() || continue_pending_;
   if (is_held || (!has_last_request_ && !may_read())) {
     return;  // the missing bytes may have arrived or are delayed by the server itself
