Controllers account for what their connections hold

Cause: as at routers; the operator's address has the same listener. Change: one memory account for both listeners, from the machine's memory. Conclusion: a controller stays within its memory, whoever sends.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -44,7 +44,9 @@
 }  // namespace
 
 ControllerProcess::ControllerProcess(ControllerSettings settings)
-    : settings_(std::move(settings)), alarm_([this] { tick(); }) {}
+    : settings_(std::move(settings)),
+      alarm_([this] { tick(); }),
+      memory_(limits::connection_memory(settings_.machine.memory_bytes)) {}
 
 common::Result<void> ControllerProcess::open_data_folder() {
   auto disk = transport::FileDisk::open(settings_.data_folder);
@@ -80,6 +82,7 @@
 
 transport::HttpServerOptions ControllerProcess::server_options(std::size_t max_connections) {
   transport::HttpServerOptions options = transport::options_with_body_limit(kMaxOperatorBody);
+  options.memory = &memory_;
   options.max_connections = max_connections;
   return options;
 }
@@ -129,6 +132,7 @@
 }
 
 common::Result<void> ControllerProcess::start() {
+  transport::return_free_memory();
   if (auto opened = open_data_folder(); !opened) {
     return opened;
   }
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -16,6 +16,7 @@
 #include "controller/operator_api.hpp"
 #include "controller/order_sender.hpp"
 #include "controller/promises.hpp"
+#include "limits/memory_account.hpp"
 #include "storage/log_store.hpp"
 #include "transport/event_loop.hpp"
 #include "transport/file_disk.hpp"
@@ -71,8 +72,7 @@
  private:
   common::Result<void> open_data_folder();
   common::Result<void> open_sockets();
-  /// Returns the options of a listener for operators or back ends.
-  static transport::HttpServerOptions server_options(std::size_t max_connections);
+  transport::HttpServerOptions server_options(std::size_t max_connections);
   void reload();
   void tick();
   void flush();
@@ -118,6 +118,7 @@
   std::unique_ptr<OperatorApi> api_;
   std::unique_ptr<ControlInterface> control_;
   std::unique_ptr<OrderSender> orders_;
+  limits::MemoryAccount memory_;  ///< of all connections of operators and back ends
   std::unique_ptr<transport::HttpServer> http_server_;
   std::unique_ptr<transport::HttpServer> control_server_;
   std::unique_ptr<transport::HttpClient> http_client_;
