A request that its head refuses is answered before its body comes

What callers saw: a body of megabytes had to come whole before the answer 404; anybody could let a controller hold 4 MiB for a heartbeat, which has 4 KiB at most. Cause: a handler saw complete requests only. Change: HttpServer asks a head check, once the head is known and its body is not whole, how many bytes of it are read. The answer closes the connection and is the one that the head would get in any case (the core decides it by the same table). Bodies that come with their head go the usual way. Conclusion: what cannot be served is refused at once and holds no memory.

--- a/src/controller/control_interface.hpp
+++ b/src/controller/control_interface.hpp
@@ -21,6 +21,8 @@
   virtual ~ControlInterface() = default;
 
   virtual void handle(const transport::ExchangePointer& exchange) = 0;
+  /// Returns how many body bytes a request with this head may have.
+  virtual std::size_t largest_body(const transport::HttpMessage& head) const = 0;
   /// Answers the caller whose request has completed. Ignores requests of other interfaces.
   virtual void complete(const Completion& completion) = 0;
   /// Returns the number of heartbeats whose sender closed its connection before the answer; 0 for
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -1,5 +1,6 @@
 #include "controller/controller_process.hpp"
 
+#include <algorithm>
 #include <random>
 #include <tuple>
 #include <utility>
@@ -18,6 +19,10 @@
 using transport::log_event;
 
 constexpr std::size_t kMaxOperatorBody = 4 * 1024 * 1024;
+constexpr unsigned kStatusBodyTooLarge = 413;
+constexpr unsigned kStatusUnavailable = 503;
+/// When a caller whose request did not fit may come again, in seconds.
+constexpr const char* kRetryAfterSeconds = "1";
 constexpr std::size_t kConnectionsPerBackend = 8;
 /// Interval of the `leader_load` log lines of some 300 bytes each.
 constexpr common::Duration kLoadLogInterval = std::chrono::seconds(1);
@@ -41,6 +46,17 @@
   return options;
 }
 
+/// Answers a request whose body is not read.
+void answer_unread(transport::HttpExchange& exchange, transport::UnreadReason reason) {
+  if (reason == transport::UnreadReason::kNoMemory) {
+    return exchange.respond_json(kStatusUnavailable,
+                                 transport::error_json("no memory for the request", "read request"),
+                                 {{"Retry-After", kRetryAfterSeconds}});
+  }
+  exchange.respond_json(kStatusBodyTooLarge,
+                        transport::error_json("no call takes such a body", "read request"));
+}
+
 }  // namespace
 
 ControllerProcess::ControllerProcess(ControllerSettings settings)
@@ -120,6 +136,13 @@
       return tl::unexpected(control.error());
     }
     control_server_ = std::move(*control);
+    control_server_->check_heads(
+        [this](const transport::HttpMessage& head) {
+          return std::min(control_->largest_body(head), kMaxOperatorBody);
+        },
+        [](const transport::ExchangePointer& exchange, transport::UnreadReason reason) {
+          answer_unread(*exchange, reason);
+        });
   }
   auto server = transport::HttpServer::listen(
       settings_.operator_listen_address(), server_options(connections.operators),
--- a/src/router/request_dialect.hpp
+++ b/src/router/request_dialect.hpp
@@ -2,6 +2,7 @@
 /// Encoding of requests and answers, towards callers and back ends. RouterProcess handles HTTP in
 /// general; a dialect defines header names and the meaning of statuses.
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,11 @@
 
   /// @return kInvalid if the request can never run in this form.
   virtual common::Result<ParsedRequest> parse(const transport::HttpExchange& exchange) const = 0;
+  /// Returns what selects the route of a request with this head; nothing if the dialect or the
+  /// request has no route.
+  virtual std::optional<RouteCall> route_call(const transport::HttpMessage& /*head*/) const {
+    return std::nullopt;
+  }
   /// Answers a request that parse() refused.
   virtual void refuse(transport::HttpExchange& exchange, const common::Error& error) const = 0;
   /// Encodes the request for a back end. The caller sets the address.
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -119,10 +119,9 @@
   server_ = std::move(*server);
   server_->run_concurrently(
       [this](const transport::HttpMessage& request) { return may_run_concurrently(request); });
-  server_->check_heads(
-      nullptr, [this](const transport::ExchangePointer& exchange, transport::UnreadReason reason) {
-        on_unread(exchange, reason);
-      });
+  server_->check_heads([this](const transport::HttpMessage& head) { return body_limit(head); },
+                       [this](const transport::ExchangePointer& exchange,
+                              transport::UnreadReason reason) { on_unread(exchange, reason); });
   if (auto relays = listen_for_relays(); !relays) {
     return relays;
   }
@@ -217,6 +216,12 @@
   accept_request(exchange, std::move(*parsed), "");
 }
 
+std::size_t RouterProcess::body_limit(const transport::HttpMessage& head) const {
+  const auto call = dialect_->route_call(head);
+  const bool may_run = !call.has_value() || core_.has_route(boot_time_now(), *call);
+  return may_run ? server_->options().limits.body_bytes : 0;
+}
+
 void RouterProcess::on_unread(const transport::ExchangePointer& exchange,
                               transport::UnreadReason reason) {
   auto parsed = dialect_->parse(*exchange);
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -102,6 +102,8 @@
                       transport::UnreadReason unread = transport::UnreadReason::kNone);
   /// Answers a request whose body is not read.
   void on_unread(const transport::ExchangePointer& exchange, transport::UnreadReason reason);
+  /// Returns how many body bytes are read for a request with this head.
+  std::size_t body_limit(const transport::HttpMessage& head) const;
   /// Whether the request may run concurrently with others of its connection: its route is
   /// repeatable and has small answers.
   bool may_run_concurrently(const transport::HttpMessage& request) const;
--- a/src/router/router_process_relays.cpp
+++ b/src/router/router_process_relays.cpp
@@ -39,7 +39,11 @@
   }
   relay_server_ = std::move(*server);
   relay_server_->check_heads(
-      nullptr, [this](const transport::ExchangePointer& exchange, transport::UnreadReason reason) {
+      [this](const transport::HttpMessage& head) {
+        const bool is_relayed = decode_relay(settings_.options.cell, head.headers).has_value();
+        return is_relayed ? relay_server_->options().limits.body_bytes : 0;
+      },
+      [this](const transport::ExchangePointer& exchange, transport::UnreadReason reason) {
         on_relayed_http(exchange, reason);
       });
   return {};
--- a/test/controller/order_sender_test.cpp
+++ b/test/controller/order_sender_test.cpp
@@ -25,6 +25,7 @@
  public:
   void handle(const transport::ExchangePointer& /*exchange*/) override {}
   void complete(const Completion& /*completion*/) override {}
+  std::size_t largest_body(const transport::HttpMessage& /*head*/) const override { return 0; }
   transport::HttpRequest to_request(const ownership::GrantOrder& order) const override {
     return request("/grant/" + std::to_string(order.id));
   }
