--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -179,7 +179,10 @@
   loop_.every(kLoadLogInterval, [this] { log_load(); });
   sampled_at_ = boot_time_now();
   loop_.every(kIdleSampleInterval, [this] { sample_idle_time(); });
-  loop_.every(kPeerReview, [this] { forget_gone_peers(); });
+  loop_.every(kPeerReview, [this] {
+    forget_gone_peers();
+    limit_report_.log_changes({control_server_.get(), http_server_.get()});
+  });
   if (!settings_.platform_url.empty()) {
     poll_platform();
     loop_.every(settings_.platform_interval, [this] { poll_platform(); });
--- a/src/controller/controller_process.hpp
+++ b/src/controller/controller_process.hpp
@@ -22,6 +22,7 @@
 #include "transport/file_disk.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
+#include "transport/limit_report.hpp"
 #include "transport/line_limit.hpp"
 #include "transport/metrics.hpp"
 #include "transport/settings_watch.hpp"
@@ -119,6 +120,7 @@
   std::unique_ptr<ControlInterface> control_;
   std::unique_ptr<OrderSender> orders_;
   limits::MemoryAccount memory_;  ///< of all connections of operators and back ends
+  transport::LimitReport limit_report_{memory_};
   std::unique_ptr<transport::HttpServer> http_server_;
   std::unique_ptr<transport::HttpServer> control_server_;
   std::unique_ptr<transport::HttpClient> http_client_;
--- a/src/controller/controller_process_load.cpp
+++ b/src/controller/controller_process_load.cpp
@@ -139,6 +139,7 @@
   metrics_.set_counter("planktray_leases_sent_total", "Lease requests sent.", leases_sent_);
   metrics_.set_counter("planktray_lease_failures_total", "Lease requests without an answer.",
                        lease_failures_);
+  limit_report_.add_metrics(metrics_, {control_server_.get(), http_server_.get()});
 }
 
 }  // namespace planktray::controller
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -123,7 +123,8 @@
   add_link_metrics();
   add_time_metrics();
   add_path_metrics();
-  add_limit_metrics();
+  limit_report_.add_metrics(metrics_,
+                            {server_.get(), relay_server_.get(), status_server_.get()});
   return metrics_.serialize();
 }
 
@@ -203,33 +204,4 @@
   add("outbound", pacer_->outbound().scheduler());
 }
 
-void RouterProcess::add_limit_metrics() {
-  const auto sum = [this](std::uint64_t (transport::HttpServer::*count)() const) {
-    std::uint64_t total = 0;
-    for (const auto* server : {server_.get(), relay_server_.get(), status_server_.get()}) {
-      total += server == nullptr ? 0 : (server->*count)();
-    }
-    return total;
-  };
-  metrics_.set_gauge("planktray_connection_memory_bytes",
-                     "Bytes that connections hold: requests, responses and what waits to be sent.",
-                     static_cast<double>(memory_.held()));
-  metrics_.set_gauge("planktray_connection_memory_limit_bytes",
-                     "Bytes that connections may hold; 0: unlimited.",
-                     static_cast<double>(memory_.capacity()));
-  metrics_.set_counter("planktray_memory_revoked_total",
-                       "Clients without progress whose request was refused or whose connection was "
-                       "closed, since others needed the memory.",
-                       memory_.revoked());
-  metrics_.set_counter("planktray_requests_unread_total",
-                       "Requests refused before their body was read whole.",
-                       sum(&transport::HttpServer::unread));
-  metrics_.set_counter("planktray_connections_evicted_total",
-                       "Idle connections closed since new ones needed their descriptors.",
-                       sum(&transport::HttpServer::evicted));
-  metrics_.set_counter("planktray_connections_turned_away_total",
-                       "New connections closed since no descriptor was free for them.",
-                       sum(&transport::HttpServer::turned_away));
-}
-
 }  // namespace planktray::router
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -100,7 +100,10 @@
       return connected;
     }
   }
-  loop_.every(kConnectionReview, [this] { close_unused_connections(); });
+  loop_.every(kConnectionReview, [this] {
+    close_unused_connections();
+    limit_report_.log_changes({server_.get(), relay_server_.get(), status_server_.get()});
+  });
   log_event("started", {{"address", settings_.options.address}});
   return {};
 }
--- a/src/router/router_process.hpp
+++ b/src/router/router_process.hpp
@@ -21,6 +21,7 @@
 #include "transport/event_loop.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
+#include "transport/limit_report.hpp"
 #include "transport/link_pacer.hpp"
 #include "transport/metrics.hpp"
 #include "transport/reach_check.hpp"
@@ -145,7 +146,6 @@
   void add_link_metrics();
   void add_time_metrics();
   void add_path_metrics();
-  void add_limit_metrics();
 
   RouterSettings settings_;
   std::unique_ptr<RequestDialect> dialect_;
@@ -161,6 +161,7 @@
   prometheus::Histogram& write_begun_;
   prometheus::Histogram& write_done_;
   limits::MemoryAccount memory_;  ///< of all connections
+  transport::LimitReport limit_report_{memory_};
   limits::RouterConnections connections_;
   std::unique_ptr<transport::LinkPacer> pacer_;  ///< nullptr if the link rate is not stated
   std::unique_ptr<transport::HttpServer> server_;
