An answer whose status is none is given up at once

Cause: the reader took any three digits for a status, and any below 200 for an interim answer. Ruled out: a check where answers are classified: the client of the controllers and the relays read answers, too. Change: HttpReader refuses a response whose status is not from 100 to 599 (RFC 9110, 15) as malformed. Conclusion: statuses that are none end at the router.

--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -6,6 +6,8 @@
 namespace planktray::transport {
 namespace {
 
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
 constexpr unsigned kStatusNoContent = 204;
 constexpr unsigned kStatusNotModified = 304;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -202,6 +204,10 @@
     message_.method = http_method_str(static_cast<http_method>(parser_.method));
   } else {
     message_.status = parser_.status_code;
+    if (message_.status < kFirstStatus || message_.status > kLastStatus) {
+      failure_ = ReadFailure::kMalformed;
+      return -1;
+    }
   }
   constexpr std::uint64_t kNoLength = UINT64_MAX;
   const bool stated = parser_.content_length != kNoLength;
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -4,6 +4,7 @@
 /// Invariants:
 ///  - A message is delivered only when it is complete: by its Content-Length, its last chunk or,
 ///    for a response without either, an orderly close of the connection.
+///  - The status of a response is one of RFC 9110: 100 to 599.
 ///  - Method, target, header values and body are the received bytes; nothing is normalized.
 
 #include <http_parser.h>
--- a/test/transport/answer_framing_test.cpp
+++ b/test/transport/answer_framing_test.cpp
@@ -91,6 +91,28 @@
   CHECK(client.connections_opened() == 1);
 }
 
+// Guards against a status that is none (RFC 9110, 15): 600 and 999 were passed on as answers, and
+// after 000 to 099, taken for interim ones, an answer was waited for until the deadline.
+TEST_CASE("an answer whose status is none is given up at once") {
+  std::string status;
+  ScriptedServer server([&status](const std::string& /*head*/, const Write& write) {
+    write("HTTP/1.1 " + status + " Text\r\nContent-Length: 0\r\n\r\n");
+  });
+  HttpClient client(HttpClientOptions{});
+  for (const char* none : {"000", "001", "042", "099", "600", "999"}) {
+    status = none;
+    CAPTURE(status);
+    const HttpResponse response = exchange(client, request_for(server, "GET"));
+    CHECK_FALSE(response.is_whole());
+    CHECK(response.error.code == common::ErrorCode::kCorrupt);
+  }
+  for (const char* known : {"200", "299", "500", "599"}) {
+    status = known;
+    CAPTURE(status);
+    CHECK(std::to_string(exchange(client, request_for(server, "GET")).status) == status);
+  }
+}
+
 /// Guards against a request that offers an upgrade and is refused since its body comes later.
 TEST_CASE("a request that offers an upgrade is read with its body") {
   HttpReader reader(HttpRole::kRequest, HttpLimits());
