A response that waits for memory outlives its server's close, and a client that is made to wait is not stalled

Cause: second reading of the new code. A response that waits for memory was dropped when its back end closed the connection behind it, and counted as an end of the back end under that request; three would have had the request refused as one that crashes its targets. A client that waits for "100 Continue" behind an earlier request counted as stalled. A short answer in chunks failed while others held all memory. Change: a pause of reading may leave the hang-up for later; a request whose client waits for the server is not receiving; only large answers without a length are given up. Evidence: "a response that waits for memory is read whole after its server has closed" is new and passes; that it fails without the change was not run. The other two are by reading. Conclusion: memory that is short delays answers, it does not lose them.

--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -232,7 +232,8 @@
   const std::size_t stated = reader_.stated_body();
   update_share();
   if (stated == 0) {
-    if (!memory->keep_within(now, share_)) {
+    const bool is_large = reader_.memory() > limits::kSmallMessageBytes;
+    if (is_large && !memory->keep_within(now, share_)) {
       fail({ErrorCode::kCorrupt, "read answer", address_, "no memory for the answer"});
     }
     return;
@@ -240,7 +241,8 @@
   is_admitted_ = stated <= limits::kSmallMessageBytes || memory->admit_large(now, stated);
   update_share();
   if (!is_admitted_ && memory_timer_ == 0) {
-    stream_->pause_reading();
+    // The response may have arrived whole when its back end closes the connection.
+    stream_->pause_reading(HangUp::kReadOn);
     memory_timer_ = g_timeout_add(kMemoryCheckMs, on_memory_check, this);
   }
 }
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -291,11 +291,11 @@
     holding.bytes +=
         request.memory + (request.answer.has_value() ? request.answer->body.size() : 0);
   }
-  const bool waits_for_client = reader_.has_begun() && !stream_->is_read_paused();
+  const bool is_held = stream_->is_read_paused() || continue_pending_;
   if (writing_ && !stream_->is_write_paused()) {
     holding.phase = limits::Phase::kSending;
     holding.last_progress = sent_at_;
-  } else if (waits_for_client) {
+  } else if (reader_.has_begun() && !is_held) {
     holding.phase = limits::Phase::kReceiving;
     holding.last_progress = received_at_;
     holding.announced = reader_.stated_body();
@@ -323,6 +323,7 @@
   if (continue_pending_ && pipeline_.empty() && !writing_) {
     continue_pending_ = false;
     last_activity_ = boot_time_now();  // the client waited with its body until now
+    received_at_ = last_activity_;
     stream_->write(kContinue);
   }
 }
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -111,12 +111,14 @@
 void TcpStream::watch() {
   if (watch_ != nullptr) {
     const bool paused = is_read_paused();
-    watch_->want(connected_ && !paused, !connected_ || may_send() > 0, connected_ && paused);
+    const bool watches_hang_up = connected_ && paused && !(paused_ && reads_on_);
+    watch_->want(connected_ && !paused, !connected_ || may_send() > 0, watches_hang_up);
   }
 }
 
-void TcpStream::pause_reading() {
+void TcpStream::pause_reading(HangUp hang_up) {
   paused_ = true;
+  reads_on_ = hang_up == HangUp::kReadOn;
   watch();
 }
 
--- a/src/transport/tcp_stream.hpp
+++ b/src/transport/tcp_stream.hpp
@@ -72,10 +72,11 @@
   void write(std::string_view bytes);
   /// Queues the head of a message and its body, which is not copied if it is large.
   void write(std::string_view head, const SharedBytes& body);
-  /// Reads nothing until resume_reading(): the kernel's buffers fill and hold the peer back. If the
-  /// peer closes and the buffers hold all that it sent, the stream ends and unread bytes are
-  /// dropped.
-  void pause_reading();
+  /// Reads nothing until resume_reading(): the kernel's buffers fill and hold the peer back.
+  /// @param hang_up kEnds: if the peer closes and the buffers hold all that it sent, the stream
+  /// ends
+  ///   and unread bytes are dropped. kReadOn: that is noticed after resume_reading().
+  void pause_reading(HangUp hang_up = HangUp::kEnds);
   void resume_reading();
   /// While held, no further bytes given to write() are handed to the kernel.
   void hold_writing(bool held);
@@ -139,6 +140,7 @@
   bool finishing_ = false;
   bool peer_finished_ = false;  ///< the peer has hung up, and all that it sent has arrived
   bool paused_ = false;         ///< by pause_reading()
+  bool reads_on_ = false;       ///< a hang-up is not watched for while paused
   bool held_ = false;           ///< by hold_writing()
   Handlers handlers_;
   LinkPacer* pacer_;
--- a/test/transport/connection_limits_test.cpp
+++ b/test/transport/connection_limits_test.cpp
@@ -2,10 +2,13 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "held_server.hpp"
 #include "limits/memory_account.hpp"
+#include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 #include "transport/link_pacer.hpp"
 
@@ -29,6 +32,18 @@
   return options;
 }
 
+/// Memory that somebody else holds and does not give up.
+class Holder final : public limits::MemoryHolder {
+ public:
+  Holder(limits::MemoryAccount& account, std::size_t bytes) : share_(&account, *this) {
+    share_.set({limits::Phase::kRunning, bytes, 0, {}});
+  }
+  void revoke_memory() override {}
+
+ private:
+  limits::MemoryAccount::Share share_;
+};
+
 TEST_CASE("a request that does not fit into memory is refused by its head") {
   limits::MemoryAccount memory(8 * kMebibyte);
   HeldServer held(options_with(&memory));
@@ -92,6 +107,33 @@
   CHECK(memory.held() < kMebibyte);
 }
 
+// Guards against a response that is lost, and its server taken for crashed, since the server closes
+// the connection while the response waits for memory.
+TEST_CASE("a response that waits for memory is read whole after its server has closed") {
+  limits::MemoryAccount memory(8 * kMebibyte);
+  HeldServer held(options_with_body_limit(1024));
+  HttpClientOptions options;
+  options.memory = &memory;
+  HttpClient client(options);
+  HttpRequest request;
+  request.address = kAddress;
+  request.fresh_connection = true;  // its server closes after the response
+  std::optional<HttpResponse> response;
+  client.send(request, [&response](const HttpResponse& got) { response = got; });
+  run_for(kShortly);
+  REQUIRE(held.exchanges.size() == 1);
+  auto others = std::make_unique<Holder>(memory, 7 * kMebibyte);
+  constexpr std::size_t kResponse = 200'000;
+  held.exchanges[0]->respond_text(200, "text/plain", std::string(kResponse, 'x'));
+  run_for(milliseconds(200));
+  CHECK_FALSE(response.has_value());
+  others.reset();
+  run_for(milliseconds(500));
+  REQUIRE(response.has_value());
+  CHECK(response->status == 200);
+  CHECK(response->body.size() == kResponse);
+}
+
 // Guards against a response that is kept for as long as its client does not read it.
 TEST_CASE("a client that does not read its response loses its connection") {
   HttpServerOptions options = options_with_body_limit(1024);
