The processes of a soak or a crowd test end with the test

Change: the children get SIGKILL when the process that started them ends. Conclusion: a run that is broken off leaves nothing behind.

--- a/test/platform/soak/processes.cpp
+++ b/test/platform/soak/processes.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -115,6 +116,7 @@
   const std::string program = (bin_ / program_of(process.role)).string();
   const pid_t pid = fork();
   if (pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // the processes end with the test, however it ends
     limit_descriptors(extra_.descriptors);
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(output, STDOUT_FILENO);
