--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -123,8 +123,7 @@
   add_link_metrics();
   add_time_metrics();
   add_path_metrics();
-  limit_report_.add_metrics(metrics_,
-                            {server_.get(), relay_server_.get(), status_server_.get()});
+  limit_report_.add_metrics(metrics_, {server_.get(), relay_server_.get(), status_server_.get()});
   return metrics_.serialize();
 }
 
--- a/test/platform/soak/operator.cpp
+++ b/test/platform/soak/operator.cpp
@@ -141,8 +141,7 @@
     // This is the only operator and it builds on the newest version: any refusal is a violation.
     violations_.push_back("CONFIG version " + std::to_string(change.version) + " on " +
                           std::to_string(version_) + " was refused with " +
-                          std::to_string(response.status) + " " +
-                          std::string(response.text()));
+                          std::to_string(response.status) + " " + std::string(response.text()));
     change_.reset();
     next_change_ = TimePoint::max();
     return;
