--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -14,8 +14,8 @@
 constexpr unsigned kStatusBodyTooLarge = 413;
 constexpr unsigned kStatusHeaderTooLarge = 431;
 constexpr unsigned kStatusUnavailable = 503;
-/// When a client whose request did not fit may come again, in seconds: stalled ones have been
-/// revoked by then.
+/// Retry-After of requests without memory, in seconds: limits::kStallTime, after which stalled
+/// holders are revoked.
 constexpr const char* kRetryAfterSeconds = "1";
 /// Memory of a connection without a request, about.
 constexpr std::size_t kConnectionBytes = 2048;
@@ -207,7 +207,7 @@
   update_share();
   const UnreadReason reason = reason_not_to_read(had_head);
   if (has_last_request_ || !stream_->is_open()) {
-    return;  // another connection had to give way, and with it went what this one waited for
+    return;  // revoking memory has called handlers, which may have ended this connection
   }
   if (reason != UnreadReason::kNone) {
     return give_up(reason);
