The soak can have clients that do not behave beside its faults

Cause: crowd tests try one crowd on a quiet fleet; nothing tried crowds beside stops, restarts, cuts and changes. Peak memory and open descriptors are read by usage.cpp, which the crowd tests use too. A child lowers its limit last: with many descriptors open in the soak it could not open its log.

--- a/test/platform/crowd/crowd_fleet.cpp
+++ b/test/platform/crowd/crowd_fleet.cpp
@@ -2,11 +2,11 @@
 
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <string>
 #include <utility>
 
 #include "platform/names.hpp"
+#include "soak/usage.hpp"
 
 namespace planktray::crowd {
 namespace {
@@ -24,7 +24,6 @@
 constexpr int kAttempts = 10;
 constexpr int kControllers = 3;
 constexpr int kTargets = 4;
-constexpr std::size_t kBytesPerKibibyte = 1024;
 /// Offsets from the first internal port.
 constexpr int kInternalPort = 7100;
 constexpr int kOperatorPortOffset = 1;
@@ -53,28 +52,6 @@
   return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
 }
 
-/// Reads the largest resident set of a process so far; 0 if it has ended.
-std::size_t peak_memory(pid_t pid) {
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  for (std::string line; std::getline(status, line);) {
-    if (line.starts_with("VmHWM:")) {
-      return std::strtoull(line.c_str() + line.find(':') + 1, nullptr, 10) * kBytesPerKibibyte;
-    }
-  }
-  return 0;
-}
-
-/// Counts the open descriptors of a process; 0 if it has ended.
-std::size_t open_descriptors(pid_t pid) {
-  std::error_code error;
-  std::size_t count = 0;
-  for (std::filesystem::directory_iterator entry("/proc/" + std::to_string(pid) + "/fd", error);
-       !error && entry != std::filesystem::directory_iterator(); entry.increment(error)) {
-    ++count;
-  }
-  return count;
-}
-
 }  // namespace
 
 CrowdFleet::CrowdFleet(CrowdFleetOptions options)
@@ -114,8 +91,8 @@
   if (process.pid <= 0) {
     return;
   }
-  usage.memory_bytes = std::max(usage.memory_bytes, peak_memory(process.pid));
-  usage.descriptors = std::max(usage.descriptors, open_descriptors(process.pid));
+  usage.memory_bytes = std::max(usage.memory_bytes, soak::peak_memory(process.pid));
+  usage.descriptors = std::max(usage.descriptors, soak::open_descriptors(process.pid));
 }
 
 bool CrowdFleet::run_until(const std::function<bool()>& condition) {
--- a/test/platform/soak/main.cpp
+++ b/test/platform/soak/main.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "soak/clients.hpp"
+#include "soak/crowds.hpp"
 #include "soak/operator.hpp"
 #include "soak/processes.hpp"
 #include "soak/rest_check.hpp"
@@ -36,6 +37,7 @@
 /// Cuts between routers and targets use a separate random engine, so they don't change the other
 /// faults of a seed.
 constexpr std::uint64_t kCutSeed = 2'000'000;
+constexpr std::uint64_t kCrowdSeed = 3'000'000;
 
 /// Exit status for settings with which no seed can be run.
 constexpr int kExitSettings = 2;
@@ -48,6 +50,7 @@
   std::uint64_t last_seed = 1;
   int seconds = 30;
   int requests_per_second = 300;
+  std::size_t crowd = 0;  ///< clients of each batch that do not behave
   double faults_per_second = 1.0;
 };
 
@@ -59,12 +62,13 @@
         cut_random_(seed + kCutSeed),
         processes_(std::filesystem::absolute(options.bin),
                    std::filesystem::absolute(options.data) / std::to_string(seed), options.size,
-                   seed),
+                   seed, Crowds::fleet_settings(options.crowd)),
         operator_(control_addresses(), seed + 1),
         clients_(processes_, operator_, promises_, seed + 2),
         targets_(processes_.network(), options.size.targets, control_addresses(), seed + 3,
                  [this](const Arrival& arrival) { clients_.on_arrival(arrival); }),
-        rest_check_(processes_) {}
+        rest_check_(processes_),
+        crowds_(processes_, options.crowd, seed + kCrowdSeed) {}
 
   /// @return the violated guarantees.
   std::vector<std::string> run() {
@@ -130,6 +134,7 @@
       case Phase::kFaults:
         send(now);
         cut_routers(now);
+        crowds_.send(now);
         return inject_fault(now);
       case Phase::kSettling:
         send(now);
@@ -190,6 +195,7 @@
   void inject_fault(TimePoint now) {
     if (now >= faults_until_) {
       settle_until_ = now + kSettle;
+      crowds_.clear();
       mend_routers(now);
       return enter(Phase::kSettling, now);
     }
@@ -353,6 +359,7 @@
     if (now - entered_ < kRest || std::exchange(is_checking_rest_, true)) {
       return;
     }
+    crowds_.check_memory(failures_);
     rest_check_.run([this](const std::vector<std::string>& violations) {
       failures_.insert(failures_.end(), violations.begin(), violations.end());
       enter(Phase::kDone, boot_time_now());
@@ -369,6 +376,7 @@
   Clients clients_;
   Targets targets_;
   RestCheck rest_check_;
+  Crowds crowds_;
   Phase phase_ = Phase::kStarting;
   TimePoint began_;
   TimePoint entered_;
@@ -434,6 +442,9 @@
   app.add_option("--targets", options.size.targets, "Targets")->check(CLI::Range(2, 1000));
   app.add_option("--requests", options.requests_per_second, "Requests a second")
       ->check(CLI::Range(1, 100'000));
+  app.add_option("--crowd", options.crowd,
+                 "Clients of each batch that send a part of a request and stay; 0: none")
+      ->check(CLI::Range(std::size_t{0}, std::size_t{1000}));
   app.add_option("--troubles", options.faults_per_second, "Troubles a second, on average")
       ->check(CLI::Range(0.0, 100.0));
   CLI11_PARSE(app, argc, argv);
--- a/test/platform/soak/processes.cpp
+++ b/test/platform/soak/processes.cpp
@@ -117,11 +117,12 @@
   const pid_t pid = fork();
   if (pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);  // the processes end with the test, however it ends
-    limit_descriptors(extra_.descriptors);
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
     setenv("PLANKTRAY_CONFIG", settings.c_str(), 1);
+    // Not earlier: until here, the descriptors of this process are open.
+    limit_descriptors(extra_.descriptors);
     execl(program.c_str(), program.c_str(), nullptr);
     _exit(127);
   }
