The test of a response that waits for memory shows the fault that it guards against

Cause: with 200,000 bytes the response did not fit into the socket's buffer, so its server's close arrived behind it and the test passed without the fix, too. Change: 66,036 bytes: large for the account, and in the buffer with the close behind them. Conclusion: stricter than before.

--- a/test/transport/connection_limits_test.cpp
+++ b/test/transport/connection_limits_test.cpp
@@ -123,7 +123,8 @@
   run_for(kShortly);
   REQUIRE(held.exchanges.size() == 1);
   auto others = std::make_unique<Holder>(memory, 7 * kMebibyte);
-  constexpr std::size_t kResponse = 200'000;
+  constexpr std::size_t kResponse =
+      limits::kSmallMessageBytes + 500;  // the socket's buffer holds it
   held.exchanges[0]->respond_text(200, "text/plain", std::string(kResponse, 'x'));
   run_for(milliseconds(200));
   CHECK_FALSE(response.has_value());
